--- /dev/null
+++ b/millgw/adapter.py
@@ -0,0 +1,242 @@
+"""The adapter: simulator frames on standard input and output, one Balancer for each instance.
+
+Translates words and numbers only; every decision is the balancer's.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from typing import Any, BinaryIO
+
+from millgw import interface as api
+from millgw import wire
+from millgw.decide import Balancer
+
+REPEATS = {"retryable": api.Repeat.SAFE, "dedup": api.Repeat.KEYED, "fragile": api.Repeat.UNSAFE}
+SCOPES = {"all": api.Scope.ALL, "zone": api.Scope.ZONE, "cell": api.Scope.CELL}
+OUTCOMES = {
+    200: api.Outcome.OK,
+    502: api.Outcome.ERROR,
+    429: api.Outcome.REJECTED,
+    408: api.Outcome.TIMEOUT,
+    521: api.Outcome.CONNECT_FAILED,
+    520: api.Outcome.RESET,
+    444: api.Outcome.CANCELLED,
+    409: api.Outcome.NOT_SENT,
+}
+NO_TIMEOUT = 0.0  # an attempt waits until the client gives up
+NO_ADVICE = 0.0  # a refusal says nothing of when to try again
+CONDITIONS = {c.value: c for c in api.Condition}
+LIST_KINDS = {k.value: k for k in api.ListKind}
+
+
+class SettingsError(ValueError):
+    """The settings lack what no decision can do without, or hold what is impossible."""
+
+
+def _number(where: dict[str, Any], key: str, path: str, default: float | None = None) -> float:
+    value = where.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise SettingsError(f"settings: {path}{key} is missing or not a number")
+    if not 0 <= value < float("inf"):
+        raise SettingsError(f"settings: {path}{key} must not be negative or infinite")
+    return float(value)
+
+
+def _table(where: dict[str, Any], key: str) -> dict[str, Any]:
+    value = where.get(key)
+    return value if isinstance(value, dict) else {}
+
+
+def _list(where: dict[str, Any], key: str) -> list[Any]:
+    value = where.get(key)
+    return value if isinstance(value, list) else []
+
+
+def _request_class(entry: Any, index: int) -> api.RequestClass:
+    path = f"classes[{index}]."
+    if not isinstance(entry, dict):
+        raise SettingsError(f"settings: classes[{index}] is not an object")
+    repeat = REPEATS.get(entry.get("repeat", ""))
+    if repeat is None:
+        raise SettingsError(f"settings: {path}repeat is missing or unknown")
+    deadline = _number(entry, "deadline", path)
+    return api.RequestClass(
+        name=str(entry.get("name", index)),
+        deadline=deadline,
+        repeat=repeat,
+        aim=_number(entry, "slo", path, deadline),
+        worth=_number(entry, "worth", path, 1.0),
+        scope=SCOPES.get(entry.get("keyScope", "cell"), api.Scope.CELL),
+        window=_number(entry, "repeatWindow", path, 0.0),
+    )
+
+
+def read_settings(raw: bytes) -> api.Settings:
+    """The settings of one instance, from the text of its first message."""
+    try:
+        data = json.loads(raw)
+    except ValueError as error:
+        raise SettingsError(f"settings: not JSON ({error})") from None
+    if not isinstance(data, dict) or not _list(data, "classes"):
+        raise SettingsError("settings: classes is missing or empty")
+    try:
+        return _settings(data)
+    except ValueError as error:
+        raise SettingsError(str(error)) from None
+
+
+def _settings(data: dict[str, Any]) -> api.Settings:
+    rules, limits = _table(data, "rules"), _table(data, "limits")
+    tenants = [t if isinstance(t, dict) else {} for t in _list(data, "projects")]
+    return api.Settings(
+        classes=tuple(_request_class(c, i) for i, c in enumerate(_list(data, "classes"))),
+        cold_share=_number(rules, "coldShare", "rules."),
+        cold_time=_number(rules, "cold", "rules."),
+        fall_multiple=_number(rules, "fallMultiple", "rules."),
+        fall_window=_number(rules, "fall", "rules."),
+        tenants=tuple(
+            api.Tenant(str(t.get("name", i)), _number(t, "quotaRps", f"projects[{i}].", 0.0))
+            for i, t in enumerate(tenants)
+        ),
+        over_share_worth=_number(data, "overShareWorth", "", 1.0),
+        index=int(_number(data, "me", "", 0)),
+        siblings=int(_number(data, "siblings", "", 1)),
+        stage=int(_number(data, "stage", "", 0)),
+        tick=_number(data, "tick", "", 1.0),
+        max_attempts=int(_number(limits, "tryLimit", "limits.", 1)),
+        concurrent_attempts=bool(limits.get("parallelTries", False)),
+        ask_discovery=data.get("registryMode", "on_request") != "pushed",
+        ask_within=_number(rules, "askWithin", "rules.", 10000.0),
+    )
+
+
+def to_event(record: wire.Record, tables: dict[int, tuple[api.Endpoint, ...]]) -> api.Event | None:
+    """The balancer's event for a record, or None where it has no use for the record."""
+    if isinstance(record, wire.Ended):
+        return api.AttemptEnded(
+            record.request,
+            record.endpoint,
+            record.attempt,
+            OUTCOMES.get(record.code, api.Outcome.ERROR),
+            record.elapsed,
+            record.no_more,
+        )
+    if isinstance(record, wire.Fired):
+        return api.TimerFired(record.name)
+    if isinstance(record, wire.Knock):
+        return api.RequestArrived(record.request, record.cls, record.not_after, record.tenant)
+    if isinstance(record, wire.Sync):
+        kind = LIST_KINDS.get(record.mode)
+        if kind is None:
+            raise wire.WireError(f"unknown list mode {record.mode}")
+        if kind is api.ListKind.FAILED:
+            return api.EndpointList(kind)
+        if record.table not in tables:
+            raise wire.WireError(f"list number {record.table} was never declared")
+        return api.EndpointList(kind, tables[record.table])
+    if isinstance(record, wire.Aborted):
+        return api.RequestAborted(record.request)
+    if isinstance(record, wire.Flowing):
+        return api.ResponseStarted(record.request)
+    return None
+
+
+def to_record(action: api.Action) -> bytes:
+    """The wire's record for an action."""
+    if isinstance(action, api.Send):
+        return wire.dispatch(action.request, action.endpoint, NO_TIMEOUT)
+    if isinstance(action, api.SetTimer):
+        return wire.after(action.at, action.timer)
+    if isinstance(action, api.Refuse):
+        return wire.say_no(action.request, NO_ADVICE)
+    if isinstance(action, api.Fail):
+        return wire.respond_error(action.request)
+    return wire.stream_changes(True)
+
+
+class Host:
+    """The instances of one process, and the lists that the wire declares to all of them."""
+
+    def __init__(self) -> None:
+        self.balancers: dict[int, Balancer] = {}
+        self.tables: dict[int, tuple[api.Endpoint, ...]] = {}
+
+    def answer(self, now: float, count: int, body: bytes) -> bytes:
+        """The reply to one batch."""
+        out: list[bytes] = []
+        current: int | None = None
+        speaking: int | None = None
+        for record in wire.decode(count, body):
+            if isinstance(record, wire.SwitchTo):
+                current = record.instance
+                continue
+            if isinstance(record, wire.Table):
+                self.tables[record.number] = tuple(_endpoint(e) for e in record.entries)
+                continue
+            if current is None:
+                raise wire.WireError("a record came before any instance was named")
+            try:
+                actions = self._step(now, current, record)
+            except (wire.WireError, SettingsError):
+                raise
+            except Exception as error:  # the operators want the text, not a dead process
+                return wire.reply([wire.act_as(current), wire.broken(f"{type(error).__name__}: {error}")])
+            if actions and speaking != current:
+                out.append(wire.act_as(current))
+                speaking = current
+            out.extend(map(to_record, actions))
+        return wire.reply(out)
+
+    def _step(self, now: float, instance: int, record: wire.Record) -> list[api.Action]:
+        if isinstance(record, wire.Boot):
+            self.balancers[instance] = Balancer(read_settings(record.settings), record.seed)
+            return []
+        if isinstance(record, wire.Stop):
+            self.balancers.pop(instance, None)
+            return []
+        balancer = self.balancers.get(instance)
+        if balancer is None:
+            raise wire.WireError(f"instance {instance} has not been started")
+        if isinstance(record, wire.Knock) and record.cls >= len(balancer.settings.classes):
+            raise wire.WireError(f"request {record.request} is of unknown class {record.cls}")
+        event = to_event(record, self.tables)
+        return [] if event is None else balancer.handle(now, event)
+
+
+def _endpoint(entry: wire.Entry) -> api.Endpoint:
+    condition = CONDITIONS.get(entry.condition)
+    if condition is None:
+        raise wire.WireError(f"endpoint {entry.endpoint} has unknown condition {entry.condition}")
+    return api.Endpoint(entry.endpoint, condition, entry.size, entry.cell, entry.zone, entry.since)
+
+
+def _read(stream: BinaryIO, size: int) -> bytes:
+    data = stream.read(size)
+    if len(data) < size:
+        raise wire.WireError(f"input ends inside a frame: {len(data)} of {size} bytes")
+    return data
+
+
+def serve(source: BinaryIO, sink: BinaryIO) -> None:
+    """Answer batches until the input ends."""
+    host = Host()
+    while first := source.read(1):
+        header = first + _read(source, wire.HEADER.size - 1)
+        count, size, now = wire.HEADER.unpack(header)
+        sink.write(host.answer(now, count, _read(source, size)))
+        sink.flush()
+
+
+def main() -> int:
+    try:
+        serve(sys.stdin.buffer, sys.stdout.buffer)
+    except (wire.WireError, SettingsError) as error:
+        print(f"millgw: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/millgw/decide.py
@@ -0,0 +1,761 @@
+"""Every decision of millgw: where a call goes, whether it is tried again, when it is given up.
+
+The types are in `millgw/interface.py`: settings, endpoints, events in, actions out. One `Balancer` is one
+sidecar's view. It has no clock, does no I/O and shares nothing: same events, same actions.
+
+Reading order: the constants; `Rules`, which alone says what may be sent or refused; `RetryBudget` and
+`Backoff`, the source design; `Server`, `Outliers` and `ColdStart`, what is known of endpoints; `Admission`,
+`Shedding` and `TenantShares`, who waits or is refused; `Discovery`; `Balancer`, from `handle` down.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+
+from millgw.interface import (
+    NEVER_RAN,
+    Action,
+    AttemptEnded,
+    Condition,
+    Endpoint,
+    EndpointList,
+    Event,
+    Fail,
+    ListKind,
+    Outcome,
+    Refuse,
+    Repeat,
+    RequestAborted,
+    RequestArrived,
+    RequestClass,
+    ResponseStarted,
+    Scope,
+    Send,
+    SetTimer,
+    Settings,
+    Subscribe,
+    TimerFired,
+)
+
+BUDGET_CAPACITY = 100.0  # tokens; the source's figure
+RETRY_COST = 10.0  # tokens for a retry: one for every ten served calls at most; the source's figure
+BACKOFF_BASE = 0.02  # of the class's aim: short against it, long against a hop
+BACKOFF_CAP = 0.5  # of the class's aim: a longer wait leaves no time to be answered
+BUFFER = 0.02  # of the class's aim, kept free before the deadline; see also BUFFER_TICKS
+BUFFER_TICKS = 4  # an answer needs a few ticks to be handed over, whatever the aim
+COLD_HEADROOM = 0.8  # of the told multiple: the rest is for chance and uneven requests
+RATE_MEMORY = 10_000.0  # ms over which what is usual is averaged: rates, calls in flight; longer than a burst
+LOOK_AROUND = 1000.0  # ms between two passes over the list: what they tell changes slowly
+QUICK_RISE = 0.1  # of a rise taken into a class's quick time: it follows its quickest tenth or so
+UNDISTURBED_MOST = 0.4  # of the aim, that undisturbed answers are taken to need at the most
+LATENCY_ROOM = 0.15  # of the room between undisturbed answers and the aim: what queueing may use up
+LATENCY_ROOM_MOST = 0.5  # of that room, where the median is of few answers; shedding starts there too
+NOISE = 1.6  # of that room for each part of the median that one answer decides
+NORMAL_ROOM = 1.5  # times the usual number in flight that a limit always leaves: bursts are usual too
+LATENCY_WEIGHT = 0.03  # of one answer in the running median: about the last thirty decide
+LATENCY_MEMORY = 1.0  # aims in it at the most: with few calls of its own, an instance must not be slow to see
+LATENCY_FEW = 0.4  # of one answer in it at the most: two or three decide, however few there are
+STEADY_WEIGHT = 0.01  # the same for the undisturbed: a lowest value must not be one of chance
+LIMIT_START = 5.0  # calls in flight for each endpoint, over all instances, before anything is learned
+LIMIT_GROWTH = 0.2  # of a call an endpoint for an answer, at most: an instance of many must not overshoot
+LIMIT_CUT = 0.5  # of the limit kept at the least, however late the answers
+LEAST_RATIO = 0.001  # keeps medians off zero, where no step leaves, and zeros in settings out of quotients
+LIMIT_USED = 0.8  # of the limit in use before it may grow: an unused one proves nothing
+HEALTH_WEIGHT = 0.2  # of one outcome in an endpoint's record: the last five decide
+SLOW_WEIGHT = 0.1  # of one answer's time in it: times scatter more than failures, so the last ten decide
+SLOW_PEER = 0.25  # of the warm peers are quicker than the one that slowness is measured against
+HEALTH_MEMORY = 5000.0  # ms after which an endpoint's slowness is mostly forgotten
+TIE_SLOWER = 1.05  # times as slow as the other: less does not decide a tie, or it would starve one
+OUTLIER_FAILING = 0.4  # share of calls failing from which an endpoint may be an outlier
+OUTLIER_MULTIPLE = 2.0  # times as bad as its peers: less is chance or the whole tier's trouble
+EJECT_TIME = 4000.0  # ms of the first ejection, time to empty and to recover
+EJECT_JITTER = 0.5  # of its time, at the least: instances that eject together return at different times
+EJECT_SHARE = 1 / 3  # of the endpoints at most: when more look ill, the trouble is not theirs
+HOME_LEAST = 3  # endpoints an instance always draws from: two to compare and one to go elsewhere
+SHED_RATE = 1.0  # of all work, by which shedding rises in an aim's time when half the answers are late
+SHED_MOST = 0.95  # of the work shed at the most: some answers must come, or nothing is learned
+ORDER_STEP = 0x9E3779B1  # odd, so that a product scatters ids and no two meet
+SHARE_BURST = 1000.0  # ms of a tenant's rate that may come at once and still be within its share
+HOLD_PART = 0.1  # of the aim that a request waits for room: a refused client needs the rest for another try
+ASK_SPREAD = 0.1  # of `ask_within`: instances that start together ask at different times
+ASK_RETRY = 0.05  # of `ask_within`: first wait after a failed call to discovery
+ASK_AGAIN = 0.5  # of `ask_within`: longest silence of discovery before it is asked again
+
+
+def scatter(id: int, group: int) -> int:
+    """Order ids as if by chance, each group in its own way, the same in every process."""
+    mixed = id * (2 * group + 1) * ORDER_STEP % 2**32
+    return (mixed ^ mixed >> 15) * ORDER_STEP % 2**32
+
+
+class Attempt:
+    """One attempt of a request: where it went, and whether it is out or proven not to have run."""
+
+    __slots__ = ("cls", "never_ran", "out", "sent", "server")
+
+    def __init__(self, server: Server, cls: int, now: float) -> None:
+        self.server = server
+        self.cls = cls
+        self.sent = now
+        self.out = True
+        self.never_ran = False
+
+
+class Request:
+    """A request that is owed an answer, and the attempts made for it so far."""
+
+    def __init__(self, event: RequestArrived, cls: RequestClass, now: float, end: float) -> None:
+        self.id = event.request
+        self.index = event.cls
+        self.cls = cls
+        self.tenant = event.tenant
+        self.arrived = now
+        self.end = end
+        self.give_up = end
+        self.attempts: list[Attempt] = []
+        self.wait = 0.0
+        self.within_share = True
+        self.value = cls.worth  # for each ms of its class's quick answers
+
+
+class Rules:
+    """Rule 2: the only place that says whether a request may be sent or refused."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.max_attempts = settings.max_attempts
+        self.concurrent = settings.concurrent_attempts
+        self.margin = settings.tick
+
+    def may_try(self, request: Request, now: float) -> bool:
+        """Whether any endpoint could be sent this request now."""
+        if len(request.attempts) >= self.max_attempts or now >= request.end:
+            return False
+        if not self.concurrent and any(a.out for a in request.attempts):
+            return False
+        ran = [a for a in request.attempts if not a.never_ran]
+        if not ran or request.cls.repeat is Repeat.SAFE:
+            return True
+        return request.cls.repeat is Repeat.KEYED and now <= ran[0].sent + request.cls.window - self.margin
+
+    @staticmethod
+    def may_go_to(request: Request, endpoint: Endpoint) -> bool:
+        """Whether this endpoint is in the group that drops a repeat of the request."""
+        if request.cls.repeat is not Repeat.KEYED or request.cls.scope is Scope.ALL:
+            return True
+        by_zone = request.cls.scope is Scope.ZONE
+        return all(
+            a.server.info.zone == endpoint.zone if by_zone else a.server.info.cell == endpoint.cell
+            for a in request.attempts
+            if not a.never_ran
+        )
+
+    @staticmethod
+    def may_refuse(request: Request) -> bool:
+        """Whether the client may be promised that trying again is safe."""
+        if request.cls.repeat is Repeat.SAFE or all(a.never_ran for a in request.attempts):
+            return True
+        return request.cls.repeat is Repeat.KEYED and request.cls.scope is Scope.ALL
+
+
+class RetryBudget:
+    """Token bucket: served calls earn, retries spend; it runs dry when failures are the rule."""
+
+    def __init__(self) -> None:
+        self.tokens = RETRY_COST  # not full: hundreds of copies, or a wave of restarts, would add up
+
+    def earn(self) -> None:
+        self.tokens = min(BUDGET_CAPACITY, self.tokens + 1)
+
+    def spend(self) -> bool:
+        if self.tokens < RETRY_COST:
+            return False
+        self.tokens -= RETRY_COST
+        return True
+
+
+class Backoff:
+    """Decorrelated jitter: each wait is drawn from the wait before it."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+
+    def next(self, previous: float, base: float, cap: float) -> float:
+        previous = max(previous, base)
+        return min(cap, base + self.rng.random() * (previous * 3 - base))
+
+
+class Server:
+    """One endpoint as this instance knows it."""
+
+    def __init__(self, info: Endpoint, now: float) -> None:
+        self.info = info
+        self.out: dict[Attempt, None] = {}
+        self.slow = 1.0
+        self.judged_at = now
+        self.failing = 0.0
+        self.ejected_until = -math.inf
+        self.served = 0.0
+        self.served_at = now
+        self.allowance = 1.0
+        self.allowed_at = now
+
+    def slowness(self, now: float) -> float:
+        """The recent time of its calls against the usual; what is old fades to 'usual'."""
+        return 1.0 + (self.slow - 1.0) * math.exp((self.judged_at - now) / HEALTH_MEMORY)
+
+    def count_served(self, now: float) -> None:
+        self.served = self.served_rate(now) * RATE_MEMORY + 1
+        self.served_at = now
+
+    def served_rate(self, now: float) -> float:
+        """Calls served per ms, averaged with a fading memory."""
+        return self.served * math.exp((self.served_at - now) / RATE_MEMORY) / RATE_MEMORY
+
+
+class Outliers:
+    """Ejects endpoints that are far worse than their peers, for a while, and never many of them.
+
+    Guards against an endpoint that errors at once, whose empty in-flight count would win draws and whose
+    failures would spend the tokens of all, and against one that is slow, or was crowded until it became
+    slow and needs rest to recover. After its time it is drawn again like any other, its record halfway
+    back, so that a few more bad outcomes send it away again.
+    """
+
+    def __init__(self, rng: random.Random, cold: ColdStart) -> None:
+        self.rng = rng
+        self.cold = cold
+
+    @staticmethod
+    def record(now: float, server: Server, failed: bool, slowness: float) -> None:
+        """Take one outcome; `slowness` is its time against the usual one of its class."""
+        server.failing += HEALTH_WEIGHT * (failed - server.failing)
+        if not failed or slowness > server.slow:
+            server.slow += SLOW_WEIGHT * (slowness - server.slow)
+            server.judged_at = now
+
+    def judge(self, now: float, server: Server, ring: list[Server]) -> None:
+        if server.failing <= OUTLIER_FAILING and server.slow <= 1.0:
+            return
+        peers = [s for s in ring if s is not server and now >= s.ejected_until]
+        if now < server.ejected_until or not peers or len(ring) - len(peers) >= EJECT_SHARE * len(ring):
+            return
+        failing = sum(s.failing for s in peers) / len(peers)
+        # The quicker peers: when most of a tier has slowed down from crowding, their mean would leave none
+        # any rest. Warm ones: of a cold one only the least share is known, so it looks quicker than it is.
+        warm = [s for s in peers if self.cold.share(s.info, now) >= 1.0]
+        quicker = sum(server.slow > OUTLIER_MULTIPLE * s.slow for s in warm)
+        if server.failing > max(OUTLIER_FAILING, OUTLIER_MULTIPLE * failing) or (
+            quicker > int(SLOW_PEER * len(warm))
+        ):
+            server.ejected_until = now + EJECT_TIME * (EJECT_JITTER + self.rng.random())
+            server.failing = OUTLIER_FAILING / 2
+            server.slow = OUTLIER_MULTIPLE / 2
+
+
+class ColdStart:
+    """Rule 4: an instance sends a cold endpoint its fair part and no more.
+
+    All instances together serve a warm endpoint no more than it can do, so what this one sees a warm
+    endpoint serve is its fair part of a capacity. A cold one is sent that rate times the share it is sure
+    to have by now, times most of the multiple at which it would fall over (COLD_HEADROOM).
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.rate = 0.0
+
+    def share(self, info: Endpoint, now: float) -> float:
+        """The part of its capacity that an endpoint is sure to have by now."""
+        s = self.settings
+        if info.since <= 0 or s.cold_time <= 0 or now >= info.since + s.cold_time:
+            return 1.0
+        return s.cold_share + (1 - s.cold_share) * max(0.0, now - info.since) / s.cold_time
+
+    def learn(self, servers: list[Server], now: float) -> None:
+        """Take the rate from warm endpoints only; with none left the last one seen holds."""
+        warm = [s for s in servers if self.share(s.info, now) >= 1.0]
+        size = sum(s.info.size for s in warm)
+        if size > 0:
+            self.rate = sum(s.served_rate(now) for s in warm) / size
+
+    def admits(self, server: Server, now: float) -> bool:
+        share = self.share(server.info, now)
+        if share >= 1.0:
+            return True
+        s = self.settings
+        least = 1.0 / (s.siblings * s.fall_window) if s.fall_window > 0 else 0.0
+        rate = max(least, self.rate * server.info.size) * share * s.fall_multiple * COLD_HEADROOM
+        most = max(1.0, rate * s.fall_window * COLD_HEADROOM)
+        server.allowance = min(most, server.allowance + rate * (now - server.allowed_at))
+        server.allowed_at = now
+        return server.allowance >= 1.0
+
+
+class Admission:
+    """Learned limit on calls in flight for each endpoint this instance may count on, at the first tier only.
+
+    Guards against crowding: beyond some number in flight servers only answer later, then too late, then
+    slow down for long. The limit grows while answers come well within their aim and is cut when they don't.
+    """
+
+    def __init__(self) -> None:
+        self.each = LIMIT_START
+        self.units = 1.0
+        self.normal = 0.0
+        self.late = 0.0
+        self.steady = 0.0
+        self.noise = LATENCY_WEIGHT
+        self.undisturbed = UNDISTURBED_MOST
+        self.answers = 0
+        self.settled = 0.0
+        self.at = 0.0
+
+    @property
+    def limit(self) -> float:
+        """Calls that this instance may have in flight: its part of whole ones for each endpoint."""
+        # The root guards against refusing by chance: of many instances, one's ups are another's downs.
+        part = self.cap(1.0) * self.units
+        return max(1.0, part + math.sqrt(part))
+
+    def cap(self, share: float) -> int:
+        """The most calls in flight for one endpoint: whole ones, as an endpoint with one slot needs."""
+        return max(1, int(self.each * share))
+
+    def target(self) -> float:
+        """What the median may be: the fewer answers it rests on, the more of its rises are chance."""
+        room = min(LATENCY_ROOM_MOST, max(LATENCY_ROOM, NOISE * self.noise))
+        return self.undisturbed + room * (1.0 - self.undisturbed)
+
+    def _toward(self, median: float, ratio: float, weight: float) -> float:
+        """One step of a running median."""
+        step = 1 + max(weight, 1.0 / self.answers)
+        if self.answers == 1:
+            return ratio
+        return min(median * step, 1.0) if ratio > median else median / step
+
+    def learn(self, now: float, elapsed: float, aim: float, inflight: int) -> None:
+        """Take one answer's time against its aim: a running median, which a few slow endpoints can't move."""
+        self.answers += 1
+        ratio = max(elapsed / aim, LEAST_RATIO)
+        recent = min(LATENCY_FEW, 1.0 - math.exp((self.at - now) / (LATENCY_MEMORY * aim)))
+        self.late = self._toward(self.late, ratio, max(LATENCY_WEIGHT, recent))
+        self.noise += max(STEADY_WEIGHT, 1.0 / self.answers) * (recent - self.noise)
+        self.steady = self._toward(self.steady, ratio, STEADY_WEIGHT)
+        if self.answers * LATENCY_WEIGHT >= 1.0:
+            self.undisturbed = min(self.steady, self.undisturbed)
+        target = self.target()
+        weight = max(1.0 / self.answers, 1.0 - math.exp((self.at - now) / RATE_MEMORY))
+        self.at = now
+        if self.late > target:
+            self.normal -= weight * self.normal  # a burst may use its room, a jam that lasts may not keep it
+            if now >= self.settled:
+                used = min(self.each, inflight / self.units)
+                self.each = max(1.0, NORMAL_ROOM * self.normal, used * max(LIMIT_CUT, target / self.late))
+                self.settled = now + self.late * aim
+            return
+        if inflight < self.limit:
+            self.normal += weight * (inflight / self.units - self.normal)
+        if inflight >= LIMIT_USED * self.each * self.units:
+            self.each += min(LIMIT_GROWTH, 1.0 / self.units) * (1.0 - self.late / target)
+
+
+class Shedding:
+    """Refuses a learned part of the work on arrival, the least worthy for its work first; first tier only.
+
+    Guards against overload at full size: with a call or two for each instance there is no queue from which
+    the worthier could go first, and what is admitted must still be answered in time.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.level = 0.0
+        self.at = math.inf
+        self.demand: dict[tuple[int, bool], float] = {}
+        self.value: dict[tuple[int, bool], float] = {}
+        self.seen = 0.0
+
+    def learn(self, now: float, admission: Admission, aim: float) -> None:
+        """Follow the median answer: the level rises when it is nearer to the aim than to the undisturbed."""
+        passed = min(1.0, max(0.0, now - self.at) / aim)
+        self.at = now
+        room = LATENCY_ROOM_MOST * (1.0 - admission.undisturbed)
+        rise = SHED_RATE * passed * (admission.late - admission.undisturbed - room) / room
+        self.level = min(SHED_MOST, max(0.0, self.level + rise))
+
+    def refuses(self, now: float, request: Request, work: float) -> bool:
+        """Whether a request of this worth for its work is in the part that is shed now."""
+        fade = math.exp((self.seen - now) / RATE_MEMORY)
+        self.seen = now
+        for other in self.demand:
+            self.demand[other] *= fade
+        kind = (request.index, request.within_share)
+        self.demand[kind] = self.demand.get(kind, 0.0) + work
+        self.value[kind] = request.value
+        below = sum(w for k, w in self.demand.items() if self.value[k] < request.value)
+        over = self.level * sum(self.demand.values()) - below
+        return self.rng.random() * self.demand[kind] < min(over, SHED_MOST * self.demand[kind])
+
+
+class TenantShares:
+    """Tells which requests are within their tenant's share: a token bucket for each tenant.
+
+    Guards against a tenant that floods: what it sends beyond its share is worth little and yields first.
+    A request that ends unserved gives its token back, so that clients' retries don't use up the share.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.rates = [t.rate / 1000 / settings.siblings for t in settings.tenants]
+        self.most = [max(1.0, rate * SHARE_BURST) for rate in self.rates]
+        self.tokens = list(self.most)
+        self.at = 0.0
+
+    def give_back(self, tenant: int) -> None:
+        if tenant < len(self.rates):
+            self.tokens[tenant] += 1.0
+
+    def take(self, now: float, tenant: int) -> bool:
+        if tenant >= len(self.rates) or self.rates[tenant] <= 0:
+            return True
+        for i, rate in enumerate(self.rates):
+            self.tokens[i] = min(self.most[i], self.tokens[i] + rate * (now - self.at))
+        self.at = now
+        within = self.tokens[tenant] >= 1.0
+        if within:
+            self.tokens[tenant] -= 1.0
+        return within
+
+
+class Discovery:
+    """Follows the list: subscribes at start, and asks again after a failure or a silence."""
+
+    def __init__(self, settings: Settings, rng: random.Random) -> None:
+        self.settings = settings
+        self.backoff = Backoff(rng)
+        self.rng = rng
+        self.wait = 0.0
+        self.due = math.inf
+
+    def start(self, now: float) -> float:
+        self.due = now + self.rng.random() * ASK_SPREAD * self.settings.ask_within
+        return self.due
+
+    def asked(self, now: float) -> float:
+        """When to ask again if nothing at all is heard."""
+        self.due = now + ASK_AGAIN * self.settings.ask_within
+        return self.due
+
+    def failed(self, now: float) -> float:
+        base = ASK_RETRY * self.settings.ask_within
+        self.wait = self.backoff.next(self.wait, base, ASK_AGAIN * self.settings.ask_within)
+        self.due = now + self.wait
+        return self.due
+
+    def heard(self) -> None:
+        self.wait = 0.0
+        self.due = math.inf
+
+
+class Balancer:
+    """One sidecar's decisions: `handle` takes an event and returns the actions, in order."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings = settings
+        self.rng = random.Random(seed)
+        self.rules = Rules(settings)
+        self.budget = RetryBudget()
+        self.backoff = Backoff(self.rng)
+        self.cold = ColdStart(settings)
+        self.outliers = Outliers(self.rng, self.cold)
+        self.discovery = Discovery(settings, self.rng)
+        self.servers: dict[int, Server] = {}
+        self.ring: list[Server] = []
+        self.requests: dict[int, Request] = {}
+        self.flights: dict[tuple[int, int], Attempt] = {}
+        self.admission = Admission() if settings.stage == 0 else None
+        self.shedding = Shedding(self.rng)
+        self.shares = TenantShares(settings) if settings.stage == 0 else None
+        self.spent = [c.aim for c in settings.classes]
+        self.quick, self.answered = list(self.spent), [0] * len(settings.classes)
+        self.held: dict[int, Request] = {}
+        self.looked = 0.0
+        self.timers: dict[int, int | None] = {}
+        self.next_timer = 0
+        self.started = False
+        self.actions: list[Action] = []
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        self.actions = []
+        if not self.started:
+            self.started = True
+            if self.settings.ask_discovery:
+                self._set_timer(self.discovery.start(now), None)
+        if isinstance(event, RequestArrived):
+            self._arrived(now, event)
+        elif isinstance(event, AttemptEnded):
+            self._attempt_ended(now, event)
+        elif isinstance(event, TimerFired):
+            self._timer(now, event.timer)
+        elif isinstance(event, EndpointList):
+            self._list(now, event)
+        elif isinstance(event, RequestAborted | ResponseStarted):
+            self._drop(event.request)
+        return self.actions
+
+    # Requests
+
+    def _arrived(self, now: float, event: RequestArrived) -> None:
+        if event.request in self.requests:
+            return
+        cls = self.settings.classes[event.cls]
+        buffer = max(BUFFER * cls.aim, BUFFER_TICKS * self.settings.tick)
+        request = Request(event, cls, now, event.deadline - buffer)
+        self.requests[event.request] = request
+        if self.shares is not None:
+            request.within_share = self.shares.take(now, event.tenant)
+            work = max(self.quick[event.cls], 1.0)
+            worth = cls.worth * (1.0 if request.within_share else self.settings.over_share_worth)
+            request.value = worth / work
+            if self.shedding.refuses(now, request, work):
+                self._end(request)
+                return
+        self._start(now, request)
+
+    def _attempt_ended(self, now: float, event: AttemptEnded) -> None:
+        attempt = self.flights.pop((event.request, event.attempt), None)
+        if attempt is None:
+            return
+        attempt.out = False
+        attempt.never_ran = event.outcome in NEVER_RAN
+        attempt.server.out.pop(attempt, None)
+        self._learn(now, attempt, event)
+        request = self.requests.get(event.request)
+        if request is not None:
+            if event.concluded or event.outcome is Outcome.OK:
+                self._drop(event.request)
+            elif not any(a.out for a in request.attempts):
+                self._retry_or_end(now, request)
+        self._serve_held(now)
+
+    def _learn(self, now: float, attempt: Attempt, event: AttemptEnded) -> None:
+        aim = max(self.settings.classes[attempt.cls].aim, self.settings.tick, LEAST_RATIO)
+        elapsed = event.elapsed
+        if event.outcome is Outcome.OK:
+            self.budget.earn()
+            attempt.server.count_served(now)
+            self._learn_times(attempt.cls, elapsed)
+        else:
+            elapsed = max(elapsed, aim)
+        if event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
+            failed = event.outcome is not Outcome.OK
+            slowness = event.elapsed / max(self.spent[attempt.cls], 1.0)
+            slowness *= self.cold.share(attempt.server.info, now)
+            self.outliers.record(now, attempt.server, failed, slowness)
+            self.outliers.judge(now, attempt.server, self.ring)
+        if self.admission is not None and event.outcome is not Outcome.CANCELLED:
+            self.admission.learn(now, elapsed, aim, len(self.flights) + 1)
+            self.shedding.learn(now, self.admission, aim)
+
+    def _learn_times(self, cls: int, elapsed: float) -> None:
+        self.answered[cls] += 1
+        step = max(LATENCY_WEIGHT, 1.0 / self.answered[cls])
+        self.spent[cls] += step * (elapsed - self.spent[cls])
+        rising = elapsed > self.quick[cls] and self.answered[cls] > 1
+        self.quick[cls] += step * (QUICK_RISE if rising else 1.0) * (elapsed - self.quick[cls])
+
+    def _look_around(self, now: float) -> None:
+        """The passes over the list, now and then only: what serves, and this instance's part of it."""
+        self.looked = now
+        self.cold.learn(self.ring[: self._home()], now)
+        if self.admission is not None:
+            shares = [self.cold.share(s.info, now) for s in self.ring if now >= s.ejected_until]
+            self.admission.units = max(1.0, sum(shares)) / self.settings.siblings
+
+    def _retry_or_end(self, now: float, request: Request) -> None:
+        """The source's loop: an attempt limit, a token, a jittered wait, and the deadline."""
+        aim = request.cls.aim
+        wait = self.backoff.next(request.wait, BACKOFF_BASE * aim, BACKOFF_CAP * aim)
+        wait = min(wait, request.end - now)
+        if wait <= 0 or not self.rules.may_try(request, now + wait) or not self.budget.spend():
+            self._end(request)
+            return
+        request.wait = wait
+        self._set_timer(now + wait, request.id)
+
+    def _start(self, now: float, request: Request) -> None:
+        """Send the request, a new one or one whose wait is over; hold it if it can't go now."""
+        if not self.rules.may_try(request, now):
+            self._end(request)
+        elif not self._try_send(now, request):
+            self._hold(now, request)
+
+    def _try_send(self, now: float, request: Request) -> bool:
+        server = self._pick(now, request) if self._admits() else None
+        if server is not None:
+            self._send(now, request, server)
+        return server is not None
+
+    def _hold(self, now: float, request: Request) -> None:
+        # Guards against the late refusal: the client tries again, is served too late, and takes the place of
+        # one that could have been served in time.
+        spare = HOLD_PART * request.cls.aim if self.admission is not None else math.inf
+        request.give_up = min(request.arrived + spare, request.end)
+        self.held[request.id] = request
+        self._set_timer(request.give_up, request.id)
+
+    def _admits(self) -> bool:
+        return self.admission is None or len(self.flights) < self.admission.limit
+
+    def _send(self, now: float, request: Request, server: Server) -> None:
+        self.held.pop(request.id, None)
+        attempt = Attempt(server, request.index, now)
+        self.flights[(request.id, len(request.attempts))] = attempt
+        request.attempts.append(attempt)
+        server.out[attempt] = None
+        server.allowance -= 1
+        self.actions.append(Send(request.id, server.info.id))
+
+    def _serve_held(self, now: float) -> None:
+        """Send what is held while there is room: the worthiest first.
+
+        Of equals the newest, as under overload the oldest would be answered just too late, one by one.
+        """
+        if not self.held or not self._admits():
+            return
+        for request in sorted(reversed(self.held.values()), key=lambda r: r.value, reverse=True):
+            if not self.rules.may_try(request, now):
+                self._end(request)
+            elif self._admits():
+                self._try_send(now, request)
+
+    def _end(self, request: Request) -> None:
+        if self.shares is not None and request.within_share:
+            self.shares.give_back(request.tenant)
+        refuse = self.rules.may_refuse(request)
+        self.actions.append(Refuse(request.id) if refuse else Fail(request.id))
+        self._drop(request.id)
+
+    def _drop(self, id: int) -> None:
+        self.requests.pop(id, None)
+        self.held.pop(id, None)
+
+    # Picking
+
+    def _pick(self, now: float, request: Request) -> Server | None:
+        """The less loaded of two random ready endpoints; a retry goes elsewhere if it can."""
+        if now >= self.looked + LOOK_AROUND:
+            self._look_around(now)
+        home = self._home()
+        tried = {a.server.info.id for a in request.attempts}
+        ready = self._ready(now, request, home, tried)
+        if not ready and tried:
+            ready = self._ready(now, request, home, set())
+        if len(ready) < 2:
+            return ready[0] if ready else None
+        a, b = self.rng.sample(ready, 2)
+        load_a, load_b = self._load(a, now), self._load(b, now)
+        if load_a == load_b:
+            # Guards against counts that tell nothing: an instance with few calls sees mostly zeros.
+            return b if a.slowness(now) > TIE_SLOWER * b.slowness(now) else a
+        return a if load_a < load_b else b
+
+    def _home(self) -> int:
+        """How many endpoints to draw from: with few calls of its own, an instance keeps to its part of them.
+
+        Guards against counts that tell nothing: many instances with a call or two each would all see zeros
+        and meet on the same endpoint. On its own part an instance's counts are nearly the whole truth, and
+        it soon notices one that stalls. With a call in flight for each endpoint, it draws from all.
+        """
+        part = -(-len(self.ring) // self.settings.siblings)
+        return max(HOME_LEAST, part, len(self.flights) + 1)
+
+    def _ready(self, now: float, request: Request, most: int, without: set[int]) -> list[Server]:
+        """The first `most` healthy endpoints, from this instance's place in the ring; else ill ones."""
+        healthy: list[Server] = []
+        ill: list[Server] = []
+        seen = 0
+        for server in self.ring:
+            if server.info.id in without or not self.rules.may_go_to(request, server.info):
+                continue
+            if not self.cold.admits(server, now):
+                continue
+            if now < server.ejected_until:
+                ill.append(server)
+                continue
+            seen += 1
+            if not self._full(server, now):
+                healthy.append(server)
+            if seen >= most and healthy:
+                break
+        return healthy or ill
+
+    def _full(self, server: Server, now: float) -> bool:
+        """Guards against the whole limit meeting on the few endpoints that are ready."""
+        if self.admission is None:
+            return False
+        return len(server.out) >= self.admission.cap(self.cold.share(server.info, now))
+
+    def _load(self, server: Server, now: float) -> float:
+        """Own calls in flight, against what the endpoint can do by size and warmth."""
+        weight = server.info.size * self.cold.share(server.info, now)
+        return (len(server.out) + 1) / max(weight, LEAST_RATIO)
+
+    # The list
+
+    def _list(self, now: float, event: EndpointList) -> None:
+        if event.kind is ListKind.FAILED:
+            self._set_timer(self.discovery.failed(now), None)
+            return
+        if event.kind is not ListKind.CACHED:
+            self.discovery.heard()
+        if event.kind is not ListKind.DELTA:
+            named = {e.id for e in event.endpoints}
+            for id in [i for i in self.servers if i not in named]:
+                del self.servers[id]
+        for info in event.endpoints:
+            self._entry(now, info)
+        # Guards against a crowd that walks along the list: in one order for all, those that share an endpoint
+        # would all turn to its neighbours. Each group of instances covers the list once, in its own order.
+        me, siblings = self.settings.index, self.settings.siblings
+        groups = 1 << max(0, siblings * HOME_LEAST // max(1, len(self.servers))).bit_length() >> 1
+        ids = sorted(self.servers, key=lambda id: (scatter(id, me % max(1, groups)), id))
+        at = me * len(ids) // siblings
+        self.ring = [self.servers[id] for id in ids[at:] + ids[:at]]
+        self._look_around(now)
+        self._serve_held(now)
+
+    def _entry(self, now: float, info: Endpoint) -> None:
+        """Rule 3: an endpoint that drains or is gone is forgotten at once, its grace unused."""
+        if info.condition is not Condition.READY:
+            self.servers.pop(info.id, None)
+            return
+        known = self.servers.get(info.id)
+        if known is None or known.info.since != info.since:
+            self.servers[info.id] = Server(info, now)
+        else:
+            known.info = info
+
+    # Timers
+
+    def _set_timer(self, at: float, request: int | None) -> None:
+        self.next_timer += 1
+        self.timers[self.next_timer] = request
+        self.actions.append(SetTimer(self.next_timer, at))
+
+    def _timer(self, now: float, timer: int) -> None:
+        if timer not in self.timers:
+            return
+        id = self.timers.pop(timer)
+        if id is None:
+            if now + self.settings.tick >= self.discovery.due:
+                self.actions.append(Subscribe())
+                self._set_timer(self.discovery.asked(now), None)
+            return
+        request = self.requests.get(id)
+        if request is None or any(a.out for a in request.attempts):
+            return
+        if id not in self.held:
+            self._start(now, request)
+        elif now + self.settings.tick >= request.give_up:
+            self._end(request)
+
--- /dev/null
+++ b/millgw/interface.py
@@ -0,0 +1,262 @@
+"""The whole interface of the balancer: settings, endpoints, events in, actions out.
+
+All times are milliseconds on the caller's clock; the balancer has no clock of its own.
+Classes, tenants and zones are numbered by their position in the settings' lists.
+
+The caller owns the clock, the timers and the sending. It feeds each event to `Balancer.handle` with the time
+it came at (times never go back) and carries the returned actions out in order. A request id is used once.
+Attempts of a request are numbered 0, 1, 2, ... in the order of their `Send`. Events about ids that are not
+known, or no longer, are harmless and return no action for them.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Repeat(Enum):
+    """How far a request of a class may be repeated once an attempt may have run."""
+
+    SAFE = "safe"
+    KEYED = "keyed"
+    UNSAFE = "unsafe"
+
+
+class Scope(Enum):
+    """The endpoints that recognise a repeat of a keyed request."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Condition(Enum):
+    """What discovery says of an endpoint."""
+
+    GONE = 0
+    DRAINING = 1
+    READY = 2
+
+
+class ListKind(Enum):
+    """What an endpoint list holds: changes only, all, a cached copy of all, or a failed call."""
+
+    DELTA = 0
+    FULL = 1
+    CACHED = 2
+    FAILED = 3
+
+
+class Outcome(Enum):
+    """How an attempt ended."""
+
+    OK = "ok"
+    ERROR = "error"
+    REJECTED = "rejected"
+    TIMEOUT = "timeout"
+    CONNECT_FAILED = "connect_failed"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    NOT_SENT = "not_sent"
+
+
+NEVER_RAN = frozenset({Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT})
+"""The outcomes that prove that an attempt had no effect."""
+
+
+def _check(where: object, least: float, *fields: str) -> None:
+    """Reject a setting that is not a finite number of at least `least`, by its name."""
+    for field in fields:
+        value = getattr(where, field)
+        if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+            raise ValueError(f"{type(where).__name__}.{field} is not a finite number")
+        if value < least:
+            raise ValueError(f"{type(where).__name__}.{field} must be {least:g} or more")
+
+
+@dataclass(slots=True, frozen=True)
+class RequestClass:
+    """A class of requests: what its answers are worth and how it may be repeated.
+
+    `deadline` is the client's whole patience, `aim` the time within which an answer earns its full `worth`.
+    A keyed class is recognised by the endpoints of one `scope`, for `window` from its first attempt.
+    """
+
+    name: str
+    deadline: float
+    repeat: Repeat
+    aim: float
+    worth: float = 1.0
+    scope: Scope = Scope.CELL
+    window: float = 0.0
+
+    def __post_init__(self) -> None:
+        _check(self, 0.0, "deadline", "aim", "worth", "window")
+
+
+@dataclass(slots=True, frozen=True)
+class Tenant:
+    """A tenant and the rate, summed over all instances, that is within its share (0: unlimited)."""
+
+    name: str
+    rate: float = 0.0  # requests a second
+
+    def __post_init__(self) -> None:
+        _check(self, 0.0, "rate")
+
+
+@dataclass(slots=True, frozen=True)
+class Settings:
+    """All that an instance is told when it starts. Defaults are the cautious reading.
+
+    An endpoint starts with `cold_share` of its capacity and is warm after `cold_time`; sent more than
+    `fall_multiple` times its present capacity for `fall_window`, by all `siblings` together, it falls over.
+    `index` is this instance's number among its `siblings`, `stage` the tier it sends to (0: clients' first).
+    Where `ask_discovery` is set, the list comes only after a `Subscribe`; an instance that has not asked for
+    `ask_within` is taken to know the list. Impossible values raise a ValueError that names the field.
+    """
+
+    classes: tuple[RequestClass, ...]
+    cold_share: float
+    cold_time: float
+    fall_multiple: float
+    fall_window: float
+    tenants: tuple[Tenant, ...] = ()
+    over_share_worth: float = 1.0
+    index: int = 0
+    siblings: int = 1
+    stage: int = 0
+    tick: float = 1.0
+    max_attempts: int = 1
+    concurrent_attempts: bool = False
+    ask_discovery: bool = True
+    ask_within: float = 10000.0
+
+    def __post_init__(self) -> None:
+        if not self.classes:
+            raise ValueError("Settings.classes is empty")
+        shares = ("cold_share", "cold_time", "fall_multiple", "fall_window", "over_share_worth")
+        _check(self, 0.0, *shares, "index", "stage", "tick", "ask_within")
+        _check(self, 1, "siblings", "max_attempts")
+        if self.cold_share > 1:
+            raise ValueError("Settings.cold_share must be 1 or less")
+
+
+@dataclass(slots=True, frozen=True)
+class Endpoint:
+    """One entry of the endpoint list."""
+
+    id: int
+    condition: Condition = Condition.READY
+    size: float = 1.0
+    cell: int = 0
+    zone: int = 0
+    since: float = 0.0
+
+
+# Events
+
+
+@dataclass(slots=True)
+class EndpointList:
+    """Discovery's view, or word that a call to it failed."""
+
+    kind: ListKind
+    endpoints: tuple[Endpoint, ...] = ()
+
+
+@dataclass(slots=True)
+class RequestArrived:
+    """A request; one final answer is owed before `deadline` (a point in time).
+
+    `cls` and `tenant` are positions in the settings; an unknown tenant has no share, an unknown class is an
+    IndexError.
+    """
+
+    request: int
+    cls: int
+    deadline: float
+    tenant: int = 0
+
+
+@dataclass(slots=True)
+class AttemptEnded:
+    """The end of one attempt, `elapsed` after its `Send`; `concluded` tells that no answer is owed any more.
+
+    The first OK is taken to have reached the client, whatever `concluded` says.
+    """
+
+    request: int
+    endpoint: int
+    attempt: int
+    outcome: Outcome
+    elapsed: float
+    concluded: bool
+
+
+@dataclass(slots=True)
+class ResponseStarted:
+    """A streamed answer has begun; the request belongs to that attempt now."""
+
+    request: int
+
+
+@dataclass(slots=True)
+class RequestAborted:
+    """The client has left: no answer is owed any more."""
+
+    request: int
+
+
+@dataclass(slots=True)
+class TimerFired:
+    """A timer set earlier has fallen due."""
+
+    timer: int
+
+
+Event = EndpointList | RequestArrived | AttemptEnded | ResponseStarted | RequestAborted | TimerFired
+
+
+# Actions
+
+
+@dataclass(slots=True)
+class Send:
+    """Start an attempt; it waits for its answer until the client gives up."""
+
+    request: int
+    endpoint: int
+
+
+@dataclass(slots=True)
+class Refuse:
+    """Final answer: not served, and safe to retry."""
+
+    request: int
+
+
+@dataclass(slots=True)
+class Fail:
+    """Final answer: not served, with no promise about effects."""
+
+    request: int
+
+
+@dataclass(slots=True)
+class SetTimer:
+    """Ask for a `TimerFired` at or after `at`."""
+
+    timer: int
+    at: float
+
+
+@dataclass(slots=True)
+class Subscribe:
+    """Ask discovery for the list and its changes from now on."""
+
+
+Action = Send | Refuse | Fail | SetTimer | Subscribe
+
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,178 @@
+"""Shared pieces of the tests: settings, endpoints, and a driver that keeps the books on the rules."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from millgw.decide import Balancer
+from millgw.interface import (
+    NEVER_RAN,
+    Action,
+    AttemptEnded,
+    Condition,
+    Endpoint,
+    EndpointList,
+    Event,
+    Fail,
+    ListKind,
+    Outcome,
+    Refuse,
+    Repeat,
+    RequestAborted,
+    RequestArrived,
+    RequestClass,
+    Scope,
+    Send,
+    SetTimer,
+    Settings,
+    Tenant,
+    TimerFired,
+)
+
+SAFE, KEYED, UNSAFE = 0, 1, 2
+SETTINGS = Settings(
+    classes=(
+        RequestClass("read", 3000.0, Repeat.SAFE, 1000.0, 1.0),
+        RequestClass("write", 3000.0, Repeat.KEYED, 1000.0, 2.0, Scope.CELL, 800.0),
+        RequestClass("pay", 3000.0, Repeat.UNSAFE, 1000.0, 8.0),
+    ),
+    cold_share=0.2,
+    cold_time=10_000.0,
+    fall_multiple=3.0,
+    fall_window=2000.0,
+    max_attempts=4,
+    concurrent_attempts=True,
+    tick=1.0,
+)
+TENANTS = (Tenant("a", 10.0), Tenant("b", 10.0))
+
+
+def settings(**changes: object) -> Settings:
+    return replace(SETTINGS, **changes)  # type: ignore[arg-type]
+
+
+def endpoints(n: int, **common: object) -> tuple[Endpoint, ...]:
+    return tuple(replace(Endpoint(i + 1, cell=(i + 1) % 2), **common) for i in range(n))  # type: ignore[arg-type]
+
+
+class Drive:
+    """Feeds events to a balancer, fires its timers, and checks rules 1 to 3 on every action."""
+
+    def __init__(self, config: Settings = SETTINGS, seed: int = 1) -> None:
+        self.config = config
+        self.balancer = Balancer(config, seed)
+        self.now = 1000.0
+        self.timers: list[tuple[float, int]] = []
+        self.open: dict[int, RequestArrived] = {}
+        self.tries: dict[int, list[tuple[int, float, Outcome | None]]] = {}
+        self.known: dict[int, Endpoint] = {}
+        self.usable: set[int] = set()
+        self.answers: dict[int, str] = {}
+        self.log: list[tuple[float, Action]] = []
+        self.next_id = 0
+
+    def feed(self, event: Event) -> list[Action]:
+        actions = self.balancer.handle(self.now, event)
+        for action in actions:
+            self.log.append((self.now, action))
+            self._check(action)
+        return actions
+
+    def advance(self, to: float) -> list[Action]:
+        """Move the clock, firing each timer that falls due on the way."""
+        out: list[Action] = []
+        while self.timers and min(self.timers)[0] <= to:
+            due = min(self.timers)
+            self.timers.remove(due)
+            self.now = max(self.now, due[0])
+            out += self.feed(TimerFired(due[1]))
+        self.now = max(self.now, to)
+        for id, request in list(self.open.items()):
+            out_attempts = [t for t in self.tries[id] if t[2] is None]
+            assert out_attempts or self.now < request.deadline, f"request {id} was never answered"
+        return out
+
+    def show(self, *entries: Endpoint, kind: ListKind = ListKind.FULL) -> list[Action]:
+        if kind in (ListKind.FULL, ListKind.CACHED):
+            self.usable.clear()
+        for entry in entries:
+            self.known[entry.id] = entry
+            self.usable.discard(entry.id)
+            if entry.condition is Condition.READY:
+                self.usable.add(entry.id)
+        return self.feed(EndpointList(kind, entries))
+
+    def arrive(self, cls: int = SAFE, patience: float = 1500.0, tenant: int = 0) -> int:
+        self.next_id += 1
+        event = RequestArrived(self.next_id, cls, self.now + patience, tenant)
+        self.open[event.request] = event
+        self.tries[event.request] = []
+        self.feed(event)
+        return event.request
+
+    def abort(self, request: int) -> list[Action]:
+        self.open.pop(request, None)
+        return self.feed(RequestAborted(request))
+
+    def outcome(self, request: int, attempt: int, outcome: Outcome) -> list[Action]:
+        endpoint, sent, before = self.tries[request][attempt]
+        assert before is None
+        self.tries[request][attempt] = (endpoint, sent, outcome)
+        if outcome is Outcome.OK and request in self.open:
+            del self.open[request]
+            self.answers[request] = "served"
+        return self.feed(
+            AttemptEnded(request, endpoint, attempt, outcome, self.now - sent, request not in self.open)
+        )
+
+    def sent_to(self, request: int) -> list[int]:
+        return [endpoint for endpoint, _, _ in self.tries[request]]
+
+    def count(self, endpoint: int) -> int:
+        return sum(isinstance(a, Send) and a.endpoint == endpoint for _, a in self.log)
+
+    def _check(self, action: Action) -> None:
+        if isinstance(action, SetTimer):
+            self.timers.append((max(action.at, self.now + self.config.tick), action.timer))
+        elif isinstance(action, Send):
+            self._check_send(action)
+        elif isinstance(action, Refuse | Fail):
+            assert action.request in self.open, "an answer to a request that is owed none"
+            if isinstance(action, Refuse):
+                self._check_refuse(action.request)
+            del self.open[action.request]
+            self.answers[action.request] = "refused" if isinstance(action, Refuse) else "failed"
+
+    def _may_have_run(self, request: int) -> list[tuple[int, float, Outcome | None]]:
+        return [t for t in self.tries[request] if t[2] not in NEVER_RAN]
+
+    def _check_send(self, action: Send) -> None:
+        request = self.open.get(action.request)
+        assert request is not None, "sent for a request that has ended"
+        assert action.endpoint in self.usable, "sent to an endpoint that drains or is gone"
+        assert self.now < request.deadline
+        tries, ran = self.tries[action.request], self._may_have_run(action.request)
+        assert len(tries) < self.config.max_attempts
+        if not self.config.concurrent_attempts:
+            assert all(t[2] is not None for t in tries), "two attempts out at once"
+        cls = self.config.classes[request.cls]
+        if ran and cls.repeat is Repeat.UNSAFE:
+            raise AssertionError("an unsafe request that may have run was sent again")
+        if ran and cls.repeat is Repeat.KEYED:
+            assert self.now <= ran[0][1] + cls.window, "resent outside its window"
+            if cls.scope is Scope.CELL:
+                cells = {self.known[t[0]].cell for t in ran}
+                assert cells == {self.known[action.endpoint].cell}, "resent outside its group"
+        tries.append((action.endpoint, self.now, None))
+
+    def _check_refuse(self, request: int) -> None:
+        cls = self.config.classes[self.open[request].cls]
+        if cls.repeat is Repeat.UNSAFE or (cls.repeat is Repeat.KEYED and cls.scope is not Scope.ALL):
+            assert not self._may_have_run(request), "refused although an attempt may have run"
+
+
+def drive(n: int = 4, **changes: object) -> Drive:
+    """A driver whose balancer has been shown `n` endpoints."""
+    made = Drive(settings(**changes))
+    made.show(*endpoints(n))
+    return made
--- /dev/null
+++ b/tests/test_departures.py
@@ -0,0 +1,416 @@
+"""Each failure that the ordinary path does not survive, and the answer to it."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import replace
+
+import pytest
+
+from millgw.interface import Endpoint, ListKind, Outcome, Repeat, RequestClass, Scope, Send, TimerFired
+from tests.support import KEYED, SAFE, TENANTS, UNSAFE, Drive, drive, endpoints, settings
+
+
+def serve(
+    d: Drive, calls: int, times: dict[int, float] | None = None, failing: frozenset[int] = frozenset()
+) -> None:
+    """One call after another; each endpoint takes its time (20 ms if not told) or fails at once."""
+    for _ in range(calls):
+        request = d.arrive(patience=1400.0)
+        while request in d.open and d.tries[request]:
+            index = len(d.tries[request]) - 1
+            endpoint, _, done = d.tries[request][index]
+            if done is not None:
+                d.advance(d.now + 5)
+                continue
+            if endpoint in failing:
+                d.advance(d.now + 1)
+                d.outcome(request, index, Outcome.ERROR)
+            else:
+                d.advance(d.now + (times or {}).get(endpoint, 20.0))
+                d.outcome(request, index, Outcome.OK)
+
+
+def flood(d: Drive, calls: int, cls: int = SAFE, tenant: int = 0) -> list[int]:
+    return [d.arrive(cls, patience=2900.0, tenant=tenant) for _ in range(calls)]
+
+
+def flying(d: Drive) -> int:
+    return sum(t[2] is None for tries in d.tries.values() for t in tries)
+
+
+def finish(d: Drive, after: float) -> None:
+    """Time passes, then all attempts that are out are served."""
+    d.advance(d.now + after)
+    for request, tries in list(d.tries.items()):
+        for index, attempt in enumerate(tries):
+            if attempt[2] is None and request in d.open:
+                d.outcome(request, index, Outcome.OK)
+
+
+def test_crowding_is_held_back_and_the_hopeless_refused() -> None:
+    d = drive(4)
+    serve(d, 60)
+    requests = flood(d, 200)
+    assert flying(d) < 40
+    d.advance(d.now + 1500)
+    assert sum(d.answers.get(r) == "refused" for r in requests) > 150
+
+
+def test_an_inner_tier_holds_nothing_back() -> None:
+    d = drive(4, stage=1)
+    flood(d, 200)
+    assert flying(d) == 200
+
+
+def test_late_answers_cut_the_limit_and_quick_ones_restore_it() -> None:
+    d = drive(4)
+    serve(d, 60)
+    admission = d.balancer.admission
+    assert admission is not None
+    for _ in range(12):
+        flood(d, 40)
+        finish(d, 50.0)
+    wide = admission.each
+    for _ in range(6):
+        flood(d, 40)
+        finish(d, 950.0)
+    assert admission.each < wide / 2
+    for _ in range(100):
+        serve(d, 4)
+    narrow = admission.each
+    for _ in range(100):
+        flood(d, 40)
+        while flying(d):
+            finish(d, 30.0)
+        d.advance(d.now + 200)
+    assert admission.each > 1.5 * narrow
+
+
+def test_one_slow_endpoint_does_not_cut_the_limit() -> None:
+    """A mean would: 900 ms against 20 from one endpoint of six is far past the target."""
+    d = drive(6)
+    admission = d.balancer.admission
+    assert admission is not None
+    serve(d, 300, times={3: 900.0})
+    assert admission.late < admission.target()
+
+
+def test_the_limit_leaves_room_for_the_usual_calls_in_flight() -> None:
+    d = drive(2)
+    admission = d.balancer.admission
+    assert admission is not None
+    for _ in range(40):
+        flood(d, 6)
+        finish(d, 100.0)
+    assert admission.normal > 1
+    usual = admission.normal
+    for _ in range(10):
+        flood(d, 6)
+        finish(d, 350.0)
+    assert admission.target() < admission.late < (1 + admission.undisturbed) / 2
+    assert admission.each >= admission.normal > 1
+    assert admission.normal < usual, "the room fades while the trouble lasts"
+
+
+def test_a_timer_that_comes_a_hair_early_still_answers_a_held_request() -> None:
+    """Clocks round: the timer of a held request once came back a fraction of a microsecond early."""
+    d = Drive(settings())
+    request = d.arrive(patience=500.0)
+    due, timer = max(t for t in d.timers if d.balancer.timers[t[1]] == request)
+    d.now = due - 0.0004
+    d.feed(TimerFired(timer))
+    assert d.answers[request] == "refused"
+
+
+def test_a_refusal_comes_early_enough_for_another_try() -> None:
+    """Refused late, a client tries again, is served too late and takes the place of one in time."""
+    d = drive(2)
+    serve(d, 60)
+    requests = flood(d, 200)
+    d.advance(d.now + 0.2 * d.config.classes[SAFE].aim)
+    waiting = [r for r in requests if r in d.open and not d.tries[r]]
+    assert not waiting and sum(d.answers.get(r) == "refused" for r in requests) > 100
+
+
+def test_the_worthiest_is_sent_first() -> None:
+    d = drive(1)
+    serve(d, 30)
+    d.outcome(d.arrive(UNSAFE), 0, Outcome.OK)
+    for _ in range(20):
+        flood(d, 30)
+    cheap, dear = flood(d, 5), flood(d, 1, UNSAFE)
+    assert not d.tries[dear[0]] and not any(d.tries[r] for r in cheap)
+    for out in [r for r in d.tries if r in d.open and d.tries[r]]:
+        if not d.tries[dear[0]]:
+            d.outcome(out, 0, Outcome.OK)
+    sent = [a.request for _, a in d.log if isinstance(a, Send)]
+    assert dear[0] in sent and all(sent.index(dear[0]) < sent.index(r) for r in cheap if r in sent)
+
+
+def test_a_tenant_beyond_its_share_yields_first() -> None:
+    d = drive(1, tenants=TENANTS, over_share_worth=0.1)
+    serve(d, 5)
+    over = flood(d, 60, tenant=0)
+    within = flood(d, 3, tenant=1)
+    finish(d, 10.0)
+    assert all(d.tries[r] for r in within)
+    assert sum(bool(d.tries[r]) for r in over) < 60
+
+
+def test_refused_requests_do_not_use_up_a_share() -> None:
+    d = Drive(settings(tenants=TENANTS, over_share_worth=0.1))
+    for _ in range(5):
+        flood(d, 40, tenant=0)
+        d.advance(d.now + 400)
+    d.show(*endpoints(4))
+    request = d.arrive(tenant=0)
+    assert d.balancer.requests[request].within_share
+
+
+def test_an_instance_of_many_does_not_refuse_by_chance() -> None:
+    """Two calls at once are usual for an instance whose part of the limit is less than one."""
+    d = drive(8, siblings=60)
+    for _ in range(200):
+        pair = flood(d, 2)
+        d.advance(d.now + 150.0)
+        for request in pair:
+            if d.tries[request]:
+                d.outcome(request, 0, Outcome.OK)
+        d.advance(d.now + 400.0)
+    assert sum(a == "served" for a in d.answers.values()) >= 395
+
+
+@pytest.mark.parametrize("index", [0, 5, 11])
+def test_few_calls_keep_to_the_instances_own_part(index: int) -> None:
+    d = drive(36, stage=1, siblings=12, index=index)
+    serve(d, 60)
+    used = {e for r in d.tries for e in d.sent_to(r)}
+    assert len(used) == 3
+    flood(d, 200)
+    assert len({e for r in d.tries for e in d.sent_to(r)}) == 36, "many calls use all endpoints"
+
+
+def test_a_busy_home_endpoint_does_not_open_foreign_ones() -> None:
+    d = drive(36, siblings=12)
+    admission = d.balancer.admission
+    assert admission is not None
+    admission.each = 1.0
+    serve(d, 3)
+    home = {e for r in d.tries for e in d.sent_to(r)} | {1, 2, 3}
+    first, second = d.arrive(), d.arrive()
+    assert set(d.sent_to(first) + d.sent_to(second)) <= home
+
+
+def test_instances_that_share_an_endpoint_turn_to_different_ones_without_it() -> None:
+    """With one order for all, a crowd would walk along the list from one choked endpoint to the next."""
+
+    def used(index: int, *without: int) -> set[int]:
+        d = Drive(settings(stage=1, siblings=96, index=index))
+        d.show(*[e for e in endpoints(24) if e.id not in without])
+        serve(d, 60)
+        return {e for r in d.tries for e in d.sent_to(r)}
+
+    homes = {index: used(index) for index in range(96)}
+    shares = [sum(id in home for home in homes.values()) for id in range(1, 25)]
+    assert min(shares) >= 6 and max(shares) <= 18, "and all endpoints are drawn from alike"
+    sharing = [index for index, home in homes.items() if 7 in home]
+    others = set().union(*(used(index, 7) for index in sharing))
+    assert len(others) > 12
+
+
+def test_one_quick_answer_does_not_double_the_limit_of_an_instance_of_many() -> None:
+    """An instance's part may be a fifth of each endpoint: a call more for it is five more for each."""
+    d = drive(8, siblings=40)
+    admission = d.balancer.admission
+    assert admission is not None
+    before = admission.each
+    serve(d, 4)
+    assert admission.each <= before + 2.0
+
+
+def test_a_median_of_few_answers_is_given_more_room() -> None:
+    """Its rises are chance: taken at their word they would shed and refuse on a quiet day."""
+    few, many = drive(8), drive(8)
+    for d, pause in ((few, 700.0), (many, 5.0)):
+        for _ in range(150):
+            serve(d, 1, times={n: 200.0 for n in range(1, 9)})
+            d.advance(d.now + pause)
+    assert few.balancer.admission is not None and many.balancer.admission is not None
+    assert few.balancer.admission.target() > many.balancer.admission.target() + 0.05
+
+
+def test_an_endpoint_that_fails_at_once_is_ejected_and_tried_again() -> None:
+    d = drive(6)
+    serve(d, 120, failing=frozenset({4}))
+    before = d.count(4)
+    assert before < 25
+    serve(d, 400, failing=frozenset({4}))
+    assert d.count(4) < before + 40
+    d.advance(d.now + 40_000)
+    served = d.count(4)
+    serve(d, 60)
+    assert d.count(4) > served + 3, "it recovers once it serves again"
+
+
+def test_a_slow_endpoint_is_ejected() -> None:
+    d = drive(6)
+    serve(d, 200, times={2: 400.0})
+    taken = d.count(2)
+    assert taken < 20
+    share = taken / 200
+    assert share < 1 / 6
+
+
+def test_when_all_fail_none_is_ejected() -> None:
+    """The trouble is then behind the endpoints, in a tier of their own."""
+    d = drive(6)
+    serve(d, 100, failing=frozenset(range(1, 7)))
+    d.advance(d.now + 10_000)  # one that was met more often at first may have looked worse than the rest
+    serve(d, 100, failing=frozenset(range(1, 7)))
+    assert not any(s.ejected_until > d.now for s in d.balancer.ring)
+
+
+def test_never_more_than_a_third_is_ejected() -> None:
+    d = drive(9)
+    serve(d, 400, failing=frozenset({1, 2, 3, 4, 5}))
+    assert sum(s.ejected_until > d.now for s in d.balancer.ring) <= 3
+
+
+def test_a_tie_goes_to_the_quicker_endpoint() -> None:
+    d = drive(3, stage=1)
+    serve(d, 150, times={2: 32.0})
+    assert d.count(2) < 40
+
+
+def test_a_cold_endpoint_is_not_ejected_for_being_slow() -> None:
+    d = drive(5)
+    serve(d, 100)
+    d.show(Endpoint(9, since=d.now), kind=ListKind.DELTA)
+    for _ in range(60):
+        for request in flood(d, 12):
+            endpoint = d.sent_to(request)[0]
+            d.advance(d.now + (8 if endpoint == 9 else 2))
+            d.outcome(request, 0, Outcome.OK)
+        finish(d, 100.0)
+    cold = d.balancer.servers[9]
+    assert cold.ejected_until == -math.inf
+
+
+def test_quick_cold_peers_do_not_make_a_usual_endpoint_an_outlier() -> None:
+    """Cold ones, judged by the least share they are told to have, look far quicker than they are."""
+    d = drive(4)
+    serve(d, 100)
+    d.show(*[Endpoint(n, since=d.now) for n in range(10, 16)], kind=ListKind.DELTA)
+    usual, *peers = sorted(d.balancer.ring, key=lambda s: s.info.id)
+    for server in peers:
+        server.slow = 1.0 if server.info.id < 10 else 0.4
+    for _ in range(10):
+        d.balancer.outliers.record(d.now, usual, False, 1.2)
+        d.balancer.outliers.judge(d.now, usual, d.balancer.ring)
+    assert usual.ejected_until == -math.inf
+
+
+def test_when_most_have_slowed_down_some_are_given_rest() -> None:
+    """Each is usual among its peers then, and none would ever be idle enough to recover."""
+    d = drive(9)
+    serve(d, 600, times={n: 200.0 for n in range(1, 7)})
+    assert sum(s.ejected_until > -math.inf for s in d.balancer.ring) >= 1
+    assert sum(s.ejected_until > d.now for s in d.balancer.ring) <= 3
+
+
+def test_no_endpoint_takes_more_than_its_part_of_the_limit() -> None:
+    d = drive(2)
+    for _ in range(20):
+        flood(d, 20)
+        finish(d, 30.0)
+    d.show(*endpoints(2), *(replace(Endpoint(i), since=d.now) for i in range(10, 18)))
+    admission = d.balancer.admission
+    assert admission is not None
+    flood(d, 300)
+    assert all(len(s.out) <= admission.each for s in d.balancer.ring)
+
+
+def test_under_overload_the_least_worthy_work_is_shed_first() -> None:
+    """An instance of hundreds has a call or two: no queue in which the worthier could go first."""
+    d = drive(4, siblings=40)
+    due: list[tuple[float, int]] = []
+    fates: dict[int, list[int]] = {SAFE: [], UNSAFE: []}
+
+    def minute(crowding: float) -> None:
+        """Four requests a second; each attempt takes longer for every other one that is out."""
+        nonlocal due
+        for n in range(240):
+            d.advance(d.now + 250.0)
+            for _, request in [x for x in due if x[0] <= d.now]:
+                if request in d.open and d.tries[request]:
+                    d.outcome(request, len(d.tries[request]) - 1, Outcome.OK)
+            due = [x for x in due if x[0] > d.now]
+            cls = UNSAFE if n % 2 else SAFE
+            fates[cls].append(d.arrive(cls, patience=2900.0))
+            due.append((d.now + 200.0 + crowding * flying(d), fates[cls][-1]))
+
+    def served(cls: int) -> float:
+        latest = fates[cls][-80:]
+        return sum(bool(d.tries[r]) for r in latest) / len(latest)
+
+    minute(0.0)
+    assert served(SAFE) == served(UNSAFE) == 1.0
+    minute(300.0)
+    assert served(SAFE) < 0.5 * served(UNSAFE), "the unsafe class is worth eight times as much"
+    minute(0.0)
+    assert served(SAFE) == served(UNSAFE) == 1.0, "all is served again once answers are quick"
+
+
+def test_few_answers_are_enough_to_see_late_ones() -> None:
+    """With a call a second, a memory of thirty answers would be blind for half a minute."""
+    d = drive(4, siblings=40)
+    admission = d.balancer.admission
+    assert admission is not None
+
+    def seconds(n: int, elapsed: float) -> None:
+        for _ in range(n):
+            request = d.arrive(patience=2900.0)
+            d.advance(d.now + elapsed)
+            d.outcome(request, 0, Outcome.OK)
+            d.advance(d.now + 1000.0 - elapsed)
+
+    seconds(60, 100.0)
+    assert admission.late < admission.target()
+    seconds(5, 900.0)
+    assert admission.late > admission.target()
+
+
+def test_the_first_requests_of_a_day_are_not_refused() -> None:
+    """Before anything is learned, the limit leaves room for some calls on each endpoint."""
+    d = drive(8)
+    assert flood(d, 30) and flying(d) >= 30
+
+
+def test_keyed_class_of_scope_all_may_go_anywhere() -> None:
+    classes = (RequestClass("k", 3000.0, Repeat.KEYED, 1000.0, scope=Scope.ALL, window=900.0),)
+    d = drive(3, classes=classes)
+    request = d.arrive(0)
+    d.outcome(request, 0, Outcome.RESET)
+    d.advance(d.now + 500)
+    assert len(set(d.sent_to(request))) == 2
+    assert KEYED == 1
+
+
+def test_odd_but_legal_settings_never_stop_it() -> None:
+    classes = tuple(replace(c, aim=0.0, window=0.0) for c in settings().classes)
+    odd = {"cold_time": 0.0, "cold_share": 0.0, "fall_window": 0.0, "tick": 0.0, "ask_within": 0.0}
+    d = Drive(settings(classes=classes, **odd))
+    d.now = 0.0
+    d.show(replace(Endpoint(1), size=0.0), Endpoint(2, since=99.0))
+    for cls in (SAFE, KEYED, UNSAFE):
+        for outcome in Outcome:
+            request = d.arrive(cls)
+            if d.tries[request]:
+                d.outcome(request, 0, outcome)
+
+
+def test_a_cold_share_of_zero_never_stops_it() -> None:
+    d = Drive(settings(cold_share=0.0))
+    d.show(*endpoints(3, since=d.now))
+    assert d.tries[d.arrive()]
