Add the real sidecar: sockets, clock and timers round the module

Cause: the module ran on the simulator's wire only. The parts have one job each (config, server, driver, upstream, discovery); settings parsing moved out of the adapter and is shared with it.

Ruled out: a clock of loop time (a recent start would look warm), a high-level HTTP client (re-sends by itself).

--- a/millgw/adapter.py
+++ b/millgw/adapter.py
@@ -5,16 +5,14 @@
 
 from __future__ import annotations
 
-import json
 import sys
-from typing import Any, BinaryIO
+from typing import BinaryIO
 
 from millgw import interface as api
 from millgw import wire
 from millgw.decide import Balancer
+from millgw.settings import SettingsError, read_settings
 
-REPEATS = {"retryable": api.Repeat.SAFE, "dedup": api.Repeat.KEYED, "fragile": api.Repeat.UNSAFE}
-SCOPES = {"all": api.Scope.ALL, "zone": api.Scope.ZONE, "cell": api.Scope.CELL}
 OUTCOMES = {
     200: api.Outcome.OK,
     502: api.Outcome.ERROR,
@@ -31,87 +29,6 @@
 LIST_KINDS = {k.value: k for k in api.ListKind}
 
 
-class SettingsError(ValueError):
-    """The settings lack what no decision can do without, or hold what is impossible."""
-
-
-def _number(where: dict[str, Any], key: str, path: str, default: float | None = None) -> float:
-    value = where.get(key, default)
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise SettingsError(f"settings: {path}{key} is missing or not a number")
-    if not 0 <= value < float("inf"):
-        raise SettingsError(f"settings: {path}{key} must not be negative or infinite")
-    return float(value)
-
-
-def _table(where: dict[str, Any], key: str) -> dict[str, Any]:
-    value = where.get(key)
-    return value if isinstance(value, dict) else {}
-
-
-def _list(where: dict[str, Any], key: str) -> list[Any]:
-    value = where.get(key)
-    return value if isinstance(value, list) else []
-
-
-def _request_class(entry: Any, index: int) -> api.RequestClass:
-    path = f"classes[{index}]."
-    if not isinstance(entry, dict):
-        raise SettingsError(f"settings: classes[{index}] is not an object")
-    repeat = REPEATS.get(entry.get("repeat", ""))
-    if repeat is None:
-        raise SettingsError(f"settings: {path}repeat is missing or unknown")
-    deadline = _number(entry, "deadline", path)
-    return api.RequestClass(
-        name=str(entry.get("name", index)),
-        deadline=deadline,
-        repeat=repeat,
-        aim=_number(entry, "slo", path, deadline),
-        worth=_number(entry, "worth", path, 1.0),
-        scope=SCOPES.get(entry.get("keyScope", "cell"), api.Scope.CELL),
-        window=_number(entry, "repeatWindow", path, 0.0),
-    )
-
-
-def read_settings(raw: bytes) -> api.Settings:
-    """The settings of one instance, from the text of its first message."""
-    try:
-        data = json.loads(raw)
-    except ValueError as error:
-        raise SettingsError(f"settings: not JSON ({error})") from None
-    if not isinstance(data, dict) or not _list(data, "classes"):
-        raise SettingsError("settings: classes is missing or empty")
-    try:
-        return _settings(data)
-    except ValueError as error:
-        raise SettingsError(str(error)) from None
-
-
-def _settings(data: dict[str, Any]) -> api.Settings:
-    rules, limits = _table(data, "rules"), _table(data, "limits")
-    tenants = [t if isinstance(t, dict) else {} for t in _list(data, "projects")]
-    return api.Settings(
-        classes=tuple(_request_class(c, i) for i, c in enumerate(_list(data, "classes"))),
-        cold_share=_number(rules, "coldShare", "rules."),
-        cold_time=_number(rules, "cold", "rules."),
-        fall_multiple=_number(rules, "fallMultiple", "rules."),
-        fall_window=_number(rules, "fall", "rules."),
-        tenants=tuple(
-            api.Tenant(str(t.get("name", i)), _number(t, "quotaRps", f"projects[{i}].", 0.0))
-            for i, t in enumerate(tenants)
-        ),
-        over_share_worth=_number(data, "overShareWorth", "", 1.0),
-        index=int(_number(data, "me", "", 0)),
-        siblings=int(_number(data, "siblings", "", 1)),
-        stage=int(_number(data, "stage", "", 0)),
-        tick=_number(data, "tick", "", 1.0),
-        max_attempts=int(_number(limits, "tryLimit", "limits.", 1)),
-        concurrent_attempts=bool(limits.get("parallelTries", False)),
-        ask_discovery=data.get("registryMode", "on_request") != "pushed",
-        ask_within=_number(rules, "askWithin", "rules.", 10000.0),
-    )
-
-
 def to_event(record: wire.Record, tables: dict[int, tuple[api.Endpoint, ...]]) -> api.Event | None:
     """The balancer's event for a record, or None where it has no use for the record."""
     if isinstance(record, wire.Ended):
--- /dev/null
+++ b/millgw/settings.py
@@ -0,0 +1,97 @@
+"""Settings as the operators word them, read into the balancer's own; shared by adapter and sidecar."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from millgw import interface as api
+
+REPEATS = {"retryable": api.Repeat.SAFE, "dedup": api.Repeat.KEYED, "fragile": api.Repeat.UNSAFE}
+SCOPES = {"all": api.Scope.ALL, "zone": api.Scope.ZONE, "cell": api.Scope.CELL}
+
+
+class SettingsError(ValueError):
+    """The settings lack what no decision can do without, or hold what is impossible."""
+
+
+def number(where: dict[str, Any], key: str, path: str, default: float | None = None) -> float:
+    value = where.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise SettingsError(f"settings: {path}{key} is missing or not a number")
+    if not 0 <= value < float("inf"):
+        raise SettingsError(f"settings: {path}{key} must not be negative or infinite")
+    return float(value)
+
+
+def table(where: dict[str, Any], key: str) -> dict[str, Any]:
+    value = where.get(key)
+    return value if isinstance(value, dict) else {}
+
+
+def items(where: dict[str, Any], key: str) -> list[Any]:
+    value = where.get(key)
+    return value if isinstance(value, list) else []
+
+
+def _request_class(entry: Any, index: int) -> api.RequestClass:
+    path = f"classes[{index}]."
+    if not isinstance(entry, dict):
+        raise SettingsError(f"settings: classes[{index}] is not an object")
+    repeat = REPEATS.get(entry.get("repeat", ""))
+    if repeat is None:
+        raise SettingsError(f"settings: {path}repeat is missing or unknown")
+    deadline = number(entry, "deadline", path)
+    return api.RequestClass(
+        name=str(entry.get("name", index)),
+        deadline=deadline,
+        repeat=repeat,
+        aim=number(entry, "slo", path, deadline),
+        worth=number(entry, "worth", path, 1.0),
+        scope=SCOPES.get(entry.get("keyScope", "cell"), api.Scope.CELL),
+        window=number(entry, "repeatWindow", path, 0.0),
+    )
+
+
+def read_settings(raw: bytes) -> api.Settings:
+    """The settings of one instance, from the text of its first message."""
+    try:
+        data = json.loads(raw)
+    except ValueError as error:
+        raise SettingsError(f"settings: not JSON ({error})") from None
+    return to_settings(data)
+
+
+def to_settings(data: Any) -> api.Settings:
+    """The settings of one instance, from their JSON value."""
+    if not isinstance(data, dict) or not items(data, "classes"):
+        raise SettingsError("settings: classes is missing or empty")
+    try:
+        return _settings(data)
+    except ValueError as error:
+        raise SettingsError(str(error)) from None
+
+
+def _settings(data: dict[str, Any]) -> api.Settings:
+    rules, limits = table(data, "rules"), table(data, "limits")
+    tenants = [t if isinstance(t, dict) else {} for t in items(data, "projects")]
+    return api.Settings(
+        classes=tuple(_request_class(c, i) for i, c in enumerate(items(data, "classes"))),
+        cold_share=number(rules, "coldShare", "rules."),
+        cold_time=number(rules, "cold", "rules."),
+        fall_multiple=number(rules, "fallMultiple", "rules."),
+        fall_window=number(rules, "fall", "rules."),
+        tenants=tuple(
+            api.Tenant(str(t.get("name", i)), number(t, "quotaRps", f"projects[{i}].", 0.0))
+            for i, t in enumerate(tenants)
+        ),
+        over_share_worth=number(data, "overShareWorth", "", 1.0),
+        index=int(number(data, "me", "", 0)),
+        siblings=int(number(data, "siblings", "", 1)),
+        stage=int(number(data, "stage", "", 0)),
+        tick=number(data, "tick", "", 1.0),
+        max_attempts=int(number(limits, "tryLimit", "limits.", 1)),
+        concurrent_attempts=bool(limits.get("parallelTries", False)),
+        ask_discovery=data.get("registryMode", "on_request") != "pushed",
+        ask_within=number(rules, "askWithin", "rules.", 10000.0),
+    )
--- /dev/null
+++ b/millgw/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The real sidecar: sockets, clock and timers round the one `Balancer`."""
--- /dev/null
+++ b/millgw/sidecar/__main__.py
@@ -0,0 +1,84 @@
+"""Start and end of a sidecar: puts the parts together, and leaves in order when it is told to."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+import sys
+
+import uvloop
+
+from millgw.decide import Balancer
+from millgw.sidecar.config import Config, ConfigError, read_config
+from millgw.sidecar.discovery import Discovery
+from millgw.sidecar.driver import Driver
+from millgw.sidecar.server import Server
+from millgw.sidecar.upstream import Upstream
+
+RESERVED = 32  # descriptors for the process itself: log, loop, listener, discovery
+CALLERS_PART = 0.5  # of the others, for callers' connections; the rest is for endpoints'
+STILL_COMING = 0.5  # s after SIGTERM for which new connections are taken: they come for 0.4 s
+LONGEST = 3.0  # s of a deadline that SIGKILL waits for at the most, and a little more than ANSWER_WITHIN
+ANSWER_WITHIN = 0.3  # s more by which all is answered
+FLUSH = 0.2  # s that answers may take to be read before the process ends
+
+log = logging.getLogger("millgw")
+
+
+async def serve(config: Config) -> None:
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    spare = max(8, config.sockets - RESERVED)
+    callers = int(CALLERS_PART * spare)
+    upstream = Upstream(spare - callers, config.connect_timeout, config.idle)
+    discovery = Discovery(config.discovery, config.zones, lambda kind, entries: driver.listed(kind, entries))
+    driver = Driver(Balancer(config.settings, config.seed), upstream, discovery.subscribe)
+    discovery.start(config.known)
+    if not config.settings.ask_discovery:
+        discovery.subscribe()
+    server = Server(config, driver, callers)
+    server.start()
+    log.info("%s serves at %s:%d", config.name, config.listen.host, config.listen.port)
+    await stop.wait()
+    await leave(config, server, driver)
+
+
+async def leave(config: Config, server: Server, driver: Driver) -> None:
+    """Take what still comes, answer all of it, and be gone before SIGKILL."""
+    longest = max(c.deadline for c in config.settings.classes) / 1000
+    left = min(longest, LONGEST) + ANSWER_WITHIN - STILL_COMING
+    server.stopping = True
+    await asyncio.sleep(STILL_COMING)
+    server.stop_listening()
+    try:
+        async with asyncio.timeout(left):
+            while server.connections or server.accepting:
+                await asyncio.sleep(0.05)
+                server.close_idle()
+    except TimeoutError:
+        log.warning("ended with %d requests unserved", len(driver.calls))
+        driver.fail_all()
+        await asyncio.sleep(FLUSH)
+
+
+def main() -> int:
+    logging.basicConfig(level=logging.INFO, format="%(levelname)s %(message)s")
+    try:
+        config = read_config(os.environ)
+    except ConfigError as error:
+        print(f"millgw: {error}", file=sys.stderr)
+        return 2
+    try:
+        uvloop.run(serve(config))
+    except OSError as error:
+        print(f"millgw: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/millgw/sidecar/config.py
@@ -0,0 +1,94 @@
+"""What a sidecar is told at its start: environment and config file, read once and checked."""
+
+from __future__ import annotations
+
+import ipaddress
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from millgw import interface as api
+from millgw.settings import SettingsError, items, number, table, to_settings
+
+PREFIX = "BALANCER_"
+
+
+class ConfigError(ValueError):
+    """The sidecar can't run on this; the text names the field."""
+
+
+@dataclass(slots=True, frozen=True)
+class Address:
+    """Where to listen or connect: an IP address, as there is no DNS, and a port."""
+
+    host: str
+    port: int
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    """All of it. Times are milliseconds, as in the settings."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    known: Any
+    settings: api.Settings
+    zones: tuple[str, ...]
+    connect_timeout: float
+    idle: float
+
+
+def read_address(value: Any) -> Address:
+    """An address in the form 'IP:port'; a ValueError tells what it is not."""
+    host, colon, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    if not colon or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
+        raise ValueError(f"{value!r} is not IP:port")
+    return Address(str(ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))), int(port))
+
+
+def read_config(environ: Mapping[str, str]) -> Config:
+    """The configuration of this sidecar; a variable goes before the file's field of the same meaning."""
+    path = environ.get(PREFIX + "CONFIG")
+    if not path:
+        raise ConfigError(f"{PREFIX}CONFIG is not set")
+    try:
+        data = json.loads(Path(path).read_bytes())
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{PREFIX}CONFIG: {error}") from None
+    if not isinstance(data, dict):
+        raise ConfigError(f"{PREFIX}CONFIG: not a JSON object")
+    settings, limits = table(data, "settings"), table(table(data, "settings"), "limits")
+    try:
+        return Config(
+            name=environ.get(PREFIX + "NAME") or str(data.get("name", "")),
+            listen=_address(environ, data, "listen"),
+            discovery=_address(environ, data, "discovery"),
+            seed=_seed(data.get("seed")),
+            sockets=int(number(table(data, "limits"), "sockets", "limits.", 1024)),
+            known=data.get("known"),
+            settings=to_settings(settings),
+            zones=tuple(map(str, items(settings, "localities"))),
+            connect_timeout=number(limits, "connectTimeout", "limits.", 250.0),
+            idle=number(limits, "connIdle", "limits.", 15_000.0),
+        )
+    except SettingsError as error:
+        raise ConfigError(str(error)) from None
+
+
+def _address(environ: Mapping[str, str], data: dict[str, Any], field: str) -> Address:
+    try:
+        return read_address(environ.get(PREFIX + field.upper()) or data.get(field))
+    except ValueError as error:
+        raise ConfigError(f"{field}: {error}") from None
+
+
+def _seed(value: Any) -> int:
+    try:
+        return int(value, 16)
+    except (TypeError, ValueError):
+        raise ConfigError(f"seed: {value!r} is not a hexadecimal number") from None
--- /dev/null
+++ b/millgw/sidecar/discovery.py
@@ -0,0 +1,204 @@
+"""Discovery: reads its lists and follows one watch at a time."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import Any, cast
+
+import httptools
+
+from millgw.interface import Condition, Endpoint, ListKind
+from millgw.settings import number
+from millgw.sidecar.config import Address, read_address
+
+SILENCE = 3.5  # s without a line after which a watch has failed: heartbeats come every 2 s
+MAX_LINE = 8 * 1024 * 1024  # bytes of one line, far above the list of any fleet
+CONDITIONS = {
+    "in_service": Condition.READY,
+    "terminating": Condition.DRAINING,
+    "terminated": Condition.GONE,
+}
+
+log = logging.getLogger("millgw")
+
+
+@dataclass(slots=True, frozen=True)
+class Listed:
+    """One entry: what the balancer is told of the endpoint, and where this sidecar reaches it."""
+
+    endpoint: Endpoint
+    address: Address | None
+
+
+@dataclass(slots=True, frozen=True)
+class Listing:
+    """One list or line of changes, without the entries that can't be read."""
+
+    index: int
+    whole: bool
+    entries: tuple[Listed, ...]
+
+
+Heard = Callable[[ListKind, tuple[Listed, ...]], None]
+
+
+def endpoint_id(name: str) -> int:
+    """A number for a name: the same in every sidecar and after a restart, as the balancer's ring needs."""
+    return int.from_bytes(blake2b(name.encode(), digest_size=8).digest(), "big")
+
+
+def read_listing(data: Any, zones: tuple[str, ...]) -> Listing:
+    """A list from its JSON value; entries that can't be read are skipped and logged."""
+    if not isinstance(data, dict) or not isinstance(data.get("endpoints"), list):
+        raise ValueError("not a list of endpoints")
+    entries: list[Listed] = []
+    for raw in data["endpoints"]:
+        try:
+            entries.append(_entry(raw, zones))
+        except (ValueError, TypeError, LookupError, AttributeError) as error:
+            log.warning("discovery: skipped an entry: %s: %s", type(error).__name__, error)
+    return Listing(int(number(data, "index", "")), data.get("snapshot") is True, tuple(entries))
+
+
+def _entry(raw: Any, zones: tuple[str, ...]) -> Listed:
+    name, condition = raw["name"], CONDITIONS.get(raw.get("status"))
+    if not isinstance(name, str) or condition is None:
+        raise ValueError(f"{name!r} has no known status")
+    zone = raw.get("zone")
+    endpoint = Endpoint(
+        id=endpoint_id(name),
+        condition=condition,
+        size=number(raw, "weight", f"{name}: ", 1.0),
+        cell=int(number(raw, "group", f"{name}: ", 0.0)),
+        zone=zones.index(zone) if zone in zones else len(zones),
+        since=number(raw, "since_ms", f"{name}: ", 0.0),
+    )
+    return Listed(endpoint, None if condition is Condition.GONE else read_address(raw.get("address")))
+
+
+class Discovery:
+    """The list as last heard, and the watch that is on, if any. When to ask is the balancer's decision."""
+
+    def __init__(self, address: Address, zones: tuple[str, ...], heard: Heard) -> None:
+        self.address = address
+        self.zones = zones
+        self.heard = heard
+        self.index: int | None = None
+        self.watch: Watch | None = None
+        self.asking: asyncio.Task[None] | None = None
+
+    def start(self, known: Any) -> None:
+        """Take the list that this sidecar had before its start, if it can be read."""
+        try:
+            listing = read_listing(known, self.zones)
+        except ValueError as error:
+            log.warning("known: %s", error)
+            return
+        self.index = listing.index
+        self.heard(ListKind.CACHED, listing.entries)
+
+    def subscribe(self) -> None:
+        """Watch from the version that is known; a watch that is on or asked for ends."""
+        if self.asking is not None:
+            self.asking.cancel()
+        if self.watch is not None:
+            self.watch.stop()
+        self.watch = Watch(self)
+        self.asking = asyncio.get_running_loop().create_task(self._connect(self.watch))
+
+    async def _connect(self, watch: Watch) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.create_connection(lambda: watch, self.address.host, self.address.port)
+        except OSError as error:
+            self.failed(watch, str(error))
+
+    def line(self, line: bytes) -> None:
+        """Take one line of the watch; a ValueError tells that it can't be read."""
+        listing = read_listing(json.loads(line), self.zones)
+        self.index = listing.index
+        self.heard(ListKind.FULL if listing.whole else ListKind.DELTA, listing.entries)
+
+    def failed(self, watch: Watch, why: str) -> None:
+        """Tell the balancer once for each watch that ends by itself."""
+        if watch is not self.watch:
+            return
+        self.watch = None
+        watch.stop()
+        log.info("discovery: the watch ended: %s", why)
+        self.heard(ListKind.FAILED, ())
+
+
+class Watch(asyncio.Protocol):
+    """One watch: an answer that stays open, cut into lines wherever the reads fall."""
+
+    def __init__(self, discovery: Discovery) -> None:
+        self.discovery = discovery
+        self.parser = httptools.HttpResponseParser(self)
+        self.transport: asyncio.Transport | None = None
+        self.stopped = False
+        self.silence: asyncio.TimerHandle | None = None
+        self.rest = bytearray()
+
+    def stop(self) -> None:
+        self.stopped = True
+        if self.silence is not None:
+            self.silence.cancel()
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        if self.stopped:
+            self.transport.abort()
+            return
+        discovery = self.discovery
+        since = "" if discovery.index is None else f"&from={discovery.index}"
+        host = f"{discovery.address.host}:{discovery.address.port}"
+        self.transport.write(f"GET /v1/endpoints?watch=1{since} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self.discovery.failed(self, f"malformed answer: {error}")
+            return
+        *lines, self.rest = self.rest.split(b"\n")
+        for line in lines:
+            if self.stopped:
+                return
+            self._line(bytes(line))
+        if len(self.rest) > MAX_LINE:
+            self.discovery.failed(self, "a line is too long")
+
+    def _line(self, line: bytes) -> None:
+        if self.silence is not None:
+            self.silence.cancel()
+        # Guards against a discovery that is cut off: its connection stays open and says nothing.
+        self.silence = asyncio.get_running_loop().call_later(
+            SILENCE, self.discovery.failed, self, "silent past its heartbeat"
+        )
+        if not line.strip():
+            return
+        try:
+            self.discovery.line(line)
+        except ValueError as error:
+            # Guards against a change that is missed: what this line held is asked for again.
+            self.discovery.failed(self, f"a line can't be read: {error}")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.discovery.failed(self, "connection lost")
+
+    # httptools
+
+    def on_body(self, body: bytes) -> None:
+        if self.parser.get_status_code() == 200:
+            self.rest += body
+
+    def on_message_complete(self) -> None:
+        self.discovery.failed(self, f"answered {self.parser.get_status_code()} and ended")
--- /dev/null
+++ b/millgw/sidecar/driver.py
@@ -0,0 +1,226 @@
+"""The driver: feeds events to the one `Balancer` and carries out its actions.
+
+It owns the clock, the timers and the books on what is owed. It decides nothing, but it answers for the rule
+that each call gets exactly one final answer in time, whatever the balancer does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+from millgw.decide import Balancer
+from millgw.interface import (
+    Action,
+    AttemptEnded,
+    Condition,
+    EndpointList,
+    Event,
+    Fail,
+    ListKind,
+    Outcome,
+    Refuse,
+    RequestAborted,
+    RequestArrived,
+    Send,
+    SetTimer,
+    TimerFired,
+)
+from millgw.sidecar.discovery import Listed
+from millgw.sidecar.upstream import Attempt, Pool, Upstream
+
+ANSWER_MARGIN = 30.0  # ms before the client's deadline at which an attempt times out: room for a busy loop
+
+
+class Clock:
+    """Unix time in ms that never goes back: the wall clock at the start plus what has passed since.
+
+    Unix time, because discovery tells an endpoint's start in it and the balancer compares the two: on a
+    clock that starts at 0, an endpoint that has just started would look as if it were from the future.
+    """
+
+    def __init__(self) -> None:
+        self.offset = time.time() - time.monotonic()
+
+    def __call__(self) -> float:
+        return (self.offset + time.monotonic()) * 1000
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """A final answer: `outcome` is OK with an endpoint's body, or the balancer's refusal or failure."""
+
+    status: int
+    body: bytes = b""
+
+
+SERVED, FAILED, REFUSED = 200, 502, 503
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A caller's request that is owed one answer. `payload` words an attempt, given the time left in ms."""
+
+    cls: int
+    tenant: int
+    patience: float
+    payload: Callable[[int], bytes]
+    answer: Callable[[Answer], None]
+    id: int = 0
+    deadline: float = 0.0
+    sends: int = 0
+    out: dict[int, Flight] = field(default_factory=dict)
+    timer: asyncio.TimerHandle | None = None
+
+
+@dataclass(slots=True)
+class Flight:
+    """An attempt of a call that is out, by the balancer's words for it."""
+
+    endpoint: int
+    sent: float
+    attempt: Attempt
+
+
+class Driver:
+    """One sidecar's balancer in service."""
+
+    def __init__(self, balancer: Balancer, upstream: Upstream, subscribe: Callable[[], None]) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.clock = Clock()
+        self.balancer = balancer
+        self.upstream = upstream
+        self.subscribe = subscribe
+        self.calls: dict[int, Call] = {}
+        self.last_id = 0
+        self.ready: set[int] = set()
+        self.events: deque[Event] = deque()
+        self.feeding = False
+
+    # What happens
+
+    def take(self, call: Call) -> None:
+        now = self.clock()
+        self.last_id += 1
+        call.id = self.last_id
+        call.deadline = now + call.patience - ANSWER_MARGIN
+        self.calls[call.id] = call
+        call.timer = self.loop.call_later(max(0.0, call.deadline - now) / 1000, self._expire, call)
+        self._feed(RequestArrived(call.id, call.cls, call.deadline, call.tenant))
+
+    def left(self, call: Call) -> None:
+        """The client has gone away, or the sidecar has answered in the balancer's place."""
+        if self._close(call):
+            self._feed(RequestAborted(call.id))
+            self._give_up(call, concluded=True)
+
+    def listed(self, kind: ListKind, entries: tuple[Listed, ...]) -> None:
+        """Take discovery's word: addresses before the balancer can send there, closing after it knows."""
+        old: list[Pool | None] = []
+        named = set()
+        for entry in entries:
+            id = entry.endpoint.id
+            if entry.address is not None and entry.endpoint.condition is Condition.READY:
+                old.append(self.upstream.point(id, entry.address))
+                named.add(id)
+        gone = {e.endpoint.id for e in entries} - named
+        if kind in (ListKind.FULL, ListKind.CACHED):
+            gone |= self.ready - named
+        self.ready = (self.ready | named) - gone
+        self._feed(EndpointList(kind, tuple(e.endpoint for e in entries)))
+        old += [self.upstream.forget(id) for id in gone]
+        for pool in old:
+            if pool is not None:
+                self.upstream.close(pool)
+
+    def fail_all(self) -> None:
+        """Answer all that is owed: the process is about to end."""
+        for call in list(self.calls.values()):
+            self.left(call)
+            call.answer(Answer(FAILED))
+
+    def _ended(self, call: Call, number: int, outcome: Outcome, body: bytes) -> None:
+        flight = call.out.pop(number)
+        elapsed = self.clock() - flight.sent
+        if outcome is Outcome.OK and self._close(call):
+            call.answer(Answer(SERVED, body))
+        owed = call.id in self.calls
+        self._feed(AttemptEnded(call.id, flight.endpoint, number, outcome, elapsed, not owed))
+        if not owed:
+            self._give_up(call, concluded=True)
+
+    def _expire(self, call: Call) -> None:
+        """The deadline: what is still out has timed out, and the balancer words the answer."""
+        self._give_up(call, concluded=False)
+        if call.id in self.calls:
+            # Guards the rule itself: the balancer answers by then, and if it does not, the sidecar does.
+            self.left(call)
+            call.answer(Answer(FAILED))
+
+    def _give_up(self, call: Call, concluded: bool) -> None:
+        now = self.clock()
+        for number, flight in list(call.out.items()):
+            del call.out[number]
+            if not flight.attempt.give_up():
+                outcome = Outcome.CONNECT_FAILED  # its last byte was never written
+            else:
+                outcome = Outcome.CANCELLED if concluded else Outcome.TIMEOUT
+            self._feed(
+                AttemptEnded(call.id, flight.endpoint, number, outcome, now - flight.sent, concluded)
+            )
+
+    def _fire(self, timer: int, at: float) -> None:
+        late = self.clock() - at
+        if late < 0:
+            # Guards against the loop's clock, which counts whole ms: the balancer drops an early timer.
+            self.loop.call_later(-late / 1000 + 0.001, self._fire, timer, at)
+            return
+        self._feed(TimerFired(timer))
+
+    def _feed(self, event: Event) -> None:
+        """Events in the order they came: one that an action causes waits until the others are carried out."""
+        self.events.append(event)
+        if self.feeding:
+            return
+        self.feeding = True
+        try:
+            while self.events:
+                for action in self.balancer.handle(self.clock(), self.events.popleft()):
+                    self._carry_out(action)
+        finally:
+            self.feeding = False
+
+    # What the balancer wants
+
+    def _carry_out(self, action: Action) -> None:
+        if isinstance(action, Send):
+            self._send(self.calls[action.request], action.endpoint)
+        elif isinstance(action, Refuse | Fail):
+            call = self.calls[action.request]
+            self._close(call)
+            call.answer(Answer(REFUSED if isinstance(action, Refuse) else FAILED))
+        elif isinstance(action, SetTimer):
+            delay = max(0.0, action.at - self.clock()) / 1000
+            self.loop.call_later(delay, self._fire, action.timer, action.at)
+        else:
+            self.subscribe()
+
+    def _send(self, call: Call, endpoint: int) -> None:
+        now, number = self.clock(), call.sends
+        call.sends += 1
+        attempt = Attempt(partial(self._payload, call), partial(self._ended, call, number))
+        call.out[number] = Flight(endpoint, now, attempt)
+        self.upstream.send(endpoint, attempt)
+
+    def _payload(self, call: Call) -> bytes:
+        return call.payload(max(1, int(call.deadline - self.clock())))
+
+    def _close(self, call: Call) -> bool:
+        """Take a call off the books; tells whether it was still owed its answer."""
+        if call.timer is not None:
+            call.timer.cancel()
+        return self.calls.pop(call.id, None) is not None
--- /dev/null
+++ b/millgw/sidecar/server.py
@@ -0,0 +1,395 @@
+"""The callers' side: accepts connections, reads requests, writes answers.
+
+A request that can't be understood is answered 4xx and never reaches the driver; all others are its calls.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+import time
+from collections import deque
+from collections.abc import Callable
+from functools import partial
+from typing import cast
+from urllib.parse import urlsplit
+
+import httptools
+
+from millgw.interface import Repeat
+from millgw.sidecar.config import Config
+from millgw.sidecar.driver import REFUSED, Answer, Call, Driver
+from millgw.sidecar.upstream import MAX_BODY
+
+MAX_HEAD = 16 * 1024  # bytes of a request's line and headers
+MAX_PATIENCE_DIGITS = 9  # of X-Expires-In-Ms: eleven days, far over any class's deadline
+READ_TIME = 10.0  # s to send a request that was begun, before its connection is closed
+LINGER = 1.0  # s that a connection stays open after a 4xx, so that a client still sending can read it
+BACKLOG = 2048
+ACCEPT_PAUSE = 0.05  # s before accepting is tried again after it failed
+SHED_PART = 0.8  # of the most connections: on those beyond it requests are refused, before accepting fails
+SWEEP = 1.0  # s between two looks for requests that were begun long ago
+
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    431: "Request Header Fields Too Large",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+}
+OWN_HEADERS = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"x-expires-in-ms",
+    }
+)
+"""Headers that speak of one connection or of the caller's own wait: they don't go on to the endpoint."""
+
+log = logging.getLogger("millgw")
+
+
+class BadRequest(Exception):
+    """A request that is answered at once, and never attempted."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+class Head:
+    """The line and headers of one request, as they come in."""
+
+    __slots__ = ("body", "forward", "keep", "method", "size", "target", "values")
+
+    def __init__(self) -> None:
+        self.method = b""
+        self.target = b""
+        self.values: dict[bytes, bytes] = {}
+        self.forward = bytearray()
+        self.body = bytearray()
+        self.size = 0
+        self.keep = False
+
+
+def word(head: Head, left: int) -> bytes:
+    """The request as an attempt sends it, with the time left in place of the connection's own headers."""
+    return b"%b %b HTTP/1.1\r\n%bX-Expires-In-Ms: %d\r\nContent-Length: %d\r\n\r\n%b" % (
+        head.method,
+        head.target,
+        bytes(head.forward),
+        left,
+        len(head.body),
+        bytes(head.body),
+    )
+
+
+class Server:
+    """All callers' connections of one sidecar."""
+
+    def __init__(self, config: Config, driver: Driver, most: int) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.driver = driver
+        self.settings = config.settings
+        self.classes = {c.name.encode(): i for i, c in enumerate(config.settings.classes)}
+        self.tenants = {t.name.encode(): i for i, t in enumerate(config.settings.tenants)}
+        self.most = most
+        self.connections: set[CallerConnection] = set()
+        self.accepting: set[asyncio.Task[object]] = set()
+        self.stopping = False
+        self.closed = False
+        family = socket.AF_INET6 if ":" in config.listen.host else socket.AF_INET
+        self.socket = socket.socket(family, socket.SOCK_STREAM)
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket.setblocking(False)
+        self.socket.bind((config.listen.host, config.listen.port))
+
+    def start(self) -> None:
+        self.socket.listen(BACKLOG)
+        self.loop.add_reader(self.socket, self._accept)
+        self.loop.call_later(SWEEP, self._sweep)
+
+    # Accepting
+
+    def _accept(self) -> None:
+        while not self.closed:
+            if len(self.connections) + len(self.accepting) >= self.most and not self._evict():
+                # Guards against running out of descriptors: what can't be held waits in the backlog.
+                self._pause()
+                return
+            try:
+                connection, _ = self.socket.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                # Guards against an accept that fails (no descriptors, a client gone): it ends nothing.
+                log.warning("accept failed: %s", error)
+                self._pause()
+                return
+            connection.setblocking(False)
+            shed = len(self.connections) + len(self.accepting) >= SHED_PART * self.most
+            task = self.loop.create_task(self._adopt(connection, shed))
+            self.accepting.add(task)
+            task.add_done_callback(self.accepting.discard)
+
+    async def _adopt(self, connection: socket.socket, shed: bool) -> None:
+        try:
+            await self.loop.connect_accepted_socket(partial(CallerConnection, self, shed), connection)
+        except OSError as error:
+            log.warning("a connection was lost as it was accepted: %s", error)
+
+    def _pause(self) -> None:
+        self.loop.remove_reader(self.socket)
+        self.loop.call_later(ACCEPT_PAUSE, self._resume)
+
+    def _resume(self) -> None:
+        if not self.closed:
+            self.loop.add_reader(self.socket, self._accept)
+            self._accept()
+
+    def _evict(self) -> bool:
+        """Close the connection that has been between requests for longest, if there is one."""
+        idle = [c for c in self.connections if c.idle]
+        if not idle:
+            return False
+        min(idle, key=lambda c: c.since).close()
+        return True
+
+    def _sweep(self) -> None:
+        """Guards against clients that begin a request and never end it, and hold a descriptor."""
+        oldest = time.monotonic() - READ_TIME
+        for connection in list(self.connections):
+            if connection.reading and connection.since < oldest:
+                connection.refuse(BadRequest(408, "the request did not come to its end"))
+        self.loop.call_later(SWEEP, self._sweep)
+
+    # Stopping
+
+    def stop_listening(self) -> None:
+        """Accept what has connected, then no more: a connection left in the backlog would be lost."""
+        self._accept()
+        self.closed = True
+        self.loop.remove_reader(self.socket)
+        self.socket.close()
+
+    def close_idle(self) -> None:
+        for connection in list(self.connections):
+            if connection.idle:
+                connection.close()
+
+    # Requests
+
+    def read(self, head: Head, answer: Callable[[Answer], None]) -> Call | Answer:
+        """The call that a request makes, or the answer to one that needs no endpoint."""
+        path = urlsplit(head.target).path
+        if path == b"/ready":
+            if head.method != b"GET":
+                raise BadRequest(405, "only GET asks whether the sidecar is ready")
+            return Answer(200 if self.driver.ready and not self.stopping else REFUSED)
+        if path != b"/api":
+            raise BadRequest(404, "no such path")
+        values = head.values
+        if not values.get(b"x-trace-id"):
+            raise BadRequest(400, "X-Trace-Id is missing")
+        cls = self.classes.get(values.get(b"x-qos", b""))
+        if cls is None:
+            raise BadRequest(400, "X-Qos is missing or names no class")
+        repeat = self.settings.classes[cls].repeat
+        if head.method != (b"GET" if repeat is Repeat.SAFE else b"POST"):
+            raise BadRequest(405, "the method does not fit the class")
+        if repeat is Repeat.KEYED and not values.get(b"idempotency-key"):
+            # Guards against a repeat that no endpoint could recognise.
+            raise BadRequest(400, "Idempotency-Key is missing")
+        patience = values.get(b"x-expires-in-ms", b"")
+        if not patience.isdigit() or len(patience) > MAX_PATIENCE_DIGITS or int(patience) == 0:
+            raise BadRequest(400, "X-Expires-In-Ms is missing or not whole milliseconds")
+        tenant = self.tenants.get(values.get(b"x-customer", b""), len(self.tenants))
+        return Call(cls, tenant, float(patience), partial(word, head), answer)
+
+
+class CallerConnection(asyncio.Protocol):
+    """One caller's connection: one request at a time, what comes early waits its turn."""
+
+    def __init__(self, server: Server, shed: bool) -> None:
+        self.server = server
+        self.shed = shed
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpRequestParser(self)
+        self.since = time.monotonic()
+        self.head: Head | None = None
+        self.in_body = False
+        self.queue: deque[Head | BadRequest] = deque()
+        self.current: Call | None = None
+        self.serving = False
+        self.keep = True
+        self.ended = False
+
+    @property
+    def busy(self) -> bool:
+        return self.current is not None or bool(self.queue)
+
+    @property
+    def reading(self) -> bool:
+        """In the middle of a request that has not come to its end."""
+        return self.head is not None and not self.busy and not self.ended
+
+    @property
+    def idle(self) -> bool:
+        """Between requests: a client whose next one crosses the close sends it again."""
+        return self.head is None and not self.busy and not self.ended
+
+    def close(self) -> None:
+        self.ended = True
+        self.server.connections.discard(self)
+        if self.transport is not None:
+            self.transport.close()
+
+    # asyncio
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.server.connections.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self.ended:
+            return
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            cause = error.__context__ if isinstance(error, httptools.HttpParserCallbackError) else None
+            self.refuse(cause if isinstance(cause, BadRequest) else BadRequest(400, "malformed HTTP"))
+            return
+        if self.head is not None and not self.in_body:
+            self.head.size += len(data)
+            if self.head.size > MAX_HEAD:
+                self.refuse(BadRequest(431, "the headers are too large"))
+                return
+        self._serve()
+
+    def eof_received(self) -> None:
+        self._leave()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._leave()
+
+    def _leave(self) -> None:
+        self.close()
+        self.queue.clear()
+        call, self.current = self.current, None
+        if call is not None:
+            self.server.driver.left(call)
+
+    # httptools
+
+    def on_message_begin(self) -> None:
+        self.head = Head()
+        self.in_body = False
+        self.since = time.monotonic()
+
+    def on_url(self, url: bytes) -> None:
+        assert self.head is not None
+        self.head.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        assert self.head is not None
+        lower = name.lower()
+        self.head.values[lower] = value
+        if lower not in OWN_HEADERS:
+            self.head.forward += b"%b: %b\r\n" % (name, value)
+
+    def on_headers_complete(self) -> None:
+        assert self.head is not None
+        self.in_body = True
+        if len(self.head.target) + len(self.head.forward) > MAX_HEAD:
+            raise BadRequest(431, "the headers are too large")
+        self.head.method = self.parser.get_method()
+        self.head.keep = self.parser.should_keep_alive()
+        if self.head.values.get(b"expect", b"").lower() == b"100-continue" and not self.busy:
+            assert self.transport is not None
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        assert self.head is not None
+        self.head.body += body
+        if len(self.head.body) > MAX_BODY:
+            raise BadRequest(413, "the body is too large")
+
+    def on_message_complete(self) -> None:
+        assert self.head is not None
+        self.queue.append(self.head)
+        self.head = None
+
+    # Answers
+
+    def refuse(self, bad: BadRequest) -> None:
+        """Answer what can't be read once all before it is answered; nothing is read after it."""
+        self.ended = True
+        self.head = None
+        self.queue.append(bad)
+        self._serve()
+
+    def _serve(self) -> None:
+        """Answer what waits, one by one; a call that is answered at once must not start this over."""
+        if self.serving:
+            return
+        self.serving = True
+        while self.queue and self.current is None:
+            item = self.queue.popleft()
+            if isinstance(item, BadRequest):
+                self._end_badly(item)
+                break
+            self.keep = item.keep and not self.shed
+            if self.shed:
+                self._answer(Answer(REFUSED))
+                continue
+            try:
+                made = self.server.read(item, self._answer)
+            except BadRequest as bad:
+                self._write(bad.status, f"{bad}\n".encode())
+                self._after()
+                continue
+            if isinstance(made, Call):
+                self.current = made
+                self.server.driver.take(made)
+            else:
+                self._answer(made)
+        self.serving = False
+
+    def _answer(self, answer: Answer) -> None:
+        self.current = None
+        self._write(answer.status, answer.body)
+        self._after()
+        self._serve()
+
+    def _after(self) -> None:
+        self.since = time.monotonic()
+        if not self.keep or self.server.stopping:
+            self.queue.clear()
+            self.close()
+
+    def _end_badly(self, bad: BadRequest) -> None:
+        self.keep = False
+        self._write(bad.status, f"{bad}\n".encode())
+        self.server.loop.call_later(LINGER, self.close)
+
+    def _write(self, status: int, body: bytes) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        end = b"" if self.keep and not self.server.stopping else b"Connection: close\r\n"
+        self.transport.write(
+            b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n%b\r\n%b"
+            % (status, REASONS[status].encode(), len(body), end, body)
+        )
--- /dev/null
+++ b/millgw/sidecar/upstream.py
@@ -0,0 +1,284 @@
+"""Connections to endpoints, and the attempts that are made on them.
+
+One connection carries one attempt at a time and is kept for the next one. What this file answers for is the
+truth of an outcome: whether an attempt's last byte was written decides whether it may have run. Nothing is
+ever sent again here; that is the balancer's to decide.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from typing import cast
+
+import httptools
+
+from millgw.interface import Outcome
+from millgw.sidecar.config import Address
+
+MAX_BODY = 64 * 1024  # bytes; the protocol's bound
+IDLE_PART = 0.5  # of the endpoint's idle time, after which a kept connection is not used: it may be closing
+SWEEP = 1.0  # s between two looks for connections that have been idle too long
+
+Ended = Callable[[Outcome, bytes], None]
+log = logging.getLogger("millgw")
+
+
+class Attempt:
+    """One attempt: connecting, then on its connection, until it has ended or is given up."""
+
+    __slots__ = ("connecting", "connection", "ended", "payload")
+
+    def __init__(self, payload: Callable[[], bytes], ended: Ended) -> None:
+        self.payload = payload  # called when it is written, as it tells the time that is left by then
+        self.ended = ended
+        self.connecting: asyncio.Task[None] | None = None
+        self.connection: Connection | None = None
+
+    def give_up(self) -> bool:
+        """Stop waiting, without a call to `ended`; tells whether the attempt may have run, or may yet."""
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.attempt = None
+            connection.abort()
+            return connection.written
+        if self.connecting is not None:
+            self.connecting.cancel()
+        return False
+
+
+class Pool:
+    """One endpoint at one address: its kept connections and the attempts still connecting to it."""
+
+    __slots__ = ("address", "connecting", "idle", "used")
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.used = True
+        self.idle: list[Connection] = []
+        self.connecting: set[Attempt] = set()
+
+
+class Connection(asyncio.Protocol):
+    """A connection to an endpoint. Its parser and its attempt are the only state that outlives an answer."""
+
+    def __init__(self, upstream: Upstream, pool: Pool, attempt: Attempt) -> None:
+        self.upstream = upstream
+        self.pool = pool
+        self.attempt: Attempt | None = attempt
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpResponseParser(self)
+        self.written = False
+        self.idle_since = 0.0
+        self._begin()
+
+    def _begin(self) -> None:
+        self.body = bytearray()
+        self.never_ran = False
+        self.whole = False
+        self.reusable = True
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def usable(self) -> bool:
+        return self.transport is not None and not self.transport.is_closing()
+
+    # The attempt
+
+    def send(self, attempt: Attempt) -> None:
+        assert self.transport is not None
+        self._begin()
+        self.attempt, attempt.connection = attempt, self
+        self.transport.write(attempt.payload())
+        # With a high-water mark of 0 the transport keeps only what the kernel did not take at once.
+        self.written = self.transport.get_write_buffer_size() == 0
+
+    def _finish(self, outcome: Outcome) -> None:
+        attempt, self.attempt = self.attempt, None
+        if attempt is not None:
+            attempt.connection = None
+            attempt.ended(outcome, bytes(self.body))
+
+    # asyncio
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.upstream.open += 1
+        if self.attempt is None or self.attempt not in self.pool.connecting:
+            # Guards against an attempt that was given up, or whose endpoint drains, while it was connecting.
+            self.transport.abort()
+            return
+        self.pool.connecting.discard(self.attempt)
+        self.transport.set_write_buffer_limits(high=0)
+        self.send(self.attempt)
+
+    def resume_writing(self) -> None:
+        self.written = True
+
+    def data_received(self, data: bytes) -> None:
+        if self.attempt is None:
+            self.abort()  # guards against a late answer that would be taken for the next request's
+            return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            log.warning("endpoint at %s: malformed answer: %s", self.pool.address, error)
+            self.abort()
+            self._finish(Outcome.ERROR)
+            return
+        if len(self.body) > MAX_BODY:
+            log.warning("endpoint at %s: the answer's body is over %d bytes", self.pool.address, MAX_BODY)
+            self.abort()
+            self._finish(Outcome.ERROR)
+        elif self.whole:
+            outcome = self._outcome()
+            if self.reusable and self.written:
+                self.upstream.keep(self)
+            else:
+                self.abort()
+            self._finish(outcome)
+
+    def eof_received(self) -> None:
+        self.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.upstream.lost(self)
+        self._finish(Outcome.RESET if self.written else Outcome.CONNECT_FAILED)
+
+    # httptools
+
+    def on_message_begin(self) -> None:
+        if self.whole:
+            self.reusable = False  # guards against a second answer that would be taken for the next request's
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == b"x-never-ran":
+            self.never_ran = value.strip() == b"1"
+
+    def on_body(self, body: bytes) -> None:
+        if not self.whole:
+            self.body += body
+
+    def on_message_complete(self) -> None:
+        self.status = self.parser.get_status_code()
+        if self.status >= 200 and not self.whole:
+            self.whole = True
+            self.reusable = self.parser.should_keep_alive()
+
+    def _outcome(self) -> Outcome:
+        if self.status == 200:
+            return Outcome.OK
+        # Guards against a plain 503 or 504, which does not prove that nothing ran.
+        return Outcome.REJECTED if self.status in (503, 504) and self.never_ran else Outcome.ERROR
+
+
+class Upstream:
+    """All connections to endpoints, by endpoint, under one cap."""
+
+    def __init__(self, most: int, connect_timeout: float, idle: float) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.most = most
+        self.connect_timeout = connect_timeout / 1000
+        self.idle_for = IDLE_PART * idle / 1000
+        self.pools: dict[int, Pool] = {}
+        self.open = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.loop.call_later(SWEEP, self._sweep)
+
+    def point(self, endpoint: int, address: Address) -> Pool | None:
+        """Use this address from now on; returns the pool of the one before, if it is another."""
+        pool = self.pools.get(endpoint)
+        if pool is not None and pool.address == address:
+            return None
+        self.pools[endpoint] = Pool(address)
+        return pool
+
+    def forget(self, endpoint: int) -> Pool | None:
+        """Send nothing to this endpoint from now on; returns its pool."""
+        return self.pools.pop(endpoint, None)
+
+    @staticmethod
+    def close(pool: Pool) -> None:
+        """End what a pool no longer in use holds; attempts that are written go on.
+
+        Guards against an attempt that is still connecting when its endpoint drains, and would be written
+        after the drain's grace.
+        """
+        pool.used = False
+        for connection in list(pool.idle):
+            connection.abort()
+        for attempt in list(pool.connecting):
+            pool.connecting.discard(attempt)
+            attempt.give_up()
+            attempt.ended(Outcome.CONNECT_FAILED, b"")
+
+    def send(self, endpoint: int, attempt: Attempt) -> None:
+        pool = self.pools.get(endpoint)
+        if pool is None:
+            attempt.ended(Outcome.NOT_SENT, b"")
+            return
+        oldest = time.monotonic() - self.idle_for
+        while pool.idle:
+            connection = pool.idle.pop()
+            # Guards against the endpoint's own idle time: what is written to a connection that it is about
+            # to close ends as a reset, and may have run.
+            if connection.idle_since > oldest and connection.usable():
+                connection.send(attempt)
+                return
+            connection.abort()
+        if self.open + len(self.tasks) >= self.most and not self._evict():
+            log.warning("no descriptor left for a connection to an endpoint")
+            attempt.ended(Outcome.NOT_SENT, b"")
+            return
+        pool.connecting.add(attempt)
+        attempt.connecting = self.loop.create_task(self._connect(pool, attempt))
+        self.tasks.add(attempt.connecting)
+        attempt.connecting.add_done_callback(self.tasks.discard)
+
+    async def _connect(self, pool: Pool, attempt: Attempt) -> None:
+        try:
+            async with asyncio.timeout(self.connect_timeout):
+                await self.loop.create_connection(
+                    lambda: Connection(self, pool, attempt), pool.address.host, pool.address.port
+                )
+        except (OSError, TimeoutError):
+            if attempt in pool.connecting:
+                pool.connecting.discard(attempt)
+                attempt.ended(Outcome.CONNECT_FAILED, b"")
+        finally:
+            pool.connecting.discard(attempt)
+
+    def keep(self, connection: Connection) -> None:
+        """Keep a connection for the next attempt, unless its endpoint is no longer in use."""
+        if not connection.pool.used:
+            connection.abort()
+            return
+        connection.idle_since = time.monotonic()
+        connection.pool.idle.append(connection)
+
+    def lost(self, connection: Connection) -> None:
+        self.open -= 1
+        if connection in connection.pool.idle:
+            connection.pool.idle.remove(connection)
+
+    def _evict(self) -> bool:
+        """Close the connection that has been idle for longest, if there is one."""
+        idle = [pool.idle[0] for pool in self.pools.values() if pool.idle]
+        if not idle:
+            return False
+        oldest = min(idle, key=lambda c: c.idle_since)
+        oldest.pool.idle.remove(oldest)
+        oldest.abort()
+        return True
+
+    def _sweep(self) -> None:
+        oldest = time.monotonic() - self.idle_for
+        for pool in self.pools.values():
+            for connection in [c for c in pool.idle if c.idle_since <= oldest]:
+                pool.idle.remove(connection)
+                connection.abort()
+        self.loop.call_later(SWEEP, self._sweep)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -13,6 +13,7 @@
 import pytest
 
 from millgw import Balancer, adapter, wire
+from millgw import settings as reading
 from millgw.interface import Repeat, Scope
 
 SETTINGS: dict[str, Any] = {
@@ -144,7 +145,7 @@
 
 
 def test_settings_defaults_are_cautious() -> None:
-    read = adapter.read_settings(json.dumps(SETTINGS).encode())
+    read = reading.read_settings(json.dumps(SETTINGS).encode())
     assert read.classes[0].repeat is Repeat.SAFE and read.classes[0].scope is Scope.CELL
     assert not read.concurrent_attempts and read.siblings == 1
     assert not read.ask_discovery
