Pass headers on, tell refused clients when to come back, guard given-up connects

Cause, by reading the code again: an attempt given up as its connection came up could still be written, and its end was booked twice; an unreadable known list left the balancer without any event, so it never asked discovery; an Upgrade offer would have been answered twice. Refusals told no time to come back: the module now draws it by its own jitter, longer the more is shed, from a random source of its own so that picks stay as they were. Ruled out: holding refusals back.

--- a/millgw/adapter.py
+++ b/millgw/adapter.py
@@ -24,7 +24,6 @@
     409: api.Outcome.NOT_SENT,
 }
 NO_TIMEOUT = 0.0  # an attempt waits until the client gives up
-NO_ADVICE = 0.0  # a refusal says nothing of when to try again
 CONDITIONS = {c.value: c for c in api.Condition}
 LIST_KINDS = {k.value: k for k in api.ListKind}
 
@@ -67,7 +66,7 @@
     if isinstance(action, api.SetTimer):
         return wire.after(action.at, action.timer)
     if isinstance(action, api.Refuse):
-        return wire.say_no(action.request, NO_ADVICE)
+        return wire.say_no(action.request, action.after)
     if isinstance(action, api.Fail):
         return wire.respond_error(action.request)
     return wire.stream_changes(True)
--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -465,6 +465,7 @@
         self.rules = Rules(settings)
         self.budget = RetryBudget()
         self.backoff = Backoff(self.rng)
+        self.advice = Backoff(random.Random(seed + 1))  # its own: advice must not change what is picked
         self.cold = ColdStart(settings)
         self.outliers = Outliers(self.rng, self.cold)
         self.discovery = Discovery(settings, self.rng)
@@ -632,9 +633,18 @@
         if self.shares is not None and request.within_share:
             self.shares.give_back(request.tenant)
         refuse = self.rules.may_refuse(request)
-        self.actions.append(Refuse(request.id) if refuse else Fail(request.id))
+        self.actions.append(Refuse(request.id, self._advice(request.cls)) if refuse else Fail(request.id))
         self._drop(request.id)
 
+    def _advice(self, cls: RequestClass) -> float:
+        """When a refused client may come back: jittered as our own waits, and longer the more is shed.
+
+        Guards against the wave that comes back at once. An answer is never held back for it.
+        """
+        cap = BACKOFF_CAP * cls.aim
+        wait = self.advice.next(self.shedding.level * cap, BACKOFF_BASE * cls.aim, cap)
+        return min(wait, self.settings.retry_after_most)
+
     def _drop(self, id: int) -> None:
         self.requests.pop(id, None)
         self.held.pop(id, None)
--- a/millgw/interface.py
+++ b/millgw/interface.py
@@ -113,6 +113,7 @@
 
     An endpoint starts with `cold_share` of its capacity and is warm after `cold_time`; sent more than
     `fall_multiple` times its present capacity for `fall_window`, by all `siblings` together, it falls over.
+    Clients that are told when to come back heed up to `retry_after_most`; 0 is for clients that are not told.
     `index` is this instance's number among its `siblings`, `stage` the tier it sends to (0: clients' first).
     Where `ask_discovery` is set, the list comes only after a `Subscribe`; an instance that has not asked for
     `ask_within` is taken to know the list. Impossible values raise a ValueError that names the field.
@@ -131,6 +132,7 @@
     tick: float = 1.0
     max_attempts: int = 1
     concurrent_attempts: bool = False
+    retry_after_most: float = 0.0
     ask_discovery: bool = True
     ask_within: float = 10000.0
 
@@ -138,7 +140,8 @@
         if not self.classes:
             raise ValueError("Settings.classes is empty")
         shares = ("cold_share", "cold_time", "fall_multiple", "fall_window", "over_share_worth")
-        _check(self, 0.0, *shares, "index", "stage", "tick", "ask_within")
+        _check(self, 0.0, *shares, "index", "stage", "tick")
+        _check(self, 0.0, "ask_within", "retry_after_most")
         _check(self, 1, "siblings", "max_attempts")
         if self.cold_share > 1:
             raise ValueError("Settings.cold_share must be 1 or less")
@@ -233,9 +236,10 @@
 
 @dataclass(slots=True)
 class Refuse:
-    """Final answer: not served, and safe to retry."""
+    """Final answer: not served, and safe to retry, best not before `after` ms (0: no advice)."""
 
     request: int
+    after: float = 0.0
 
 
 @dataclass(slots=True)
--- a/millgw/settings.py
+++ b/millgw/settings.py
@@ -92,6 +92,7 @@
         tick=number(data, "tick", "", 1.0),
         max_attempts=int(number(limits, "tryLimit", "limits.", 1)),
         concurrent_attempts=bool(limits.get("parallelTries", False)),
+        retry_after_most=number(limits, "maxRetryAfter", "limits.", 0.0),
         ask_discovery=data.get("registryMode", "on_request") != "pushed",
         ask_within=number(rules, "askWithin", "rules.", 10000.0),
     )
--- a/millgw/sidecar/discovery.py
+++ b/millgw/sidecar/discovery.py
@@ -98,6 +98,7 @@
             listing = read_listing(known, self.zones)
         except ValueError as error:
             log.warning("known: %s", error)
+            self.heard(ListKind.CACHED, ())  # guards against a balancer that hears nothing and never asks
             return
         self.index = listing.index
         self.heard(ListKind.CACHED, listing.entries)
--- a/millgw/sidecar/driver.py
+++ b/millgw/sidecar/driver.py
@@ -31,7 +31,7 @@
     TimerFired,
 )
 from millgw.sidecar.discovery import Listed
-from millgw.sidecar.upstream import Attempt, Pool, Upstream
+from millgw.sidecar.upstream import NOTHING, Attempt, Content, Pool, Upstream
 
 ANSWER_MARGIN = 30.0  # ms before the client's deadline at which an attempt times out: room for a busy loop
 
@@ -52,10 +52,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Answer:
-    """A final answer: `outcome` is OK with an endpoint's body, or the balancer's refusal or failure."""
+    """A final answer: what an endpoint answered, or a failure, or a refusal with when to come back (ms)."""
 
     status: int
-    body: bytes = b""
+    content: Content = NOTHING
+    retry_after: float = 0.0
 
 
 SERVED, FAILED, REFUSED = 200, 502, 503
@@ -143,11 +144,11 @@
             self.left(call)
             call.answer(Answer(FAILED))
 
-    def _ended(self, call: Call, number: int, outcome: Outcome, body: bytes) -> None:
+    def _ended(self, call: Call, number: int, outcome: Outcome, content: Content) -> None:
         flight = call.out.pop(number)
         elapsed = self.clock() - flight.sent
         if outcome is Outcome.OK and self._close(call):
-            call.answer(Answer(SERVED, body))
+            call.answer(Answer(SERVED, content))
         owed = call.id in self.calls
         self._feed(AttemptEnded(call.id, flight.endpoint, number, outcome, elapsed, not owed))
         if not owed:
@@ -199,16 +200,21 @@
     def _carry_out(self, action: Action) -> None:
         if isinstance(action, Send):
             self._send(self.calls[action.request], action.endpoint)
-        elif isinstance(action, Refuse | Fail):
-            call = self.calls[action.request]
-            self._close(call)
-            call.answer(Answer(REFUSED if isinstance(action, Refuse) else FAILED))
+        elif isinstance(action, Refuse):
+            self._answer(action.request, Answer(REFUSED, retry_after=action.after))
+        elif isinstance(action, Fail):
+            self._answer(action.request, Answer(FAILED))
         elif isinstance(action, SetTimer):
             delay = max(0.0, action.at - self.clock()) / 1000
             self.loop.call_later(delay, self._fire, action.timer, action.at)
         else:
             self.subscribe()
 
+    def _answer(self, request: int, answer: Answer) -> None:
+        call = self.calls[request]
+        self._close(call)
+        call.answer(answer)
+
     def _send(self, call: Call, endpoint: int) -> None:
         now, number = self.clock(), call.sends
         call.sends += 1
--- a/millgw/sidecar/server.py
+++ b/millgw/sidecar/server.py
@@ -13,14 +13,13 @@
 from collections.abc import Callable
 from functools import partial
 from typing import cast
-from urllib.parse import urlsplit
 
 import httptools
 
 from millgw.interface import Repeat
 from millgw.sidecar.config import Config
 from millgw.sidecar.driver import REFUSED, Answer, Call, Driver
-from millgw.sidecar.upstream import MAX_BODY
+from millgw.sidecar.upstream import MAX_BODY, OWN_HEADERS, Content
 
 MAX_HEAD = 16 * 1024  # bytes of a request's line and headers
 MAX_PATIENCE_DIGITS = 9  # of X-Expires-In-Ms: eleven days, far over any class's deadline
@@ -32,33 +31,16 @@
 SWEEP = 1.0  # s between two looks for requests that were begun long ago
 
 REASONS = {
-    200: "OK",
-    400: "Bad Request",
-    404: "Not Found",
-    405: "Method Not Allowed",
-    408: "Request Timeout",
-    413: "Content Too Large",
-    431: "Request Header Fields Too Large",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
 }
-OWN_HEADERS = frozenset(
-    {
-        b"connection",
-        b"content-length",
-        b"expect",
-        b"keep-alive",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"x-expires-in-ms",
-    }
-)
-"""Headers that speak of one connection or of the caller's own wait: they don't go on to the endpoint."""
-
 log = logging.getLogger("millgw")
 
 
@@ -73,7 +55,7 @@
 class Head:
     """The line and headers of one request, as they come in."""
 
-    __slots__ = ("body", "forward", "keep", "method", "size", "target", "values")
+    __slots__ = ("body", "ended", "forward", "keep", "method", "size", "target", "values")
 
     def __init__(self) -> None:
         self.method = b""
@@ -83,6 +65,7 @@
         self.body = bytearray()
         self.size = 0
         self.keep = False
+        self.ended = 0.0
 
 
 def word(head: Head, left: int) -> bytes:
@@ -140,7 +123,8 @@
                 self._pause()
                 return
             connection.setblocking(False)
-            shed = len(self.connections) + len(self.accepting) >= SHED_PART * self.most
+            many = len(self.connections) + len(self.accepting) >= SHED_PART * self.most
+            shed = many and not self._evict()
             task = self.loop.create_task(self._adopt(connection, shed))
             self.accepting.add(task)
             task.add_done_callback(self.accepting.discard)
@@ -194,7 +178,7 @@
 
     def read(self, head: Head, answer: Callable[[Answer], None]) -> Call | Answer:
         """The call that a request makes, or the answer to one that needs no endpoint."""
-        path = urlsplit(head.target).path
+        path = head.target.partition(b"?")[0]
         if path == b"/ready":
             if head.method != b"GET":
                 raise BadRequest(405, "only GET asks whether the sidecar is ready")
@@ -217,7 +201,8 @@
         if not patience.isdigit() or len(patience) > MAX_PATIENCE_DIGITS or int(patience) == 0:
             raise BadRequest(400, "X-Expires-In-Ms is missing or not whole milliseconds")
         tenant = self.tenants.get(values.get(b"x-customer", b""), len(self.tenants))
-        return Call(cls, tenant, float(patience), partial(word, head), answer)
+        waited = (time.monotonic() - head.ended) * 1000
+        return Call(cls, tenant, int(patience) - waited, partial(word, head), answer)
 
 
 class CallerConnection(asyncio.Protocol):
@@ -268,7 +253,10 @@
             return
         try:
             self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+        except httptools.HttpParserUpgrade:
+            # The offer of another protocol is passed over; the parser reads nothing after it.
+            self._last()
+        except httptools.HttpParserError as error:
             cause = error.__context__ if isinstance(error, httptools.HttpParserCallbackError) else None
             self.refuse(cause if isinstance(cause, BadRequest) else BadRequest(400, "malformed HTTP"))
             return
@@ -278,6 +266,22 @@
                 self.refuse(BadRequest(431, "the headers are too large"))
                 return
         self._serve()
+        if self.queue and self.transport is not None:
+            self.transport.pause_reading()  # guards against a client that sends and sends
+
+    def _last(self) -> None:
+        for item in self.queue:
+            if isinstance(item, Head):
+                item.keep = False
+
+    def pause_writing(self) -> None:
+        """Guards against a client that asks and never reads its answers."""
+        if self.transport is not None:
+            self.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        if self.transport is not None and not self.queue:
+            self.transport.resume_reading()
 
     def eof_received(self) -> None:
         self._leave()
@@ -305,6 +309,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         assert self.head is not None
+        if self.in_body:
+            return  # a trailer
         lower = name.lower()
         self.head.values[lower] = value
         if lower not in OWN_HEADERS:
@@ -329,6 +335,7 @@
 
     def on_message_complete(self) -> None:
         assert self.head is not None
+        self.head.ended = time.monotonic()
         self.queue.append(self.head)
         self.head = None
 
@@ -358,7 +365,7 @@
             try:
                 made = self.server.read(item, self._answer)
             except BadRequest as bad:
-                self._write(bad.status, f"{bad}\n".encode())
+                self._say(bad)
                 self._after()
                 continue
             if isinstance(made, Call):
@@ -370,7 +377,7 @@
 
     def _answer(self, answer: Answer) -> None:
         self.current = None
-        self._write(answer.status, answer.body)
+        self._write(answer)
         self._after()
         self._serve()
 
@@ -379,17 +386,26 @@
         if not self.keep or self.server.stopping:
             self.queue.clear()
             self.close()
+        elif self.transport is not None:
+            self.transport.resume_reading()
 
     def _end_badly(self, bad: BadRequest) -> None:
         self.keep = False
-        self._write(bad.status, f"{bad}\n".encode())
+        self._say(bad)
         self.server.loop.call_later(LINGER, self.close)
 
-    def _write(self, status: int, body: bytes) -> None:
+    def _say(self, bad: BadRequest) -> None:
+        self._write(Answer(bad.status, Content(b"Content-Type: text/plain\r\n", f"{bad}\n".encode())))
+
+    def _write(self, answer: Answer) -> None:
         if self.transport is None or self.transport.is_closing():
             return
-        end = b"" if self.keep and not self.server.stopping else b"Connection: close\r\n"
+        content, headers = answer.content, answer.content.headers
+        if answer.retry_after > 0:
+            headers += b"Retry-After: %.3f\r\n" % (answer.retry_after / 1000)
+        if not self.keep or self.server.stopping:
+            headers += b"Connection: close\r\n"
         self.transport.write(
             b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n%b\r\n%b"
-            % (status, REASONS[status].encode(), len(body), end, body)
+            % (answer.status, REASONS[answer.status], len(content.body), headers, content.body)
         )
--- a/millgw/sidecar/upstream.py
+++ b/millgw/sidecar/upstream.py
@@ -11,6 +11,7 @@
 import logging
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import cast
 
 import httptools
@@ -22,23 +23,53 @@
 IDLE_PART = 0.5  # of the endpoint's idle time, after which a kept connection is not used: it may be closing
 SWEEP = 1.0  # s between two looks for connections that have been idle too long
 
-Ended = Callable[[Outcome, bytes], None]
+OWN_HEADERS = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"x-expires-in-ms",
+    }
+)
+"""Headers that speak of one connection, or of one side's own wait: they are not passed on."""
 log = logging.getLogger("millgw")
 
 
+@dataclass(slots=True, frozen=True)
+class Content:
+    """What an endpoint answered: the headers that are passed on, and the body."""
+
+    headers: bytes = b""
+    body: bytes = b""
+
+
+NOTHING = Content()
+Ended = Callable[[Outcome, Content], None]
+
+
 class Attempt:
     """One attempt: connecting, then on its connection, until it has ended or is given up."""
 
-    __slots__ = ("connecting", "connection", "ended", "payload")
+    __slots__ = ("connecting", "connection", "ended", "given_up", "payload")
 
     def __init__(self, payload: Callable[[], bytes], ended: Ended) -> None:
         self.payload = payload  # called when it is written, as it tells the time that is left by then
         self.ended = ended
         self.connecting: asyncio.Task[None] | None = None
         self.connection: Connection | None = None
+        self.given_up = False
 
     def give_up(self) -> bool:
         """Stop waiting, without a call to `ended`; tells whether the attempt may have run, or may yet."""
+        self.given_up = True
         connection, self.connection = self.connection, None
         if connection is not None:
             connection.attempt = None
@@ -75,6 +106,7 @@
         self._begin()
 
     def _begin(self) -> None:
+        self.headers = bytearray()
         self.body = bytearray()
         self.never_ran = False
         self.whole = False
@@ -101,20 +133,22 @@
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
             attempt.connection = None
-            attempt.ended(outcome, bytes(self.body))
+            attempt.ended(outcome, Content(bytes(self.headers), bytes(self.body)))
 
     # asyncio
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.upstream.open += 1
-        if self.attempt is None or self.attempt not in self.pool.connecting:
+        attempt = self.attempt
+        if attempt is None or attempt.given_up:
             # Guards against an attempt that was given up, or whose endpoint drains, while it was connecting.
-            self.transport.abort()
+            self.attempt = None
+            self.abort()
             return
-        self.pool.connecting.discard(self.attempt)
+        self.pool.connecting.discard(attempt)
         self.transport.set_write_buffer_limits(high=0)
-        self.send(self.attempt)
+        self.send(attempt)
 
     def resume_writing(self) -> None:
         self.written = True
@@ -156,8 +190,11 @@
             self.reusable = False  # guards against a second answer that would be taken for the next request's
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if name.lower() == b"x-never-ran":
-            self.never_ran = value.strip() == b"1"
+        lower = name.lower()
+        if lower == b"x-never-ran":
+            self.never_ran = value == b"1"
+        elif lower not in OWN_HEADERS and not self.whole:
+            self.headers += b"%b: %b\r\n" % (name, value)
 
     def on_body(self, body: bytes) -> None:
         if not self.whole:
@@ -214,12 +251,12 @@
         for attempt in list(pool.connecting):
             pool.connecting.discard(attempt)
             attempt.give_up()
-            attempt.ended(Outcome.CONNECT_FAILED, b"")
+            attempt.ended(Outcome.CONNECT_FAILED, NOTHING)
 
     def send(self, endpoint: int, attempt: Attempt) -> None:
         pool = self.pools.get(endpoint)
         if pool is None:
-            attempt.ended(Outcome.NOT_SENT, b"")
+            attempt.ended(Outcome.NOT_SENT, NOTHING)
             return
         oldest = time.monotonic() - self.idle_for
         while pool.idle:
@@ -232,7 +269,7 @@
             connection.abort()
         if self.open + len(self.tasks) >= self.most and not self._evict():
             log.warning("no descriptor left for a connection to an endpoint")
-            attempt.ended(Outcome.NOT_SENT, b"")
+            attempt.ended(Outcome.NOT_SENT, NOTHING)
             return
         pool.connecting.add(attempt)
         attempt.connecting = self.loop.create_task(self._connect(pool, attempt))
@@ -245,10 +282,9 @@
                 await self.loop.create_connection(
                     lambda: Connection(self, pool, attempt), pool.address.host, pool.address.port
                 )
-        except (OSError, TimeoutError):
-            if attempt in pool.connecting:
-                pool.connecting.discard(attempt)
-                attempt.ended(Outcome.CONNECT_FAILED, b"")
+        except OSError:  # refused, or not up in time
+            if not attempt.given_up:
+                attempt.ended(Outcome.CONNECT_FAILED, NOTHING)
         finally:
             pool.connecting.discard(attempt)
 
