Never close a caller's connection that has a request unread; test over loopback

Now only one that has been quiet for 0.5 s and has nothing to read gives way, and accepting goes on as soon as a connection ends. close_idle after SIGTERM had the same fault. Tests: calls, bad input, discovery, config, SIGTERM over loopback sockets.

--- a/millgw/sidecar/server.py
+++ b/millgw/sidecar/server.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import select
 import socket
 import time
 from collections import deque
@@ -26,7 +27,9 @@
 READ_TIME = 10.0  # s to send a request that was begun, before its connection is closed
 LINGER = 1.0  # s that a connection stays open after a 4xx, so that a client still sending can read it
 BACKLOG = 2048
-ACCEPT_PAUSE = 0.05  # s before accepting is tried again after it failed
+ACCEPT_PAUSE = 0.05  # s before accepting is tried again after it failed, if no connection ends before
+MIN_IDLE = 0.5  # s between requests before a connection gives way to others: a client may be about to use it
+JUST_CONNECTED = 0.1  # s in which a client that has connected will send its request
 SHED_PART = 0.8  # of the most connections: on those beyond it requests are refused, before accepting fails
 SWEEP = 1.0  # s between two looks for requests that were begun long ago
 
@@ -44,6 +47,12 @@
 log = logging.getLogger("millgw")
 
 
+def accept(listener: socket.socket) -> socket.socket:
+    connection, _ = listener.accept()
+    connection.setblocking(False)
+    return connection
+
+
 class BadRequest(Exception):
     """A request that is answered at once, and never attempted."""
 
@@ -91,8 +100,10 @@
         self.tenants = {t.name.encode(): i for i, t in enumerate(config.settings.tenants)}
         self.most = most
         self.connections: set[CallerConnection] = set()
+        self.idle: dict[CallerConnection, None] = {}  # between requests, the one idle for longest first
         self.accepting: set[asyncio.Task[object]] = set()
         self.stopping = False
+        self.paused: asyncio.TimerHandle | None = None
         self.closed = False
         family = socket.AF_INET6 if ":" in config.listen.host else socket.AF_INET
         self.socket = socket.socket(family, socket.SOCK_STREAM)
@@ -114,7 +125,7 @@
                 self._pause()
                 return
             try:
-                connection, _ = self.socket.accept()
+                connection = accept(self.socket)
             except BlockingIOError:
                 return
             except OSError as error:
@@ -122,7 +133,6 @@
                 log.warning("accept failed: %s", error)
                 self._pause()
                 return
-            connection.setblocking(False)
             many = len(self.connections) + len(self.accepting) >= SHED_PART * self.most
             shed = many and not self._evict()
             task = self.loop.create_task(self._adopt(connection, shed))
@@ -137,20 +147,26 @@
 
     def _pause(self) -> None:
         self.loop.remove_reader(self.socket)
-        self.loop.call_later(ACCEPT_PAUSE, self._resume)
+        self.paused = self.loop.call_later(ACCEPT_PAUSE, self._resume)
 
     def _resume(self) -> None:
-        if not self.closed:
+        if self.paused is not None and not self.closed:
+            self.paused.cancel()
+            self.paused = None
             self.loop.add_reader(self.socket, self._accept)
-            self._accept()
 
     def _evict(self) -> bool:
         """Close the connection that has been between requests for longest, if there is one."""
-        idle = [c for c in self.connections if c.idle]
-        if not idle:
-            return False
-        min(idle, key=lambda c: c.since).close()
-        return True
+        for connection in self.idle:
+            if connection.quiet(MIN_IDLE):
+                connection.close()
+                return True
+        return False
+
+    def left(self, connection: CallerConnection) -> None:
+        self.connections.discard(connection)
+        self.idle.pop(connection, None)
+        self._resume()
 
     def _sweep(self) -> None:
         """Guards against clients that begin a request and never end it, and hold a descriptor."""
@@ -170,8 +186,8 @@
         self.socket.close()
 
     def close_idle(self) -> None:
-        for connection in list(self.connections):
-            if connection.idle:
+        for connection in list(self.idle):
+            if connection.quiet(JUST_CONNECTED):
                 connection.close()
 
     # Requests
@@ -231,14 +247,21 @@
         """In the middle of a request that has not come to its end."""
         return self.head is not None and not self.busy and not self.ended
 
-    @property
-    def idle(self) -> bool:
-        """Between requests: a client whose next one crosses the close sends it again."""
-        return self.head is None and not self.busy and not self.ended
+    def quiet(self, least: float) -> bool:
+        """Whether it has been between requests for so long, and has none waiting to be read.
+
+        Guards against losing a request: a client whose request crosses the close sends it again, but once
+        only, and under many connections the next one may be closed as well.
+        """
+        if self.transport is None or time.monotonic() < self.since + least:
+            return False
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not poll.poll(0)
 
     def close(self) -> None:
         self.ended = True
-        self.server.connections.discard(self)
+        self.server.left(self)
         if self.transport is not None:
             self.transport.close()
 
@@ -247,6 +270,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.server.connections.add(self)
+        self.server.idle[self] = None
 
     def data_received(self, data: bytes) -> None:
         if self.ended:
@@ -300,6 +324,7 @@
 
     def on_message_begin(self) -> None:
         self.head = Head()
+        self.server.idle.pop(self, None)
         self.in_body = False
         self.since = time.monotonic()
 
@@ -386,8 +411,10 @@
         if not self.keep or self.server.stopping:
             self.queue.clear()
             self.close()
-        elif self.transport is not None:
+        elif self.transport is not None and not self.queue:
             self.transport.resume_reading()
+            if self.head is None:
+                self.server.idle[self] = None
 
     def _end_badly(self, bad: BadRequest) -> None:
         self.keep = False
--- /dev/null
+++ b/tests/test_sidecar_calls.py
@@ -0,0 +1,356 @@
+"""Calls through a real sidecar on loopback sockets: served, retried, timed out, left, refused."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any
+
+import pytest
+
+from millgw.interface import Outcome
+from millgw.settings import to_settings
+from millgw.sidecar import server as server_module
+from millgw.sidecar.driver import Clock
+from millgw.sidecar.upstream import Attempt, Connection, Content, Pool, Upstream
+from tests.rig import (
+    SETTINGS,
+    FakeEndpoint,
+    Message,
+    always_ok,
+    answering,
+    free_address,
+    ok,
+    read_message,
+    request,
+    run,
+    sidecar,
+    silent,
+    status,
+    until,
+)
+
+
+def test_a_call_goes_on_unchanged_and_its_answer_comes_back() -> None:
+    async def test() -> None:
+        endpoint = FakeEndpoint("e1", answering(ok(b"\x00body\xff", "Content-Type: x/y\r\n")))
+        async with sidecar(endpoint) as rig:
+            got = await rig.ask(request("write", b"\x01in\xfe", target="/api?k=a%20b", X_Props="a=1"))
+            assert (got.status, got.body) == (200, b"\x00body\xff")
+            assert got.headers["content-type"] == "x/y"
+        (sent,) = endpoint.got
+        assert sent.first == "POST /api?k=a%20b HTTP/1.1" and sent.body == b"\x01in\xfe"
+        assert sent.headers["idempotency-key"] == "key-1" and sent.headers["x-props"] == "a=1"
+        assert 0 < int(sent.headers["x-expires-in-ms"]) < 20_000
+
+    run(test)
+
+
+def test_connections_are_kept_on_both_sides() -> None:
+    async def test() -> None:
+        endpoint = FakeEndpoint("e1")
+        async with sidecar(endpoint) as rig:
+            client = await rig.connect()
+            for _ in range(3):
+                assert (await client.ask(request())).status == 200
+        assert endpoint.connections == 1 and len(endpoint.got) == 3
+
+    run(test)
+
+
+def test_a_kept_connection_is_not_used_past_its_idle_time() -> None:
+    async def test() -> None:
+        endpoint = FakeEndpoint("e1")
+        async with sidecar(endpoint, idle=0.0) as rig:
+            for _ in range(2):
+                assert (await rig.ask(request("pay"))).status == 200
+        assert endpoint.connections == 2
+
+    run(test)
+
+
+def test_a_connection_that_the_endpoint_ends_is_not_used_again() -> None:
+    async def test() -> None:
+        endpoint = FakeEndpoint("e1", answering(ok(more="Connection: close\r\n")))
+        async with sidecar(endpoint) as rig:
+            for _ in range(2):
+                assert (await rig.ask(request("pay"))).status == 200
+        assert endpoint.connections == 2 and len(endpoint.got) == 2
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("answer", "attempts"),
+    [
+        (status(503, "X-Never-Ran: 1\r\n"), 2),  # turned away: it may go elsewhere
+        (status(504, "X-Never-Ran: 1\r\n"), 2),
+        (status(503), 1),  # no proof that it never ran
+        (status(500, "X-Never-Ran: 1\r\n"), 1),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", 1),
+        (b"SSH-2.0-server\r\n", 1),
+        (None, 1),  # reset after the last byte
+    ],
+)
+def test_an_unsafe_call_is_repeated_only_if_it_never_ran(answer: bytes | None, attempts: int) -> None:
+    async def test() -> None:
+        got: list[str] = []
+
+        async def script(message: Message, endpoint: FakeEndpoint) -> bytes | None:
+            got.append(endpoint.name)
+            return answer if len(got) == 1 else ok()
+
+        async with sidecar(FakeEndpoint("e1", script), FakeEndpoint("e2", script)) as rig:
+            short = 1000 if answer and answer.endswith(b"half") else 20_000
+            reply = await rig.ask(request("pay", patience=short))
+        assert len(got) == attempts
+        assert reply.status == (200 if attempts == 2 else 502)
+
+    run(test)
+
+
+def test_an_endpoint_that_refuses_connections_is_passed_over_or_refused_with_advice() -> None:
+    async def test() -> None:
+        async with sidecar() as rig:
+            assert rig.config.known["endpoints"] == []
+        dead = FakeEndpoint("dead")
+        known = {"index": 1, "snapshot": True, "endpoints": [dead.entry()]}
+        async with sidecar(known=known) as rig:
+            begun = time.monotonic()
+            reply = await rig.ask(request("pay"))
+            assert reply.status == 503 and 0 < float(reply.headers["retry-after"]) <= 2
+            assert time.monotonic() - begun < 10, "given up, and still held back"
+
+    run(test)
+
+
+def test_a_silent_endpoint_times_out_before_the_deadline_and_is_given_up() -> None:
+    async def test() -> None:
+        endpoint = FakeEndpoint("e1", silent)
+        async with sidecar(endpoint) as rig:
+            begun = time.monotonic()
+            assert (await rig.ask(request("pay", patience=1500))).status == 502
+            assert 1.0 < time.monotonic() - begun < 1.5
+            await until(lambda: endpoint.lost == 1)
+            endpoint.script = always_ok
+            assert (await rig.ask(request("pay"))).status == 200, "a late answer, or a connection given up"
+
+    run(test)
+
+
+def test_a_client_that_leaves_ends_its_attempt_and_nothing_more_is_sent() -> None:
+    async def test() -> None:
+        endpoint, other = FakeEndpoint("e1", silent), FakeEndpoint("e2", silent)
+        async with sidecar(endpoint, other) as rig:
+            client = await rig.connect()
+            client.writer.write(request("read"))
+            await until(lambda: len(endpoint.got) + len(other.got) == 1)
+            client.writer.close()
+            await until(lambda: endpoint.lost + other.lost == 1)
+            endpoint.script = other.script = always_ok
+            assert (await rig.ask(request("read"))).status == 200
+        assert len(endpoint.got) + len(other.got) == 2
+
+    run(test)
+
+
+def test_requests_split_and_joined_across_reads_get_their_answers_in_order() -> None:
+    async def test() -> None:
+        async def echo(message: Message, _: FakeEndpoint) -> bytes:
+            return ok(message.body)
+
+        async with sidecar(FakeEndpoint("e1", echo)) as rig:
+            client = await rig.connect()
+            data = b"".join(request("write", f"body {i}".encode()) for i in range(40))
+            got = []
+            for part in (data[:100], data[100:4000], data[4000:]):
+                client.writer.write(part)
+                await asyncio.sleep(0)
+            for _ in range(40):
+                got.append((await client.ask(b"")).body.decode())
+            assert got == [f"body {i}" for i in range(40)]
+
+    run(test)
+
+
+BAD: list[tuple[bytes, int]] = [
+    (b"\x16\x03\x01 nonsense\r\n\r\n", 400),
+    (b"GET /api HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400),
+    (request(X_Qos="unheard-of"), 400),
+    (request(X_Qos=""), 400),
+    (request(X_Trace_Id=""), 400),
+    (request(X_Expires_In_Ms=""), 400),
+    (request(X_Expires_In_Ms="soon"), 400),
+    (request(X_Expires_In_Ms="-5"), 400),
+    (request(X_Expires_In_Ms="0"), 400),
+    (request(X_Expires_In_Ms="9" * 40), 400),
+    (request("write", Idempotency_Key=""), 400),
+    (request("pay").replace(b"POST", b"GET"), 405),
+    (request(target="/elsewhere"), 404),
+    (request(target="//[x"), 404),
+    (b"CONNECT other:80 HTTP/1.1\r\nHost: other\r\n\r\n", 404),
+    (b"POST /ready HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405),
+    (request(X_Long="x" * 20_000), 431),
+    (b"GET /api HTTP/1.1\r\nX-Long: " + b"x" * 40_000, 431),
+    (request("pay", b"x" * (64 * 1024 + 1)), 413),
+]
+
+
+@pytest.mark.parametrize(("data", "code"), BAD)
+def test_bad_input_gets_a_plain_4xx_and_no_attempt(data: bytes, code: int) -> None:
+    async def test() -> None:
+        endpoint = FakeEndpoint("e1")
+        async with sidecar(endpoint) as rig:
+            assert (await rig.ask(data)).status == code
+            assert not endpoint.got
+            assert (await rig.ask(request("pay", b"x" * 64 * 1024))).status == 200
+
+    run(test)
+
+
+def test_an_offer_of_another_protocol_is_passed_over() -> None:
+    async def test() -> None:
+        endpoint = FakeEndpoint("e1")
+        async with sidecar(endpoint) as rig:
+            client = await rig.connect()
+            reply = await client.ask(request("pay", Connection="Upgrade", Upgrade="h2c"))
+            assert reply.status == 200 and len(endpoint.got) == 1
+            assert await client.reader.read() == b"", "answered twice"
+
+    run(test)
+
+
+def test_a_request_that_never_comes_to_its_end_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server_module, "READ_TIME", 0.01)
+    monkeypatch.setattr(server_module, "SWEEP", 0.05)
+
+    async def test() -> None:
+        async with sidecar(FakeEndpoint("e1")) as rig:
+            client = await rig.connect()
+            assert (await client.ask(request("pay", b"body")[:-2])).status == 408
+
+    run(test)
+
+
+def test_callers_over_the_cap_are_refused_and_idle_ones_give_way() -> None:
+    async def test() -> None:
+        endpoint = FakeEndpoint("e1", silent)
+        async with sidecar(endpoint, sockets=32 + 40) as rig:  # 20 callers, of which 4 are shed
+            busy = [await rig.connect() for _ in range(16)]
+            for client in busy:
+                client.writer.write(request("read"))
+            shed = await rig.connect()
+            assert (await shed.ask(request("read"))).status == 503
+            for client in busy:
+                client.writer.close()
+            await until(lambda: endpoint.lost == len(endpoint.got))
+            endpoint.script = always_ok
+            idle = [await rig.connect() for _ in range(30)]
+            assert (await idle[-1].ask(request("read"))).status == 200
+
+    run(test)
+
+
+def test_a_connection_with_a_request_still_unread_is_not_closed_as_idle() -> None:
+    async def test() -> None:
+        async with sidecar(FakeEndpoint("e1"), sockets=32 + 8) as rig:  # 4 callers, of which 1 is shed
+            clients = [await rig.connect() for _ in range(4)]
+            for client in clients:
+                assert (await client.ask(request("read"))).status in (200, 503)
+            await asyncio.sleep(server_module.MIN_IDLE)
+            kept = clients[0]
+            kept.writer.transport.write(request("read"))
+            crowd = await asyncio.gather(*(rig.ask(request("read")) for _ in range(20)))
+            assert {got.status for got in crowd} <= {200, 503}
+            assert (await read_message(kept.reader)).status == 200
+
+    run(test)
+
+
+def test_a_failed_accept_ends_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        failures = iter([OSError(24, "too many open files"), ConnectionAbortedError()])
+        real = server_module.accept
+
+        def accept(listener: Any) -> Any:
+            for failure in failures:
+                raise failure
+            return real(listener)
+
+        monkeypatch.setattr(server_module, "accept", accept)
+        async with sidecar(FakeEndpoint("e1")) as rig:
+            assert (await rig.ask(request("read"))).status == 200
+        assert next(failures, None) is None
+
+    run(test)
+
+
+def test_the_balancer_that_does_not_answer_is_answered_for() -> None:
+    """The driver keeps the rule of one answer in time even if the module were at fault."""
+
+    async def test() -> None:
+        async with sidecar(FakeEndpoint("e1", silent)) as rig:
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr("millgw.decide.Balancer._attempt_ended", lambda *_: None)
+                assert (await rig.ask(request("read", patience=200))).status == 502
+
+    run(test)
+
+
+def test_the_clock_is_unix_time_so_that_a_fresh_endpoint_is_cold() -> None:
+    assert abs(Clock()() - time.time() * 1000) < 10_000
+
+    async def test() -> None:
+        endpoint = FakeEndpoint("e1")
+        cold = endpoint.entry(since_ms=int(time.time() * 1000))
+        known = {"index": 1, "snapshot": True, "endpoints": [cold]}
+        raw = SETTINGS | {"rules": SETTINGS["rules"] | {"cold": 1e9, "coldShare": 0.01}}
+        async with sidecar(endpoint, known=known, settings=to_settings(raw)) as rig:
+            sent = [asyncio.create_task(rig.ask(request("pay", patience=300))) for _ in range(20)]
+            got = [(await task).status for task in sent]
+        assert got.count(200) == len(endpoint.got) <= 3 and set(got) == {200, 503}
+
+    run(test)
+
+
+async def _hanging() -> tuple[Upstream, Pool, Attempt, list[Outcome]]:
+    """An attempt at an address where nothing accepts: refused only when it is tried."""
+    upstream = Upstream(10, 5000.0, 60_000.0)
+    upstream.point(1, free_address())
+    ended: list[Outcome] = []
+
+    def end(outcome: Outcome, _: Content) -> None:
+        ended.append(outcome)
+
+    attempt = Attempt(lambda: b"never to be written", end)
+    upstream.send(1, attempt)
+    return upstream, upstream.pools[1], attempt, ended
+
+
+def test_an_attempt_still_connecting_when_its_endpoint_drains_never_ran() -> None:
+    async def test() -> None:
+        upstream, pool, attempt, ended = await _hanging()
+        forgotten = upstream.forget(1)
+        assert forgotten is pool
+        upstream.close(pool)
+        assert ended == [Outcome.CONNECT_FAILED]
+        await until(lambda: not upstream.tasks)
+        assert ended == [Outcome.CONNECT_FAILED] and attempt.given_up
+
+    run(test)
+
+
+def test_a_connection_that_comes_up_for_a_given_up_attempt_is_not_written() -> None:
+    async def test() -> None:
+        endpoint = FakeEndpoint("e1")
+        await endpoint.start()
+        upstream, pool, attempt, ended = await _hanging()
+        assert attempt.give_up() is False
+        loop = asyncio.get_running_loop()
+        made = Connection(upstream, pool, attempt)
+        await loop.create_connection(lambda: made, endpoint.address.host, endpoint.address.port)
+        await until(lambda: endpoint.lost == 1)
+        await until(lambda: upstream.open == 0)
+        assert not endpoint.got and not ended
+
+    run(test)
--- /dev/null
+++ b/tests/test_sidecar_process.py
@@ -0,0 +1,269 @@
+"""Discovery, readiness, configuration, and the start and end of the process."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from millgw.sidecar import discovery as discovery_module
+from millgw.sidecar.config import ConfigError, read_address, read_config
+from millgw.sidecar.discovery import endpoint_id, read_listing
+from tests.rig import (
+    SETTINGS,
+    STREAM,
+    FakeEndpoint,
+    Message,
+    Rig,
+    chunk,
+    free_address,
+    line,
+    ok,
+    request,
+    run,
+    sidecar,
+    silent,
+    status,
+    until,
+)
+
+READY = b"GET /ready HTTP/1.1\r\nHost: n1\r\n\r\n"
+
+
+async def ready(rig: Rig, code: int) -> None:
+    while (await rig.ask(READY)).status != code:
+        await asyncio.sleep(0.005)
+
+
+def test_ready_only_with_an_endpoint_and_lists_may_be_cut_anywhere() -> None:
+    async def test() -> None:
+        endpoint = FakeEndpoint("e1")
+        await endpoint.start()
+        async with sidecar() as rig:
+            assert (await rig.ask(READY)).status == 503
+            call, writer = await rig.discovery.calls.get()
+            assert call.first == "GET /v1/endpoints?watch=1&from=1 HTTP/1.1"
+            lines = line(2, []) + b"\n" + line(3, [endpoint.entry()])
+            data = STREAM + chunk(lines[:9]) + chunk(lines[9:])
+            for at in range(len(data)):
+                writer.write(data[at : at + 1])
+                await asyncio.sleep(0)
+            await ready(rig, 200)
+            assert (await rig.ask(request())).status == 200
+            writer.write(chunk(line(4, [endpoint.entry("terminating")])))
+            await ready(rig, 503)
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    "end",
+    [
+        status(503),
+        STREAM + chunk(b"\n") + b"0\r\n\r\n",
+        STREAM + chunk(b"not JSON\n"),
+        b"220 mail\r\n",
+        None,  # a reset
+        STREAM + chunk(b"\n"),  # and silence
+    ],
+)
+def test_each_end_of_a_watch_is_asked_again_from_what_is_known(
+    end: bytes | None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(discovery_module, "SILENCE", 0.05)
+
+    async def test() -> None:
+        endpoint, other = FakeEndpoint("e1"), FakeEndpoint("e2")
+        await other.start()
+        async with sidecar(endpoint) as rig:
+            _, writer = await rig.discovery.calls.get()
+            if end is None:
+                writer.transport.abort()
+            else:
+                writer.write(end)
+            assert (await rig.ask(request())).status == 200, "the list from before the failure holds"
+            call, writer = await rig.discovery.calls.get()
+            assert call.first.split()[1] == "/v1/endpoints?watch=1&from=1"
+            writer.write(STREAM + chunk(line(9, [other.entry()], snapshot=True)))
+            while not other.got:
+                await rig.ask(request())
+            _, writer = await rig.discovery.calls.get()  # silent again: from the list that replaced the old
+            before = len(endpoint.got)
+            for _ in range(5):
+                assert (await rig.ask(request())).status == 200
+            assert len(endpoint.got) == before, "an endpoint that the whole list no longer names"
+
+    run(test)
+
+
+def test_an_endpoint_that_moved_is_met_at_its_new_address() -> None:
+    async def test() -> None:
+        old, new = FakeEndpoint("e1"), FakeEndpoint("e1")
+        await new.start()
+        async with sidecar(old) as rig:
+            assert (await rig.ask(request())).status == 200
+            _, writer = await rig.discovery.calls.get()
+            writer.write(STREAM + chunk(line(2, [new.entry()])))
+            await until(lambda: old.lost == 1)
+            assert (await rig.ask(request())).status == 200
+        assert len(old.got) == len(new.got) == 1
+
+    run(test)
+
+
+def test_a_known_list_that_cannot_be_read_does_not_keep_it_from_asking() -> None:
+    async def test() -> None:
+        async with sidecar(known={"surprise": 1}) as rig:
+            call, _ = await rig.discovery.calls.get()
+            assert call.first.split()[1] == "/v1/endpoints?watch=1"
+
+    run(test)
+
+
+def test_entries_that_cannot_be_read_are_skipped() -> None:
+    good = FakeEndpoint("good").entry()
+    bad: list[Any] = [
+        7,
+        {},
+        {"name": "x"},
+        good | {"status": "asleep"},
+        good | {"status": ["in_service"]},
+        good | {"address": "host.example:80"},
+        good | {"address": "127.0.0.1:99999"},
+        good | {"since_ms": "now"},
+        good | {"weight": -1},
+    ]
+    listing = read_listing({"index": 3, "snapshot": True, "endpoints": [*bad, good]}, ("a",))
+    assert [e.endpoint.id for e in listing.entries] == [endpoint_id("good")]
+    assert listing.whole and listing.index == 3
+
+
+def test_names_map_to_the_same_numbers_in_every_process() -> None:
+    assert endpoint_id("s-5be2a07c") != endpoint_id("s-5be2a07d")
+    code = "from millgw.sidecar.discovery import endpoint_id; print(endpoint_id('s-5be2a07c'))"
+    out = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert int(out.stdout) == endpoint_id("s-5be2a07c")
+
+
+def test_addresses() -> None:
+    assert read_address("127.0.0.1:7070").port == 7070
+    assert read_address("[::1]:80").host == "::1"
+
+
+GOOD: dict[str, Any] = {
+    "name": "n1",
+    "listen": "127.0.0.1:7070",
+    "discovery": "127.0.0.1:8500",
+    "seed": "8c1f30d27a5be964",
+    "limits": {"sockets": 256},
+    "settings": SETTINGS,
+}
+
+
+def write_config(folder: Path, data: object) -> dict[str, str]:
+    path = folder / "config.json"
+    path.write_text(data if isinstance(data, str) else json.dumps(data))
+    return {"BALANCER_CONFIG": str(path)}
+
+
+def test_a_variable_goes_before_the_file(tmp_path: Path) -> None:
+    environ = write_config(tmp_path, GOOD)
+    assert read_config(environ).listen.port == 7070
+    made = read_config(environ | {"BALANCER_LISTEN": "127.0.0.1:7071", "BALANCER_NAME": "n2"})
+    assert (made.listen.port, made.name, made.sockets, made.seed) == (7071, "n2", 256, 0x8C1F30D27A5BE964)
+
+
+@pytest.mark.parametrize(
+    ("data", "says"),
+    [
+        ("{", "BALANCER_CONFIG"),
+        ([], "BALANCER_CONFIG"),
+        (GOOD | {"listen": "nowhere"}, "listen"),
+        (GOOD | {"discovery": None}, "discovery"),
+        (GOOD | {"seed": "xyz"}, "seed"),
+        (GOOD | {"limits": {"sockets": "many"}}, "limits.sockets"),
+        (GOOD | {"settings": {}}, "classes"),
+        (GOOD | {"settings": SETTINGS | {"rules": {}}}, "rules.coldShare"),
+    ],
+)
+def test_a_bad_config_is_named(data: object, says: str, tmp_path: Path) -> None:
+    with pytest.raises(ConfigError, match=says):
+        read_config(write_config(tmp_path, data))
+
+
+def start(environ: dict[str, str]) -> subprocess.Popen[str]:
+    return subprocess.Popen(
+        [sys.executable, "-B", "-m", "millgw.sidecar"],
+        env=os.environ | environ,
+        stderr=subprocess.PIPE,
+        text=True,
+        cwd=Path(__file__).parent.parent,
+    )
+
+
+def test_a_bad_config_ends_with_one_line_and_code_2() -> None:
+    process = start({"BALANCER_CONFIG": ""})
+    _, said = process.communicate()
+    assert process.returncode == 2 and said.count("\n") == 1 and "BALANCER_CONFIG" in said
+
+
+def test_after_sigterm_it_answers_all_that_was_taken_and_still_comes(tmp_path: Path) -> None:
+    go = asyncio.Event()
+
+    async def held(_: Message, __: FakeEndpoint) -> bytes:
+        await go.wait()
+        return ok(b"late")
+
+    async def test() -> None:
+        endpoint = FakeEndpoint("e1", held)
+        await endpoint.start()
+        listen = free_address()
+        known = {"index": 1, "snapshot": True, "endpoints": [endpoint.entry()]}
+        data = GOOD | {"listen": f"{listen.host}:{listen.port}", "known": known}
+        process = start(write_config(tmp_path, data))
+        assert process.stderr is not None and "serves at" in await asyncio.to_thread(process.stderr.readline)
+        idle = await asyncio.open_connection(listen.host, listen.port)
+        reader, writer = await asyncio.open_connection(listen.host, listen.port)
+        writer.write(request("pay"))
+        await until(lambda: len(endpoint.got) == 1)
+        process.send_signal(signal.SIGTERM)
+        late = await asyncio.open_connection(listen.host, listen.port)
+        late[1].write(READY)
+        assert (await late[0].readline()).startswith(b"HTTP/1.1 503")
+        taken = await asyncio.open_connection(listen.host, listen.port)
+        taken[1].write(request("pay"))
+        await until(lambda: len(endpoint.got) == 2)
+        assert await idle[0].read() == b"", "closed between requests"
+        go.set()
+        for answer in (await reader.read(), await taken[0].read()):
+            assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"late")
+            assert b"Connection: close" in answer
+        assert await asyncio.to_thread(process.wait) == 0
+
+    run(test)
+
+
+def test_after_sigterm_what_is_not_answered_in_time_fails_and_it_ends(tmp_path: Path) -> None:
+    async def test() -> None:
+        endpoint = FakeEndpoint("e1", silent)
+        await endpoint.start()
+        listen = free_address()
+        known = {"index": 1, "snapshot": True, "endpoints": [endpoint.entry()]}
+        data = GOOD | {"listen": f"{listen.host}:{listen.port}", "known": known}
+        process = start(write_config(tmp_path, data))
+        assert process.stderr is not None and "serves at" in await asyncio.to_thread(process.stderr.readline)
+        reader, writer = await asyncio.open_connection(listen.host, listen.port)
+        writer.write(request("pay"))
+        await until(lambda: len(endpoint.got) == 1)
+        process.send_signal(signal.SIGTERM)
+        assert (await reader.readline()).startswith(b"HTTP/1.1 502")
+        assert await asyncio.to_thread(process.wait) == 0
+
+    run(test)
