Hear every discovery line before the end of its watch; drains need name and status only

Cause, by reading: when a read held the last lines and the watch's end (or one line that can't be read), Watch dropped the lines although they had been told, and a drain among them would have been kept only after asking again, later than its 500 ms. An entry that drains was skipped for a bad weight or address. Logs repeat one kind of line once a second at most.

--- a/millgw/sidecar/__main__.py
+++ b/millgw/sidecar/__main__.py
@@ -22,11 +22,26 @@
 STILL_COMING = 0.5  # s after SIGTERM for which new connections are taken: they come for 0.4 s
 LONGEST = 3.0  # s of a deadline that SIGKILL waits for at the most, and a little more than ANSWER_WITHIN
 ANSWER_WITHIN = 0.3  # s more by which all is answered
+LOG_EVERY = 1.0  # s between two lines of the same kind
 FLUSH = 0.2  # s that answers may take to be read before the process ends
 
 log = logging.getLogger("millgw")
 
 
+class Sparing(logging.Filter):
+    """Lets a message through once a second: one that repeats for every request must not fill the log."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.last: dict[str, float] = {}
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        due = record.created >= self.last.get(record.msg, 0.0) + LOG_EVERY
+        if due:
+            self.last[record.msg] = record.created
+        return due
+
+
 async def serve(config: Config) -> None:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
@@ -67,6 +82,7 @@
 
 def main() -> int:
     logging.basicConfig(level=logging.INFO, format="%(levelname)s %(message)s")
+    log.addFilter(Sparing())
     try:
         config = read_config(os.environ)
     except ConfigError as error:
--- a/millgw/sidecar/discovery.py
+++ b/millgw/sidecar/discovery.py
@@ -69,6 +69,9 @@
     name, condition = raw["name"], CONDITIONS.get(raw.get("status"))
     if not isinstance(name, str) or condition is None:
         raise ValueError(f"{name!r} has no known status")
+    if condition is not Condition.READY:
+        # Guards against a drain that is missed for the sake of a field that a drain does not need.
+        return Listed(Endpoint(endpoint_id(name), condition), None)
     zone = raw.get("zone")
     endpoint = Endpoint(
         id=endpoint_id(name),
@@ -78,7 +81,7 @@
         zone=zones.index(zone) if zone in zones else len(zones),
         since=number(raw, "since_ms", f"{name}: ", 0.0),
     )
-    return Listed(endpoint, None if condition is Condition.GONE else read_address(raw.get("address")))
+    return Listed(endpoint, read_address(raw.get("address")))
 
 
 class Discovery:
@@ -119,10 +122,11 @@
         except OSError as error:
             self.failed(watch, str(error))
 
-    def line(self, line: bytes) -> None:
+    def line(self, line: bytes, advance: bool) -> None:
         """Take one line of the watch; a ValueError tells that it can't be read."""
         listing = read_listing(json.loads(line), self.zones)
-        self.index = listing.index
+        if advance:
+            self.index = listing.index
         self.heard(ListKind.FULL if listing.whole else ListKind.DELTA, listing.entries)
 
     def failed(self, watch: Watch, why: str) -> None:
@@ -143,6 +147,8 @@
         self.parser = httptools.HttpResponseParser(self)
         self.transport: asyncio.Transport | None = None
         self.stopped = False
+        self.ended = ""
+        self.gap = False
         self.silence: asyncio.TimerHandle | None = None
         self.rest = bytearray()
 
@@ -167,17 +173,19 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self.discovery.failed(self, f"malformed answer: {error}")
-            return
+            self.ended = self.ended or f"malformed answer: {error}"
         *lines, self.rest = self.rest.split(b"\n")
         for line in lines:
-            if self.stopped:
-                return
             self._line(bytes(line))
         if len(self.rest) > MAX_LINE:
-            self.discovery.failed(self, "a line is too long")
+            self.ended = "a line is too long"
+        if self.ended:
+            # Only now: what came before the end, in the same read, has been told and counts for drains.
+            self.discovery.failed(self, self.ended)
 
     def _line(self, line: bytes) -> None:
+        if self.stopped:
+            return
         if self.silence is not None:
             self.silence.cancel()
         # Guards against a discovery that is cut off: its connection stays open and says nothing.
@@ -187,10 +195,12 @@
         if not line.strip():
             return
         try:
-            self.discovery.line(line)
+            self.discovery.line(line, advance=not self.gap)
         except ValueError as error:
-            # Guards against a change that is missed: what this line held is asked for again.
-            self.discovery.failed(self, f"a line can't be read: {error}")
+            # Guards against a change that is missed: what this line held is asked for again. The lines
+            # after it are taken, but don't count as heard.
+            self.gap = True
+            self.ended = f"a line can't be read: {error}"
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.discovery.failed(self, "connection lost")
@@ -202,4 +212,6 @@
             self.rest += body
 
     def on_message_complete(self) -> None:
-        self.discovery.failed(self, f"answered {self.parser.get_status_code()} and ended")
+        if self.rest.strip():
+            self.rest += b"\n"
+        self.ended = f"answered {self.parser.get_status_code()} and ended"
--- a/tests/test_sidecar_process.py
+++ b/tests/test_sidecar_process.py
@@ -14,7 +14,7 @@
 import pytest
 
 from millgw.sidecar import discovery as discovery_module
-from millgw.sidecar.config import ConfigError, read_address, read_config
+from millgw.sidecar.config import Address, ConfigError, read_address, read_config
 from millgw.sidecar.discovery import endpoint_id, read_listing
 from tests.rig import (
     SETTINGS,
@@ -103,6 +103,23 @@
     run(test)
 
 
+def test_what_comes_in_one_read_with_the_end_of_a_watch_is_heard() -> None:
+    async def test() -> None:
+        old, new = FakeEndpoint("e1"), FakeEndpoint("e2")
+        await new.start()
+        async with sidecar(old) as rig:
+            _, writer = await rig.discovery.calls.get()
+            last = line(3, [old.entry("terminating", weight="?")])[:-1]
+            writer.write(STREAM + chunk(line(2, [new.entry()]) + b"{broken\n" + last) + b"0\r\n\r\n")
+            call, _ = await rig.discovery.calls.get()
+            assert call.first.split()[1].endswith("from=2"), "the line that can't be read is asked for again"
+            for _ in range(5):
+                assert (await rig.ask(request())).status == 200
+        assert len(new.got) == 5 and not old.got
+
+    run(test)
+
+
 def test_an_endpoint_that_moved_is_met_at_its_new_address() -> None:
     async def test() -> None:
         old, new = FakeEndpoint("e1"), FakeEndpoint("e1")
@@ -208,6 +225,17 @@
     )
 
 
+async def in_service(endpoint: FakeEndpoint, folder: Path) -> tuple[subprocess.Popen[str], Address]:
+    """A sidecar's process that serves this endpoint, and where."""
+    await endpoint.start()
+    listen = free_address()
+    known = {"index": 1, "snapshot": True, "endpoints": [endpoint.entry()]}
+    data = GOOD | {"listen": f"{listen.host}:{listen.port}", "known": known}
+    process = start(write_config(folder, data))
+    assert process.stderr is not None and "serves at" in await asyncio.to_thread(process.stderr.readline)
+    return process, listen
+
+
 def test_a_bad_config_ends_with_one_line_and_code_2() -> None:
     process = start({"BALANCER_CONFIG": ""})
     _, said = process.communicate()
@@ -223,12 +251,7 @@
 
     async def test() -> None:
         endpoint = FakeEndpoint("e1", held)
-        await endpoint.start()
-        listen = free_address()
-        known = {"index": 1, "snapshot": True, "endpoints": [endpoint.entry()]}
-        data = GOOD | {"listen": f"{listen.host}:{listen.port}", "known": known}
-        process = start(write_config(tmp_path, data))
-        assert process.stderr is not None and "serves at" in await asyncio.to_thread(process.stderr.readline)
+        process, listen = await in_service(endpoint, tmp_path)
         idle = await asyncio.open_connection(listen.host, listen.port)
         reader, writer = await asyncio.open_connection(listen.host, listen.port)
         writer.write(request("pay"))
@@ -253,12 +276,7 @@
 def test_after_sigterm_what_is_not_answered_in_time_fails_and_it_ends(tmp_path: Path) -> None:
     async def test() -> None:
         endpoint = FakeEndpoint("e1", silent)
-        await endpoint.start()
-        listen = free_address()
-        known = {"index": 1, "snapshot": True, "endpoints": [endpoint.entry()]}
-        data = GOOD | {"listen": f"{listen.host}:{listen.port}", "known": known}
-        process = start(write_config(tmp_path, data))
-        assert process.stderr is not None and "serves at" in await asyncio.to_thread(process.stderr.readline)
+        process, listen = await in_service(endpoint, tmp_path)
         reader, writer = await asyncio.open_connection(listen.host, listen.port)
         writer.write(request("pay"))
         await until(lambda: len(endpoint.got) == 1)
