Don't trust kept connections to an endpoint that went silent or restarted

Cause: a machine that vanishes leaves kept connections open and silent, so each attempt written to one takes its whole deadline and may have run; when it is back they end as resets. After an attempt without an answer, and when the list tells of a new start, the kept ones are closed: a new connection that does not come up proves within the connect time-out that nothing ran.

--- a/millgw/sidecar/driver.py
+++ b/millgw/sidecar/driver.py
@@ -126,7 +126,7 @@
         for entry in entries:
             id = entry.endpoint.id
             if entry.address is not None and entry.endpoint.condition is Condition.READY:
-                old.append(self.upstream.point(id, entry.address))
+                old.append(self.upstream.point(id, entry.address, entry.endpoint.since))
                 named.add(id)
         gone = {e.endpoint.id for e in entries} - named
         if kind in (ListKind.FULL, ListKind.CACHED):
@@ -168,8 +168,11 @@
             del call.out[number]
             if not flight.attempt.give_up():
                 outcome = Outcome.CONNECT_FAILED  # its last byte was never written
+            elif concluded:
+                outcome = Outcome.CANCELLED
             else:
-                outcome = Outcome.CANCELLED if concluded else Outcome.TIMEOUT
+                outcome = Outcome.TIMEOUT
+                self.upstream.doubt(flight.endpoint)
             self._feed(
                 AttemptEnded(call.id, flight.endpoint, number, outcome, now - flight.sent, concluded)
             )
--- a/millgw/sidecar/upstream.py
+++ b/millgw/sidecar/upstream.py
@@ -81,12 +81,13 @@
 
 
 class Pool:
-    """One endpoint at one address: its kept connections and the attempts still connecting to it."""
+    """One life of an endpoint at one address: kept connections, and attempts still connecting to it."""
 
-    __slots__ = ("address", "connecting", "idle", "used")
+    __slots__ = ("address", "connecting", "idle", "since", "used")
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, since: float) -> None:
         self.address = address
+        self.since = since
         self.used = True
         self.idle: list[Connection] = []
         self.connecting: set[Attempt] = set()
@@ -226,12 +227,15 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.loop.call_later(SWEEP, self._sweep)
 
-    def point(self, endpoint: int, address: Address) -> Pool | None:
-        """Use this address from now on; returns the pool of the one before, if it is another."""
+    def point(self, endpoint: int, address: Address, since: float = 0.0) -> Pool | None:
+        """Use this address from now on; returns the pool of the one before, if it is another.
+
+        Guards against kept connections to a machine that went silent and is back: they end as resets.
+        """
         pool = self.pools.get(endpoint)
-        if pool is not None and pool.address == address:
+        if pool is not None and pool.address == address and pool.since == since:
             return None
-        self.pools[endpoint] = Pool(address)
+        self.pools[endpoint] = Pool(address, since)
         return pool
 
     def forget(self, endpoint: int) -> Pool | None:
@@ -246,13 +250,27 @@
         after the drain's grace.
         """
         pool.used = False
-        for connection in list(pool.idle):
-            connection.abort()
+        Upstream._close_idle(pool)
         for attempt in list(pool.connecting):
             pool.connecting.discard(attempt)
             attempt.give_up()
             attempt.ended(Outcome.CONNECT_FAILED, NOTHING)
 
+    def doubt(self, endpoint: int) -> None:
+        """Close an endpoint's kept connections after an attempt there got no answer.
+
+        Guards against a machine that has gone silent: what is written to an open connection only times out,
+        and may have run, where a new connection that does not come up proves soon that nothing did.
+        """
+        if endpoint in self.pools:
+            self._close_idle(self.pools[endpoint])
+
+    @staticmethod
+    def _close_idle(pool: Pool) -> None:
+        for connection in pool.idle:
+            connection.abort()
+        pool.idle.clear()
+
     def send(self, endpoint: int, attempt: Attempt) -> None:
         pool = self.pools.get(endpoint)
         if pool is None:
--- a/tests/test_sidecar_calls.py
+++ b/tests/test_sidecar_calls.py
@@ -15,11 +15,14 @@
 from millgw.sidecar.upstream import Attempt, Connection, Content, Pool, Upstream
 from tests.rig import (
     SETTINGS,
+    STREAM,
     FakeEndpoint,
     Message,
     always_ok,
     answering,
+    chunk,
     free_address,
+    line,
     ok,
     read_message,
     request,
@@ -138,6 +141,28 @@
     run(test)
 
 
+def test_kept_connections_are_not_trusted_after_silence_or_a_restart() -> None:
+    async def test() -> None:
+        async def slow(message: Message, endpoint: FakeEndpoint) -> bytes:
+            await until(lambda: len(endpoint.got) >= 2)
+            return ok()
+
+        endpoint = FakeEndpoint("e1", slow)
+        async with sidecar(endpoint) as rig:
+            got = await asyncio.gather(*(rig.ask(request("pay")) for _ in range(2)))
+            assert {reply.status for reply in got} == {200} and endpoint.connections == 2
+            endpoint.script = silent
+            assert (await rig.ask(request("pay", patience=300))).status == 502
+            await until(lambda: endpoint.lost == 2)
+            endpoint.script = always_ok
+            assert (await rig.ask(request("pay"))).status == 200 and endpoint.connections == 3
+            _, writer = await rig.discovery.calls.get()
+            writer.write(STREAM + chunk(line(2, [endpoint.entry(since_ms=1)])))
+            await until(lambda: endpoint.lost == 3)
+
+    run(test)
+
+
 def test_a_client_that_leaves_ends_its_attempt_and_nothing_more_is_sent() -> None:
     async def test() -> None:
         endpoint, other = FakeEndpoint("e1", silent), FakeEndpoint("e2", silent)
