Held requests stop looking once one that may go anywhere found no endpoint ready

A sampling profile put 61% into Balancer._serve_held: for each outcome each held request passed over the whole ring again (_pick, _ready, may_go_to) though nothing was ready. Ruled out: a busy loop in the sidecar (timers, accept: under 10% of samples).

--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -623,11 +623,14 @@
         """
         if not self.held or not self._admits():
             return
+        stuck = False
         for request in sorted(reversed(self.held.values()), key=lambda r: r.value, reverse=True):
             if not self.rules.may_try(request, now):
                 self._end(request)
-            elif self._admits():
-                self._try_send(now, request)
+            elif self._admits() and (request.attempts or not stuck) and not self._try_send(now, request):
+                # Guards against a pass over all endpoints for each one held: where one that may go anywhere
+                # found none ready, the others find none either.
+                stuck = stuck or not request.attempts
 
     def _end(self, request: Request) -> None:
         if self.shares is not None and request.within_share:
