--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -4,9 +4,11 @@
 
 import math
 from dataclasses import replace
+from typing import Any
 
 import pytest
 
+from millgw.decide import Admission, Balancer
 from millgw.interface import Endpoint, ListKind, Outcome, Repeat, RequestClass, Scope, Send, TimerFired
 from tests.support import KEYED, SAFE, TENANTS, UNSAFE, Drive, drive, endpoints, settings
 
@@ -414,3 +416,25 @@
     d = Drive(settings(cold_share=0.0))
     d.show(*endpoints(3, since=d.now))
     assert d.tries[d.arrive()]
+
+
+def test_held_requests_do_not_each_pass_over_endpoints_that_are_all_busy(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    d = drive(2, siblings=1)
+    flood(d, 200)
+    passes = 0
+    look = Balancer._ready
+
+    def counted(self: Balancer, *args: Any) -> Any:
+        nonlocal passes
+        passes += 1
+        return look(self, *args)
+
+    monkeypatch.setattr(Balancer, "_ready", counted)
+    monkeypatch.setattr(Balancer, "_full", lambda *_: True)
+    monkeypatch.setattr(Admission, "limit", 1000.0)
+    assert len(d.balancer.held) > 50
+    sent = next(r for r, tries in d.tries.items() if tries)
+    d.outcome(sent, 0, Outcome.OK)
+    assert passes == 1
