Handle SIGHUP: read the configuration again and move the watch

Now SIGHUP is blocked from the start until its handler stands. A reload reads the whole file; `discovery` is applied (the watch goes on at the new address from the version known, list and counts stay), other changed fields are logged as taking a restart, and a bad file is logged with its field and changes nothing. BALANCER_DISCOVERY goes before the file until the file names another discovery than it did.

Also seen while reading: a watch that connects and never says a line was waited for by nobody once the balancer had heard a list (its patience starts with its own Subscribe, and the silence timer with the first line). The timer now starts with the asking.

The three tests fail without the change.

--- a/millgw/sidecar/__main__.py
+++ b/millgw/sidecar/__main__.py
@@ -1,4 +1,4 @@
-"""Start and end of a sidecar: puts the parts together, and leaves in order when it is told to."""
+"""Start and end of a sidecar: puts the parts together, reloads, and leaves in order when it is told to."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+from collections.abc import Mapping
 
 import uvloop
 
@@ -42,7 +43,7 @@
         return due
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, environ: Mapping[str, str] = os.environ) -> None:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
@@ -52,6 +53,8 @@
     upstream = Upstream(spare - callers, config.connect_timeout, config.idle)
     discovery = Discovery(config.discovery, config.zones, lambda kind, entries: driver.listed(kind, entries))
     driver = Driver(Balancer(config.settings, config.seed), upstream, discovery.subscribe)
+    loop.add_signal_handler(signal.SIGHUP, Reload(environ, config, discovery))
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     discovery.start(config.known)
     if not config.settings.ask_discovery:
         discovery.subscribe()
@@ -62,6 +65,29 @@
     await leave(config, server, driver)
 
 
+class Reload:
+    """Reads the configuration again at each SIGHUP and applies what may change in service: `discovery`."""
+
+    def __init__(self, environ: Mapping[str, str], config: Config, discovery: Discovery) -> None:
+        self.environ = environ
+        self.config = config
+        self.discovery = discovery
+
+    def __call__(self) -> None:
+        before = self.config
+        try:
+            self.config = read_config(self.environ, before)
+        except ConfigError as error:
+            # Guards against a file that is half written or wrong: the sidecar serves on with what it has.
+            log.error("reload: %s; the configuration stays as it was", error)
+            return
+        for name in ("name", "listen", "sockets", "settings"):
+            if getattr(self.config, name) != getattr(before, name):
+                log.warning("reload: %s has changed, which takes a restart", name)
+        log.info("reload: the configuration is read again")
+        self.discovery.move(self.config.discovery)
+
+
 async def leave(config: Config, server: Server, driver: Driver) -> None:
     """Take what still comes, answer all of it, and be gone before SIGKILL."""
     longest = max(c.deadline for c in config.settings.classes) / 1000
@@ -83,6 +109,8 @@
 def main() -> int:
     logging.basicConfig(level=logging.INFO, format="%(levelname)s %(message)s")
     log.addFilter(Sparing())
+    # Guards against a SIGHUP before there is a handler, which would end the process: it waits for one.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
         config = read_config(os.environ)
     except ConfigError as error:
--- a/millgw/sidecar/config.py
+++ b/millgw/sidecar/config.py
@@ -1,4 +1,4 @@
-"""What a sidecar is told at its start: environment and config file, read once and checked."""
+"""What a sidecar is told: environment and config file, read at its start and again at each SIGHUP."""
 
 from __future__ import annotations
 
@@ -26,6 +26,9 @@
     host: str
     port: int
 
+    def __str__(self) -> str:
+        return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
+
 
 @dataclass(slots=True, frozen=True)
 class Config:
@@ -34,6 +37,7 @@
     name: str
     listen: Address
     discovery: Address
+    filed_discovery: object
     seed: int
     sockets: int
     known: Any
@@ -51,8 +55,12 @@
     return Address(str(ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))), int(port))
 
 
-def read_config(environ: Mapping[str, str]) -> Config:
-    """The configuration of this sidecar; a variable goes before the file's field of the same meaning."""
+def read_config(environ: Mapping[str, str], before: Config | None = None) -> Config:
+    """The configuration of this sidecar; a variable goes before the file's field of the same meaning.
+
+    `before` is the one that a reload replaces. A file that names another discovery than it did then wins over
+    the variable, which is as old as the process.
+    """
     path = environ.get(PREFIX + "CONFIG")
     if not path:
         raise ConfigError(f"{PREFIX}CONFIG is not set")
@@ -63,11 +71,16 @@
     if not isinstance(data, dict):
         raise ConfigError(f"{PREFIX}CONFIG: not a JSON object")
     settings, limits = table(data, "settings"), table(table(data, "settings"), "limits")
+    filed = data.get("discovery")
+    if before is not None:
+        unchanged = filed == before.filed_discovery
+        environ = {**environ, PREFIX + "DISCOVERY": str(before.discovery) if unchanged else ""}
     try:
         return Config(
             name=environ.get(PREFIX + "NAME") or str(data.get("name", "")),
             listen=_address(environ, data, "listen"),
             discovery=_address(environ, data, "discovery"),
+            filed_discovery=filed,
             seed=_seed(data.get("seed")),
             sockets=int(number(table(data, "limits"), "sockets", "limits.", 1024)),
             known=data.get("known"),
--- a/millgw/sidecar/discovery.py
+++ b/millgw/sidecar/discovery.py
@@ -17,6 +17,7 @@
 from millgw.sidecar.config import Address, read_address
 
 SILENCE = 3.5  # s without a line after which a watch has failed: heartbeats come every 2 s
+FIRST_LINE = 6.0  # s until its first line: discovery works through calls in turn
 MAX_LINE = 8 * 1024 * 1024  # bytes of one line, far above the list of any fleet
 CONDITIONS = {
     "in_service": Condition.READY,
@@ -113,8 +114,16 @@
         if self.watch is not None:
             self.watch.stop()
         self.watch = Watch(self)
+        self.watch.expect(FIRST_LINE)
         self.asking = asyncio.get_running_loop().create_task(self._connect(self.watch))
 
+    def move(self, address: Address) -> None:
+        """Go on at another address from the version that is known; the list and all learned of it stay."""
+        if address != self.address:
+            log.info("discovery: moves from %s to %s", self.address, address)
+            self.address = address
+            self.subscribe()
+
     async def _connect(self, watch: Watch) -> None:
         loop = asyncio.get_running_loop()
         try:
@@ -159,6 +168,14 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def expect(self, within: float) -> None:
+        """Guards against a discovery that is cut off: its connection stays open and says nothing."""
+        if self.silence is not None:
+            self.silence.cancel()
+        self.silence = asyncio.get_running_loop().call_later(
+            within, self.discovery.failed, self, "silent past its time"
+        )
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         if self.stopped:
@@ -166,7 +183,7 @@
             return
         discovery = self.discovery
         since = "" if discovery.index is None else f"&from={discovery.index}"
-        host = f"{discovery.address.host}:{discovery.address.port}"
+        host = discovery.address
         self.transport.write(f"GET /v1/endpoints?watch=1{since} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
 
     def data_received(self, data: bytes) -> None:
@@ -186,12 +203,7 @@
     def _line(self, line: bytes) -> None:
         if self.stopped:
             return
-        if self.silence is not None:
-            self.silence.cancel()
-        # Guards against a discovery that is cut off: its connection stays open and says nothing.
-        self.silence = asyncio.get_running_loop().call_later(
-            SILENCE, self.discovery.failed, self, "silent past its heartbeat"
-        )
+        self.expect(SILENCE)
         if not line.strip():
             return
         try:
--- a/tests/test_sidecar_process.py
+++ b/tests/test_sidecar_process.py
@@ -8,11 +8,13 @@
 import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from millgw.settings import to_settings
 from millgw.sidecar import __main__ as main_module
 from millgw.sidecar import discovery as discovery_module
 from millgw.sidecar.config import Address, ConfigError, read_address, read_config
@@ -20,6 +22,7 @@
 from tests.rig import (
     SETTINGS,
     STREAM,
+    FakeDiscovery,
     FakeEndpoint,
     Message,
     Rig,
@@ -27,6 +30,7 @@
     free_address,
     line,
     ok,
+    read_message,
     request,
     run,
     sidecar,
@@ -216,6 +220,20 @@
         read_config(write_config(tmp_path, data))
 
 
+def test_a_reloaded_file_wins_over_the_variable_only_if_it_has_changed(tmp_path: Path) -> None:
+    environ = write_config(tmp_path, GOOD) | {"BALANCER_DISCOVERY": "127.0.0.1:8501"}
+    first = read_config(environ)
+    assert first.discovery.port == 8501
+    same = read_config(environ, first)
+    assert same.discovery.port == 8501
+    write_config(tmp_path, GOOD | {"discovery": "127.0.0.1:8502"})
+    moved = read_config(environ, same)
+    assert moved.discovery.port == 8502
+    assert read_config(environ, moved).discovery.port == 8502, "a reload without a change must not go back"
+    write_config(tmp_path, GOOD)
+    assert read_config(environ, moved).discovery.port == 8500
+
+
 def start(environ: dict[str, str]) -> subprocess.Popen[str]:
     return subprocess.Popen(
         [sys.executable, "-B", "-m", "millgw.sidecar"],
@@ -226,12 +244,14 @@
     )
 
 
-async def in_service(endpoint: FakeEndpoint, folder: Path) -> tuple[subprocess.Popen[str], Address]:
+async def in_service(
+    endpoint: FakeEndpoint, folder: Path, **changes: Any
+) -> tuple[subprocess.Popen[str], Address]:
     """A sidecar's process that serves this endpoint, and where."""
     await endpoint.start()
     listen = free_address()
     known = {"index": 1, "snapshot": True, "endpoints": [endpoint.entry()]}
-    data = GOOD | {"listen": f"{listen.host}:{listen.port}", "known": known}
+    data = GOOD | {"listen": str(listen), "known": known} | changes
     process = start(write_config(folder, data))
     assert process.stderr is not None and "serves at" in await asyncio.to_thread(process.stderr.readline)
     return process, listen
@@ -289,3 +309,59 @@
         assert await asyncio.to_thread(process.wait) == 0
 
     run(test)
+
+
+def test_sighup_moves_the_watch_and_keeps_the_list_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        endpoint, old, new = FakeEndpoint("e1"), FakeDiscovery(), FakeDiscovery()
+        await old.start()
+        await new.start()
+        process, listen = await in_service(endpoint, tmp_path, discovery=str(old.address))
+        assert process.stderr is not None
+        _, writer = await old.calls.get()
+        writer.write(STREAM + chunk(line(5, [endpoint.entry()])))
+
+        async def ask() -> int:
+            reader, asking = await asyncio.open_connection(listen.host, listen.port)
+            asking.write(request())
+            try:
+                return (await read_message(reader)).status
+            finally:
+                asking.close()
+
+        async def hup(data: object) -> str:
+            assert process.stderr is not None
+            write_config(tmp_path, data)
+            process.send_signal(signal.SIGHUP)
+            while "reload" not in (said := await asyncio.to_thread(process.stderr.readline)):
+                assert said, "ended"
+            return said
+
+        file = json.loads((tmp_path / "config.json").read_text())
+        assert "discovery" in await hup(file | {"discovery": "nowhere"})
+        assert await ask() == 200
+        await hup(file | {"discovery": str(new.address)})
+        call, writer = await new.calls.get()
+        assert call.first.split()[1].endswith("from=5"), "what was heard before the move was lost"
+        assert await ask() == 200, "the list was lost"
+        writer.write(STREAM + chunk(line(6, [endpoint.entry("terminating")])))
+        while await ask() == 200:
+            pass
+        process.send_signal(signal.SIGTERM)
+        assert await asyncio.to_thread(process.wait) == 0
+
+    run(test)
+
+
+def test_a_watch_that_never_says_a_line_is_asked_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery_module, "FIRST_LINE", 0.05)
+
+    async def test() -> None:
+        ask_late = to_settings(SETTINGS | {"rules": SETTINGS["rules"] | {"askWithin": 4000.0}})
+        async with sidecar(FakeEndpoint("e1"), settings=ask_late) as rig:
+            await rig.discovery.calls.get()
+            begun = time.monotonic()
+            await rig.discovery.calls.get()
+            assert time.monotonic() - begun < 1.9, "only the balancer's own patience ended it"
+
+    run(test)
