Believe only the first whole answer of an endpoint, and bound what comes

Now the first whole answer counts and the connection ends if more is on it; heads are bounded with the 1xx answers ahead of them, lengths are refused at the head's end, an answer that stops half-way fails after 1 s, and a kept connection is used only if nothing waits unread on it. Load reports are no longer passed on to callers.

No late bytes on idle connections were seen (logged now). The new tests fail on the code before.

--- a/millgw/sidecar/server.py
+++ b/millgw/sidecar/server.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import logging
-import select
 import socket
 import time
 from collections import deque
@@ -20,9 +19,8 @@
 from millgw.interface import Repeat
 from millgw.sidecar.config import Config
 from millgw.sidecar.driver import REFUSED, Answer, Call, Driver
-from millgw.sidecar.upstream import MAX_BODY, OWN_HEADERS, Content
+from millgw.sidecar.upstream import MAX_BODY, MAX_HEAD, OWN_HEADERS, Content, unread
 
-MAX_HEAD = 16 * 1024  # bytes of a request's line and headers
 MAX_PATIENCE_DIGITS = 9  # of X-Expires-In-Ms: eleven days, far over any class's deadline
 READ_TIME = 10.0  # s to send a request that was begun, before its connection is closed
 LINGER = 1.0  # s that a connection stays open after a 4xx, so that a client still sending can read it
@@ -255,9 +253,7 @@
         """
         if self.transport is None or time.monotonic() < self.since + least:
             return False
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not unread(self.transport)
 
     def close(self) -> None:
         self.ended = True
--- a/millgw/sidecar/upstream.py
+++ b/millgw/sidecar/upstream.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import select
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -19,7 +20,10 @@
 from millgw.interface import Outcome
 from millgw.sidecar.config import Address
 
+MAX_HEAD = 16 * 1024  # bytes of a message's line and headers
 MAX_BODY = 64 * 1024  # bytes; the protocol's bound
+MAX_ANSWER = MAX_HEAD + 4 * MAX_BODY  # bytes of an answer with all its framing and what is ahead of it
+ANSWER_TIME = 1.0  # s from an answer's first byte to its last: it is small and comes at once
 IDLE_PART = 0.5  # of the endpoint's idle time, after which a kept connection is not used: it may be closing
 SWEEP = 1.0  # s between two looks for connections that have been idle too long
 
@@ -27,6 +31,7 @@
     {
         b"connection",
         b"content-length",
+        b"endpoint-load-metrics",
         b"expect",
         b"keep-alive",
         b"proxy-authenticate",
@@ -43,6 +48,13 @@
 log = logging.getLogger("millgw")
 
 
+def unread(transport: asyncio.Transport) -> bool:
+    """Whether bytes, or an end, wait in a connection's socket that the loop has not handed on yet."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 @dataclass(slots=True, frozen=True)
 class Content:
     """What an endpoint answered: the headers that are passed on, and the body."""
@@ -94,31 +106,45 @@
 
 
 class Connection(asyncio.Protocol):
-    """A connection to an endpoint. Its parser and its attempt are the only state that outlives an answer."""
+    """A connection to an endpoint, and the answer that comes in on it.
+
+    What comes is not believed: the first whole answer counts and nothing behind it, 1xx answers are passed
+    over with their headers, and what can't be read, is too large or stops half-way is an attempt that has
+    failed and may have run. After any of these the connection is of no further use.
+    """
 
     def __init__(self, upstream: Upstream, pool: Pool, attempt: Attempt) -> None:
         self.upstream = upstream
         self.pool = pool
         self.attempt: Attempt | None = attempt
         self.transport: asyncio.Transport | None = None
-        self.parser = httptools.HttpResponseParser(self)
+        self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self.written = False
         self.idle_since = 0.0
+        self.stalled: asyncio.TimerHandle | None = None
         self._begin()
 
     def _begin(self) -> None:
+        self._begin_message()
+        self.size = 0  # bytes of this answer so far, with its framing
+        self.whole = False
+        self.reusable = True
+
+    def _begin_message(self) -> None:
         self.headers = bytearray()
         self.body = bytearray()
+        self.status = 0
         self.never_ran = False
-        self.whole = False
-        self.reusable = True
+        self.in_head = True
+        self.reading = False
 
     def abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
 
     def usable(self) -> bool:
-        return self.transport is not None and not self.transport.is_closing()
+        """Guards also against bytes that wait unread: they would be taken for the next request's answer."""
+        return self.transport is not None and not self.transport.is_closing() and not unread(self.transport)
 
     # The attempt
 
@@ -131,6 +157,9 @@
         self.written = self.transport.get_write_buffer_size() == 0
 
     def _finish(self, outcome: Outcome) -> None:
+        if self.stalled is not None:
+            self.stalled.cancel()
+            self.stalled = None
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
             attempt.connection = None
@@ -155,32 +184,47 @@
         self.written = True
 
     def data_received(self, data: bytes) -> None:
-        if self.attempt is None:
-            self.abort()  # guards against a late answer that would be taken for the next request's
-            return
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            log.warning("endpoint at %s: malformed answer: %s", self.pool.address, error)
+        if self.attempt is None or self.parser is None:
+            # Guards against a late answer that would be taken for the next request's.
+            after = (time.monotonic() - self.idle_since) * 1000
+            log.warning("endpoint at %s: bytes came %.1f ms after the answer", self.pool.address, after)
             self.abort()
-            self._finish(Outcome.ERROR)
             return
-        if len(self.body) > MAX_BODY:
-            log.warning("endpoint at %s: the answer's body is over %d bytes", self.pool.address, MAX_BODY)
-            self.abort()
-            self._finish(Outcome.ERROR)
-        elif self.whole:
-            outcome = self._outcome()
-            if self.reusable and self.written:
+        self.size += len(data)
+        wrong = self._parse(self.parser, data)
+        if self.whole:
+            if self.reusable and self.written and not wrong:
                 self.upstream.keep(self)
             else:
                 self.abort()
-            self._finish(outcome)
+            self._finish(self._outcome())
+        elif wrong or self.size > (MAX_HEAD if self.in_head else MAX_ANSWER):
+            self._spoilt(wrong or "it is too large")
+        elif self.reading and self.stalled is None:
+            self.stalled = self.upstream.loop.call_later(ANSWER_TIME, self._spoilt, "it stopped half-way")
+
+    def _parse(self, parser: httptools.HttpResponseParser, data: bytes) -> str:
+        """Read on, and tell what is wrong; where an answer was whole before that, it was right."""
+        try:
+            parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            return "it changes the protocol"
+        except httptools.HttpParserCallbackError as error:
+            return str(error.__context__)
+        except httptools.HttpParserError as error:
+            return str(error)
+        return ""
+
+    def _spoilt(self, why: str) -> None:
+        log.warning("endpoint at %s: spoilt answer: %s", self.pool.address, why)
+        self.abort()
+        self._finish(Outcome.ERROR)
 
     def eof_received(self) -> None:
         self.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self.parser = None  # guards against a cycle that would keep both until the collector comes
         self.upstream.lost(self)
         self._finish(Outcome.RESET if self.written else Outcome.CONNECT_FAILED)
 
@@ -189,23 +233,43 @@
     def on_message_begin(self) -> None:
         if self.whole:
             self.reusable = False  # guards against a second answer that would be taken for the next request's
+        else:
+            self._begin_message()  # guards against headers of a 1xx answer in the final one
+            self.reading = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self.whole:
+            return
         lower = name.lower()
         if lower == b"x-never-ran":
             self.never_ran = value == b"1"
-        elif lower not in OWN_HEADERS and not self.whole:
+        elif lower == b"content-length" and int(value) > MAX_BODY:
+            raise ValueError(f"its length is {value.decode()}")  # guards against reading what is of no use
+        elif lower not in OWN_HEADERS:
             self.headers += b"%b: %b\r\n" % (name, value)
 
+    def on_headers_complete(self) -> None:
+        assert self.parser is not None
+        self.in_head = self.parser.get_status_code() < 200  # 1xx count with the head behind
+
     def on_body(self, body: bytes) -> None:
         if not self.whole:
             self.body += body
+            if len(self.body) > MAX_BODY:
+                raise ValueError(f"its body is over {MAX_BODY} bytes")
 
     def on_message_complete(self) -> None:
+        assert self.parser is not None
+        if self.whole:
+            return
         self.status = self.parser.get_status_code()
-        if self.status >= 200 and not self.whole:
+        self.reading = False
+        if self.status >= 200:
             self.whole = True
             self.reusable = self.parser.should_keep_alive()
+        elif self.stalled is not None:
+            self.stalled.cancel()
+            self.stalled = None
 
     def _outcome(self) -> Outcome:
         if self.status == 200:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -115,6 +115,7 @@
     got: list[Message] = field(default_factory=list)
     connections: int = 0
     lost: int = 0
+    served: list[Served] = field(default_factory=list)
     address: Address = field(default_factory=free_address)
 
     async def start(self) -> None:
@@ -140,6 +141,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.endpoint.connections += 1
+        self.endpoint.served.append(self)
 
     def data_received(self, data: bytes) -> None:
         self.data.feed_data(data)
--- a/tests/test_sidecar_calls.py
+++ b/tests/test_sidecar_calls.py
@@ -12,9 +12,11 @@
 from millgw.settings import to_settings
 from millgw.sidecar import driver as driver_module
 from millgw.sidecar import server as server_module
+from millgw.sidecar import upstream as upstream_module
 from millgw.sidecar.driver import Clock
-from millgw.sidecar.upstream import Attempt, Connection, Content, Pool, Upstream
+from millgw.sidecar.upstream import Attempt, Connection, Content, Pool, Upstream, unread
 from tests.rig import (
+    PATIENCE,
     SETTINGS,
     STREAM,
     FakeEndpoint,
@@ -113,6 +115,97 @@
     run(test)
 
 
+SECOND = b"HTTP/1.1 500 X\r\nX-Never-Ran: 1\r\nContent-Length: 3\r\n\r\nbad"
+
+
+@pytest.mark.parametrize("behind", [b"\x00\x01noise\r\n\r\n", SECOND, SECOND[:20], ok(b"second")])
+def test_the_first_whole_answer_counts_and_nothing_behind_it(behind: bytes) -> None:
+    async def test() -> None:
+        endpoint = FakeEndpoint("e1", answering(ok(b"first") + behind))
+        async with sidecar(endpoint) as rig:
+            for _ in range(3):
+                reply = await rig.ask(request("pay"))
+                assert (reply.status, reply.body) == (200, b"first")
+        assert endpoint.connections == 3, "a connection with more on it was used again"
+
+    run(test)
+
+
+def test_bytes_that_wait_on_an_idle_connection_are_not_the_next_answer() -> None:
+    async def test() -> None:
+        endpoint = FakeEndpoint("e1")
+        upstream = Upstream(10, 5000.0, 60_000.0)
+        upstream.point(1, endpoint.address)
+        ended: asyncio.Queue[tuple[Outcome, Content]] = asyncio.Queue()
+
+        def send() -> None:
+            def end(outcome: Outcome, content: Content) -> None:
+                ended.put_nowait((outcome, content))
+
+            upstream.send(1, Attempt(lambda: request("pay"), end))
+
+        await endpoint.start()
+        send()
+        assert (await ended.get())[1].body == b"done"
+        (kept,) = upstream.pools[1].idle
+        kept.transport.pause_reading()  # type: ignore[union-attr]
+        endpoint.served[0].transport.write(ok(b"stale"))
+        await until(lambda: unread(kept.transport))  # type: ignore[arg-type]
+        send()
+        assert (await ended.get())[1].body == b"done" and endpoint.connections == 2
+
+    run(test)
+
+
+@pytest.mark.parametrize("early", ["100 Continue", "102 Processing", "103 Early Hints"])
+def test_nothing_of_a_1xx_answer_gets_into_the_final_one(early: str) -> None:
+    async def test() -> None:
+        ahead = f"HTTP/1.1 {early}\r\nX-Never-Ran: 1\r\nLink: </early>\r\n\r\n".encode()
+        endpoint = FakeEndpoint("e1", answering(ahead + ahead + ok()))
+        async with sidecar(endpoint) as rig:
+            reply = await rig.ask(request("pay"))
+            assert reply.status == 200 and "link" not in reply.headers
+            endpoint.script = answering(ahead + status(503))
+            assert (await rig.ask(request("pay"))).status == 502, "taken for one that never ran"
+
+    run(test)
+
+
+SPOILT = [
+    b"\x00noise",
+    b"HTTP/1.1 200 OK\r\nX: " + b"x" * 40_000,  # and no end
+    b"HTTP/1.1 200 OK\r\nX: x",  # and then nothing
+    b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx",
+    b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\nzz\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(b"x" * 1000) * 70,
+    b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\n" * 2000,
+]
+
+
+@pytest.mark.parametrize("answer", SPOILT)
+def test_a_spoilt_answer_fails_at_once_and_may_have_run(
+    answer: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(upstream_module, "ANSWER_TIME", 0.1)
+
+    async def test() -> None:
+        async def spoilt_once(_: Message, endpoint: FakeEndpoint) -> bytes:
+            return answer if len(endpoint.got) == 1 else ok()
+
+        endpoint = FakeEndpoint("e1", spoilt_once)
+        async with sidecar(endpoint) as rig:
+            assert (await rig.ask(request("pay", patience=10 * PATIENCE))).status == 502
+            await until(lambda: endpoint.lost == 1)
+            assert (await rig.ask(request("pay"))).status == 200 and endpoint.connections == 2
+
+    run(test)
+
+
 def test_an_endpoint_that_refuses_connections_is_passed_over_or_refused_with_advice() -> None:
     async def test() -> None:
         async with sidecar() as rig:
