Serve on for a part of the time after SIGTERM

The second of the callers' two sidecars got SIGTERM at 16.5 s, while the first came back at 18.4 s only; leave() closed every connection from its first answer on, so clients had no sidecar at all for two seconds. Ruled out: the reload itself (23 moves of the watch, no failure logged).

A sidecar that leaves now tells /ready so at once, but serves on for 0.6 of its time (2 s) on kept and new connections, then ends each with its answer.

--- a/millgw/sidecar/__main__.py
+++ b/millgw/sidecar/__main__.py
@@ -20,9 +20,9 @@
 
 RESERVED = 32  # descriptors for the process itself: log, loop, listener, discovery
 CALLERS_PART = 0.5  # of the others, for callers' connections; the rest is for endpoints'
-STILL_COMING = 0.5  # s after SIGTERM for which new connections are taken: they come for 0.4 s
 LONGEST = 3.0  # s of a deadline that SIGKILL waits for at the most, and a little more than ANSWER_WITHIN
 ANSWER_WITHIN = 0.3  # s more by which all is answered
+SERVE_PART = 0.6  # of the time after SIGTERM, for which requests are taken: the rest is for answering them
 LOG_EVERY = 1.0  # s between two lines of the same kind
 FLUSH = 0.2  # s that answers may take to be read before the process ends
 
@@ -89,14 +89,18 @@
 
 
 async def leave(config: Config, server: Server, driver: Driver) -> None:
-    """Take what still comes, answer all of it, and be gone before SIGKILL."""
+    """Serve on for a while, answer all that was taken, and be gone before SIGKILL.
+
+    Serving on guards against a rolling restart whose next sidecar leaves before the last one is back: for
+    clients that hold a connection it is the only one there is. /ready tells the front to go elsewhere.
+    """
     longest = max(c.deadline for c in config.settings.classes) / 1000
-    left = min(longest, LONGEST) + ANSWER_WITHIN - STILL_COMING
-    server.stopping = True
-    await asyncio.sleep(STILL_COMING)
-    server.stop_listening()
+    left = min(longest, LONGEST) + ANSWER_WITHIN
+    server.leaving = True
+    await asyncio.sleep(SERVE_PART * left)
+    server.stop()
     try:
-        async with asyncio.timeout(left):
+        async with asyncio.timeout(left - SERVE_PART * left):
             while server.connections or server.accepting:
                 await asyncio.sleep(0.05)
                 server.close_idle()
--- a/millgw/sidecar/server.py
+++ b/millgw/sidecar/server.py
@@ -100,7 +100,8 @@
         self.connections: set[CallerConnection] = set()
         self.idle: dict[CallerConnection, None] = {}  # between requests, the one idle for longest first
         self.accepting: set[asyncio.Task[object]] = set()
-        self.stopping = False
+        self.leaving = False  # told to end, and serving on
+        self.stopping = False  # every answer is the last one on its connection
         self.paused: asyncio.TimerHandle | None = None
         self.closed = False
         family = socket.AF_INET6 if ":" in config.listen.host else socket.AF_INET
@@ -176,8 +177,9 @@
 
     # Stopping
 
-    def stop_listening(self) -> None:
+    def stop(self) -> None:
         """Accept what has connected, then no more: a connection left in the backlog would be lost."""
+        self.stopping = True
         self._accept()
         self.closed = True
         self.loop.remove_reader(self.socket)
@@ -196,7 +198,7 @@
         if path == b"/ready":
             if head.method != b"GET":
                 raise BadRequest(405, "only GET asks whether the sidecar is ready")
-            return Answer(200 if self.driver.ready and not self.stopping else REFUSED)
+            return Answer(200 if self.driver.ready and not self.leaving else REFUSED)
         if path != b"/api":
             raise BadRequest(404, "no such path")
         values = head.values
--- a/tests/test_sidecar_process.py
+++ b/tests/test_sidecar_process.py
@@ -264,8 +264,8 @@
 
 
 def test_after_sigterm_it_answers_all_that_was_taken_and_still_comes(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(main_module, "STILL_COMING", 2.0)  # long, for a busy machine
     monkeypatch.setattr(main_module, "LONGEST", 20.0)
+    monkeypatch.setattr(main_module, "SERVE_PART", 0.1)  # 2 s, long enough for a busy machine
 
     async def test() -> None:
         go = asyncio.Event()
@@ -282,6 +282,9 @@
             os.kill(os.getpid(), signal.SIGTERM)
             while (await rig.ask(READY)).status != 503:
                 pass
+            twice = await rig.connect()
+            for _ in range(2):
+                assert (await twice.ask(b"GET /ready HTTP/1.1\r\n\r\n")).status == 503, "served on"
             late.writer.write(request("pay"))
             after = await rig.connect()
             after.writer.write(request("pay"))
