Bound what callers send, and take no request that can be read in two ways

Probed in the parser: an empty Transfer-Encoding beside Content-Length, 'gzip, chunked', and Transfer-Encoding in HTTP/1.0 get through; both lengths, lists, signs, folds and bare LF do not. READ_TIME was 10 s, silence was for ever.

server.py is split: request (what a request must be like), caller (one connection), server (accepting and bounds). Ids that are open get 409, judged headers given twice and ambiguous framing 400 and a close, lengths are refused at the head's end before 100 Continue; reads share one buffer of 16 kB and what is behind a request stays unparsed; a client that asks wrong things again rests and is ended; bodies are bounded in all; silent connections go after 2.2 s, kept ones after 10 s, never with a request unread; patience is bounded by the class's deadline.

--- a/millgw/sidecar/config.py
+++ b/millgw/sidecar/config.py
@@ -40,6 +40,7 @@
     filed_discovery: object
     seed: int
     sockets: int
+    memory: float  # bytes
     known: Any
     settings: api.Settings
     zones: tuple[str, ...]
@@ -83,6 +84,7 @@
             filed_discovery=filed,
             seed=_seed(data.get("seed")),
             sockets=int(number(table(data, "limits"), "sockets", "limits.", 1024)),
+            memory=number(table(data, "limits"), "memory_mb", "limits.", 64.0) * 2**20,
             known=data.get("known"),
             settings=to_settings(settings),
             zones=tuple(map(str, items(settings, "localities"))),
--- a/millgw/sidecar/driver.py
+++ b/millgw/sidecar/driver.py
@@ -71,6 +71,7 @@
     patience: float
     payload: Callable[[int], bytes]
     answer: Callable[[Answer], None]
+    trace: bytes
     id: int = 0
     deadline: float = 0.0
     sends: int = 0
@@ -97,6 +98,7 @@
         self.upstream = upstream
         self.subscribe = subscribe
         self.calls: dict[int, Call] = {}
+        self.open: set[bytes] = set()  # their X-Trace-Ids
         self.last_id = 0
         self.ready: set[int] = set()
         self.events: deque[Event] = deque()
@@ -110,6 +112,7 @@
         call.id = self.last_id
         call.deadline = now + call.patience - ANSWER_MARGIN
         self.calls[call.id] = call
+        self.open.add(call.trace)
         call.timer = self.loop.call_later(max(0.0, call.deadline - now) / 1000, self._expire, call)
         self._feed(RequestArrived(call.id, call.cls, call.deadline, call.tenant))
 
@@ -232,4 +235,5 @@
         """Take a call off the books; tells whether it was still owed its answer."""
         if call.timer is not None:
             call.timer.cancel()
+        self.open.discard(call.trace)
         return self.calls.pop(call.id, None) is not None
--- a/tests/test_sidecar_calls.py
+++ b/tests/test_sidecar_calls.py
@@ -10,10 +10,12 @@
 
 from millgw.interface import Outcome
 from millgw.settings import to_settings
+from millgw.sidecar import caller as caller_module
 from millgw.sidecar import driver as driver_module
 from millgw.sidecar import server as server_module
 from millgw.sidecar import upstream as upstream_module
 from millgw.sidecar.driver import Clock
+from millgw.sidecar.request import Head
 from millgw.sidecar.upstream import Attempt, Connection, Content, Pool, Upstream, unread
 from tests.rig import (
     PATIENCE,
@@ -316,6 +318,19 @@
     (request(X_Long="x" * 20_000), 431),
     (b"GET /api HTTP/1.1\r\nX-Long: " + b"x" * 40_000, 431),
     (request("pay", b"x" * (64 * 1024 + 1)), 413),
+    (request("pay", Content_Length="60000000", Expect="100-continue"), 413),
+    (request("pay", Content_Length="9" * 30), 400),
+    (request("pay", Content_Length="-1"), 400),
+    (request("pay", Content_Length="3, 3") + b"abc", 400),
+    (request("pay", Transfer_Encoding="chunked") + b"0\r\n\r\n", 400),
+    (request("pay", Content_Length="", Transfer_Encoding="gzip, chunked") + b"0\r\n\r\n", 400),
+    (request("pay", Content_Length="", Transfer_Encoding="chunked").replace(b"1.1", b"1.0", 1), 400),
+    (request("pay", b"abc").replace(b"Host:", b"Transfer-Encoding: \r\nHost:"), 400),
+    (request("pay", b"abc").replace(b"Host:", b"Content-Length: 3\r\nHost:"), 400),
+    (request("pay").replace(b"Host:", b"X-Trace-Id: 1\r\nHost:"), 400),
+    (request("pay").replace(b"Host:", b"X-Qos: read\r\nHost:"), 400),
+    (request("pay").replace(b"Host:", b"X-Expires-In-Ms: 9\r\nHost:"), 400),
+    (request("write").replace(b"Host:", b"idempotency-key: 2\r\nHost:"), 400),
 ]
 
 
@@ -325,12 +340,133 @@
         endpoint = FakeEndpoint("e1")
         async with sidecar(endpoint) as rig:
             assert (await rig.ask(data)).status == code
-            assert not endpoint.got
+            assert not endpoint.got and not endpoint.connections
             assert (await rig.ask(request("pay", b"x" * 64 * 1024))).status == 200
 
     run(test)
 
 
+def test_nothing_is_read_behind_a_request_that_may_hide_another() -> None:
+    async def test() -> None:
+        endpoint = FakeEndpoint("e1")
+        async with sidecar(endpoint) as rig:
+            client = await rig.connect()
+            both = request("pay", Content_Length="200", Transfer_Encoding="chunked")
+            assert (await client.ask(both + b"0\r\n\r\n" + request("pay"))).status == 400
+            assert await client.reader.read() == b"" and not endpoint.got
+
+    run(test)
+
+
+def test_an_id_that_is_open_is_not_served_twice_and_its_first_request_not_disturbed() -> None:
+    async def test() -> None:
+        go = asyncio.Event()
+
+        async def held(_: Message, __: FakeEndpoint) -> bytes:
+            await go.wait()
+            return ok()
+
+        endpoint = FakeEndpoint("e1", held)
+        async with sidecar(endpoint) as rig:
+            first = await rig.connect()
+            first.writer.write(request("pay", X_Trace_Id="same"))
+            await until(lambda: len(endpoint.got) == 1)
+            for _ in range(3):
+                assert (await rig.ask(request("pay", X_Trace_Id="same"))).status == 409
+            go.set()
+            assert (await read_message(first.reader)).status == 200 and len(endpoint.got) == 1
+            assert (await rig.ask(request("pay", X_Trace_Id="same"))).status == 200, "it is open no longer"
+
+    run(test)
+
+
+def test_a_client_that_asks_the_same_wrong_thing_again_and_again_is_made_to_rest_and_ended() -> None:
+    async def test() -> None:
+        async with sidecar(FakeEndpoint("e1")) as rig:
+            client = await rig.connect()
+            begun = time.monotonic()
+            client.writer.write(request(X_Qos="unheard-of") * 500)
+            answers = await client.reader.read()
+            assert answers.count(b"HTTP/1.1 400") == caller_module.MAX_BAD
+            assert time.monotonic() - begun > caller_module.BAD_PAUSE * 6
+
+    run(test)
+
+
+def test_a_flood_of_requests_is_parsed_only_as_it_is_served() -> None:
+    async def test() -> None:
+        go = asyncio.Event()
+
+        async def held(_: Message, __: FakeEndpoint) -> bytes:
+            await go.wait()
+            return ok()
+
+        endpoint = FakeEndpoint("e1", held)
+        with pytest.MonkeyPatch.context() as patch:
+            heads: list[Head] = []
+
+            def made() -> Head:
+                heads.append(Head())
+                return heads[-1]
+
+            patch.setattr(caller_module, "Head", made)
+            async with sidecar(endpoint) as rig:
+                client = await rig.connect()
+                client.writer.write(b"".join(request("pay") for _ in range(300)))
+                await until(lambda: len(endpoint.got) == 1)
+                assert (await rig.ask(b"GET /ready HTTP/1.1\r\n\r\n")).status == 200
+                assert len(heads) < 20
+                go.set()
+                for _ in range(300):
+                    assert (await client.ask(b"")).status == 200
+
+    run(test)
+
+
+def test_bodies_are_bounded_in_all() -> None:
+    async def test() -> None:
+        endpoint = FakeEndpoint("e1")
+        async with sidecar(endpoint, memory=8 * 100_000.0) as rig:
+            half = request("pay", b"x" * 60_000)[:-1]
+            first, second = await rig.connect(), await rig.connect()
+            first.writer.write(half)
+            await first.writer.drain()
+            assert (await second.ask(half)).status == 503
+            assert (await first.ask(b"x")).status == 200
+            assert (await rig.ask(request("pay", b"x" * 60_000))).status == 200, "not given back"
+
+    run(test)
+
+
+def test_silent_and_kept_connections_are_closed_but_not_with_a_request_unread(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(server_module, "SILENT_TIME", 0.2)
+    monkeypatch.setattr(server_module, "KEEP_TIME", 0.2)
+    monkeypatch.setattr(server_module, "SWEEP", 0.01)
+
+    async def test() -> None:
+        async with sidecar(FakeEndpoint("e1")) as rig:
+            silent_one, kept, busy = [await rig.connect() for _ in range(3)]
+            assert (await kept.ask(request())).status == 200
+            assert await silent_one.reader.read() == b"" and await kept.reader.read() == b""
+            busy = await rig.connect()
+            time.sleep(0.3)  # the sidecar, on the same loop, is late as well
+            assert (await busy.ask(request())).status == 200
+
+    run(test)
+
+
+def test_a_client_may_not_wait_longer_than_its_class() -> None:
+    raw = SETTINGS | {"classes": [SETTINGS["classes"][2] | {"deadline": 300.0}]}
+
+    async def test() -> None:
+        async with sidecar(FakeEndpoint("e1", silent), settings=to_settings(raw)) as rig:
+            assert (await rig.ask(request("pay", patience=999_999_999))).status == 502
+
+    run(test)
+
+
 def test_an_offer_of_another_protocol_is_passed_over() -> None:
     async def test() -> None:
         endpoint = FakeEndpoint("e1")
