Hold back a request's last byte until its connection has stood the rest

Ruled out: learning how long connections may idle, as the ages scatter from 0.05 s on.

An endpoint begins a request at its last byte, so now all but that is written, and the last byte 2 ms later if nothing has come and the connection stands. A kept connection that breaks before is made good for by a new one within the same attempt; a new one that breaks could not connect. Bytes that come before the last one are nobody's answer.

Also: what the books keep. A list that names a new endpoint at the address of another drops the one that started first (driver._superseded); an endpoint's 4xx fails the request at once without a retry and without harm to the endpoint's record; timers of a request end with it, the balancer's too; connections that never came up and cancelled connects waited for the collector (cycles through the parser and the task's traceback, seen by the new test with the collector off: 100 each).

--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -114,6 +114,7 @@
         self.end = end
         self.give_up = end
         self.attempts: list[Attempt] = []
+        self.timers: list[int] = []
         self.wait = 0.0
         self.within_share = True
         self.value = cls.worth  # for each ms of its class's quick answers
@@ -649,8 +650,10 @@
         return min(wait, self.settings.retry_after_most)
 
     def _drop(self, id: int) -> None:
-        self.requests.pop(id, None)
+        request = self.requests.pop(id, None)
         self.held.pop(id, None)
+        for timer in request.timers if request is not None else ():
+            self.timers.pop(timer, None)
 
     # Picking
 
@@ -753,7 +756,9 @@
     def _set_timer(self, at: float, request: int | None) -> None:
         self.next_timer += 1
         self.timers[self.next_timer] = request
-        self.actions.append(SetTimer(self.next_timer, at))
+        if request is not None:
+            self.requests[request].timers.append(self.next_timer)
+        self.actions.append(SetTimer(self.next_timer, at, request))
 
     def _timer(self, now: float, timer: int) -> None:
         if timer not in self.timers:
--- a/millgw/interface.py
+++ b/millgw/interface.py
@@ -251,10 +251,11 @@
 
 @dataclass(slots=True)
 class SetTimer:
-    """Ask for a `TimerFired` at or after `at`."""
+    """Ask for a `TimerFired` at or after `at`; one for a request is of no use once that is answered."""
 
     timer: int
     at: float
+    request: int | None = None
 
 
 @dataclass(slots=True)
--- a/millgw/sidecar/driver.py
+++ b/millgw/sidecar/driver.py
@@ -18,6 +18,7 @@
     Action,
     AttemptEnded,
     Condition,
+    Endpoint,
     EndpointList,
     Event,
     Fail,
@@ -59,7 +60,7 @@
     retry_after: float = 0.0
 
 
-SERVED, FAILED, REFUSED = 200, 502, 503
+SERVED, UNUSABLE, FAILED, REFUSED = 200, 400, 502, 503
 
 
 @dataclass(slots=True, eq=False)
@@ -76,7 +77,7 @@
     deadline: float = 0.0
     sends: int = 0
     out: dict[int, Flight] = field(default_factory=dict)
-    timer: asyncio.TimerHandle | None = None
+    timers: list[asyncio.TimerHandle] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -113,7 +114,7 @@
         call.deadline = now + call.patience - ANSWER_MARGIN
         self.calls[call.id] = call
         self.open.add(call.trace)
-        call.timer = self.loop.call_later(max(0.0, call.deadline - now) / 1000, self._expire, call)
+        call.timers = [self.loop.call_later(max(0.0, call.deadline - now) / 1000, self._expire, call)]
         self._feed(RequestArrived(call.id, call.cls, call.deadline, call.tenant))
 
     def left(self, call: Call) -> None:
@@ -126,21 +127,42 @@
         """Take discovery's word: addresses before the balancer can send there, closing after it knows."""
         old: list[Pool | None] = []
         named = set()
+        gone = self._superseded(entries)
+        told = [e.endpoint for e in entries if e.endpoint.id not in gone]
+        told += [Endpoint(id, Condition.GONE) for id in gone]
         for entry in entries:
             id = entry.endpoint.id
-            if entry.address is not None and entry.endpoint.condition is Condition.READY:
+            if entry.address is not None and id not in gone:
                 old.append(self.upstream.point(id, entry.address, entry.endpoint.since))
                 named.add(id)
-        gone = {e.endpoint.id for e in entries} - named
+        gone |= {e.id for e in told} - named
         if kind in (ListKind.FULL, ListKind.CACHED):
             gone |= self.ready - named
         self.ready = (self.ready | named) - gone
-        self._feed(EndpointList(kind, tuple(e.endpoint for e in entries)))
+        self._feed(EndpointList(kind, tuple(told)))
         old += [self.upstream.forget(id) for id in gone]
         for pool in old:
             if pool is not None:
                 self.upstream.close(pool)
 
+    def _superseded(self, entries: tuple[Listed, ...]) -> set[int]:
+        """The endpoints at whose address another one has started later.
+
+        Guards against a machine that has gone without a word: all its calls would go to the new and cold one
+        at its address, past the new one's counts.
+        """
+        told = {e.endpoint.id for e in entries}
+        last = {p.address: (p.since, id) for id, p in self.upstream.pools.items() if id not in told}
+        lost = set()
+        for entry in entries:
+            if entry.address is not None:
+                mine = (entry.endpoint.since, entry.endpoint.id)
+                other = last.get(entry.address, mine)
+                last[entry.address], (_, loser) = (mine, other) if mine[0] >= other[0] else (other, mine)
+                if other[1] != mine[1]:
+                    lost.add(loser)
+        return lost
+
     def fail_all(self) -> None:
         """Answer all that is owed: the process is about to end."""
         for call in list(self.calls.values()):
@@ -152,6 +174,10 @@
         elapsed = self.clock() - flight.sent
         if outcome is Outcome.OK and self._close(call):
             call.answer(Answer(SERVED, content))
+        elif outcome is Outcome.CANCELLED and self._close(call):
+            # The endpoint can't use this request. Guards against one caller's bad requests that are tried
+            # again elsewhere and count against the health of every endpoint they come to.
+            call.answer(Answer(UNUSABLE, content))
         owed = call.id in self.calls
         self._feed(AttemptEnded(call.id, flight.endpoint, number, outcome, elapsed, not owed))
         if not owed:
@@ -180,13 +206,18 @@
                 AttemptEnded(call.id, flight.endpoint, number, outcome, now - flight.sent, concluded)
             )
 
-    def _fire(self, timer: int, at: float) -> None:
-        late = self.clock() - at
-        if late < 0:
-            # Guards against the loop's clock, which counts whole ms: the balancer drops an early timer.
-            self.loop.call_later(-late / 1000 + 0.001, self._fire, timer, at)
-            return
-        self._feed(TimerFired(timer))
+    def _set_timer(self, action: SetTimer) -> None:
+        # 1 ms more guards against the loop's clock, which counts whole ms: the balancer drops an early timer.
+        delay = max(0.0, action.at - self.clock()) / 1000 + 0.001
+        handle = self.loop.call_later(delay, self._fire, action)
+        if action.request is not None and (call := self.calls.get(action.request)):
+            call.timers.append(handle)
+
+    def _fire(self, action: SetTimer) -> None:
+        if self.clock() < action.at:
+            self._set_timer(action)
+        else:
+            self._feed(TimerFired(action.timer))
 
     def _feed(self, event: Event) -> None:
         """Events in the order they came: one that an action causes waits until the others are carried out."""
@@ -211,8 +242,7 @@
         elif isinstance(action, Fail):
             self._answer(action.request, Answer(FAILED))
         elif isinstance(action, SetTimer):
-            delay = max(0.0, action.at - self.clock()) / 1000
-            self.loop.call_later(delay, self._fire, action.timer, action.at)
+            self._set_timer(action)
         else:
             self.subscribe()
 
@@ -233,7 +263,8 @@
 
     def _close(self, call: Call) -> bool:
         """Take a call off the books; tells whether it was still owed its answer."""
-        if call.timer is not None:
-            call.timer.cancel()
+        for timer in call.timers:
+            timer.cancel()  # guards against timers, and what they hold, that outlive their call
+        call.timers.clear()
         self.open.discard(call.trace)
         return self.calls.pop(call.id, None) is not None
--- a/millgw/sidecar/upstream.py
+++ b/millgw/sidecar/upstream.py
@@ -23,10 +23,12 @@
 MAX_HEAD = 16 * 1024  # bytes of a message's line and headers
 MAX_BODY = 64 * 1024  # bytes; the protocol's bound
 MAX_ANSWER = MAX_HEAD + 4 * MAX_BODY  # bytes of an answer with all its framing and what is ahead of it
+HOLD_BACK = 0.002  # s for which a request's last byte is held back: more than there and back takes
 ANSWER_TIME = 1.0  # s from an answer's first byte to its last: it is small and comes at once
 IDLE_PART = 0.5  # of the endpoint's idle time, after which a kept connection is not used: it may be closing
 SWEEP = 1.0  # s between two looks for connections that have been idle too long
 
+BUSY = frozenset({408, 425, 429})  # the 4xx that speak of the endpoint, not of the request
 OWN_HEADERS = frozenset(
     {
         b"connection",
@@ -118,8 +120,11 @@
         self.pool = pool
         self.attempt: Attempt | None = attempt
         self.transport: asyncio.Transport | None = None
-        self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
+        self.parser: httptools.HttpResponseParser | None = None
         self.written = False
+        self.reused = False
+        self.last_byte = b""
+        self.holding: asyncio.TimerHandle | None = None
         self.idle_since = 0.0
         self.stalled: asyncio.TimerHandle | None = None
         self._begin()
@@ -149,17 +154,51 @@
     # The attempt
 
     def send(self, attempt: Attempt) -> None:
+        """Write all but the last byte, and that only when the connection has stood the rest.
+
+        Guards against connections that look open and are not: the endpoint has closed them, or resets them
+        at the next request. A request whose last byte was not written has not run, so it may go again, also
+        one that may never run twice.
+        """
         assert self.transport is not None
         self._begin()
         self.attempt, attempt.connection = attempt, self
-        self.transport.write(attempt.payload())
+        payload = attempt.payload()
+        self.written = False
+        self.last_byte = payload[-1:]
+        self.transport.write(payload[:-1])
+        self.holding = self.upstream.loop.call_later(HOLD_BACK, self._complete)
+
+    def _complete(self) -> None:
+        self.holding = None
+        assert self.transport is not None
+        if unread(self.transport):
+            self._broken()
         # With a high-water mark of 0 the transport keeps only what the kernel did not take at once.
-        self.written = self.transport.get_write_buffer_size() == 0
+        elif self.last_byte and self.transport.get_write_buffer_size() == 0:
+            self.transport.write(self.last_byte)
+            self.last_byte = b""
+            self.written = self.transport.get_write_buffer_size() == 0
+
+    def _broken(self) -> None:
+        """The connection is of no use, and the request on it has not run: a kept one is made good for."""
+        attempt = self.attempt
+        self.abort()
+        if attempt is None or not self.reused:
+            self._finish(Outcome.CONNECT_FAILED)
+            return
+        self._stop_timers()
+        self.attempt = attempt.connection = None
+        self.upstream.connect(self.pool, attempt)
+
+    def _stop_timers(self) -> None:
+        for timer in (self.stalled, self.holding):
+            if timer is not None:
+                timer.cancel()
+        self.stalled = self.holding = None
 
     def _finish(self, outcome: Outcome) -> None:
-        if self.stalled is not None:
-            self.stalled.cancel()
-            self.stalled = None
+        self._stop_timers()
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
             attempt.connection = None
@@ -169,6 +208,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        # Only now: a connection that never comes up has no end at which the cycle could be broken.
+        self.parser = httptools.HttpResponseParser(self)
         self.upstream.open += 1
         attempt = self.attempt
         if attempt is None or attempt.given_up:
@@ -181,7 +222,10 @@
         self.send(attempt)
 
     def resume_writing(self) -> None:
-        self.written = True
+        if not self.last_byte:
+            self.written = True
+        elif self.holding is None:
+            self._complete()
 
     def data_received(self, data: bytes) -> None:
         if self.attempt is None or self.parser is None:
@@ -190,6 +234,9 @@
             log.warning("endpoint at %s: bytes came %.1f ms after the answer", self.pool.address, after)
             self.abort()
             return
+        if self.last_byte:
+            self._broken()  # guards against bytes that can't be this request's answer
+            return
         self.size += len(data)
         wrong = self._parse(self.parser, data)
         if self.whole:
@@ -226,7 +273,10 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.parser = None  # guards against a cycle that would keep both until the collector comes
         self.upstream.lost(self)
-        self._finish(Outcome.RESET if self.written else Outcome.CONNECT_FAILED)
+        if self.last_byte:
+            self._broken()
+        else:
+            self._finish(Outcome.RESET if self.written else Outcome.CONNECT_FAILED)
 
     # httptools
 
@@ -274,6 +324,8 @@
     def _outcome(self) -> Outcome:
         if self.status == 200:
             return Outcome.OK
+        if 400 <= self.status < 500 and self.status not in BUSY:
+            return Outcome.CANCELLED  # the request is at fault: no other endpoint could use it
         # Guards against a plain 503 or 504, which does not prove that nothing ran.
         return Outcome.REJECTED if self.status in (503, 504) and self.never_ran else Outcome.ERROR
 
@@ -349,6 +401,13 @@
                 connection.send(attempt)
                 return
             connection.abort()
+        self.connect(pool, attempt)
+
+    def connect(self, pool: Pool, attempt: Attempt) -> None:
+        """Make the attempt on a new connection."""
+        if not pool.used:
+            attempt.ended(Outcome.CONNECT_FAILED, NOTHING)
+            return
         if self.open + len(self.tasks) >= self.most and not self._evict():
             log.warning("no descriptor left for a connection to an endpoint")
             attempt.ended(Outcome.NOT_SENT, NOTHING)
@@ -369,13 +428,14 @@
                 attempt.ended(Outcome.CONNECT_FAILED, NOTHING)
         finally:
             pool.connecting.discard(attempt)
+            attempt.connecting = None  # guards against a cycle through the task's traceback
 
     def keep(self, connection: Connection) -> None:
         """Keep a connection for the next attempt, unless its endpoint is no longer in use."""
         if not connection.pool.used:
             connection.abort()
             return
-        connection.idle_since = time.monotonic()
+        connection.idle_since, connection.reused = time.monotonic(), True
         connection.pool.idle.append(connection)
 
     def lost(self, connection: Connection) -> None:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -108,10 +108,14 @@
 
 @dataclass
 class FakeEndpoint:
-    """An endpoint: `script` makes each answer, None resets the connection."""
+    """An endpoint: `script` makes each answer, None resets the connection.
+
+    `cut` tells whether a connection on which so many requests came is reset at the next one's first byte.
+    """
 
     name: str
     script: Script = always_ok
+    cut: Callable[[int], bool] = lambda _: False
     got: list[Message] = field(default_factory=list)
     connections: int = 0
     lost: int = 0
@@ -136,6 +140,7 @@
     def __init__(self, endpoint: FakeEndpoint) -> None:
         self.endpoint = endpoint
         self.data = asyncio.StreamReader()
+        self.requests = 0
         self.task = asyncio.create_task(self._serve())
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -144,6 +149,9 @@
         self.endpoint.served.append(self)
 
     def data_received(self, data: bytes) -> None:
+        if self.endpoint.cut(self.requests):
+            self.transport.abort()
+            return
         self.data.feed_data(data)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -154,6 +162,7 @@
         while True:
             message = await read_message(self.data)
             self.endpoint.got.append(message)
+            self.requests += 1
             answer = await self.endpoint.script(message, self.endpoint)
             if answer is None:
                 self.transport.abort()
--- /dev/null
+++ b/tests/test_sidecar_books.py
@@ -0,0 +1,175 @@
+"""What a sidecar keeps for requests, connections and endpoints goes with them, and who is where."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import time
+from typing import TypeVar
+
+from millgw.decide import Attempt as Sent
+from millgw.decide import Request
+from millgw.settings import to_settings
+from millgw.sidecar.caller import CallerConnection
+from millgw.sidecar.driver import Call, Driver
+from millgw.sidecar.request import Head
+from millgw.sidecar.server import Server
+from millgw.sidecar.upstream import Attempt, Connection, Pool
+from tests.rig import (
+    SETTINGS,
+    STREAM,
+    FakeEndpoint,
+    Message,
+    chunk,
+    line,
+    ok,
+    read_message,
+    request,
+    run,
+    sidecar,
+    silent,
+    until,
+)
+
+T = TypeVar("T")
+KEPT_FOR_EACH = (Call, Head, CallerConnection, Attempt, Connection, Request, Sent)
+
+
+def living(kind: type[T]) -> list[T]:
+    return [thing for thing in gc.get_objects() if isinstance(thing, kind)]
+
+
+def the(kind: type[T]) -> T:
+    """The one of this sidecar: those of tests before may wait for the collector."""
+    gc.collect()
+    (thing,) = living(kind)
+    return thing
+
+
+def test_after_thousands_of_ids_endpoints_and_connections_the_books_are_empty() -> None:
+    rounds, each = 200, 10
+
+    async def test() -> None:
+        answers = 0
+
+        async def mixed(message: Message, _: FakeEndpoint) -> bytes | None:
+            nonlocal answers
+            answers += 1
+            bad = b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n"
+            return {3: None, 5: ok() + b"noise", 7: bad}.get(answers % 10, ok())
+
+        spots = [FakeEndpoint(f"spot{i}", mixed) for i in range(4)]
+        async with sidecar(*spots) as rig:
+            _, writer = await rig.discovery.calls.get()
+            writer.write(STREAM)
+            server, driver = the(Server), the(Driver)
+            gc.disable()  # what only the collector can free grows until it comes
+            for turn in range(rounds):
+                # Each round all endpoints are new ones, at the addresses of those before.
+                for spot in spots:
+                    spot.name = f"{spot.address.host}-{turn}"
+                entries = [spot.entry(since_ms=turn) for spot in spots]
+                writer.write(chunk(line(turn, entries, snapshot=turn % 2 == 0)))
+                await asyncio.gather(*(rig.ask(request("write" if i % 2 else "pay")) for i in range(each)))
+                leaving = await rig.connect()
+                leaving.writer.write(request("pay")[:-9] if turn % 2 else request("pay"))
+                leaving.writer.close()
+            await until(lambda: not server.connections)
+            assert not server.fresh and not server.kept and not server.bodies
+            assert not driver.calls and not driver.open and not driver.upstream.tasks
+            assert len(driver.ready) == len(driver.balancer.servers) == len(driver.upstream.pools) == 4
+            balancer = driver.balancer
+            assert not balancer.requests and not balancer.flights and not balancer.held
+            assert not any(s.out for s in balancer.servers.values()) and len(balancer.timers) <= 1
+            kept = driver.upstream.open
+            assert kept == sum(len(p.idle) for p in driver.upstream.pools.values())
+            await asyncio.sleep(1)
+            await until(lambda: len(living(Connection)) == kept)
+            assert not [k for k in KEPT_FOR_EACH if k is not Connection and living(k)]
+            assert len(living(Pool)) == 4
+
+    try:
+        run(test)
+    finally:
+        gc.enable()
+
+
+def test_a_request_that_has_gone_leaves_no_timer() -> None:
+    raw = SETTINGS | {"classes": [c | {"slo": 20_000.0} for c in SETTINGS["classes"]]}
+
+    async def test() -> None:
+        async with sidecar(settings=to_settings(raw)) as rig:
+            driver = the(Driver)
+            loop = asyncio.get_running_loop()
+            before = len(driver.balancer.timers)
+            client = await rig.connect()
+            client.writer.write(request("pay"))  # held: there is no endpoint
+            await until(lambda: len(driver.balancer.timers) == before + 1)
+            (call,) = driver.calls.values()
+            timers = list(call.timers)
+            assert len(timers) == 2 and loop.is_running()
+            client.writer.close()
+            await until(lambda: not driver.calls)
+            assert len(driver.balancer.timers) == before and all(t.cancelled() for t in timers)
+
+    run(test)
+
+
+def test_an_endpoint_at_the_address_of_one_that_has_gone_takes_nothing_over() -> None:
+    async def test() -> None:
+        endpoint = FakeEndpoint("old")
+        async with sidecar(endpoint) as rig:
+            driver = the(Driver)
+            _, writer = await rig.discovery.calls.get()
+            for _ in range(3):
+                assert (await rig.ask(request("pay"))).status == 200
+            (old,) = driver.balancer.servers.values()
+            endpoint.name = "new"
+            writer.write(STREAM + chunk(line(2, [endpoint.entry(since_ms=int(time.time() * 1000))])))
+            await until(lambda: endpoint.lost == 1)  # its kept connection is closed
+            (new,) = driver.balancer.servers.values()
+            assert new.info.id != old.info.id and not new.served and driver.balancer.ring == [new]
+            endpoint.name = "old"  # told late, of a time before the new one
+            writer.write(chunk(line(3, [endpoint.entry(since_ms=1)])))
+            writer.write(chunk(line(4, [])))
+            assert (await rig.ask(request("pay"))).status == 200
+            assert driver.balancer.ring == [new]
+
+    run(test)
+
+
+def test_a_request_that_an_endpoint_cannot_use_fails_at_once_and_harms_no_endpoint() -> None:
+    async def test() -> None:
+        async def script(message: Message, _: FakeEndpoint) -> bytes:
+            return b"HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n"
+
+        endpoints = [FakeEndpoint(f"e{i}", script) for i in range(3)]
+        async with sidecar(*endpoints) as rig:
+            driver = the(Driver)
+            assert (await rig.ask(request("write"))).status == 400
+            assert sum(len(e.got) for e in endpoints) == 1, "tried again elsewhere"
+            assert not any(s.failing or s.out for s in driver.balancer.servers.values())
+
+    run(test)
+
+
+def test_counts_in_flight_follow_the_sockets_when_the_whole_list_is_replaced() -> None:
+    async def test() -> None:
+        old, new = FakeEndpoint("old", silent), FakeEndpoint("new")
+        await new.start()
+        async with sidecar(old) as rig:
+            driver = the(Driver)
+            _, writer = await rig.discovery.calls.get()
+            waiting = await rig.connect()
+            waiting.writer.write(request("pay"))
+            await until(lambda: len(old.got) == 1)
+            writer.write(STREAM + chunk(line(2, [new.entry()], snapshot=True)))
+            while (await rig.ask(request("pay"))).status != 200 or not new.got:
+                pass
+            assert [len(s.out) for s in driver.balancer.servers.values()] == [0]
+            assert len(driver.balancer.flights) == 1, "the call that is still out at the old one"
+            old.served[0].transport.write(ok(b"late"))
+            assert (await read_message(waiting.reader)).body == b"late"
+            assert not driver.balancer.flights and driver.upstream.open == 1
+
+    run(test)
--- a/tests/test_sidecar_calls.py
+++ b/tests/test_sidecar_calls.py
@@ -133,6 +133,47 @@
     run(test)
 
 
+def test_a_kept_connection_that_is_reset_at_the_next_request_costs_no_call() -> None:
+    async def test() -> None:
+        endpoint = FakeEndpoint("e1", cut=lambda requests: requests >= 1)
+        async with sidecar(endpoint) as rig:
+            for _ in range(5):
+                assert (await rig.ask(request("pay", b"body"))).status == 200
+        assert len(endpoint.got) == endpoint.connections == 5
+
+    run(test)
+
+
+def test_a_new_connection_that_is_reset_while_the_request_comes_has_not_run_it() -> None:
+    async def test() -> None:
+        cut, other = FakeEndpoint("e1", cut=lambda _: True), FakeEndpoint("e2")
+        async with sidecar(cut, other) as rig:
+            while not cut.connections:
+                assert (await rig.ask(request("pay", b"body"))).status == 200
+            assert not cut.got
+
+    run(test)
+
+
+def test_what_comes_before_the_last_byte_of_a_request_is_not_its_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(upstream_module, "HOLD_BACK", 0.3)
+
+    async def test() -> None:
+        endpoint = FakeEndpoint("e1")
+        async with sidecar(endpoint) as rig:
+            assert (await rig.ask(request("pay"))).status == 200
+            client = await rig.connect()
+            client.writer.write(request("pay"))
+            await until(lambda: len(endpoint.served[0].data._buffer) > 0)  # type: ignore[attr-defined]
+            endpoint.served[0].transport.write(ok(b"stale"))
+            reply = await read_message(client.reader)
+            assert (reply.status, reply.body) == (200, b"done") and endpoint.connections == 2
+
+    run(test)
+
+
 def test_bytes_that_wait_on_an_idle_connection_are_not_the_next_answer() -> None:
     async def test() -> None:
         endpoint = FakeEndpoint("e1")
