Take answers of up to a part of the memory, and keep one budget of descriptors

An answer may now take 1/32 of the memory, all that are coming in 1/8, and the body of a kept connection's last answer is let go. Callers' and endpoints' connections share one budget (descriptors): silent callers give way to new ones and to attempts, and refused is only a call that no descriptor is left for. What is turned away is logged.

--- a/millgw/sidecar/__main__.py
+++ b/millgw/sidecar/__main__.py
@@ -13,13 +13,12 @@
 
 from millgw.decide import Balancer
 from millgw.sidecar.config import Config, ConfigError, read_config
+from millgw.sidecar.descriptors import Descriptors
 from millgw.sidecar.discovery import Discovery
 from millgw.sidecar.driver import Driver
 from millgw.sidecar.server import Server
 from millgw.sidecar.upstream import Upstream
 
-RESERVED = 32  # descriptors for the process itself: log, loop, listener, discovery
-CALLERS_PART = 0.5  # of the others, for callers' connections; the rest is for endpoints'
 LONGEST = 3.0  # s of a deadline that SIGKILL waits for at the most, and a little more than ANSWER_WITHIN
 ANSWER_WITHIN = 0.3  # s more by which all is answered
 SERVE_PART = 0.6  # of the time after SIGTERM, for which requests are taken: the rest is for answering them
@@ -48,9 +47,8 @@
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
-    spare = max(8, config.sockets - RESERVED)
-    callers = int(CALLERS_PART * spare)
-    upstream = Upstream(spare - callers, config.connect_timeout, config.idle)
+    descriptors = Descriptors(config.sockets)
+    upstream = Upstream(descriptors, config.connect_timeout, config.idle, config.memory)
     discovery = Discovery(config.discovery, config.zones, lambda kind, entries: driver.listed(kind, entries))
     driver = Driver(Balancer(config.settings, config.seed), upstream, discovery.subscribe)
     loop.add_signal_handler(signal.SIGHUP, Reload(environ, config, discovery))
@@ -58,7 +56,7 @@
     discovery.start(config.known)
     if not config.settings.ask_discovery:
         discovery.subscribe()
-    server = Server(config, driver, callers)
+    server = Server(config, driver, descriptors)
     server.start()
     log.info("%s serves at %s:%d", config.name, config.listen.host, config.listen.port)
     await stop.wait()
--- a/millgw/sidecar/caller.py
+++ b/millgw/sidecar/caller.py
@@ -6,13 +6,14 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import time
 from collections import deque
 from typing import TYPE_CHECKING, cast
 
 import httptools
 
-from millgw.sidecar.driver import REFUSED, Answer, Call
+from millgw.sidecar.driver import Answer, Call
 from millgw.sidecar.request import BadRequest, Head
 from millgw.sidecar.upstream import MAX_HEAD, Content, unread
 
@@ -40,12 +41,14 @@
 }
 
 
+log = logging.getLogger("millgw")
+
+
 class CallerConnection(asyncio.BufferedProtocol):
     """One request at a time; what comes early waits its turn, unparsed."""
 
-    def __init__(self, server: Server, shed: bool) -> None:
+    def __init__(self, server: Server) -> None:
         self.server = server
-        self.shed = shed
         self.transport: asyncio.Transport | None = None
         self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.since = self.arrived = time.monotonic()
@@ -249,10 +252,7 @@
             if isinstance(item, BadRequest):
                 self._end_badly(item)
                 break
-            self.keep = item.keep and not self.shed
-            if self.shed:
-                self._answer(Answer(REFUSED))
-                continue
+            self.keep = item.keep
             try:
                 made = self.server.read(item, self._answer)
             except BadRequest as bad:
@@ -314,6 +314,7 @@
             self.resting = self.server.loop.call_later(LINGER, self.close)
 
     def _say(self, bad: BadRequest) -> None:
+        log.info("turned a request away: %d %s", bad.status, bad)
         self._write(Answer(bad.status, Content(b"Content-Type: text/plain\r\n", f"{bad}\n".encode())))
 
     def _write(self, answer: Answer) -> None:
--- /dev/null
+++ b/millgw/sidecar/descriptors.py
@@ -0,0 +1,27 @@
+"""The one budget of descriptors, for callers' and endpoints' connections together."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+RESERVED = 32  # descriptors for the process itself: log, loop, listener, discovery, and those just closing
+CALLERS_PART = 2 / 3  # of the others, that callers' connections may take: the rest is for endpoints' at least
+CALLS_PART = 1 / 2  # of them, for open calls: each may need a second one, to its endpoint
+
+
+class Descriptors:
+    """Counts what both sides hold; a call that was taken goes before callers that ask nothing."""
+
+    def __init__(self, sockets: int) -> None:
+        self.most = max(8, sockets - RESERVED)
+        self.most_callers = int(CALLERS_PART * self.most)
+        self.most_calls = int(CALLS_PART * self.most)
+        self.endpoints: Callable[[], int] = int
+        self.callers: Callable[[], int] = int
+        self.close_caller: Callable[[], bool] = bool  # one that asks nothing; tells whether there was one
+
+    def full(self) -> bool:
+        return self.callers() + self.endpoints() >= self.most
+
+    def full_of_callers(self) -> bool:
+        return self.callers() >= self.most_callers or self.full()
--- a/millgw/sidecar/server.py
+++ b/millgw/sidecar/server.py
@@ -15,6 +15,7 @@
 
 from millgw.sidecar.caller import CallerConnection
 from millgw.sidecar.config import Config
+from millgw.sidecar.descriptors import Descriptors
 from millgw.sidecar.driver import REFUSED, Answer, Call, Driver
 from millgw.sidecar.request import BadRequest, Head, Terms
 
@@ -22,11 +23,10 @@
 SILENT_TIME = 2.2  # s after connecting in which a first request must begin
 KEEP_TIME = 10.0  # s that a connection is kept between requests
 BACKLOG = 2048
-ACCEPTS = 32  # connections accepted in one turn: those already open get theirs in between
+ACCEPTS = 16  # connections accepted in one turn: those already open get theirs in between
 ACCEPT_PAUSE = 0.05  # s before accepting is tried again after it failed, if no connection ends before
 MIN_IDLE = 0.5  # s between requests before a connection gives way to others: a client may be about to use it
 JUST_CONNECTED = 0.1  # s in which a client that has connected will send its request
-SHED_PART = 0.8  # of the most connections: on those beyond it requests are refused, before accepting fails
 BODIES_PART = 1 / 8  # of the memory, for bodies of requests that are open or coming in
 READ_SIZE = 16 * 1024  # bytes of one read
 SWEEP = 0.2  # s between two looks for connections whose time has come
@@ -43,11 +43,13 @@
 class Server:
     """All callers' connections of one sidecar."""
 
-    def __init__(self, config: Config, driver: Driver, most: int) -> None:
+    def __init__(self, config: Config, driver: Driver, descriptors: Descriptors) -> None:
         self.loop = asyncio.get_running_loop()
         self.driver = driver
         self.terms = Terms(config.settings)
-        self.most = most
+        self.descriptors = descriptors
+        descriptors.callers = lambda: len(self.connections) + len(self.accepting)
+        descriptors.close_caller = self._evict
         self.connections: set[CallerConnection] = set()
         self.fresh: dict[CallerConnection, None] = {}  # that have not begun a request, the oldest first
         self.kept: dict[CallerConnection, None] = {}  # between requests, the one idle for longest first
@@ -74,7 +76,7 @@
 
     def _accept(self, most: int = ACCEPTS) -> None:
         for _ in range(most):
-            if len(self.connections) + len(self.accepting) >= self.most and not self._evict():
+            if self.descriptors.full_of_callers() and not self._evict():
                 # Guards against running out of descriptors: what can't be held waits in the backlog.
                 self._pause()
                 return
@@ -87,15 +89,13 @@
                 log.warning("accept failed: %s", error)
                 self._pause()
                 return
-            many = len(self.connections) + len(self.accepting) >= SHED_PART * self.most
-            shed = many and not self._evict()
-            task = self.loop.create_task(self._adopt(connection, shed))
+            task = self.loop.create_task(self._adopt(connection))
             self.accepting.add(task)
             task.add_done_callback(self.accepting.discard)
 
-    async def _adopt(self, connection: socket.socket, shed: bool) -> None:
+    async def _adopt(self, connection: socket.socket) -> None:
         try:
-            await self.loop.connect_accepted_socket(partial(CallerConnection, self, shed), connection)
+            await self.loop.connect_accepted_socket(partial(CallerConnection, self), connection)
         except OSError as error:
             log.warning("a connection was lost as it was accepted: %s", error)
 
@@ -175,6 +175,8 @@
         if path != b"/api":
             raise BadRequest(404, "no such path")
         call = self.terms.call(head, answer)
+        if len(self.driver.calls) >= self.descriptors.most_calls:
+            return Answer(REFUSED)  # guards against calls for which there is no descriptor to attempt them
         if call.trace in self.driver.open:
             # Guards against a second answer for one request, and against attempts that disturb the first.
             raise BadRequest(409, "X-Trace-Id is that of an open request")
--- a/millgw/sidecar/upstream.py
+++ b/millgw/sidecar/upstream.py
@@ -19,10 +19,13 @@
 
 from millgw.interface import Outcome
 from millgw.sidecar.config import Address
+from millgw.sidecar.descriptors import Descriptors
 
 MAX_HEAD = 16 * 1024  # bytes of a message's line and headers
-MAX_BODY = 64 * 1024  # bytes; the protocol's bound
-MAX_ANSWER = MAX_HEAD + 4 * MAX_BODY  # bytes of an answer with all its framing and what is ahead of it
+MAX_BODY = 64 * 1024  # bytes of a request's body; the protocol's bound
+ANSWER_PART = 1 / 32  # of the memory, for one answer's body: endpoints are seen to answer with up to 400 kB
+FRAMING_PART = 8  # times its body that an answer's framing may be: a chunk may be small, not endless
+ANSWERS_PART = 1 / 8  # of the memory, for all answers that are coming in
 HOLD_BACK = 0.002  # s for which a request's last byte is held back: more than there and back takes
 ANSWER_TIME = 1.0  # s from an answer's first byte to its last: it is small and comes at once
 IDLE_PART = 0.5  # of the endpoint's idle time, after which a kept connection is not used: it may be closing
@@ -125,19 +128,19 @@
         self.reused = False
         self.last_byte = b""
         self.holding: asyncio.TimerHandle | None = None
+        self.body = bytearray()
         self.idle_since = 0.0
         self.stalled: asyncio.TimerHandle | None = None
         self._begin()
 
     def _begin(self) -> None:
         self._begin_message()
-        self.size = 0  # bytes of this answer so far, with its framing
+        self.framing = 0  # bytes of this answer so far, without its body
         self.whole = False
         self.reusable = True
 
     def _begin_message(self) -> None:
         self.headers = bytearray()
-        self.body = bytearray()
         self.status = 0
         self.never_ran = False
         self.in_head = True
@@ -200,9 +203,12 @@
     def _finish(self, outcome: Outcome) -> None:
         self._stop_timers()
         attempt, self.attempt = self.attempt, None
+        content = Content(bytes(self.headers), bytes(self.body))
+        self.upstream.held -= len(self.body)
+        self.body.clear()
         if attempt is not None:
             attempt.connection = None
-            attempt.ended(outcome, Content(bytes(self.headers), bytes(self.body)))
+            attempt.ended(outcome, content)
 
     # asyncio
 
@@ -237,16 +243,17 @@
         if self.last_byte:
             self._broken()  # guards against bytes that can't be this request's answer
             return
-        self.size += len(data)
+        before = len(self.body)
         wrong = self._parse(self.parser, data)
+        self.framing += len(data) - (len(self.body) - before)
         if self.whole:
             if self.reusable and self.written and not wrong:
                 self.upstream.keep(self)
             else:
                 self.abort()
             self._finish(self._outcome())
-        elif wrong or self.size > (MAX_HEAD if self.in_head else MAX_ANSWER):
-            self._spoilt(wrong or "it is too large")
+        elif wrong or self.framing > MAX_HEAD + (0 if self.in_head else FRAMING_PART * len(self.body)):
+            self._spoilt(wrong or "its head or framing is too large")
         elif self.reading and self.stalled is None:
             self.stalled = self.upstream.loop.call_later(ANSWER_TIME, self._spoilt, "it stopped half-way")
 
@@ -293,7 +300,7 @@
         lower = name.lower()
         if lower == b"x-never-ran":
             self.never_ran = value == b"1"
-        elif lower == b"content-length" and int(value) > MAX_BODY:
+        elif lower == b"content-length" and int(value) > self.upstream.most_body:
             raise ValueError(f"its length is {value.decode()}")  # guards against reading what is of no use
         elif lower not in OWN_HEADERS:
             self.headers += b"%b: %b\r\n" % (name, value)
@@ -305,8 +312,12 @@
     def on_body(self, body: bytes) -> None:
         if not self.whole:
             self.body += body
-            if len(self.body) > MAX_BODY:
-                raise ValueError(f"its body is over {MAX_BODY} bytes")
+            self.upstream.held += len(body)
+            if len(self.body) > self.upstream.most_body:
+                raise ValueError(f"its body is over {self.upstream.most_body} bytes")
+            if self.upstream.held > self.upstream.most_held:
+                # Guards against memory that fills with the answers of many calls, each within its bound.
+                raise ValueError("too much is being answered")
 
     def on_message_complete(self) -> None:
         assert self.parser is not None
@@ -331,15 +342,19 @@
 
 
 class Upstream:
-    """All connections to endpoints, by endpoint, under one cap."""
+    """All connections to endpoints, by endpoint."""
 
-    def __init__(self, most: int, connect_timeout: float, idle: float) -> None:
+    def __init__(self, descriptors: Descriptors, connect_timeout: float, idle: float, memory: float) -> None:
         self.loop = asyncio.get_running_loop()
-        self.most = most
+        self.descriptors = descriptors
+        descriptors.endpoints = lambda: self.open + len(self.tasks)
         self.connect_timeout = connect_timeout / 1000
         self.idle_for = IDLE_PART * idle / 1000
         self.pools: dict[int, Pool] = {}
         self.open = 0
+        self.most_body = int(ANSWER_PART * memory)
+        self.most_held = int(ANSWERS_PART * memory)
+        self.held = 0  # bytes of answers that are coming in
         self.tasks: set[asyncio.Task[None]] = set()
         self.loop.call_later(SWEEP, self._sweep)
 
@@ -408,7 +423,7 @@
         if not pool.used:
             attempt.ended(Outcome.CONNECT_FAILED, NOTHING)
             return
-        if self.open + len(self.tasks) >= self.most and not self._evict():
+        if self.descriptors.full() and not (self._evict() or self.descriptors.close_caller()):
             log.warning("no descriptor left for a connection to an endpoint")
             attempt.ended(Outcome.NOT_SENT, NOTHING)
             return
