--- a/tests/test_sidecar_calls.py
+++ b/tests/test_sidecar_calls.py
@@ -597,7 +597,7 @@
     async def test() -> None:
         async with sidecar(FakeEndpoint("e1"), sockets=32 + 60) as rig:  # 40 callers
             for _ in range(5):
-                crowd = [await rig.connect() for _ in range(39)]
+                crowd = [await rig.connect() for _ in range(27)]
                 assert (await rig.ask(request("read"))).status == 200
                 for client in crowd:
                     client.writer.close()
