--- a/tests/test_sidecar_process.py
+++ b/tests/test_sidecar_process.py
@@ -368,3 +368,21 @@
             assert time.monotonic() - begun < 1.9, "only the balancer's own patience ended it"
 
     run(test)
+
+
+def test_sigterm_during_reloads_floods_and_half_sent_requests_ends_with_0_in_time(tmp_path: Path) -> None:
+    async def test() -> None:
+        endpoint = FakeEndpoint("e1")
+        process, listen = await in_service(endpoint, tmp_path)
+        half, flood, body = [await asyncio.open_connection(listen.host, listen.port) for _ in range(3)]
+        half[1].write(request("pay", b"body")[:-1])
+        flood[1].write(request(X_Qos="unheard-of") * 300)
+        body[1].write(request("pay", Content_Length="60000000") + b"x" * 1_000_000)
+        assert (await flood[0].readline()).startswith(b"HTTP/1.1 400")
+        for _ in range(5):
+            process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGHUP)
+        assert await asyncio.to_thread(process.wait) == 0
+
+    run(test)
