--- a/millgw/sidecar/upstream.py
+++ b/millgw/sidecar/upstream.py
@@ -55,6 +55,8 @@
 
 def unread(transport: asyncio.Transport) -> bool:
     """Whether bytes, or an end, wait in a connection's socket that the loop has not handed on yet."""
+    if transport.is_closing():
+        return True  # guards against its descriptor, which may be another one's by now
     poll = select.poll()
     poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
     return bool(poll.poll(0))
@@ -152,7 +154,7 @@
 
     def usable(self) -> bool:
         """Guards also against bytes that wait unread: they would be taken for the next request's answer."""
-        return self.transport is not None and not self.transport.is_closing() and not unread(self.transport)
+        return self.transport is not None and not unread(self.transport)
 
     # The attempt
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -99,8 +99,10 @@
     return b""
 
 
-def answering(answer: bytes | None) -> Script:
+def answering(answer: bytes | None, after: asyncio.Event | None = None) -> Script:
     async def script(_: Message, __: FakeEndpoint) -> bytes | None:
+        if after is not None:
+            await after.wait()
         return answer
 
     return script
--- a/tests/test_sidecar_calls.py
+++ b/tests/test_sidecar_calls.py
@@ -200,6 +200,8 @@
         await until(lambda: unread(kept.transport))  # type: ignore[arg-type]
         send()
         assert (await ended.get())[1].body == b"done" and endpoint.connections == 2
+        await until(lambda: kept.parser is None)
+        assert not kept.usable()
 
     run(test)
 
@@ -440,12 +442,7 @@
 def test_an_id_that_is_open_is_not_served_twice_and_its_first_request_not_disturbed() -> None:
     async def test() -> None:
         go = asyncio.Event()
-
-        async def held(_: Message, __: FakeEndpoint) -> bytes:
-            await go.wait()
-            return ok()
-
-        endpoint = FakeEndpoint("e1", held)
+        endpoint = FakeEndpoint("e1", answering(ok(), after=go))
         async with sidecar(endpoint) as rig:
             first = await rig.connect()
             first.writer.write(request("pay", X_Trace_Id="same"))
@@ -475,12 +472,7 @@
 def test_a_flood_of_requests_is_parsed_only_as_it_is_served() -> None:
     async def test() -> None:
         go = asyncio.Event()
-
-        async def held(_: Message, __: FakeEndpoint) -> bytes:
-            await go.wait()
-            return ok()
-
-        endpoint = FakeEndpoint("e1", held)
+        endpoint = FakeEndpoint("e1", answering(ok(), after=go))
         with pytest.MonkeyPatch.context() as patch:
             heads: list[Head] = []
 
--- a/tests/test_sidecar_process.py
+++ b/tests/test_sidecar_process.py
@@ -24,8 +24,8 @@
     STREAM,
     FakeDiscovery,
     FakeEndpoint,
-    Message,
     Rig,
+    answering,
     chunk,
     free_address,
     line,
@@ -269,12 +269,7 @@
 
     async def test() -> None:
         go = asyncio.Event()
-
-        async def held(_: Message, __: FakeEndpoint) -> bytes:
-            await go.wait()
-            return ok(b"late")
-
-        endpoint = FakeEndpoint("e1", held)
+        endpoint = FakeEndpoint("e1", answering(ok(b"late"), after=go))
         async with sidecar(endpoint) as rig:
             idle, before, late = [await rig.connect() for _ in range(3)]
             before.writer.write(request("pay"))
