--- a/millgw/sidecar/caller.py
+++ b/millgw/sidecar/caller.py
@@ -166,8 +166,7 @@
 
     def resume_writing(self) -> None:
         self.unread_answers = False
-        self._serve()
-        self._read()
+        self._go_on()
 
     def eof_received(self) -> None:
         self._leave()
@@ -273,8 +272,11 @@
         if not self.serving:
             self._go_on()
 
-    def _go_on(self) -> None:
+    def _rested(self) -> None:
         self.resting = None
+        self._go_on()
+
+    def _go_on(self) -> None:
         self._serve()
         self._read()
 
@@ -300,7 +302,7 @@
         self._after()
         if not self.ended:
             rest = BAD_PAUSE * 2 ** (self.bad - 1)
-            self.resting = self.server.loop.call_later(rest, self._go_on)
+            self.resting = self.server.loop.call_later(rest, self._rested)
 
     def _end_badly(self, bad: BadRequest) -> None:
         """The last answer: the client may still be sending, and would lose it to a reset."""
--- a/millgw/sidecar/upstream.py
+++ b/millgw/sidecar/upstream.py
@@ -330,9 +330,8 @@
         if self.status >= 200:
             self.whole = True
             self.reusable = self.parser.should_keep_alive()
-        elif self.stalled is not None:
-            self.stalled.cancel()
-            self.stalled = None
+        else:
+            self._stop_timers()
 
     def _outcome(self) -> Outcome:
         if self.status == 200:
