--- /dev/null
+++ b/millgw/rehearsal/blows.py
@@ -0,0 +1,242 @@
+"""Carries out the planned blows on the stand-ins, and mends what their time is over for."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, Any
+
+from millgw.rehearsal.faults import Blow
+from millgw.standins.endpoint import Endpoint
+from millgw.standins.ledger import Strike
+
+if TYPE_CHECKING:
+    from millgw.rehearsal.stage import Stage
+
+RETURN_AFTER_DRAIN = 1.0  # s from the end of a drained process to its next start
+FLAP = 1.0  # s between two words on a flapping endpoint
+LONGEST = 3.0  # s of a deadline that SIGKILL waits for at the most after SIGTERM
+KILL_AFTER = 0.7  # s more
+
+
+@dataclass(slots=True)
+class Ailing:
+    """The sizes of all blows of one kind that an endpoint has to bear now."""
+
+    failing: list[float]
+    resetting: list[float]
+    spoiling: list[float]
+    slowness: list[float]
+
+
+Carry = Callable[[Blow], Coroutine[Any, Any, None]]
+FIELDS = {"fast-failure": "failing", "resets": "resetting", "spoilt": "spoiling", "slowdown": "slowness"}
+
+
+class Blows:
+    """The faults of one day as they happen."""
+
+    def __init__(self, stage: Stage) -> None:
+        self.stage = stage
+        self.loop = asyncio.get_running_loop()
+        self.rng = random.Random(f"blows {stage.scenario.seed}")
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.handles: list[asyncio.TimerHandle] = []
+        self.ailing: dict[str, Ailing] = {}
+        self.outages = 0
+        self.kinds: dict[str, Carry] = {
+            "silence": self._silence,
+            "restart": self._restart,
+            "drain": self._drain,
+            "replaced": self._replaced,
+            "flapping": self._flapping,
+            "cadastro-outage": self._outage,
+            "cadastro-restart": self._outage,
+            "sidecar-killed": self._sidecar_killed,
+            "sidecar-restart": self._sidecar_restart,
+            "connections": self._connections,
+        }
+        for kind in FIELDS:
+            self.kinds[kind] = self._ill
+
+    def schedule(self, blows: tuple[Blow, ...]) -> None:
+        """Let each blow fall at its time, counted from now; their faults are booked as a whole."""
+        by_fault: dict[int, list[Blow]] = {}
+        zero = self.stage.clock()
+        for blow in blows:
+            by_fault.setdefault(blow.fault, []).append(blow)
+            if blow.kind in self.kinds:
+                self.handles.append(self.loop.call_later(blow.at / 1000, self._fall, blow))
+        for some in by_fault.values():
+            self.stage.ledger.strikes.append(
+                Strike(
+                    some[0].kind,
+                    zero + min(b.at for b in some),
+                    zero + max(b.until for b in some),
+                    tuple(b.target for b in some if b.target),
+                    some[0].size,
+                )
+            )
+
+    def _fall(self, blow: Blow) -> None:
+        self.stage.say(f"{blow.kind} {blow.target}".strip())
+        task = self.loop.create_task(self.kinds[blow.kind](blow))
+        self.tasks.add(task)
+        task.add_done_callback(self._fallen)
+
+    def _fallen(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self.stage.failed(error)
+
+    def close(self) -> None:
+        for handle in self.handles:
+            handle.cancel()
+        for task in list(self.tasks):
+            task.cancel()
+
+    @staticmethod
+    async def _rest(blow: Blow) -> None:
+        await asyncio.sleep((blow.until - blow.at) / 1000)
+
+    # Endpoints
+
+    async def _silence(self, blow: Blow) -> None:
+        """A machine vanishes and comes back cold."""
+        endpoint = self.stage.endpoints[blow.target]
+        if not endpoint.up:
+            return
+        life = endpoint.lives
+        self.stage.vanish(endpoint)
+        self.stage.notice(endpoint, "terminated", self.stage.delays.silent)
+        await self._rest(blow)
+        if endpoint.lives == life and endpoint.quiet:
+            await self.stage.revive(endpoint)
+
+    async def _restart(self, blow: Blow) -> None:
+        """A process ends, and a cold one takes its place."""
+        endpoint = self.stage.endpoints[blow.target]
+        if not endpoint.up:
+            return
+        life = endpoint.lives
+        self.stage.end(endpoint)
+        self.stage.notice(endpoint, "terminated", self.stage.delays.notice)
+        await self._rest(blow)
+        if endpoint.lives == life:
+            await self.stage.revive(endpoint)
+
+    async def _drain(self, blow: Blow) -> None:
+        """An endpoint drains, ends, and comes back as a cold process."""
+        endpoint = self.stage.endpoints[blow.target]
+        if not endpoint.up:
+            return
+        life = endpoint.lives
+        endpoint.drain()
+        self.stage.notice(endpoint, "terminating", self.stage.delays.notice)
+        await self._rest(blow)
+        if endpoint.lives != life or not endpoint.up:
+            return
+        self.stage.end(endpoint)
+        self.stage.notice(endpoint, "terminated", self.stage.delays.notice)
+        await asyncio.sleep(RETURN_AFTER_DRAIN)
+        if endpoint.lives == life:
+            await self.stage.revive(endpoint)
+
+    async def _replaced(self, blow: Blow) -> None:
+        """A machine vanishes; another one starts cold, under a name of its own, at the same address."""
+        endpoint = self.stage.endpoints[blow.target]
+        if not endpoint.up:
+            return
+        life = endpoint.lives
+        self.stage.vanish(endpoint)
+        self.stage.notice(endpoint, "terminated", self.stage.delays.silent)
+        await self._rest(blow)
+        if endpoint.lives == life and endpoint.quiet:
+            endpoint.stop()
+            build = replace(endpoint.build, name=f"s-{self.rng.getrandbits(32):08x}")
+            await self.stage.revive(self.stage.replace(endpoint, build))
+
+    async def _flapping(self, blow: Blow) -> None:
+        """The cadastro takes an endpoint off the list and on again, over and over, while it serves on."""
+        endpoint = self.stage.endpoints[blow.target]
+        life, listed = endpoint.lives, True
+        end = self.loop.time() + (blow.until - blow.at) / 1000
+        while self.loop.time() < end or not listed:
+            if endpoint.lives != life or not endpoint.up or endpoint.draining:
+                return
+            listed = not listed
+            entry = self.stage.entry(endpoint, "in_service" if listed else "terminated")
+            self.stage.cadastro.list(entry)
+            await asyncio.sleep(FLAP)
+
+    async def _ill(self, blow: Blow) -> None:
+        """Failures, resets and spoilt answers for a share of the requests; slowness. The worst counts."""
+        endpoint = self.stage.endpoints[blow.target]
+        ailing = self.ailing.setdefault(blow.target, Ailing([], [], [], []))
+        sizes: list[float] = getattr(ailing, FIELDS[blow.kind])
+        sizes.append(blow.size)
+        self._suffer(endpoint, ailing)
+        await self._rest(blow)
+        sizes.remove(blow.size)
+        self._suffer(endpoint, ailing)
+
+    @staticmethod
+    def _suffer(endpoint: Endpoint, ailing: Ailing) -> None:
+        endpoint.ills.failing = max(ailing.failing, default=0.0)
+        endpoint.ills.resetting = max(ailing.resetting, default=0.0)
+        endpoint.ills.spoiling = max(ailing.spoiling, default=0.0)
+        endpoint.slow(max(ailing.slowness, default=1.0))
+
+    # The cadastro
+
+    async def _outage(self, blow: Blow) -> None:
+        """It is down for a while; after a restart it has lost its history of changes."""
+        self.outages += 1
+        self.stage.cadastro.go_down()
+        await self._rest(blow)
+        self.outages -= 1
+        if not self.outages:
+            self.stage.cadastro.come_back(history=blow.kind == "cadastro-outage")
+
+    # Sidecars
+
+    async def _sidecar_killed(self, blow: Blow) -> None:
+        """Killed outright with what it holds, and started again."""
+        sidecar = self.stage.sidecars[blow.target]
+        if sidecar.pid is None:
+            return
+        starts = sidecar.starts
+        sidecar.kill()
+        self.stage.front.died(sidecar)
+        await self._rest(blow)
+        if sidecar.starts == starts:
+            await self._again(blow.target)
+
+    async def _sidecar_restart(self, blow: Blow) -> None:
+        """A planned restart: SIGTERM, SIGKILL if it is not gone in time, a new start."""
+        sidecar = self.stage.sidecars[blow.target]
+        if sidecar.pid is None:
+            return
+        starts = sidecar.starts
+        sidecar.term()
+        self.stage.front.leaves(sidecar)
+        longest = max(c.deadline_ms for c in self.stage.scenario.classes) / 1000
+        try:
+            async with asyncio.timeout(min(longest, LONGEST) + KILL_AFTER):
+                await sidecar.ended.wait()
+        except TimeoutError:
+            sidecar.kill()
+        if sidecar.starts == starts:
+            await self._again(blow.target)
+
+    async def _again(self, name: str) -> None:
+        sidecar = self.stage.sidecars[name]
+        await sidecar.start()
+        if sidecar.pid is not None:
+            self.stage.front.back(sidecar)
+
+    async def _connections(self, blow: Blow) -> None:
+        """A storm: many connections at once that ask nothing, and go on being used."""
+        await self.stage.sidecars[blow.target].desk.hold(int(blow.size))
--- /dev/null
+++ b/millgw/rehearsal/demo.py
@@ -0,0 +1,102 @@
+"""The demonstration: a small fleet on one machine that a person can call, with one fault to watch."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+from collections.abc import Callable, Sequence
+
+import uvloop
+
+from millgw.rehearsal.report import Day, exit_code, judge, show
+from millgw.rehearsal.scenario import Cadastro, Fault, Fleet, Scenario, Traffic, check
+from millgw.rehearsal.stage import Stage
+from millgw.sidecar.config import Address
+from millgw.standins.ledger import Told
+
+ONCE_S = 14.0
+LONG_S = 3600.0
+STRIKES_AT = 5.0
+SAYS_EVERY = 1.0
+
+
+def scenario(once: bool) -> Scenario:
+    """Six endpoints of one tier behind one sidecar; one of them falls silent and comes back cold."""
+    return check(
+        Scenario(
+            about="one of six endpoints falls silent for five seconds and comes back cold",
+            seconds=ONCE_S if once else LONG_S,
+            fleet=Fleet(
+                endpoints=6, tiers=(1.0,), work=(0.6,), calls=(), sidecars=1, cold_s=6.0, idle_s=30.0
+            ),
+            traffic=Traffic(rate=12.0, shape="steady"),
+            cadastro=Cadastro(notice_s=(0.5, 1.0), silent_s=(2.0, 3.0), add_s=(0.2, 0.5)),
+            faults=(Fault(kind="silence", start_s=STRIKES_AT, length_s=5.0, share=0.12),),
+        )
+    )
+
+
+def curl(address: Address) -> str:
+    """A line that works as pasted, as often as one likes."""
+    return (
+        f"curl -i -X POST 'http://{address}/api?k=me' -H 'X-Qos: codigo-acesso' -H 'X-Customer: rede-pampa'"
+        " -H 'X-Expires-In-Ms: 2000' -H \"X-Trace-Id: $(date +%s%N)\""
+    )
+
+
+def main(once: bool, port: int, write: Callable[[Sequence[Day]], None]) -> int:
+    """Show it; the exit code is the auditor's."""
+    day = uvloop.run(_show(once, _free(port)))
+    show([day])
+    write([day])
+    return exit_code([day])
+
+
+def _free(port: int) -> Address:
+    """The address asked for, or the next one that is free; an OSError where none is near."""
+    for number in range(port, min(port + 20, 65536)):
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", number))
+            except OSError:
+                continue
+            return Address("127.0.0.1", number)
+    raise OSError(f"--port {port}: neither it nor the next ones are free on 127.0.0.1")
+
+
+async def _show(once: bool, address: Address) -> Day:
+    made = scenario(once)
+    stage = Stage(made, say=lambda what: print(f"    -- {what}", flush=True), listen=address)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stage.stop)
+    print("a cadastro, six stand-in servers and one sidecar are starting", flush=True)
+    telling = asyncio.create_task(_tell(stage, address, once))
+    try:
+        ledger, facts = await stage.play()
+    finally:
+        telling.cancel()
+    return judge("demo", made, ledger, facts)
+
+
+async def _tell(stage: Stage, address: Address, once: bool) -> None:
+    """A line a second on what callers got."""
+    while not stage.zero:
+        await asyncio.sleep(0.05)
+    end = f"it ends by itself after {ONCE_S:g} s" if once else "Ctrl-C ends it"
+    print(f"ready; {end}; paste this into another terminal:\n\n{curl(address)}\n", flush=True)
+    while True:
+        since = stage.clock()
+        await asyncio.sleep(SAYS_EVERY)
+        calls = [c for c in stage.ledger.calls if c.answered is not None and c.answered >= since]
+        attempts = [a for a in stage.ledger.attempts if a.last is not None and a.last >= since]
+        served = sum(c.status == 200 for c in calls)
+        refused = sum(c.status in (429, 503) for c in calls)
+        silent = sum(a.told is Told.NOTHING and a.began is None for a in attempts)
+        print(
+            f"{(stage.clock() - stage.zero) / 1000:5.0f} s: {served} served, {refused} refused,"
+            f" {len(calls) - served - refused} failed; {len(attempts)} attempts, {silent} at a silent server",
+            flush=True,
+        )
--- /dev/null
+++ b/millgw/rehearsal/faults.py
@@ -0,0 +1,65 @@
+"""Which fault strikes whom and when: a scenario's faults drawn out from a seed. Pure."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from millgw.rehearsal.arrivals import Crowd
+from millgw.rehearsal.scenario import ON_ENDPOINTS, ON_SIDECARS, SIZES, Fault, Scenario
+
+
+@dataclass(slots=True, frozen=True)
+class Blow:
+    """One fault on one target, in ms of the day. `target` is empty for what strikes the whole."""
+
+    kind: str
+    at: float
+    until: float
+    target: str
+    size: float
+    fault: int  # its number in the scenario
+
+
+def size_of(fault: Fault) -> float:
+    return fault.size if fault.size is not None else SIZES.get(fault.kind, (0.0, 0.0))[0]
+
+
+def plan(
+    scenario: Scenario, endpoints: Sequence[tuple[str, int]], front: Sequence[str], seed: int
+) -> tuple[Blow, ...]:
+    """All blows of a day, in time. `endpoints` are names with their tiers (1, 2, ...), `front` sidecars.
+
+    A fault strikes at least one target and spares at least one, unless its share is 1.
+    """
+    blows: list[Blow] = []
+    for number, fault in enumerate(scenario.faults):
+        rng = random.Random(f"fault {seed} {number}")
+        if fault.kind in ON_ENDPOINTS:
+            targets = []
+            tiers = sorted({tier for _, tier in endpoints if fault.tier in (0, tier)})
+            for tier in tiers:
+                targets += _some(rng, [name for name, t in endpoints if t == tier], fault.share)
+        elif fault.kind in ON_SIDECARS:
+            targets = _some(rng, list(front), fault.share)
+        else:
+            targets = [""]
+        for i, target in enumerate(targets):
+            at = (fault.start_s + i * fault.spacing_s) * 1000
+            blows.append(Blow(fault.kind, at, at + fault.length_s * 1000, target, size_of(fault), number))
+    return tuple(sorted(blows, key=lambda b: (b.at, b.fault, b.target)))
+
+
+def _some(rng: random.Random, names: list[str], share: float) -> list[str]:
+    count = round(share * len(names))
+    if share < 1:
+        count = min(count, len(names) - 1)
+    return sorted(rng.sample(names, min(len(names), max(1, count))))
+
+
+def crowds(scenario: Scenario) -> tuple[Crowd, ...]:
+    """The flash crowds, which are the traffic's own."""
+    return tuple(
+        Crowd(f.start_s * 1000, f.until_s * 1000, size_of(f)) for f in scenario.faults if f.kind == "crowd"
+    )
--- /dev/null
+++ b/millgw/rehearsal/front.py
@@ -0,0 +1,153 @@
+"""The plain front layer, and the clients behind it: who goes where, and what they do about failures."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+
+from millgw.rehearsal.arrivals import Arrival
+from millgw.rehearsal.scenario import Class
+from millgw.rehearsal.sidecars import Sidecar
+from millgw.standins.caller import Desk
+from millgw.standins.http import Clock
+from millgw.standins.ledger import Call, End, Ledger
+
+NOTICE = (1.2, 3.7)  # s after which the front notices that a sidecar has died
+LEAVING = (0.2, 0.4)  # s after SIGTERM for which new connections go on coming
+LEAST = 20.0  # ms that must be left for a try to be made
+PAUSE = 50.0  # ms before a client that found no connection tries again
+
+
+class Front:
+    """Deals out connections among the sidecars that it holds to be in service."""
+
+    def __init__(self, sidecars: Sequence[Sidecar], seed: int) -> None:
+        self.rng = random.Random(f"front {seed}")
+        self.taking: list[Desk] = [s.desk for s in sidecars]
+        self.leaving: list[Desk] = []
+
+    def died(self, sidecar: Sidecar) -> None:
+        self._later(NOTICE, lambda: self._drop(sidecar.desk))
+
+    def leaves(self, sidecar: Sidecar) -> None:
+        """It was told to end: clients go on using the connections that they have."""
+        self.leaving.append(sidecar.desk)
+        self._later(LEAVING, lambda: self._drop(sidecar.desk))
+
+    def back(self, sidecar: Sidecar) -> None:
+        if sidecar.desk in self.leaving:
+            self.leaving.remove(sidecar.desk)
+        if sidecar.desk not in self.taking:
+            self.taking.append(sidecar.desk)
+
+    def _drop(self, desk: Desk) -> None:
+        if desk in self.taking:
+            self.taking.remove(desk)
+
+    def _later(self, after: tuple[float, float], do: Callable[[], None]) -> None:
+        asyncio.get_running_loop().call_later(self.rng.uniform(*after), do)
+
+    def pick(self) -> Desk | None:
+        """Where the next request goes."""
+        held = [d for d in self.leaving if d.idle and d not in self.taking]
+        among = self.taking + held
+        return self.rng.choice(among) if among else None
+
+
+class Clients:
+    """All clients: each arrival is a request with its retries, and waits for no other."""
+
+    def __init__(
+        self, front: Front, classes: Sequence[Class], ledger: Ledger, clock: Clock, seed: int
+    ) -> None:
+        self.front = front
+        self.classes = {c.name: c for c in classes}
+        self.ledger = ledger
+        self.clock = clock
+        self.seed = seed
+        self.journeys: set[asyncio.Task[None]] = set()
+
+    async def play(self, arrivals: Sequence[Arrival], zero: float) -> None:
+        """Send each arrival at its time; the open loop waits for nothing but the clock."""
+        loop = asyncio.get_running_loop()
+        for arrival in arrivals:
+            due = zero + arrival.at
+            while (ahead := due - self.clock()) > 0:
+                await asyncio.sleep(ahead / 1000)
+            self.ledger.late.append((due, self.clock() - due))
+            task = loop.create_task(self._journey(arrival, due))
+            self.journeys.add(task)
+            task.add_done_callback(self.journeys.discard)
+
+    async def _journey(self, arrival: Arrival, due: float) -> None:
+        cls = self.classes[arrival.cls]
+        end = due + cls.deadline_ms
+        root = f"{self.seed & 0xFFFF:04x}{arrival.number:010x}00"
+        for number in range(arrival.retries + 1):
+            patience = int(min(arrival.patience, end - self.clock()))
+            if patience < LEAST:
+                return
+            call = Call(
+                trace=f"{root[:-2]}{number:02x}",
+                root=root,
+                stage=0,
+                cls=arrival.cls,
+                tenant=arrival.tenant,
+                key=arrival.key,
+                sidecar="",
+                due=due if number == 0 else self.clock(),
+                patience=patience,
+                method="GET" if cls.repeat == "retryable" else "POST",
+                number=number,
+            )
+            call = await self._ask(call, arrival.leaves)
+            if call.status == 200 or not again(call, cls):
+                return
+            wait = PAUSE if call.end is End.NOT_TAKEN else arrival.wait
+            if arrival.honours:
+                wait = max(wait, call.retry_after)
+            await asyncio.sleep(wait / 1000)
+
+    async def _ask(self, call: Call, leaves: float | None) -> Call:
+        desk = self.front.pick()
+        if desk is None:
+            call.end = End.NOT_TAKEN
+            self.ledger.calls.append(call)
+            return call
+        task = asyncio.get_running_loop().create_task(ask(desk, call, self.ledger))
+        handle = asyncio.get_running_loop().call_later(leaves / 1000, task.cancel) if leaves else None
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if not task.cancelled():
+                raise
+            return call
+        finally:
+            if handle is not None:
+                handle.cancel()
+
+
+async def ask(desk: Desk, call: Call, ledger: Ledger) -> Call:
+    """Make a call; one that a close has crossed goes once more. Returns the last record of it."""
+    call.sidecar = desk.name
+    ledger.calls.append(call)
+    await desk.ask(call)
+    if call.end is not End.CROSSED:
+        return call
+    again = Call(
+        call.trace, call.root, call.stage, call.cls, call.tenant, call.key, call.sidecar, call.due,
+        patience=call.patience, method=call.method, number=call.number,
+    )  # fmt: skip
+    ledger.calls.append(again)
+    await desk.ask(again, fresh=True)
+    return again
+
+
+def again(call: Call, cls: Class) -> bool:
+    """Whether a client tries again: what may have run only where that does no harm."""
+    if call.end is End.LEFT:
+        return False
+    if call.end is End.NOT_TAKEN or call.status in (429, 503):
+        return True
+    return cls.repeat != "fragile"
--- /dev/null
+++ b/millgw/rehearsal/hunt.py
@@ -0,0 +1,163 @@
+"""Plays drawn schedules in processes of their own, several at once, and shrinks those that do harm."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import tempfile
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from msgspec.structs import replace
+
+from millgw.rehearsal.scenario import Scenario, to_toml
+from millgw.rehearsal.search import apart, draw, shrink
+
+LOW_SERVICE = 0.75  # service of a day below which it is held against the same faults apart
+FAR_BELOW = 0.2  # of service that overlap alone must cost to be worth a file
+TRIES = 2  # plays of a schedule that must all do harm: chance is not a finding
+
+
+class PlayError(Exception):
+    """A day that could not be played at all."""
+
+
+@dataclass(slots=True, frozen=True)
+class Played:
+    """What one play came to."""
+
+    code: int
+    service: float
+    broken: frozenset[int]
+    first: str
+
+
+@dataclass(slots=True, frozen=True)
+class Found:
+    """A schedule that does harm, as it was drawn and shrunk, and where the file stands."""
+
+    seed: int
+    why: str
+    path: str
+    faults: int
+    plays: int
+
+
+@dataclass(slots=True)
+class Outcome:
+    """A whole search."""
+
+    played: int = 0
+    plays: int = 0
+    inconclusive: int = 0
+    services: list[float] = field(default_factory=list)
+    kinds: Counter[str] = field(default_factory=Counter)
+    found: list[Found] = field(default_factory=list)
+
+
+class Hunt:
+    """One search: `jobs` days at once, findings written to `out`."""
+
+    def __init__(
+        self, base: Scenario, run: str | None, jobs: int, out: Path, steps: int, say: Callable[[str], None]
+    ) -> None:
+        self.base = base
+        self.run = run
+        self.jobs = jobs
+        self.gate = asyncio.Semaphore(jobs)
+        self.out = out
+        self.steps = steps
+        self.say = say
+        self.outcome = Outcome()
+
+    async def search(self, seed: int, count: int) -> Outcome:
+        """Play `count` schedules drawn from the seeds that follow `seed`."""
+        async with asyncio.TaskGroup() as group:
+            for number in range(count):
+                group.create_task(self._one(seed + number))
+        self.outcome.found.sort(key=lambda f: f.seed)
+        return self.outcome
+
+    async def _one(self, seed: int) -> None:
+        scenario = draw(self.base, seed)
+        played = await self.play(scenario)
+        self.outcome.played += 1
+        self.outcome.services.append(played.service)
+        self.outcome.kinds.update(f.kind for f in scenario.faults)
+        self.outcome.inconclusive += played.code == 3
+        self.say(f"{seed}: {scenario.about}: service {played.service:.3f}")
+        harms: Callable[[Scenario], Any]
+        if played.broken:
+            rule = min(played.broken)
+            why = f"rule {rule} broke: {played.first}"
+
+            async def harms(candidate: Scenario) -> bool:
+                return await self._always(candidate, lambda p: rule in p.broken)
+        elif played.code == 0 and played.service < LOW_SERVICE:
+            alone = (await self.play(apart(scenario))).service
+            if alone - played.service < FAR_BELOW:
+                return
+            why = f"service {played.service:.3f}, where the same faults one at a time leave {alone:.3f}"
+
+            async def harms(candidate: Scenario) -> bool:
+                if not candidate.faults:
+                    return False
+                together, single = await self.play(candidate), await self.play(apart(candidate))
+                return together.code == 0 and single.service - together.service >= FAR_BELOW
+        else:
+            return
+        if not await harms(scenario):
+            self.say(f"{seed}: {why}; not again, so it is left")
+            return
+        least, plays = await shrink(scenario, harms, self.steps, self.jobs)
+        self._write(seed, why, scenario, least, plays)
+
+    async def _always(self, scenario: Scenario, holds: Callable[[Played], bool]) -> bool:
+        return all(map(holds, await asyncio.gather(*(self.play(scenario) for _ in range(TRIES)))))
+
+    def _write(self, seed: int, why: str, drawn: Scenario, least: Scenario, plays: int) -> None:
+        self.out.mkdir(parents=True, exist_ok=True)
+        path = self.out / f"found-{seed}.toml"
+        about = ", ".join(f.kind for f in least.faults)
+        comment = (
+            f"Found by a search, seed {seed}, shrunk from {len(drawn.faults)} faults in {plays} steps.\n{why}"
+        )
+        path.write_text(to_toml(replace(least, about=f"found by a search: {about}"), comment))
+        self.outcome.found.append(Found(seed, why, str(path), len(least.faults), plays))
+        self.say(f"{seed}: {why}; the least that does it is in {path}")
+
+    async def play(self, scenario: Scenario) -> Played:
+        """Play a day in a process of its own."""
+        async with self.gate:
+            self.outcome.plays += 1
+            with tempfile.TemporaryDirectory(prefix="millgw-search-") as folder:
+                day, report = Path(folder) / "day.toml", Path(folder) / "report.json"
+                day.write_text(to_toml(scenario))
+                command = ["-m", "millgw", "rehearse", "run", str(day), "--json", str(report)]
+                if self.run is not None:
+                    command += ["--run", self.run]
+                process = await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    *command,
+                    stdout=asyncio.subprocess.DEVNULL,
+                    stderr=asyncio.subprocess.PIPE,
+                )
+                try:
+                    _, said = await process.communicate()
+                except asyncio.CancelledError:
+                    process.terminate()
+                    await process.wait()
+                    raise
+                if process.returncode not in (0, 1, 3) or not report.exists():
+                    raise PlayError(said.decode(errors="replace").strip().split("\n")[-1])
+                return _read(process.returncode, json.loads(report.read_text())["days"][0])
+
+
+def _read(code: int, day: dict[str, Any]) -> Played:
+    broken = {r["rule"]: r for r in day["rules"] if r["verdict"] == "BROKEN"}
+    first = next(iter(broken[min(broken)]["kinds"])) if broken else ""
+    return Played(code, day["service"], frozenset(broken), first)
--- /dev/null
+++ b/millgw/rehearsal/report.py
@@ -0,0 +1,153 @@
+"""A day's report: as a table on a terminal and as JSON."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from rich.console import Console
+from rich.table import Table
+
+from millgw.rehearsal.auditor import Audit, Verdict, audit
+from millgw.rehearsal.lateness import quantile
+from millgw.rehearsal.scenario import Scenario, to_toml
+from millgw.rehearsal.stage import Facts, terms
+from millgw.rehearsal.summary import Summary, Worth, summarize
+from millgw.standins.ledger import Ledger, Strike
+
+COLOURS = {Verdict.HELD: "green", Verdict.BROKEN: "bold red", Verdict.NOT_EXERCISED: "dim"}
+LEAST_WIDTH = 118  # columns of a table that goes to a file
+SHOWN = 5  # pieces of evidence for each rule on a terminal
+
+
+@dataclass(slots=True, frozen=True)
+class Day:
+    """One day played and judged."""
+
+    name: str
+    about: str
+    scenario: Scenario
+    facts: Facts
+    summary: Summary
+    audit: Audit
+    strikes: tuple[Strike, ...]
+
+    @property
+    def conclusion(self) -> str:
+        if self.audit.broken:
+            return "a rule broke"
+        if self.audit.inconclusive:
+            return "INCONCLUSIVE"
+        return "no rule broke"
+
+
+def judge(name: str, scenario: Scenario, ledger: Ledger, facts: Facts) -> Day:
+    """The day that a ledger tells of."""
+    worths = {c.name: Worth(c.aim_ms, c.deadline_ms, c.worth, c.late_worth) for c in scenario.classes}
+    verdict = audit(ledger, terms(scenario))
+    return Day(
+        name, scenario.about, scenario, facts, summarize(ledger, worths), verdict, tuple(ledger.strikes)
+    )
+
+
+def show(days: Sequence[Day]) -> None:
+    """A row a day, then what was seen of each broken rule and of the rig itself."""
+    console = Console()
+    if not console.is_terminal:
+        console = Console(width=LEAST_WIDTH)
+    table = Table()
+    table.add_column("day", no_wrap=True)
+    for title in ("1 answers", "2 effects", "3 drains", "4 cold"):
+        table.add_column(title)
+    for title in ("service", "worst 5 s", "tries", "attempts", "p99 ms"):
+        table.add_column(title, justify="right")
+    for day in days:
+        s = day.summary
+        cells = [
+            f"[{COLOURS[f.verdict]}]{f.verdict.value}[/]" + (f" ({f.broken})" if f.broken else "")
+            for f in day.audit.findings
+        ]
+        latencies = [ms for c in s.classes.values() for ms in c.latencies]
+        table.add_row(
+            day.name, *cells, f"{s.service:.3f}", f"{s.worst:.3f}", str(s.tries),
+            str(sum(n for of in s.attempts.values() for n in of.values())),
+            f"{quantile(latencies, 0.99):.0f}",
+        )  # fmt: skip
+    console.print(table)
+    for day in days:
+        _remarks(day, console)
+
+
+def _remarks(day: Day, console: Console) -> None:
+    for finding in day.audit.findings:
+        if finding.broken:
+            console.print(
+                f"[bold red]{day.name}: rule {finding.rule}, {finding.title}, broken {finding.broken} times"
+            )
+            for what, count in finding.kinds.most_common():
+                console.print(f"  {count} x {what}", markup=False)
+            for evidence in finding.evidence[:SHOWN]:
+                console.print(f"    {evidence}", markup=False, highlight=False)
+        elif finding.excused:
+            console.print(
+                f"{day.name}: rule {finding.rule}: {finding.excused} breaches of a time limit that the rig's"
+                " own lateness may explain",
+                markup=False,
+            )
+    for reason in day.audit.rig.reasons:
+        console.print(f"{day.name}: the rig can't vouch for this day: {reason}", markup=False)
+
+
+def to_json(days: Sequence[Day]) -> dict[str, Any]:
+    """All of it, for other programs. `exit` is what the command ends with."""
+    return {"exit": exit_code(days), "days": [_day(day) for day in days]}
+
+
+def _day(day: Day) -> dict[str, Any]:
+    s = day.summary
+    return {
+        "name": day.name,
+        "about": day.about,
+        "conclusion": day.conclusion,
+        "scenario": to_toml(day.scenario),
+        "facts": asdict(day.facts),
+        "rig": asdict(day.audit.rig),
+        "service": s.service,
+        "worst_5s": s.worst,
+        "asked": s.asked,
+        "tries": s.tries,
+        "served": s.served,
+        "refused": s.refused,
+        "failed": s.failed,
+        "attempts": {str(tier): of for tier, of in s.attempts.items()},
+        "classes": {
+            name: {
+                "asked": c.asked, "in_time": c.in_time, "late": c.late, "service": c.service,
+                "p50_ms": quantile(c.latencies, 0.5), "p99_ms": quantile(c.latencies, 0.99),
+            }
+            for name, c in s.classes.items()
+        },
+        "seconds": [
+            {
+                "asked": t.asked, "in_time": t.in_time, "late": t.late, "refused": t.refused,
+                "failed": t.failed, "attempts": t.attempts, "p50_ms": t.p50, "p99_ms": t.p99,
+            }
+            for t in s.seconds
+        ],
+        "faults": [asdict(strike) for strike in day.strikes],
+        "rules": [
+            {
+                "rule": f.rule, "title": f.title, "verdict": f.verdict.value, "checked": f.checked,
+                "broken": f.broken, "excused": f.excused, "kinds": dict(f.kinds),
+                "evidence": [asdict(e) for e in f.evidence],
+            }
+            for f in day.audit.findings
+        ],
+    }  # fmt: skip
+
+
+def exit_code(days: Sequence[Day]) -> int:
+    """1 if a rule broke on any day, else 3 if any can't be judged, else 0."""
+    codes = {day.audit.exit_code for day in days}
+    return 1 if 1 in codes else 3 if 3 in codes else 0
--- /dev/null
+++ b/millgw/rehearsal/sampler.py
@@ -0,0 +1,79 @@
+"""What the rig measures of itself and of the machine while a day is on."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import Sequence
+from pathlib import Path
+
+from millgw.rehearsal.sidecars import Sidecar
+from millgw.standins.http import Clock
+from millgw.standins.ledger import Ledger, Sample
+
+EVERY = 0.05  # s between two looks at the loop's lag
+CORES_EVERY = 10  # of them, between two looks at cores and processes
+
+
+class Sampler:
+    """Books a `Sample` at each look. `lag` is how much later than asked the loop woke it."""
+
+    def __init__(self, ledger: Ledger, clock: Clock, sidecars: Sequence[Sidecar]) -> None:
+        self.ledger = ledger
+        self.clock = clock
+        self.sidecars = sidecars
+        self.waited: dict[tuple[str, int | None], float] = {}
+        self.ticks = _ticks()
+
+    async def run(self) -> None:
+        count = 0
+        self._starved()
+        while True:
+            due = self.clock() + EVERY * 1000
+            await asyncio.sleep(EVERY)
+            sample = Sample(self.clock(), max(0.0, self.clock() - due))
+            count += 1
+            if count % CORES_EVERY == 0:
+                sample.starved = self._starved()
+            sample.busy = self._busy() if count % CORES_EVERY == 0 else self._last_busy()
+            self.ledger.samples.append(sample)
+
+    def _last_busy(self) -> float:
+        return self.ledger.samples[-1].busy if self.ledger.samples else 0.0
+
+    def _starved(self) -> dict[str, float]:
+        """How long each sidecar waited for a core since the look before (ms)."""
+        starved: dict[str, float] = {}
+        for sidecar in self.sidecars:
+            if sidecar.pid is None:
+                continue
+            waited, key = sidecar.waited(), (sidecar.name, sidecar.pid)
+            starved[sidecar.name] = max(0.0, waited - self.waited.get(key, waited))
+            self.waited[key] = waited
+            sidecar.note_memory()
+        return starved
+
+    def _busy(self) -> float:
+        before, self.ticks = self.ticks, _ticks()
+        whole = self.ticks[1] - before[1]
+        return (self.ticks[0] - before[0]) / whole if whole else 0.0
+
+
+def _ticks() -> tuple[int, int]:
+    """Ticks of all cores in use, and all, since the machine began."""
+    try:
+        figures = [int(x) for x in Path("/proc/stat").read_text().split("\n", 1)[0].split()[1:9]]
+    except (OSError, ValueError):
+        return 0, 0
+    return sum(figures) - figures[3] - figures[4], sum(figures)
+
+
+def own_memory() -> int:
+    """The most that this process has held (kB)."""
+    try:
+        for line in Path(f"/proc/{os.getpid()}/status").read_text().splitlines():
+            if line.startswith("VmHWM:"):
+                return int(line.split()[1])
+    except (OSError, ValueError):
+        pass
+    return 0
--- /dev/null
+++ b/millgw/rehearsal/scenario.py
@@ -0,0 +1,452 @@
+"""What a scenario file says: fleet, traffic, cadastro and faults, checked down to the line.
+
+Shares are of 1, `_s` fields are seconds, `_ms` fields milliseconds. A file that can't be used raises a
+`ScenarioError` with its name, the line where that can be known, the key's path and what is wrong.
+"""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from collections.abc import Sequence
+from importlib import resources
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta, Struct
+
+Share = Annotated[float, Meta(ge=0.0, le=1.0)]
+Part = Annotated[float, Meta(gt=0.0, le=1.0)]
+Positive = Annotated[float, Meta(gt=0.0, le=1e6)]
+NotNegative = Annotated[float, Meta(ge=0.0, le=1e6)]
+Count = Annotated[int, Meta(ge=1, le=10_000)]
+Range = tuple[NotNegative, NotNegative]
+Shape = Literal["steady", "bursty", "wave", "ramp"]
+FaultKind = Literal[
+    "silence",
+    "restart",
+    "fast-failure",
+    "slowdown",
+    "resets",
+    "spoilt",
+    "drain",
+    "replaced",
+    "flapping",
+    "cadastro-outage",
+    "cadastro-restart",
+    "sidecar-killed",
+    "sidecar-restart",
+    "crowd",
+    "connections",
+]
+ON_ENDPOINTS: frozenset[str] = frozenset(
+    {"silence", "restart", "fast-failure", "slowdown", "resets", "spoilt", "drain", "replaced", "flapping"}
+)
+ON_SIDECARS: frozenset[str] = frozenset({"sidecar-killed", "sidecar-restart", "connections"})
+
+
+class ScenarioError(ValueError):
+    """The scenario can't be played; the text names file, line and key."""
+
+
+class Table(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """A table of the file: keys that it does not know are errors."""
+
+
+class Speed(Table, frozen=True, kw_only=True):
+    """A kind of endpoint: its share of each tier and its speed against the yardstick."""
+
+    share: Part
+    speed: Positive
+
+
+class Fleet(Table, frozen=True, kw_only=True):
+    """Endpoints in the first tier, the tiers' sizes against it, and the sidecars of all stages together.
+
+    Each endpoint of every tier but the last has a sidecar of its own; the others stand at the front.
+    """
+
+    endpoints: Count = 6
+    tiers: Annotated[tuple[Positive, ...], Meta(min_length=1, max_length=4)] = (1.0, 1.0, 2.0)
+    work: Annotated[tuple[Positive, ...], Meta(min_length=1, max_length=4)] = (0.36, 0.27, 0.37)
+    calls: tuple[Positive, ...] = (1.25, 1.5)
+    sidecars: Count = 16
+    kinds: Annotated[tuple[Speed, ...], Meta(min_length=1)] = (
+        Speed(share=0.26, speed=1.6),
+        Speed(share=0.26, speed=0.98),
+        Speed(share=0.48, speed=0.6),
+    )
+    group: Count = 5
+    cores: Count = 1
+    slots: Count = 20
+    waiting: Annotated[int, Meta(ge=0, le=10_000)] = 20
+    connections: Count = 600
+    handshake_work_ms: NotNegative = 1.0
+    handshake_ms: NotNegative = 0.6
+    idle_s: Positive = 30.0
+    cold_share: Part = 0.2
+    cold_s: NotNegative = 14.0
+    drops_waiting: bool = True
+
+    def tier_sizes(self) -> tuple[int, ...]:
+        return tuple(max(1, round(self.endpoints * size)) for size in self.tiers)
+
+    def owned(self) -> int:
+        """Sidecars that belong to endpoints."""
+        return sum(self.tier_sizes()[:-1])
+
+
+class Class(Table, frozen=True, kw_only=True):
+    """A class of requests, in the operators' words: `retryable`, `dedup` (carries a key) or `fragile`."""
+
+    name: Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9_.-]*$", max_length=64)]
+    share: Part
+    repeat: Literal["retryable", "dedup", "fragile"]
+    work_ms: Positive
+    wait_ms: NotNegative = 0.0
+    cv: NotNegative = 1.0
+    aim_ms: Positive
+    deadline_ms: Positive
+    worth: Positive = 1.0
+    late_worth: Share = 0.3
+    window_ms: NotNegative = 0.0
+
+
+class Tenant(Table, frozen=True, kw_only=True):
+    name: Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9_.-]*$", max_length=64)]
+    share: Part
+
+
+class Traffic(Table, frozen=True, kw_only=True):
+    """What clients ask and do. `rate` is in first tries a second."""
+
+    rate: Positive = 40.0
+    shape: Shape = "bursty"
+    swing: Share = 0.25
+    retries: Annotated[int, Meta(ge=0, le=10)] = 3
+    try_share: tuple[Part, Part] = (0.5, 0.6)
+    wait_ms: Range = (75.0, 600.0)
+    at_once: Share = 0.5
+    honour: Share = 0.3
+    impatient: Share = 0.0
+
+
+class Cadastro(Table, frozen=True, kw_only=True):
+    """How late the cadastro is, and what it can do."""
+
+    notice_s: Range = (0.5, 2.0)
+    silent_s: Range = (3.0, 6.0)
+    add_s: Range = (0.3, 1.0)
+    lines_per_s: Positive = 760.0
+    call_lines: NotNegative = 40.0
+    timeout_s: Positive = 3.0
+
+
+class Limits(Table, frozen=True, kw_only=True):
+    """What each sidecar is given."""
+
+    memory_mb: Positive = 64.0
+    sockets: Annotated[int, Meta(ge=64, le=65_536)] = 1024
+    attempts: Annotated[int, Meta(ge=1, le=10)] = 3
+    parallel: bool = True
+    retry_after_ms: NotNegative = 0.0
+    connect_ms: Positive = 250.0
+
+
+class Rules(Table, frozen=True, kw_only=True):
+    """The figures of the four rules."""
+
+    drain_grace_ms: Positive = 500.0
+    fall_multiple: Positive = 2.5
+    fall_ms: Positive = 1000.0
+    ask_within_ms: Positive = 6000.0
+
+
+class Fault(Table, frozen=True, kw_only=True):
+    """One fault. `share` is of the endpoints of `tier` (0: all), or of the front's sidecars.
+
+    `size` is the share of requests hit (fast-failure, resets, spoilt), times as slow (slowdown), times the
+    rate (crowd) or connections to each sidecar (connections). With `spacing_s` those hit follow one another.
+    """
+
+    kind: FaultKind
+    start_s: NotNegative
+    length_s: NotNegative = 5.0
+    share: Part = 0.12
+    size: Positive | None = None
+    tier: Annotated[int, Meta(ge=0, le=4)] = 0
+    spacing_s: NotNegative = 0.0
+
+    @property
+    def until_s(self) -> float:
+        return self.start_s + self.length_s
+
+
+SIZES: dict[str, tuple[float, float]] = {
+    "fast-failure": (0.6, 1.0),
+    "resets": (0.1, 1.0),
+    "spoilt": (0.1, 1.0),
+    "slowdown": (2.0, 100.0),
+    "crowd": (3.0, 100.0),
+    "connections": (100.0, 10_000.0),
+}
+"""Kinds that have a size: what it is by default, and at the most."""
+
+
+class Scenario(Table, frozen=True, kw_only=True):
+    """A whole day."""
+
+    about: str = ""
+    seconds: Annotated[float, Meta(ge=1.0, le=86_400.0)] = 20.0
+    seed: Annotated[int, Meta(ge=0)] = 1
+    fleet: Fleet = Fleet()
+    traffic: Traffic = Traffic()
+    classes: Annotated[tuple[Class, ...], Meta(min_length=1)] = (
+        Class(
+            name="envio-campanha", share=0.52, repeat="dedup", work_ms=220, wait_ms=190, cv=1.5,
+            aim_ms=2500, deadline_ms=6000, worth=5, late_worth=0.3, window_ms=10_000,
+        ),
+        Class(
+            name="codigo-acesso", share=0.48, repeat="fragile", work_ms=70, wait_ms=55, cv=1.2,
+            aim_ms=1500, deadline_ms=4000, worth=8, late_worth=0.5,
+        ),
+    )  # fmt: skip
+    tenants: Annotated[tuple[Tenant, ...], Meta(min_length=1)] = (
+        Tenant(name="rede-pampa", share=0.17),
+        Tenant(name="coop-serrana", share=0.16),
+        Tenant(name="farmacia-guaiba", share=0.16),
+        Tenant(name="mercado-colonia", share=0.13),
+        Tenant(name="moveis-vinhedo", share=0.12),
+        Tenant(name="credito-planalto", share=0.11),
+        Tenant(name="transporte-lagoa", share=0.11),
+        Tenant(name="padaria-nona", share=0.04),
+    )
+    cadastro: Cadastro = Cadastro()
+    limits: Limits = Limits()
+    rules: Rules = Rules()
+    faults: tuple[Fault, ...] = ()
+
+
+SCALES: dict[str, tuple[int, int, float]] = {"today": (17, 67, 170.0), "to-come": (60, 365, 620.0)}
+"""Endpoints of the first tier, sidecars, first tries a second."""
+
+
+def check(scenario: Scenario) -> Scenario:
+    """What no single field can tell; a ValueError says it as `path: what`."""
+    fleet = scenario.fleet
+    sizes = len(fleet.tiers)
+    if len(fleet.work) != sizes:
+        raise ValueError(f"fleet.work: has {len(fleet.work)} parts for {sizes} tiers")
+    if len(fleet.calls) < sizes - 1:
+        raise ValueError(f"fleet.calls: has {len(fleet.calls)} figures for the calls between {sizes} tiers")
+    if fleet.sidecars <= fleet.owned():
+        raise ValueError(
+            f"fleet.sidecars: {fleet.sidecars} leave none for the front: {fleet.owned()} belong to endpoints"
+        )
+    for path, names in (
+        ("classes", [c.name for c in scenario.classes]),
+        ("tenants", [t.name for t in scenario.tenants]),
+    ):
+        for i, name in enumerate(names):
+            if name in names[:i]:
+                raise ValueError(f"{path}[{i}].name: {name!r} is given twice")
+    for i, cls in enumerate(scenario.classes):
+        if cls.aim_ms > cls.deadline_ms:
+            raise ValueError(f"classes[{i}].aim_ms: is over the deadline_ms of {cls.deadline_ms:g}")
+        if cls.repeat == "dedup" and cls.window_ms <= 0:
+            raise ValueError(
+                f"classes[{i}].window_ms: a dedup class needs the time its repeats are known for"
+            )
+    for path, (low, high) in (
+        ("traffic.try_share", scenario.traffic.try_share),
+        ("traffic.wait_ms", scenario.traffic.wait_ms),
+        ("cadastro.notice_s", scenario.cadastro.notice_s),
+        ("cadastro.silent_s", scenario.cadastro.silent_s),
+        ("cadastro.add_s", scenario.cadastro.add_s),
+    ):
+        if low > high:
+            raise ValueError(f"{path}: {low:g} to {high:g} is no range")
+    for i, fault in enumerate(scenario.faults):
+        _check_fault(f"faults[{i}]", fault, scenario)
+    return scenario
+
+
+def _check_fault(path: str, fault: Fault, scenario: Scenario) -> None:
+    if fault.start_s >= scenario.seconds:
+        raise ValueError(f"{path}.start_s: {fault.start_s:g} is past the day's {scenario.seconds:g} seconds")
+    if fault.kind in SIZES:
+        most = SIZES[fault.kind][1]
+        if fault.size is not None and fault.size > most:
+            raise ValueError(f"{path}.size: {fault.kind} takes {most:g} at the most")
+        if fault.size is not None and fault.kind in ("slowdown", "crowd") and fault.size < 1:
+            raise ValueError(f"{path}.size: {fault.kind} takes 1 or more")
+    elif fault.size is not None:
+        raise ValueError(f"{path}.size: {fault.kind} has no size")
+    if fault.tier > len(scenario.fleet.tiers):
+        raise ValueError(f"{path}.tier: there are {len(scenario.fleet.tiers)}")
+    if fault.tier and fault.kind not in ON_ENDPOINTS:
+        raise ValueError(f"{path}.tier: {fault.kind} does not strike endpoints")
+
+
+# Reading
+
+
+def line_of(text: str, path: str) -> int | None:
+    """The line on which a key like `faults[2].start_s` stands, or that of the nearest table above it."""
+    parts = [p for p in re.split(r"[.\[\]]+", path.removeprefix("$")) if p]
+    best, at_table = None, None
+    counts: dict[str, int] = {}
+    here: list[str] = []
+    for number, line in enumerate(text.splitlines(), 1):
+        stripped = line.strip()
+        if match := re.match(r"^(\[\[?)\s*([^\]\s]+)\s*\]", stripped):
+            here = match[2].split(".")
+            if match[1] == "[[":
+                counts[match[2]] = counts.get(match[2], -1) + 1
+                here = [*here, str(counts[match[2]])]
+            if here == parts[: len(here)]:
+                at_table = number
+        elif match := re.match(r"""^["']?([A-Za-z0-9_-]+)["']?\s*=""", stripped):
+            key = [*here, match[1]]
+            if key == parts[: len(key)]:
+                best = number
+    return best or at_table
+
+
+def parse(text: str, name: str) -> Scenario:
+    """A scenario from its text; `name` is what errors call it."""
+    try:
+        data: Any = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise ScenarioError(f"{name}: {error}") from None
+    try:
+        return check(msgspec.convert(data, Scenario))
+    except msgspec.ValidationError as error:
+        what, _, path = str(error).partition(" - at `$")
+        path = path.rstrip("`").lstrip(".")
+        if match := re.search(r"unknown field `([^`]+)`", what):
+            path = f"{path}.{match[1]}".lstrip(".")
+            what = "no such key"
+        raise ScenarioError(_place(text, name, path, what)) from None
+    except ValueError as error:
+        path, _, what = str(error).partition(": ")
+        raise ScenarioError(_place(text, name, path, what)) from None
+
+
+def _place(text: str, name: str, path: str, what: str) -> str:
+    line = line_of(text, path) if path else None
+    where = f"{name}:{line}" if line is not None else name
+    return f"{where}: {path}: {what}" if path else f"{where}: {what}"
+
+
+def shipped() -> dict[str, str]:
+    """The scenarios that come with the program: name and text."""
+    folder = resources.files("millgw.rehearsal") / "scenarios"
+    return {
+        entry.name.removesuffix(".toml"): entry.read_text(encoding="utf-8")
+        for entry in sorted(folder.iterdir(), key=lambda e: e.name)
+        if entry.name.endswith(".toml")
+    }
+
+
+def load(name: str) -> tuple[str, Scenario]:
+    """A scenario by its shipped name or its file, with the name to show."""
+    known = shipped()
+    if name in known:
+        return name, parse(known[name], f"{name}.toml")
+    path = Path(name)
+    if not path.exists() and "/" not in name and not name.endswith(".toml"):
+        raise ScenarioError(f"{name}: neither a file nor a shipped scenario ({', '.join(known)})")
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise ScenarioError(f"{name}: {error}") from None
+    return path.stem, parse(text, name)
+
+
+def changed(
+    scenario: Scenario,
+    *,
+    seed: int | None = None,
+    seconds: float | None = None,
+    sidecars: int | None = None,
+    endpoints: int | None = None,
+    rate: float | None = None,
+    scale: str | None = None,
+) -> Scenario:
+    """The scenario with what the command line says; faults keep their places in a day of another length."""
+    fleet, traffic = scenario.fleet, scenario.traffic
+    if scale is not None:
+        of_scale = SCALES[scale]
+        endpoints = of_scale[0] if endpoints is None else endpoints
+        sidecars = of_scale[1] if sidecars is None else sidecars
+        rate = of_scale[2] if rate is None else rate
+    if endpoints is not None:
+        front = fleet.sidecars - fleet.owned()
+        fleet = msgspec.structs.replace(fleet, endpoints=endpoints)
+        if sidecars is None:
+            sidecars = fleet.owned() + front
+    if sidecars is not None:
+        fleet = msgspec.structs.replace(fleet, sidecars=sidecars)
+    if rate is not None:
+        traffic = msgspec.structs.replace(traffic, rate=rate)
+    faults: Sequence[Fault] = scenario.faults
+    if seconds is not None:
+        part = seconds / scenario.seconds
+        faults = [
+            msgspec.structs.replace(
+                f, start_s=f.start_s * part, length_s=f.length_s * part, spacing_s=f.spacing_s * part
+            )
+            for f in faults
+        ]
+    try:
+        return check(
+            msgspec.structs.replace(
+                scenario,
+                fleet=fleet,
+                traffic=traffic,
+                faults=tuple(faults),
+                seed=scenario.seed if seed is None else seed,
+                seconds=scenario.seconds if seconds is None else seconds,
+            )
+        )
+    except ValueError as error:
+        raise ScenarioError(f"command line: {error}") from None
+
+
+def to_toml(scenario: Scenario, comment: str = "") -> str:
+    """The file that `parse` reads back as this scenario; what stands at its default is left out."""
+    lines = [f"# {line}".rstrip() for line in comment.splitlines()]
+    tables: list[str] = []
+    standard = Scenario()
+    for field in Scenario.__struct_fields__:
+        value = getattr(scenario, field)
+        if value == getattr(standard, field):
+            continue
+        if isinstance(value, Table):
+            inner = [
+                f"{key} = {_toml(getattr(value, key))}"
+                for key in value.__struct_fields__
+                if getattr(value, key) != getattr(getattr(standard, field), key)
+            ]
+            tables += ["", f"[{field}]", *inner]
+        elif isinstance(value, tuple):
+            for entry in value:
+                keys = [k for k in entry.__struct_fields__ if getattr(entry, k) is not None]
+                tables += ["", f"[[{field}]]", *(f"{k} = {_toml(getattr(entry, k))}" for k in keys)]
+        else:
+            lines.append(f"{field} = {_toml(value)}")
+    return "\n".join([*lines, *tables]) + "\n"
+
+
+def _toml(value: Any) -> str:
+    if isinstance(value, bool):
+        return str(value).lower()
+    if isinstance(value, str):
+        return msgspec.json.encode(value).decode()
+    if isinstance(value, tuple):
+        return "[" + ", ".join(map(_toml, value)) + "]"
+    if isinstance(value, Table):
+        return "{ " + ", ".join(f"{k} = {_toml(getattr(value, k))}" for k in value.__struct_fields__) + " }"
+    return repr(value)
--- /dev/null
+++ b/millgw/rehearsal/search.py
@@ -0,0 +1,117 @@
+"""Schedules that nobody wrote down, and the least of one that still does harm. No I/O."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Iterator
+
+from msgspec.structs import replace
+
+from millgw.rehearsal.scenario import Cadastro, Fault, FaultKind, Fleet, Scenario, Traffic, check
+
+KINDS: tuple[FaultKind, ...] = (
+    "silence", "restart", "fast-failure", "slowdown", "resets", "spoilt", "drain", "replaced", "flapping",
+    "cadastro-outage", "cadastro-restart", "sidecar-killed", "sidecar-restart", "crowd", "connections",
+)  # fmt: skip
+SIZES: dict[str, tuple[float, float]] = {
+    "fast-failure": (0.3, 0.9),
+    "resets": (0.05, 0.4),
+    "spoilt": (0.05, 0.4),
+    "slowdown": (1.5, 2.8),
+    "crowd": (1.5, 3.0),
+    "connections": (50, 400),
+}
+FEWEST, MOST = 3, 5  # faults of a drawn schedule
+LEAST_LENGTH = 0.5  # s to which a length is shrunk at the least
+LEAST_SECONDS = 2.0  # s of a day at the least
+
+SMALL = Scenario(
+    about="",
+    seconds=8.0,
+    fleet=Fleet(
+        endpoints=5, tiers=(1.0, 1.0), work=(0.5, 0.5), calls=(1.25,), sidecars=8, group=3, cold_s=5.0
+    ),
+    traffic=Traffic(rate=32.0),
+    cadastro=Cadastro(notice_s=(0.2, 1.5), silent_s=(1.0, 3.0), add_s=(0.1, 0.6)),
+)
+"""The day that schedules are drawn into: a small fleet in two tiers, a cadastro that is not late for long."""
+
+
+def draw(base: Scenario, seed: int) -> Scenario:
+    """The base day with three to five faults in an order of chance, all of them on at one moment."""
+    rng = random.Random(f"search {seed}")
+    pivot = base.seconds * rng.uniform(0.3, 0.6)
+    faults = []
+    for _ in range(rng.randint(FEWEST, MOST)):
+        kind = rng.choice(KINDS)
+        before, after = rng.uniform(0.05, 0.28) * base.seconds, rng.uniform(0.05, 0.3) * base.seconds
+        start = max(0.2, pivot - before)
+        low, high = SIZES.get(kind, (0.0, 0.0))
+        faults.append(
+            Fault(
+                kind=kind,
+                start_s=round(start, 2),
+                length_s=round(pivot + after - start, 2),
+                share=1.0 if kind in ("slowdown", "connections") else round(rng.uniform(0.1, 0.4), 2),
+                size=round(rng.uniform(low, high), 2) if kind in SIZES else None,
+            )
+        )
+    faults.sort(key=lambda f: f.start_s)
+    about = ", ".join(f.kind for f in faults) + ", overlapping"
+    return check(replace(base, about=about, seed=seed, faults=tuple(faults)))
+
+
+def apart(scenario: Scenario) -> Scenario:
+    """The same faults one after another, in a day that is longer by as much."""
+    part, at = scenario.seconds, 0.0
+    faults = []
+    for fault in scenario.faults:
+        faults.append(replace(fault, start_s=round(at + fault.start_s, 2)))
+        at += part
+    about = f"{scenario.about}; here one at a time"
+    return check(replace(scenario, about=about, seconds=at, faults=tuple(faults)))
+
+
+def smaller(scenario: Scenario) -> Iterator[Scenario]:
+    """Days that are a step simpler, the greatest steps first."""
+    faults = scenario.faults
+    for i in range(len(faults)):
+        yield replace(scenario, faults=faults[:i] + faults[i + 1 :])
+    for i, fault in enumerate(faults):
+        if fault.length_s > 2 * LEAST_LENGTH:
+            yield _with(scenario, i, replace(fault, length_s=round(fault.length_s / 2, 2)))
+        if fault.share > 0.1 and fault.share < 1:
+            yield _with(scenario, i, replace(fault, share=round(max(0.1, fault.share / 2), 2)))
+    end = max((f.until_s for f in faults), default=0.0) + 1.0
+    if LEAST_SECONDS <= end < scenario.seconds - 0.5:
+        yield replace(scenario, seconds=round(end, 2))
+
+
+def _with(scenario: Scenario, at: int, fault: Fault) -> Scenario:
+    faults = list(scenario.faults)
+    faults[at] = fault
+    return replace(scenario, faults=tuple(faults))
+
+
+async def shrink(
+    scenario: Scenario, harms: Callable[[Scenario], Awaitable[bool]], most: int = 40, at_once: int = 1
+) -> tuple[Scenario, int]:
+    """The least that still does harm, found by asking `harms` at most so often; and how often that was.
+
+    Each step is kept only where `harms` says so, so that the result harms like the first one did. Steps are
+    tried `at_once` together, and of those that harm the greatest is taken.
+    """
+    asked, again = 0, True
+    while again:
+        again = False
+        steps = list(smaller(scenario))
+        while steps and not again:
+            some, steps = steps[:at_once][: most - asked], steps[at_once:]
+            if not some:
+                return scenario, asked
+            asked += len(some)
+            for candidate, harm in zip(some, await asyncio.gather(*map(harms, some)), strict=True):
+                if harm and not again:
+                    scenario, again = candidate, True
+    return scenario, asked
--- /dev/null
+++ b/millgw/rehearsal/stage.py
@@ -0,0 +1,397 @@
+"""Puts a day on: stand-ins and sidecars up, traffic and faults in time, all down again; a ledger out."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import random
+import shutil
+import tempfile
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from millgw.rehearsal import arrivals
+from millgw.rehearsal.auditor import ClassTerms, Repeats, Terms
+from millgw.rehearsal.blows import Blows
+from millgw.rehearsal.faults import crowds, plan
+from millgw.rehearsal.front import Clients, Front, ask
+from millgw.rehearsal.keeper import Keeper
+from millgw.rehearsal.sampler import Sampler, own_memory
+from millgw.rehearsal.scenario import Scenario
+from millgw.rehearsal.sidecars import DEFAULT_RUN, NotReady, Sidecar, settings
+from millgw.sidecar.config import Address
+from millgw.standins.address import free_address
+from millgw.standins.cadastro import Cadastro, Capacity, Delays
+from millgw.standins.endpoint import Build, ColdRule, Endpoint, Group, NextTier, Task
+from millgw.standins.http import Clock, Message
+from millgw.standins.ledger import Call, End, Ledger, shift
+from millgw.standins.register import Entry
+
+STARTS_AT_ONCE = 2  # sidecars started at the same time for each core: more only wait for each other
+SETTLE = 1.0  # s between the last sidecar's start and the day's first request
+TAIL = 1.0  # s more than the longest deadline for which calls that are out are waited for
+
+
+@dataclass(slots=True, frozen=True)
+class Facts:
+    """What a day took on this machine. Memory in kB: the rig's, and the most and the sum of the sidecars'."""
+
+    endpoints: int
+    sidecars: int
+    front: int
+    start_s: float
+    rig_memory: int
+    sidecar_memory: int
+    sidecars_memory: int
+    cores: int
+
+
+def terms(scenario: Scenario) -> Terms:
+    """The auditor's figures for a scenario."""
+    heaviest = max(c.work_ms for c in scenario.classes)
+    return Terms(
+        classes={c.name: ClassTerms(Repeats(c.repeat), c.window_ms) for c in scenario.classes},
+        drain_grace=scenario.rules.drain_grace_ms,
+        fall_multiple=scenario.rules.fall_multiple,
+        fall_window=scenario.rules.fall_ms,
+        ask_within=scenario.rules.ask_within_ms,
+        most_attempts=scenario.limits.attempts,
+        heaviest={i + 1: heaviest * part for i, part in enumerate(scenario.fleet.work)},
+    )
+
+
+def schedule(scenario: Scenario) -> list[arrivals.Arrival]:
+    """The day's arrivals."""
+    traffic, length = scenario.traffic, scenario.seconds * 1000
+    course = arrivals.shape(traffic.shape, traffic.swing, length, scenario.seed)
+    moments = arrivals.times(traffic.rate, course, crowds(scenario), traffic.swing, length, scenario.seed)
+    kinds = [arrivals.Kind(c.name, c.share, c.deadline_ms, c.repeat == "dedup") for c in scenario.classes]
+    habits = arrivals.Habits(
+        traffic.retries,
+        traffic.try_share,
+        traffic.wait_ms,
+        traffic.at_once,
+        traffic.honour,
+        traffic.impatient,
+    )
+    shares = [(t.name, t.share) for t in scenario.tenants]
+    return list(arrivals.arrivals(moments, kinds, shares, habits, scenario.seed))
+
+
+def _ms(seconds: tuple[float, float]) -> tuple[float, float]:
+    return seconds[0] * 1000, seconds[1] * 1000
+
+
+class Stage:
+    """One day. `say` is told what happens, for a person who watches; `logs` keeps the sidecars' logs."""
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        run: str = DEFAULT_RUN,
+        say: Callable[[str], None] = lambda _: None,
+        logs: Path | None = None,
+        listen: Address | None = None,
+    ) -> None:
+        self.scenario = scenario
+        self.run = run
+        self.say = say
+        self.logs = logs
+        self.listen = listen  # of the first sidecar at the front; by itself it finds a free one
+        self.clock = Clock()
+        self.ledger = Ledger()
+        known = scenario.cadastro
+        self.delays = Delays(_ms(known.notice_s), _ms(known.silent_s), _ms(known.add_s))
+        capacity = Capacity(known.lines_per_s, known.call_lines, known.timeout_s * 1000)
+        self.cadastro = Cadastro(self.ledger, self.clock, scenario.seed, self.delays, capacity)
+        self.endpoints: dict[str, Endpoint] = {}
+        self.sidecars: dict[str, Sidecar] = {}
+        self.own: dict[str, Sidecar] = {}  # endpoints' own, by the endpoint's name
+        self.front: Front
+        self.clients: Clients
+        self.error: BaseException | None = None
+        self.over = asyncio.Event()
+        self.zero = 0.0
+
+    async def play(self) -> tuple[Ledger, Facts]:
+        """Play the whole day; a NotReady or OSError tells that it could not be put on."""
+        folder = Path(tempfile.mkdtemp(prefix="millgw-rehearsal-"))
+        keeper = Keeper(str(folder))
+        begun = self.clock()
+        try:
+            self._build(folder, keeper)
+            await self._start()
+            start_s = (self.clock() - begun) / 1000
+            await self._day()
+            facts = self._facts(start_s)
+        finally:
+            await self._down()
+            if self.logs is not None:
+                self._keep_logs(folder, self.logs)
+            keeper.close()
+        if self.error is not None:
+            raise self.error
+        shift(self.ledger, -self.zero)
+        return self.ledger, facts
+
+    def stop(self) -> None:
+        """End the day now, whatever is still to come."""
+        self.over.set()
+
+    def failed(self, error: BaseException) -> None:
+        """Something could not be carried out as the scenario wants: the day is not worth judging."""
+        self.error = self.error or error
+        self.over.set()
+
+    # Building
+
+    def _build(self, folder: Path, keeper: Keeper) -> None:
+        scenario, fleet = self.scenario, self.scenario.fleet
+        sizes = fleet.tier_sizes()
+        self.tiers = [self._tier(i + 1, size) for i, size in enumerate(sizes)]
+        front = fleet.sidecars - fleet.owned()
+        for stage, siblings in enumerate([front, *sizes[:-1]]):
+            for index in range(siblings):
+                name = f"n{stage}-{index}"
+                sidecar = Sidecar(
+                    name, stage, self.cadastro.window(name, stage + 1),
+                    settings(scenario, stage, index, siblings), scenario, self._known(stage + 1), self.run,
+                    folder, keeper, self.ledger, self.clock,
+                )  # fmt: skip
+                if self.listen is not None and not self.sidecars:
+                    sidecar.listen_at(self.listen)
+                self.sidecars[name] = sidecar
+                if stage:
+                    self.own[self.tiers[stage - 1][index].build.name] = sidecar
+        self.front = Front([self.sidecars[f"n0-{i}"] for i in range(front)], scenario.seed)
+        self.clients = Clients(self.front, scenario.classes, self.ledger, self.clock, scenario.seed)
+
+    def _tier(self, tier: int, size: int) -> list[Endpoint]:
+        scenario, fleet = self.scenario, self.scenario.fleet
+        rng = random.Random(f"tier {scenario.seed} {tier}")
+        weights = [k.share for k in fleet.kinds]
+        last = tier == len(fleet.tiers)
+        part = fleet.work[tier - 1]
+        tasks = {
+            c.name: Task(
+                work=c.work_ms * part,
+                wait=c.wait_ms * part,
+                cv=c.cv,
+                deadline=c.deadline_ms,
+                keyed=c.repeat == "dedup",
+                window=c.window_ms,
+                calls=0.0 if last else fleet.calls[tier - 1],
+            )
+            for c in scenario.classes
+        }
+        rule = ColdRule(scenario.rules.fall_multiple, scenario.rules.fall_ms)
+        groups: dict[int, Group] = {}
+        made = []
+        for i in range(size):
+            cell = i // fleet.group
+            build = Build(
+                name=f"s-{rng.getrandbits(32):08x}",
+                tier=tier,
+                cell=cell,
+                address=free_address(),
+                speed=rng.choices([k.speed for k in fleet.kinds], weights)[0] * rng.uniform(0.9, 1.1),
+                cores=fleet.cores,
+                slots=fleet.slots,
+                waiting=fleet.waiting,
+                connections=fleet.connections,
+                handshake_work=fleet.handshake_work_ms,
+                handshake_ms=fleet.handshake_ms,
+                idle=fleet.idle_s * 1000,
+                cold_share=fleet.cold_share,
+                cold_ms=fleet.cold_s * 1000,
+                drops_waiting=fleet.drops_waiting,
+            )
+            group = groups.setdefault(cell, Group())
+            caller = None if last else self._caller(build.name, tier)
+            endpoint = Endpoint(
+                build, tasks, group, self.ledger, self.clock, rule, scenario.seed, caller, self._fell
+            )
+            self.endpoints[build.name] = endpoint
+            made.append(endpoint)
+        return made
+
+    def _caller(self, endpoint: str, tier: int) -> NextTier:
+        """How an endpoint calls the next tier: through the sidecar of its own."""
+        numbers = iter(range(1 << 60))
+        tag = random.Random(f"caller {self.scenario.seed} {endpoint}").getrandbits(24)
+
+        async def call(message: Message, task: Task, left: float) -> bool:
+            headers = message.headers
+            trace = f"{tier:02x}{tag:06x}{next(numbers):08x}"
+            made = Call(
+                trace=trace,
+                root=message.first.split()[1].partition("k=")[2],
+                stage=tier,
+                cls=headers["x-qos"],
+                tenant=headers.get("x-customer", ""),
+                key=f"k{trace}" if task.keyed else "",
+                sidecar="",
+                due=self.clock(),
+                patience=float(int(left)),
+                method=message.first.split()[0],
+            )
+            made = await ask(self.own[endpoint].desk, made, self.ledger)
+            return made.status == 200 and made.end is End.ANSWERED
+
+        return call
+
+    def _known(self, tier: int) -> Callable[[], tuple[int, tuple[Entry, ...]]]:
+        def known() -> tuple[int, tuple[Entry, ...]]:
+            register = self.cadastro.register(tier)
+            return register.index, tuple(register.entries.values())
+
+        return known
+
+    # Its parts, for the blows
+
+    def entry(self, endpoint: Endpoint, status: str) -> Entry:
+        build, life = endpoint.build, endpoint.ledger_life()
+        since = self.clock.unix(life.start) if life.cold_ms > 0 else 0
+        return Entry(
+            build.name, build.tier, endpoint.lives, str(build.address), build.cell, status, since_ms=since
+        )
+
+    def notice(self, endpoint: Endpoint, status: str, late: tuple[float, float]) -> None:
+        """Let the cadastro know after a while."""
+        self.cadastro.notice(self.entry(endpoint, status), late)
+
+    def vanish(self, endpoint: Endpoint) -> None:
+        endpoint.silence()
+        self._kill_own(endpoint)
+
+    def end(self, endpoint: Endpoint) -> None:
+        endpoint.stop()
+        self._kill_own(endpoint)
+
+    def _kill_own(self, endpoint: Endpoint) -> None:
+        sidecar = self.own.get(endpoint.build.name)
+        if sidecar is not None:
+            sidecar.kill()
+            sidecar.desk.close()
+
+    def _fell(self, endpoint: Endpoint) -> None:
+        self.say(f"{endpoint.build.name} fell over")
+        self._kill_own(endpoint)
+        self.notice(endpoint, "terminated", self.delays.notice)
+
+    async def revive(self, endpoint: Endpoint) -> None:
+        """Start an endpoint cold, once its own sidecar serves."""
+        sidecar = self.own.get(endpoint.build.name)
+        if sidecar is not None:
+            await sidecar.ended.wait()
+            await sidecar.start()
+            if sidecar.pid is None:
+                return  # struck again meanwhile
+        endpoint.start(cold=True)
+        self.say(f"{endpoint.build.name} is back, cold")
+        self.notice(endpoint, "in_service", self.delays.add)
+
+    def replace(self, old: Endpoint, build: Build) -> Endpoint:
+        """Another machine at an endpoint's address, with the group and the sidecar of the old one's place."""
+        caller = self._caller(build.name, build.tier) if old.next_tier is not None else None
+        made = Endpoint(
+            build,
+            old.tasks,
+            old.group,
+            self.ledger,
+            self.clock,
+            old.rule,
+            self.scenario.seed,
+            caller,
+            self._fell,
+        )
+        self.endpoints[build.name] = made
+        if old.build.name in self.own:
+            self.own[build.name] = self.own.pop(old.build.name)
+        return made
+
+    # The day
+
+    async def _start(self) -> None:
+        for tier in self.tiers:
+            for endpoint in tier:
+                endpoint.start(cold=False)
+                self.cadastro.list(self.entry(endpoint, "in_service"))
+        gate = asyncio.Semaphore(STARTS_AT_ONCE * (os.cpu_count() or 1))
+        up = 0
+
+        async def start(sidecar: Sidecar) -> None:
+            nonlocal up
+            async with gate:
+                await sidecar.start()
+            up += 1
+            self.say(f"{up} of {len(self.sidecars)} sidecars serve")
+
+        async with asyncio.TaskGroup() as group:
+            for sidecar in self.sidecars.values():
+                group.create_task(start(sidecar))
+        await asyncio.sleep(SETTLE)
+
+    async def _day(self) -> None:
+        scenario = self.scenario
+        planned = schedule(scenario)
+        endpoints = [(e.build.name, e.build.tier) for tier in self.tiers for e in tier]
+        front = [name for name, s in self.sidecars.items() if s.stage == 0]
+        blows = Blows(self)
+        # Guards against the rig's own pauses: what the day starts with is left out of collections.
+        gc.collect()
+        gc.freeze()
+        self.zero = self.clock()
+        blows.schedule(plan(scenario, endpoints, front, scenario.seed))
+        sampler = asyncio.create_task(Sampler(self.ledger, self.clock, list(self.sidecars.values())).run())
+        playing = asyncio.create_task(self.clients.play(planned, self.zero))
+        stopped = asyncio.create_task(self.over.wait())
+        longest = max(c.deadline_ms for c in scenario.classes) / 1000 + TAIL
+        try:
+            await asyncio.wait([playing, stopped], return_when=asyncio.FIRST_COMPLETED)
+            rest = scenario.seconds - (self.clock() - self.zero) / 1000
+            if rest > 0 and not self.over.is_set():
+                await asyncio.wait([stopped], timeout=rest)
+            if self.clients.journeys and not self.over.is_set():
+                await asyncio.wait(list(self.clients.journeys), timeout=longest)
+        finally:
+            for task in (sampler, playing, stopped, *self.clients.journeys):
+                task.cancel()
+            blows.close()
+            gc.unfreeze()
+
+    def _facts(self, start_s: float) -> Facts:
+        for sidecar in self.sidecars.values():
+            sidecar.note_memory()
+        memory = [s.most_memory for s in self.sidecars.values()]
+        return Facts(
+            endpoints=sum(len(t) for t in self.tiers),
+            sidecars=len(self.sidecars),
+            front=sum(s.stage == 0 for s in self.sidecars.values()),
+            start_s=start_s,
+            rig_memory=own_memory(),
+            sidecar_memory=max(memory),
+            sidecars_memory=sum(memory),
+            cores=os.cpu_count() or 1,
+        )
+
+    async def _down(self) -> None:
+        for sidecar in self.sidecars.values():
+            sidecar.kill()
+            sidecar.desk.close()
+        await asyncio.gather(*(s.waiter for s in self.sidecars.values() if s.waiter is not None))
+        for endpoint in self.endpoints.values():
+            endpoint.stop()
+        self.cadastro.close()
+
+    def _keep_logs(self, folder: Path, logs: Path) -> None:
+        logs.mkdir(parents=True, exist_ok=True)
+        for name in self.sidecars:
+            source = folder / name / "log"
+            if source.exists():
+                shutil.copyfile(source, logs / f"{name}.log")
+
+
+__all__ = ["Facts", "NotReady", "Stage", "schedule", "terms"]
--- a/millgw/sidecar/discovery.py
+++ b/millgw/sidecar/discovery.py
@@ -97,11 +97,13 @@
         self.asking: asyncio.Task[None] | None = None
 
     def start(self, known: Any) -> None:
-        """Take the list that this sidecar had before its start, if it can be read."""
+        """Take the list that this sidecar had before its start, if there is one and it can be read."""
         try:
-            listing = read_listing(known, self.zones)
+            listing = Listing(0, False, ()) if known is None else read_listing(known, self.zones)
         except ValueError as error:
             log.warning("known: %s", error)
+            known, listing = None, Listing(0, False, ())
+        if known is None:
             self.heard(ListKind.CACHED, ())  # guards against a balancer that hears nothing and never asks
             return
         self.index = listing.index
--- /dev/null
+++ b/millgw/standins/__init__.py
@@ -0,0 +1,4 @@
+"""Stand-ins for what stands round a sidecar: endpoints, the cadastro (discovery), callers.
+
+All of them run in one process on loopback addresses and keep one `Ledger` on one clock.
+"""
--- /dev/null
+++ b/millgw/standins/endpoint.py
@@ -0,0 +1,437 @@
+"""A stand-in server: an HTTP/1.1 endpoint that works, waits, calls the next tier, and fails as told.
+
+It keeps to what the protocol page says of endpoints: a request begins when its last byte has come, turn-aways
+carry `X-Never-Ran`, the endpoints of one group drop the repeats of a key for the class's window.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import math
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from hashlib import blake2b
+
+from millgw.sidecar.config import Address
+from millgw.standins.capacity import ColdBudget, Processor, Room
+from millgw.standins.http import NEVER_RAN, Clock, Message, ServerConnection, listener, ok, status
+from millgw.standins.ledger import Attempt, Ledger, Life, Told
+
+HEAVIEST = 6.0  # times its class's mean that one request may need: the tail that is drawn ends there
+SWEEP = 0.25  # s between two looks for connections that have been idle too long
+SPOILT_STALL = 3.0  # s after which a stalled answer's connection is reset
+SPOILS = ("short", "garbled", "doubled", "stalled")
+
+
+@dataclass(slots=True, frozen=True)
+class Task:
+    """What one class costs an endpoint of a tier. `work` in core-ms of the yardstick, times in ms."""
+
+    work: float
+    wait: float
+    cv: float
+    deadline: float
+    keyed: bool = False
+    window: float = 0.0
+    calls: float = 0.0  # calls to the next tier for each request, on average
+
+
+@dataclass(slots=True, frozen=True)
+class Build:
+    """What an endpoint is made of; the same for each of its lives."""
+
+    name: str
+    tier: int
+    cell: int
+    address: Address
+    speed: float = 1.0
+    cores: int = 1
+    slots: int = 20
+    waiting: int = 20
+    connections: int = 600
+    handshake_work: float = 1.0  # core-ms
+    handshake_ms: float = 0.6
+    idle: float = 30_000.0
+    cold_share: float = 0.2
+    cold_ms: float = 14_000.0
+    drops_waiting: bool = True  # waiting work whose connection has ended is dropped
+
+
+@dataclass(slots=True, frozen=True)
+class ColdRule:
+    """Past `multiple` times its present capacity within `window` ms, a cold endpoint falls over."""
+
+    multiple: float = 2.5
+    window: float = 1000.0
+
+
+class Group:
+    """The endpoints that drop each other's repeats: which keys they have begun, and what came of them."""
+
+    def __init__(self) -> None:
+        self.runs: dict[str, Run] = {}
+
+    def begin(self, key: str, now: float, window: float, trace: str) -> tuple[Run, bool]:
+        """The run of a key; tells also whether it is a repeat of one that is remembered."""
+        known = self.runs.get(key)
+        if known is not None and now < known.until:
+            return known, True
+        self.runs[key] = run = Run(trace, now + window)
+        return run, False
+
+
+@dataclass(eq=False)
+class Run:
+    """One run of a keyed request. `body` is None where it came to no answer."""
+
+    trace: str
+    until: float
+    ended: asyncio.Event = field(default_factory=asyncio.Event)
+    body: bytes | None = None
+
+
+@dataclass(slots=True)
+class Ills:
+    """What is wrong with an endpoint now. Shares are of its requests; `slowness` divides its speed."""
+
+    failing: float = 0.0
+    resetting: float = 0.0
+    spoiling: float = 0.0
+    slowness: float = 1.0
+
+
+NextTier = Callable[[Message, Task, float], Awaitable[bool]]
+"""Makes one call to the next tier for a request, with the ms left; tells whether it was served."""
+
+
+def token(body: bytes) -> str:
+    """What names an answer: its whole body's digest."""
+    return blake2b(body, digest_size=8).hexdigest()
+
+
+class Endpoint:
+    """One stand-in server, through all its lives."""
+
+    def __init__(
+        self,
+        build: Build,
+        tasks: dict[str, Task],
+        group: Group,
+        ledger: Ledger,
+        clock: Clock,
+        rule: ColdRule,
+        seed: int,
+        next_tier: NextTier | None = None,
+        fell: Callable[[Endpoint], None] = lambda _: None,
+    ) -> None:
+        self.build = build
+        self.tasks = tasks
+        self.group = group
+        self.ledger = ledger
+        self.clock = clock
+        self.rule = rule
+        self.seed = seed
+        self.next_tier = next_tier
+        self.fell = fell
+        self.ills = Ills()
+        self.lives = 0
+        self.life: Life | None = None
+        self.draining = False
+        self.quiet = False
+        self.listener = listener(build.address, self)
+        self.connections: set[ServerConnection] = set()
+        self.attempts: dict[ServerConnection, Attempt] = {}
+        self.works: set[asyncio.Task[None]] = set()
+        self.of_connection: dict[ServerConnection, asyncio.Future[None]] = {}
+        self.answers = itertools.count(1)
+        self.timer: asyncio.TimerHandle | None = None
+        self.sweeper: asyncio.TimerHandle | None = None
+        self.heaviest = max(t.work for t in tasks.values())
+
+    # Its lives
+
+    @property
+    def up(self) -> bool:
+        return self.life is not None and not self.quiet
+
+    def ledger_life(self) -> Life:
+        """Its life, or the last one it had."""
+        return self.life or self.last_life
+
+    def start(self, cold: bool) -> Life:
+        """Begin a life; what was left of the one before is reset."""
+        self.stop()
+        b, now = self.build, self.clock()
+        self.lives += 1
+        share, ms = (b.cold_share, b.cold_ms) if cold else (1.0, 0.0)
+        self.life = self.last_life = Life(b.name, self.lives, b.tier, b.cell, now, b.speed, share, ms)
+        self.ledger.lives.append(self.life)
+        self.processor = Processor(self.life, b.cores)
+        self.processor.slowness = self.ills.slowness
+        self.room = Room(b.slots, b.waiting)
+        self.budget = ColdBudget(self.life, self.rule.multiple, self.rule.window, self.heaviest)
+        self.draining = self.quiet = False
+        self.listener.open()
+        self.sweeper = asyncio.get_running_loop().call_later(SWEEP, self._sweep)
+        return self.life
+
+    def stop(self) -> None:
+        """The process ends: connections are reset, new ones refused, work is gone."""
+        self._lose_work()
+        self.listener.close()
+        for connection in list(self.connections):
+            connection.reset()
+        if self.sweeper is not None:
+            self.sweeper.cancel()
+        if self.life is not None and self.life.until is None:
+            self.life.until = self.clock()
+        self.life = None
+        self.quiet = False
+
+    def silence(self) -> None:
+        """The machine vanishes: nothing is answered, new connections don't come up, work is gone."""
+        if self.life is not None:
+            self.quiet = True
+            self._lose_work()
+            self.listener.silence()
+            self.life.until = self.clock()
+
+    def drain(self) -> None:
+        self.draining = True
+
+    def slow(self, times: float) -> None:
+        self.ills.slowness = times
+        if self.life is not None:
+            self._settle(self.processor.advance(self.clock()))
+            self.processor.slowness = times
+            self._schedule()
+
+    def _lose_work(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        for work in self.works:
+            work.cancel()
+        self.works.clear()
+        self.of_connection.clear()
+        if self.life is not None:
+            self.processor.empty()
+
+    # Connections
+
+    def opened(self, connection: ServerConnection) -> None:
+        self.connections.add(connection)
+        if self.up and self.build.handshake_work > 0:
+            self._settle(self.processor.add(self.clock(), self.build.handshake_work, None))
+            self._schedule()
+
+    def bytes_came(self, connection: ServerConnection) -> bool:
+        return True
+
+    def lost(self, connection: ServerConnection) -> None:
+        self.connections.discard(connection)
+        attempt = self.attempts.pop(connection, None)
+        if attempt is None and connection.message is not None:
+            # A request whose last byte never came: what is known of it stands in its headers.
+            message = connection.message
+            self._record(message)
+        waiting = self.of_connection.pop(connection, None)
+        if waiting is not None and self.build.drops_waiting and self.room.drop(waiting):
+            waiting.cancel()
+
+    def _sweep(self) -> None:
+        oldest = self.clock() - self.build.idle
+        for connection in list(self.connections):
+            if not connection.busy and connection.message is None and connection.idle_since < oldest:
+                connection.close()
+        self.sweeper = asyncio.get_running_loop().call_later(SWEEP, self._sweep)
+
+    # Requests
+
+    def _record(self, message: Message) -> Attempt:
+        headers = message.headers
+        attempt = Attempt(
+            trace=headers.get("x-trace-id", ""),
+            endpoint=self.build.name,
+            life=self.lives,
+            cell=self.build.cell,
+            cls=headers.get("x-qos", ""),
+            key=headers.get("idempotency-key", ""),
+            first=message.first_byte,
+        )
+        self.ledger.attempts.append(attempt)
+        return attempt
+
+    def asked(self, connection: ServerConnection, message: Message) -> None:
+        path, trace = message.first.split()[1], message.headers.get("x-trace-id", "")
+        if not trace or not path.startswith("/api"):
+            connection.write(status(404))
+            connection.answered()
+            return
+        attempt = self._record(message)
+        attempt.last = message.last_byte
+        task = self.tasks.get(attempt.cls)
+        attempt.work = task.work if task is not None else 0.0
+        self.attempts[connection] = attempt
+        if not self.up:
+            return  # it has gone silent: what comes on open connections is never answered
+        if not self.budget.send(message.last_byte, attempt.work):
+            assert self.life is not None
+            self.life.fell = self.clock()
+            self.stop()
+            self.fell(self)
+            return
+        if task is None:
+            self._tell(connection, attempt, Told.NEVER_RAN, status(400))
+        elif self.draining or len(self.connections) > self.build.connections:
+            self._tell(connection, attempt, Told.NEVER_RAN, status(503, NEVER_RAN))
+        else:
+            self._take(connection, message, attempt, task)
+
+    def _take(self, connection: ServerConnection, message: Message, attempt: Attempt, task: Task) -> None:
+        rng = random.Random(f"{self.seed} {attempt.trace} {self.build.name}")
+        left = float(message.headers.get("x-expires-in-ms", "0"))
+        if left <= 0:
+            self._tell(connection, attempt, Told.NEVER_RAN, status(504, NEVER_RAN))
+        elif rng.random() < self.ills.resetting:
+            self._tell(connection, attempt, Told.RESET, b"")
+        elif rng.random() < self.ills.failing:
+            self._tell(connection, attempt, Told.ERROR, status(500))
+        else:
+            turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            entered = self.room.enter(turn)
+            if entered is None:
+                self._tell(connection, attempt, Told.NEVER_RAN, status(503, NEVER_RAN))
+                return
+            if entered:
+                turn.set_result(None)
+            else:
+                self.of_connection[connection] = turn
+            work = asyncio.get_running_loop().create_task(
+                self._work(connection, message, attempt, task, turn, rng)
+            )
+            self.works.add(work)
+            work.add_done_callback(self.works.discard)
+
+    async def _work(
+        self,
+        connection: ServerConnection,
+        message: Message,
+        attempt: Attempt,
+        task: Task,
+        turn: asyncio.Future[None],
+        rng: random.Random,
+    ) -> None:
+        if not message.reused:
+            await asyncio.sleep(self.build.handshake_ms / 1000)
+        await turn
+        self.of_connection.pop(connection, None)
+        room = self.room
+        try:
+            body = await self._answer_of(message, attempt, task, rng)
+        finally:
+            following = room.leave()
+            if isinstance(following, asyncio.Future) and not following.done():
+                following.set_result(None)
+        if body is None:
+            self._tell(connection, attempt, Told.ERROR, status(500))
+        elif rng.random() < self.ills.spoiling:
+            await self._spoil(connection, attempt, body, rng.choice(SPOILS))
+        else:
+            attempt.token = token(body)
+            self._tell(connection, attempt, Told.OK, ok(body))
+
+    async def _answer_of(
+        self, message: Message, attempt: Attempt, task: Task, rng: random.Random
+    ) -> bytes | None:
+        """The body of a 200, from a run of its own or that of the request it repeats."""
+        if not task.keyed:
+            return await self._run(message, attempt, task, rng)
+        run, repeat = self.group.begin(attempt.key, self.clock(), task.window, attempt.trace)
+        if repeat:
+            attempt.repeat_of = run.trace
+            await run.ended.wait()
+            return run.body
+        try:
+            run.body = await self._run(message, attempt, task, rng)
+        finally:
+            run.ended.set()
+        return run.body
+
+    async def _run(self, message: Message, attempt: Attempt, task: Task, rng: random.Random) -> bytes | None:
+        attempt.began = self.clock()
+        sigma = math.sqrt(math.log(1 + task.cv**2))
+        work = task.work * min(HEAVIEST, rng.lognormvariate(-sigma * sigma / 2, sigma))
+        await self._cpu(work / 2)
+        await asyncio.sleep(task.wait * rng.uniform(0.5, 1.5) * self.ills.slowness / 1000)
+        served = True
+        if self.next_tier is not None:
+            whole, part = divmod(task.calls, 1.0)
+            for _ in range(int(whole) + (rng.random() < part)):
+                left = float(message.headers["x-expires-in-ms"]) - (self.clock() - message.last_byte)
+                if left <= 0 or not await self.next_tier(message, task, left):
+                    served = False
+                    break
+        if served:
+            await self._cpu(work / 2)
+        attempt.ended = self.clock()
+        if not served:
+            return None
+        body = f"{attempt.trace} {self.build.name} {next(self.answers)}\n".encode()
+        return body + b"." * rng.randrange(16, 400)
+
+    async def _cpu(self, work: float) -> None:
+        done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._settle(self.processor.add(self.clock(), work, done))
+        self._schedule()
+        await done
+
+    @staticmethod
+    def _settle(ended: list[object]) -> None:
+        for job in ended:
+            if isinstance(job, asyncio.Future) and not job.done():
+                job.set_result(None)
+
+    def _schedule(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        due = self.processor.due()
+        if due is not None:
+            delay = max(0.0, due - self.clock()) / 1000
+            self.timer = asyncio.get_running_loop().call_later(delay, self._tick)
+
+    def _tick(self) -> None:
+        self.timer = None
+        self._settle(self.processor.advance(self.clock()))
+        self._schedule()
+
+    # Answers
+
+    def _tell(self, connection: ServerConnection, attempt: Attempt, told: Told, data: bytes) -> None:
+        if self.attempts.pop(connection, None) is None:
+            return  # the sidecar has gone
+        attempt.told, attempt.told_at = told, self.clock()
+        if data:
+            connection.write(data)
+            connection.answered()
+        else:
+            connection.reset()
+
+    async def _spoil(self, connection: ServerConnection, attempt: Attempt, body: bytes, how: str) -> None:
+        whole = ok(body)
+        if how == "doubled":
+            # The first whole answer is right and counts; what is behind it is nobody's.
+            attempt.token = token(body)
+            self._tell(connection, attempt, Told.OK, whole + ok(b"nobody's"))
+            return
+        data = {"short": whole[:-5], "garbled": b"HTTP/1.1 2x0 ?\r\n" + whole, "stalled": whole[:-9]}[how]
+        if self.attempts.get(connection) is not attempt:
+            return
+        attempt.told, attempt.told_at = Told.SPOILT, self.clock()
+        connection.write(data)
+        if how == "stalled":
+            await asyncio.sleep(SPOILT_STALL)
+        connection.close()
--- /dev/null
+++ b/millgw/standins/ledger.py
@@ -0,0 +1,227 @@
+"""What the stand-ins saw, as plain records: the auditor's only source. No I/O.
+
+All times are milliseconds on the rig's one clock, which starts at 0 with the day. A time of `None` means that
+it did not happen. Records are appended as things happen and never taken back.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class Told(Enum):
+    """What an endpoint let the sidecar know of an attempt."""
+
+    NOTHING = "nothing"
+    OK = "ok"
+    ERROR = "error"
+    NEVER_RAN = "never-ran"
+    SPOILT = "spoilt"
+    RESET = "reset"
+
+
+class End(Enum):
+    """How a call ended for its caller."""
+
+    ANSWERED = "answered"
+    BROKEN = "broken"  # the connection ended with no whole answer
+    LEFT = "left"  # the caller went away before its time
+    LOST = "lost"  # no answer by the end of the caller's patience, nor shortly after
+    NOT_TAKEN = "not-taken"  # no connection, or it ended before the last byte was written
+    CROSSED = "crossed"  # a kept connection was closed as the request came; sent once more on a new one
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One request as an endpoint received it. `first` and `last` are its first and last byte.
+
+    `work` is what its class costs there on average, in core-ms of the yardstick: the work that counts against
+    a cold endpoint. `token` names the answer that the endpoint made, and stands in its body.
+    """
+
+    trace: str
+    endpoint: str
+    life: int
+    cell: int
+    cls: str
+    key: str
+    first: float
+    last: float | None = None
+    work: float = 0.0
+    began: float | None = None
+    ended: float | None = None
+    told: Told = Told.NOTHING
+    told_at: float | None = None
+    token: str = ""
+    repeat_of: str = ""  # the trace whose run answered this one, where a group dropped a repeat
+
+
+@dataclass(slots=True)
+class Call:
+    """One request as its caller made it, at the sidecar named. `root` is the trace of its first try.
+
+    `due` is when it was to be sent, `sent` when its last byte was written, `patience` the X-Expires-In-Ms.
+    """
+
+    trace: str
+    root: str
+    stage: int
+    cls: str
+    tenant: str
+    key: str
+    sidecar: str
+    due: float
+    sent: float | None = None
+    patience: float = 0.0
+    answered: float | None = None
+    status: int = 0
+    token: str = ""
+    extra: int = 0  # answers, or bytes of them, that came after the one
+    end: End | None = None
+    closed: float | None = None  # when its connection ended without an answer
+    retry_after: float = 0.0
+    method: str = "POST"  # GET for a class that is safe to repeat
+    number: int = 0  # 0 for a first try, then the caller's own retries
+
+
+@dataclass(slots=True)
+class Word:
+    """One line on an endpoint, as the cadastro wrote it to a sidecar."""
+
+    sidecar: str
+    endpoint: str
+    life: int
+    status: str
+    at: float
+
+
+@dataclass(slots=True)
+class Change:
+    """What became of an endpoint, when the cadastro knew."""
+
+    endpoint: str
+    life: int
+    status: str
+    at: float
+
+
+@dataclass(slots=True)
+class Asked:
+    """A sidecar's time of asking and watching at the cadastro; `until` is None while the watch is open."""
+
+    sidecar: str
+    at: float
+    until: float | None = None
+
+
+@dataclass(slots=True)
+class Outage:
+    """A time in which the cadastro was down; `until` is None while it is."""
+
+    at: float
+    until: float | None = None
+
+
+@dataclass(slots=True)
+class Life:
+    """One life of an endpoint, from a start to an end. `speed` is in core-ms of the yardstick per ms."""
+
+    endpoint: str
+    number: int
+    tier: int
+    cell: int
+    start: float
+    speed: float
+    cold_share: float = 1.0
+    cold_ms: float = 0.0
+    until: float | None = None
+    fell: float | None = None
+
+    def capacity(self, at: float) -> float:
+        """The work in core-ms per ms that it can do at a time: rises evenly from the cold share."""
+        if self.cold_ms <= 0 or at >= self.start + self.cold_ms:
+            return self.speed
+        part = max(0.0, at - self.start) / self.cold_ms
+        return self.speed * (self.cold_share + (1 - self.cold_share) * part)
+
+
+@dataclass(slots=True)
+class SidecarLife:
+    """One process of a sidecar: its first 200 to /ready, and when the rig sent SIGTERM or SIGKILL."""
+
+    name: str
+    stage: int
+    start: float
+    ready: float | None = None
+    term: float | None = None
+    kill: float | None = None
+    ended: float | None = None
+    code: int | None = None
+
+
+@dataclass(slots=True)
+class Sample:
+    """The rig on itself: the loop's lag, what the machine's cores and the sidecars waited for, in ms."""
+
+    at: float
+    lag: float
+    busy: float = 0.0  # share of all cores in use
+    starved: dict[str, float] = field(default_factory=dict)  # sidecar: ms it waited for a core since before
+
+
+@dataclass(slots=True)
+class Strike:
+    """A fault as it was carried out."""
+
+    kind: str
+    at: float
+    until: float
+    targets: tuple[str, ...]
+    size: float
+
+
+@dataclass(slots=True)
+class Ledger:
+    """All records of one day."""
+
+    attempts: list[Attempt] = field(default_factory=list)
+    calls: list[Call] = field(default_factory=list)
+    words: list[Word] = field(default_factory=list)
+    changes: list[Change] = field(default_factory=list)
+    asked: list[Asked] = field(default_factory=list)
+    outages: list[Outage] = field(default_factory=list)
+    lives: list[Life] = field(default_factory=list)
+    sidecars: list[SidecarLife] = field(default_factory=list)
+    samples: list[Sample] = field(default_factory=list)
+    strikes: list[Strike] = field(default_factory=list)
+    late: list[tuple[float, float]] = field(default_factory=list)  # arrivals: when due, ms sent late
+
+
+TIMES: dict[type, tuple[str, ...]] = {
+    Attempt: ("first", "last", "began", "ended", "told_at"),
+    Call: ("due", "sent", "answered", "closed"),
+    Word: ("at",),
+    Change: ("at",),
+    Asked: ("at", "until"),
+    Outage: ("at", "until"),
+    Life: ("start", "until", "fell"),
+    SidecarLife: ("start", "ready", "term", "kill", "ended"),
+    Sample: ("at",),
+    Strike: ("at", "until"),
+}
+"""The fields of each record that are times."""
+
+
+def shift(ledger: Ledger, by: float) -> None:
+    """Move all times by so many ms: the stand-ins run before the day's 0 is known."""
+    for records in (
+        ledger.attempts, ledger.calls, ledger.words, ledger.changes, ledger.asked, ledger.outages,
+        ledger.lives, ledger.sidecars, ledger.samples, ledger.strikes,
+    ):  # fmt: skip
+        for record in records:
+            for name in TIMES[type(record)]:
+                value = getattr(record, name)
+                if value is not None:
+                    setattr(record, name, value + by)
+    ledger.late = [(at + by, ms) for at, ms in ledger.late]
--- /dev/null
+++ b/tests/test_rehearsal_auditor.py
@@ -0,0 +1,419 @@
+"""Properties of the auditor: books that keep the rules are never blamed, and a planted breach always is."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from millgw.rehearsal.auditor import Audit, ClassTerms, Repeats, Terms, Verdict, audit
+from millgw.rehearsal.lateness import LAG_BOUND
+from millgw.standins.capacity import ColdBudget
+from millgw.standins.ledger import (
+    Asked,
+    Attempt,
+    Call,
+    Change,
+    End,
+    Ledger,
+    Life,
+    Outage,
+    Sample,
+    SidecarLife,
+    Told,
+    Word,
+)
+
+TERMS = Terms(
+    classes={
+        "status": ClassTerms(Repeats.RETRYABLE),
+        "campanha": ClassTerms(Repeats.DEDUP, window=2000.0),
+        "codigo": ClassTerms(Repeats.FRAGILE),
+    },
+    heaviest={1: 40.0},
+)
+CLASSES = ("status", "campanha", "codigo")
+WORK = 20.0
+SIDECARS = ("n0", "n1")
+CELLS = {"a": 0, "b": 0, "c": 1, "d": 1}
+
+
+class Books:
+    """Writes a ledger as a day would in which every sidecar does right."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.ledger = Ledger()
+        self.now = 0.0
+        self.banned: dict[tuple[str, str], float] = {}
+        for name in CELLS:
+            self.ledger.lives.append(Life(name, 1, 1, CELLS[name], -1000.0, 1.0))
+        for name in SIDECARS:
+            self.ledger.sidecars.append(SidecarLife(name, 0, -500.0, -400.0))
+            self.ledger.asked.append(Asked(name, -400.0))
+        self.ledger.samples = [Sample(t * 50.0, 1.0) for t in range(2000)]
+
+    def word(self, sidecar: str, endpoint: str, status: str) -> None:
+        self.ledger.words.append(Word(sidecar, endpoint, 1, status, self.now))
+        if status == "in_service":
+            self.banned.pop((sidecar, endpoint), None)
+        else:
+            self.banned.setdefault((sidecar, endpoint), self.now)
+
+    def free(self, sidecar: str) -> list[str]:
+        return [e for e in CELLS if (sidecar, e) not in self.banned]
+
+    def attempt(self, call: Call, endpoint: str, told: Told, answered: bool = True) -> Attempt:
+        self.now += self.rng.uniform(0.1, 20.0)
+        made = Attempt(
+            call.trace, endpoint, 1, CELLS[endpoint], call.cls, call.key, self.now, self.now + 1.0, WORK
+        )
+        self.now += self.rng.uniform(1.5, 60.0)
+        made.told, made.told_at = told, self.now if answered else None
+        if told is Told.OK:
+            made.began, made.ended, made.token = made.last, self.now, f"t{len(self.ledger.attempts)}"
+        self.ledger.attempts.append(made)
+        return made
+
+    def request(self, number: int) -> Call:
+        """One call, with attempts that go wrong and are tried again only as far as the rules allow."""
+        rng = self.rng
+        self.now += rng.uniform(1.0, 200.0)
+        cls, sidecar = rng.choice(CLASSES), rng.choice(SIDECARS)
+        key = f"k{number}" if cls == "campanha" else ""
+        call = Call(
+            f"{number:04x}", f"{number:04x}", 0, cls, "t", key, sidecar, self.now, self.now + 0.5, 3000.0
+        )
+        self.ledger.calls.append(call)
+        cells: set[int] = set()
+        may_refuse, ran_since = True, self.now
+        free = self.free(sidecar)
+        for _ in range(rng.randint(0, 3)):
+            allowed = [e for e in free if not cells or CELLS[e] in cells]
+            if not allowed:
+                break
+            told = rng.choice((Told.OK, Told.ERROR, Told.NEVER_RAN, Told.RESET, Told.NOTHING))
+            made = self.attempt(call, rng.choice(allowed), told, told is not Told.NOTHING)
+            if told is Told.OK:
+                call.token, call.status = made.token, 200
+                break
+            if told is not Told.NEVER_RAN:
+                may_refuse = may_refuse and cls == "status"
+                if cls == "codigo":
+                    break
+                if cls == "campanha":
+                    if not cells:
+                        ran_since = made.first
+                    cells.add(made.cell)
+                    if self.now + 200.0 > ran_since + TERMS.classes[cls].window:
+                        break
+        self.now += rng.uniform(0.1, 5.0)
+        call.answered, call.end = self.now, End.ANSWERED
+        if not call.status:
+            call.status = 503 if may_refuse and rng.random() < 0.7 else 502
+        return call
+
+
+def books(seed: int, requests: int) -> Books:
+    rng = random.Random(seed)
+    made = Books(rng)
+    for number in range(requests):
+        if rng.random() < 0.2:
+            sidecar, endpoint = rng.choice(SIDECARS), rng.choice(tuple(CELLS))
+            made.word(sidecar, endpoint, rng.choice(("terminating", "terminated", "in_service")))
+        made.request(number)
+    return made
+
+
+def verdict(ledger: Ledger, terms: Terms = TERMS) -> Audit:
+    return audit(ledger, terms)
+
+
+def broken(ledger: Ledger) -> set[int]:
+    return {f.rule for f in verdict(ledger).findings if f.verdict is Verdict.BROKEN}
+
+
+@given(st.integers(0, 10**9), st.integers(1, 40))
+@settings(max_examples=150, deadline=None)
+def test_books_that_keep_the_rules_are_never_blamed(seed: int, requests: int) -> None:
+    found = verdict(books(seed, requests).ledger)
+    assert not found.broken, [str(e) for f in found.findings for e in f.evidence]
+    assert found.exit_code == 0 and found.findings[0].checked == requests
+
+
+def plain(made: Books, cls: str, sidecar: str = "n0") -> Call:
+    """A call that was answered 502 with no attempt, to plant a breach on."""
+    made.now += 50.0
+    trace = f"planted-{cls}"
+    key = "kp" if cls == "campanha" else ""
+    call = Call(trace, trace, 0, cls, "t", key, sidecar, made.now, made.now, 3000.0)
+    call.end, call.status = End.ANSWERED, 502
+    made.ledger.calls.append(call)
+    made.banned.clear()
+    return call
+
+
+def close(made: Books, call: Call, status: int = 502, token: str = "") -> None:
+    made.now += 1.0
+    call.answered, call.status, call.token = made.now, status, token
+
+
+def no_answer(made: Books) -> None:
+    plain(made, "status").end = End.LOST
+
+
+def cut_off(made: Books) -> None:
+    plain(made, "status").end = End.BROKEN
+
+
+def late(made: Books) -> None:
+    call = plain(made, "status")
+    close(made, call)
+    call.answered = (call.sent or 0) + call.patience + 60.0
+
+
+def two_answers(made: Books) -> None:
+    call = plain(made, "status")
+    close(made, call)
+    call.extra = 1
+
+
+def made_up(made: Books) -> None:
+    close(made, plain(made, "status"), 200, "nobody's")
+
+
+def another_requests_answer(made: Books) -> None:
+    first = plain(made, "status")
+    token = made.attempt(first, "a", Told.OK).token
+    close(made, first, 200, token)
+    second = plain(made, "codigo")
+    close(made, second, 200, token)
+
+
+def sent_afterwards(made: Books) -> None:
+    call = plain(made, "status")
+    close(made, call)
+    made.now += 80.0
+    made.attempt(call, "a", Told.OK)
+
+
+def crashed(made: Books) -> None:
+    life = made.ledger.sidecars[0]
+    life.ended, life.code = made.now, 1
+
+
+def fragile_again(made: Books) -> None:
+    call = plain(made, "codigo")
+    made.attempt(call, "a", Told.ERROR)
+    made.attempt(call, "b", Told.ERROR)
+    close(made, call)
+
+
+def fragile_again_after_silence(made: Books) -> None:
+    call = plain(made, "codigo")
+    made.attempt(call, "a", Told.NOTHING, answered=False)
+    token = made.attempt(call, "b", Told.OK).token
+    close(made, call, 200, token)
+
+
+def turned_away_only_later(made: Books) -> None:
+    call = plain(made, "codigo")
+    first = made.attempt(call, "a", Told.NEVER_RAN)
+    second = made.attempt(call, "b", Told.ERROR)
+    first.told_at = (second.last or 0.0) + 1.0
+    close(made, call)
+
+
+def keyed_elsewhere(made: Books) -> None:
+    call = plain(made, "campanha")
+    made.attempt(call, "a", Told.ERROR)
+    made.attempt(call, "c", Told.ERROR)
+    close(made, call)
+
+
+def keyed_too_late(made: Books) -> None:
+    call = plain(made, "campanha")
+    made.attempt(call, "a", Told.ERROR)
+    made.now += 2100.0
+    made.attempt(call, "a", Told.ERROR)
+    close(made, call)
+
+
+def refused_what_may_have_run(made: Books) -> None:
+    call = plain(made, "codigo")
+    made.attempt(call, "a", Told.RESET)
+    close(made, call, 503)
+
+
+def too_many(made: Books) -> None:
+    call = plain(made, "status")
+    for _ in range(4):
+        made.attempt(call, "a", Told.ERROR)
+    close(made, call)
+
+
+def after_a_drain(made: Books) -> None:
+    call = plain(made, "status")
+    made.ledger.words.append(Word("n0", "a", 1, "terminating", made.now))
+    made.now += 600.0
+    made.attempt(call, "a", Told.ERROR)
+    close(made, call)
+
+
+def drain_never_asked_for(made: Books) -> None:
+    """A sidecar that neither watches nor asks counts as told after its time."""
+    made.ledger.asked[0].until = made.now
+    made.ledger.changes.append(Change("a", 1, "terminating", made.now + 1.0))
+    made.now += 6700.0
+    call = plain(made, "status")
+    made.attempt(call, "a", Told.ERROR)
+    close(made, call)
+
+
+def pushed_over(made: Books) -> None:
+    life = Life("e", 1, 1, 0, made.now, 1.0, 0.1, 10_000.0)
+    made.ledger.lives.append(life)
+    CELLS_ALL = CELLS | {"e": 0}
+    for i in range(40):
+        call = Call(f"push{i}", f"push{i}", 0, "status", "t", "", "n0", made.now, made.now, 3000.0)
+        made.now += 2.0
+        attempt = Attempt(
+            call.trace, "e", 1, CELLS_ALL["e"], "status", "", made.now, made.now + 0.5, WORK, told=Told.ERROR
+        )
+        made.ledger.attempts.append(attempt)
+        made.ledger.calls.append(call)
+        call.end = End.ANSWERED
+        close(made, call)
+
+
+PLANTED: dict[Callable[[Books], None], int] = {
+    no_answer: 1, cut_off: 1, late: 1, two_answers: 1, made_up: 1, another_requests_answer: 1,
+    sent_afterwards: 1, crashed: 1, fragile_again: 2, fragile_again_after_silence: 2,
+    turned_away_only_later: 2, keyed_elsewhere: 2, keyed_too_late: 2, refused_what_may_have_run: 2,
+    too_many: 2, after_a_drain: 3, drain_never_asked_for: 3, pushed_over: 4,
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("plant", PLANTED, ids=lambda plant: plant.__name__)
+@given(seed=st.integers(0, 10**9), requests=st.integers(0, 15))
+@settings(max_examples=20, deadline=None)
+def test_a_planted_breach_is_found_as_what_it_is(
+    plant: Callable[[Books], None], seed: int, requests: int
+) -> None:
+    made = books(seed, requests)
+    made.now += 1000.0
+    for sidecar in SIDECARS:
+        for endpoint in CELLS:
+            made.word(sidecar, endpoint, "in_service")
+    plant(made)
+    assert broken(made.ledger) == {PLANTED[plant]}
+
+
+def test_a_killed_sidecars_calls_are_their_clients_to_retry_but_a_slow_end_after_sigterm_is_not() -> None:
+    for term, kill, blamed in (
+        (None, 100.0, False),
+        (50.0, 400.0, False),
+        (50.0, 900.0, True),
+        (None, 5000.0, True),
+    ):
+        made = Books(random.Random(1))
+        call = plain(made, "codigo")
+        call.end = End.BROKEN
+        sent = call.sent or 0.0
+        life = made.ledger.sidecars[0]
+        life.term, life.kill = None if term is None else sent + term, sent + kill
+        life.ended = life.kill
+        assert (broken(made.ledger) == {1}) is blamed, (term, kill)
+
+
+def test_a_crossed_close_is_the_callers_to_mend_unless_the_sidecar_had_read_the_request() -> None:
+    for read, after, blamed in ((False, 5.0, False), (True, 5.0, True), (False, 500.0, True)):
+        made = Books(random.Random(1))
+        call = plain(made, "status")
+        call.end, call.closed = End.CROSSED, (call.sent or 0.0) + after
+        if read:
+            made.attempt(call, "a", Told.ERROR)
+        resent = Call(call.trace, call.root, 0, "status", "t", "", "n0", call.due, made.now + 30.0, 3000.0)
+        resent.end, resent.status, resent.answered = End.ANSWERED, 502, made.now + 40.0
+        made.ledger.calls.append(resent)
+        assert (broken(made.ledger) == {1}) is blamed, (read, after)
+
+
+def test_a_drain_told_during_an_outage_counts_from_its_end() -> None:
+    made = Books(random.Random(1))
+    made.ledger.asked[0].until = 0.0
+    made.ledger.outages.append(Outage(0.0, 20_000.0))
+    made.ledger.changes.append(Change("a", 1, "terminating", 1000.0))
+    made.now = 25_000.0
+    call = plain(made, "status")
+    made.attempt(call, "a", Told.ERROR)
+    close(made, call)
+    assert not broken(made.ledger)
+    made.now = 27_000.0
+    after = plain(made, "codigo")
+    made.attempt(after, "a", Told.ERROR)
+    close(made, after)
+    assert broken(made.ledger) == {3}
+
+
+def test_lateness_of_the_rig_excuses_time_limits_and_nothing_else() -> None:
+    made = Books(random.Random(1))
+    late(made)
+    call = made.ledger.calls[-1]
+    for sample in made.ledger.samples:
+        if sample.at >= (call.answered or 0.0):
+            sample.lag = 80.0
+            break
+    found = verdict(made.ledger)
+    assert not found.broken and found.findings[0].excused == 1 and found.exit_code == 3
+    fragile_again(made)
+    assert broken(made.ledger) == {2}
+
+
+def test_a_sidecar_without_a_core_is_not_blamed_for_its_lateness() -> None:
+    made = Books(random.Random(1))
+    late(made)
+    at = made.ledger.calls[-1].answered or 0.0
+    next(s for s in made.ledger.samples if s.at >= at).starved = {"n1": 500.0}
+    assert broken(made.ledger) == {1}
+    next(s for s in made.ledger.samples if s.at >= at).starved = {"n0": 500.0}
+    assert not broken(made.ledger)
+
+
+def test_a_rig_that_lags_says_so_and_is_inconclusive() -> None:
+    made = books(3, 5)
+    assert verdict(made.ledger).exit_code == 0
+    for sample in made.ledger.samples[::20]:
+        sample.lag = LAG_BOUND + 1
+    found = verdict(made.ledger)
+    assert found.exit_code == 3 and "lagged" in found.rig.reasons[0]
+    made.ledger.samples = [Sample(t * 50.0, 1.0) for t in range(100)]
+    made.ledger.late = [(t * 10.0, 400.0 if t % 20 == 0 else 1.0) for t in range(100)]
+    assert "arrivals" in verdict(made.ledger).rig.reasons[0]
+    made.ledger.late.clear()
+    for sample in made.ledger.samples:
+        sample.starved = {"n0": 30.0, "n1": 30.0}
+    assert "cores are short" in verdict(made.ledger).rig.reasons[0]
+
+
+def test_what_was_not_seen_is_not_held() -> None:
+    found = verdict(Ledger())
+    assert {f.verdict for f in found.findings} == {Verdict.NOT_EXERCISED}
+
+
+@given(st.lists(st.tuples(st.floats(0.1, 400.0), st.floats(1.0, 40.0)), max_size=60))
+@settings(max_examples=200, deadline=None)
+def test_the_endpoint_falls_over_exactly_where_the_auditor_says_so(sends: list[tuple[float, float]]) -> None:
+    life = Life("e", 1, 1, 0, 0.0, 1.0, 0.13, 9000.0)
+    budget = ColdBudget(life, TERMS.fall_multiple, TERMS.fall_window, TERMS.heaviest[1])
+    ledger, now = Ledger(lives=[life]), 0.0
+    for i, (gap, work) in enumerate(sends):
+        now += gap
+        ledger.attempts.append(Attempt(f"r{i}", "e", 1, 0, "status", "", now, now, work))
+        if not budget.send(now, work):
+            life.fell = life.until = now
+            break
+    assert (4 in broken(ledger)) is (life.fell is not None)
--- /dev/null
+++ b/tests/test_rehearsal_wrong.py
@@ -0,0 +1,129 @@
+"""The auditor against real processes: each planted fault is found as what it is, and the daemon has none."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from functools import cache
+from pathlib import Path
+
+import pytest
+import uvloop
+from msgspec.structs import replace
+
+from millgw.rehearsal.report import Day, judge
+from millgw.rehearsal.scenario import Cadastro, Class, Fault, Fleet, Rules, Scenario, Traffic, check, load
+from millgw.rehearsal.sidecars import DEFAULT_RUN
+from millgw.rehearsal.stage import Stage
+
+SCRIPT = Path(__file__).parent / "wrong" / "sidecar.py"
+RULES = {
+    "loses": 1, "twice": 1, "late": 1, "makes-up": 1, "afterwards": 1,
+    "resends": 2, "other-group": 2, "past-window": 2, "refuses": 2,
+    "after-drain": 3, "floods": 4,
+}  # fmt: skip
+
+BASE = Scenario(
+    seconds=5.0,
+    fleet=Fleet(endpoints=6, tiers=(1.0,), work=(0.25,), calls=(), sidecars=2, group=3, cold_s=6.0),
+    traffic=Traffic(rate=30.0, shape="steady", retries=1, wait_ms=(50.0, 100.0)),
+    classes=(
+        Class(name="status", share=0.3, repeat="retryable", work_ms=40, aim_ms=800, deadline_ms=3000),
+        Class(
+            name="envio-campanha", share=0.35, repeat="dedup", work_ms=80, aim_ms=1000, deadline_ms=5000,
+            window_ms=400,
+        ),
+        Class(name="codigo-acesso", share=0.35, repeat="fragile", work_ms=50, aim_ms=800, deadline_ms=3000),
+    ),
+    cadastro=Cadastro(notice_s=(0.1, 0.2), silent_s=(0.5, 1.0), add_s=(0.05, 0.1)),
+    rules=Rules(drain_grace_ms=300.0),
+)  # fmt: skip
+
+FAILING = (Fault(kind="fast-failure", start_s=0.5, length_s=4.0, share=0.5, size=0.6),)
+RESTART = (Fault(kind="restart", start_s=0.5, length_s=0.3, share=0.17),)
+DRAIN = (Fault(kind="drain", start_s=0.5, length_s=4.0, share=0.34),)
+FAULTS = {
+    "right": FAILING + DRAIN + RESTART,
+    "resends": FAILING, "other-group": FAILING, "past-window": FAILING, "refuses": FAILING,
+    "after-drain": DRAIN, "floods": RESTART,
+}  # fmt: skip
+
+CROWDED = replace(BASE.traffic, rate=90.0)  # enough to push a cold endpoint over
+
+SHIPPED = ("silence-and-slowdown", "overlap-three", "drain-wave", "cadastro-outage", "sidecar-killed")
+SHIPPED_SECONDS = 9.0
+
+
+def short(name: str) -> Scenario:
+    """A shipped scenario as CI plays it: its faults within some seconds, a fleet of a third."""
+    scenario = load(name)[1]
+    part = SHIPPED_SECONDS / scenario.seconds
+    faults = tuple(
+        replace(f, start_s=f.start_s * part, length_s=f.length_s * part, spacing_s=f.spacing_s * part)
+        for f in scenario.faults
+    )
+    fleet = replace(scenario.fleet, endpoints=4, tiers=(1.0, 1.0), work=(0.5, 0.5), sidecars=6, cold_s=5.0)
+    traffic = replace(scenario.traffic, rate=20.0)
+    return check(replace(scenario, seconds=SHIPPED_SECONDS, faults=faults, fleet=fleet, traffic=traffic))
+
+
+@cache
+def wrong_days() -> dict[str, Day]:
+    """All wrong sidecars' days, played side by side once: one day is mostly waiting."""
+    days = {
+        kind: (
+            check(
+                replace(
+                    BASE, faults=FAULTS.get(kind, ()), traffic=CROWDED if kind == "floods" else BASE.traffic
+                )
+            ),
+            f"exec {sys.executable} {SCRIPT} {kind}",
+        )
+        for kind in ["right", *RULES]
+    }
+    return asyncio_days(days)
+
+
+@cache
+def daemon_days() -> dict[str, Day]:
+    days = {name: (short(name), DEFAULT_RUN) for name in SHIPPED}
+    days["all classes"] = (check(replace(BASE, faults=FAULTS["right"])), DEFAULT_RUN)
+    return asyncio_days(days)
+
+
+def asyncio_days(days: dict[str, tuple[Scenario, str]]) -> dict[str, Day]:
+    async def play() -> list[Day]:
+        async def one(name: str, scenario: Scenario, run: str) -> Day:
+            ledger, facts = await Stage(scenario, run).play()
+            return judge(name, scenario, ledger, facts)
+
+        return await asyncio.gather(*(one(name, *what) for name, what in days.items()))
+
+    return {day.name: day for day in uvloop.run(play())}
+
+
+def broken(day: Day) -> dict[int, list[str]]:
+    return {f.rule: [str(e) for e in f.evidence[:3]] for f in day.audit.findings if f.broken}
+
+
+@pytest.mark.parametrize("kind", RULES)
+def test_a_wrong_sidecar_breaks_exactly_its_rule(kind: str) -> None:
+    day = wrong_days()[kind]
+    assert set(broken(day)) == {RULES[kind]}, broken(day)
+    assert day.audit.exit_code == 1
+
+
+def test_the_same_sidecar_with_nothing_planted_breaks_none() -> None:
+    assert not broken(wrong_days()["right"])
+
+
+@pytest.mark.parametrize("name", [*SHIPPED, "all classes"])
+def test_the_daemon_breaks_no_rule(name: str) -> None:
+    day = daemon_days()[name]
+    assert not broken(day), broken(day)
+    assert day.summary.served > 0 and day.audit.findings[0].checked > day.summary.asked / 2
+
+
+def test_drains_and_cold_starts_were_put_to_the_test() -> None:
+    by_rule = {f.rule: f for f in daemon_days()["drain-wave"].audit.findings}
+    assert by_rule[2].checked and by_rule[3].checked and by_rule[4].checked
--- a/tests/test_sidecar_books.py
+++ b/tests/test_sidecar_books.py
@@ -15,21 +15,9 @@
 from millgw.sidecar.request import Head
 from millgw.sidecar.server import Server
 from millgw.sidecar.upstream import Attempt, Connection, Pool
-from tests.rig import (
-    SETTINGS,
-    STREAM,
-    FakeEndpoint,
-    Message,
-    chunk,
-    line,
-    ok,
-    read_message,
-    request,
-    run,
-    sidecar,
-    silent,
-    until,
-)
+from millgw.standins.http import Message, ok
+from millgw.standins.scripted import STREAM, ScriptedEndpoint, chunk, line, read_message, silent
+from tests.rig import SETTINGS, request, run, sidecar, until
 
 T = TypeVar("T")
 KEPT_FOR_EACH = (Call, Head, CallerConnection, Attempt, Connection, Request, Sent)
@@ -52,13 +40,13 @@
     async def test() -> None:
         answers = 0
 
-        async def mixed(message: Message, _: FakeEndpoint) -> bytes | None:
+        async def mixed(message: Message, _: ScriptedEndpoint) -> bytes | None:
             nonlocal answers
             answers += 1
             bad = b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n"
             return {3: None, 5: ok() + b"noise", 7: bad}.get(answers % 10, ok())
 
-        spots = [FakeEndpoint(f"spot{i}", mixed) for i in range(4)]
+        spots = [ScriptedEndpoint(f"spot{i}", mixed) for i in range(4)]
         async with sidecar(*spots) as rig:
             _, writer = await rig.discovery.calls.get()
             writer.write(STREAM)
@@ -117,7 +105,7 @@
 
 def test_an_endpoint_at_the_address_of_one_that_has_gone_takes_nothing_over() -> None:
     async def test() -> None:
-        endpoint = FakeEndpoint("old")
+        endpoint = ScriptedEndpoint("old")
         async with sidecar(endpoint) as rig:
             driver = the(Driver)
             _, writer = await rig.discovery.calls.get()
@@ -126,7 +114,7 @@
             (old,) = driver.balancer.servers.values()
             endpoint.name = "new"
             writer.write(STREAM + chunk(line(2, [endpoint.entry(since_ms=int(time.time() * 1000))])))
-            await until(lambda: endpoint.lost == 1)  # its kept connection is closed
+            await until(lambda: endpoint.lost_connections == 1)  # its kept connection is closed
             (new,) = driver.balancer.servers.values()
             assert new.info.id != old.info.id and not new.served and driver.balancer.ring == [new]
             endpoint.name = "old"  # told late, of a time before the new one
@@ -140,10 +128,10 @@
 
 def test_a_request_that_an_endpoint_cannot_use_fails_at_once_and_harms_no_endpoint() -> None:
     async def test() -> None:
-        async def script(message: Message, _: FakeEndpoint) -> bytes:
+        async def script(message: Message, _: ScriptedEndpoint) -> bytes:
             return b"HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n"
 
-        endpoints = [FakeEndpoint(f"e{i}", script) for i in range(3)]
+        endpoints = [ScriptedEndpoint(f"e{i}", script) for i in range(3)]
         async with sidecar(*endpoints) as rig:
             driver = the(Driver)
             assert (await rig.ask(request("write"))).status == 400
@@ -155,7 +143,7 @@
 
 def test_counts_in_flight_follow_the_sockets_when_the_whole_list_is_replaced() -> None:
     async def test() -> None:
-        old, new = FakeEndpoint("old", silent), FakeEndpoint("new")
+        old, new = ScriptedEndpoint("old", silent), ScriptedEndpoint("new")
         await new.start()
         async with sidecar(old) as rig:
             driver = the(Driver)
@@ -168,7 +156,7 @@
                 pass
             assert [len(s.out) for s in driver.balancer.servers.values()] == [0]
             assert len(driver.balancer.flights) == 1, "the call that is still out at the old one"
-            old.served[0].transport.write(ok(b"late"))
+            old.served[0].write(ok(b"late"))
             assert (await read_message(waiting.reader)).body == b"late"
             assert not driver.balancer.flights and driver.upstream.open == 1
 
--- a/tests/test_sidecar_calls.py
+++ b/tests/test_sidecar_calls.py
@@ -19,33 +19,24 @@
 from millgw.sidecar.driver import Clock
 from millgw.sidecar.request import Head
 from millgw.sidecar.upstream import Attempt, Connection, Content, Pool, Upstream, unread
-from tests.rig import (
-    LIMIT,
-    PATIENCE,
-    SETTINGS,
+from millgw.standins.address import free_address
+from millgw.standins.http import Message, ok, status
+from millgw.standins.scripted import (
     STREAM,
-    Client,
-    FakeEndpoint,
-    Message,
+    ScriptedEndpoint,
     always_ok,
     answering,
     chunk,
-    free_address,
     line,
-    ok,
     read_message,
-    request,
-    run,
-    sidecar,
     silent,
-    status,
-    until,
 )
+from tests.rig import LIMIT, PATIENCE, SETTINGS, Client, request, run, sidecar, until
 
 
 def test_a_call_goes_on_unchanged_and_its_answer_comes_back() -> None:
     async def test() -> None:
-        endpoint = FakeEndpoint("e1", answering(ok(b"\x00body\xff", "Content-Type: x/y\r\n")))
+        endpoint = ScriptedEndpoint("e1", answering(ok(b"\x00body\xff", "Content-Type: x/y\r\n")))
         async with sidecar(endpoint) as rig:
             got = await rig.ask(request("write", b"\x01in\xfe", target="/api?k=a%20b", X_Props="a=1"))
             assert (got.status, got.body) == (200, b"\x00body\xff")
@@ -60,7 +51,7 @@
 
 def test_connections_are_kept_on_both_sides() -> None:
     async def test() -> None:
-        endpoint = FakeEndpoint("e1")
+        endpoint = ScriptedEndpoint("e1")
         async with sidecar(endpoint) as rig:
             client = await rig.connect()
             for _ in range(3):
@@ -72,7 +63,7 @@
 
 def test_a_kept_connection_is_not_used_past_its_idle_time() -> None:
     async def test() -> None:
-        endpoint = FakeEndpoint("e1")
+        endpoint = ScriptedEndpoint("e1")
         async with sidecar(endpoint, idle=0.0) as rig:
             for _ in range(2):
                 assert (await rig.ask(request("pay"))).status == 200
@@ -83,7 +74,7 @@
 
 def test_a_connection_that_the_endpoint_ends_is_not_used_again() -> None:
     async def test() -> None:
-        endpoint = FakeEndpoint("e1", answering(ok(more="Connection: close\r\n")))
+        endpoint = ScriptedEndpoint("e1", answering(ok(more="Connection: close\r\n")))
         async with sidecar(endpoint) as rig:
             for _ in range(2):
                 assert (await rig.ask(request("pay"))).status == 200
@@ -108,11 +99,11 @@
     async def test() -> None:
         got: list[str] = []
 
-        async def script(message: Message, endpoint: FakeEndpoint) -> bytes | None:
+        async def script(message: Message, endpoint: ScriptedEndpoint) -> bytes | None:
             got.append(endpoint.name)
             return answer if len(got) == 1 else ok()
 
-        async with sidecar(FakeEndpoint("e1", script), FakeEndpoint("e2", script)) as rig:
+        async with sidecar(ScriptedEndpoint("e1", script), ScriptedEndpoint("e2", script)) as rig:
             short = 1000 if answer and answer.endswith(b"half") else 20_000
             reply = await rig.ask(request("pay", patience=short))
         assert len(got) == attempts
@@ -127,7 +118,7 @@
 @pytest.mark.parametrize("behind", [b"\x00\x01noise\r\n\r\n", SECOND, SECOND[:20], ok(b"second")])
 def test_the_first_whole_answer_counts_and_nothing_behind_it(behind: bytes) -> None:
     async def test() -> None:
-        endpoint = FakeEndpoint("e1", answering(ok(b"first") + behind))
+        endpoint = ScriptedEndpoint("e1", answering(ok(b"first") + behind))
         async with sidecar(endpoint) as rig:
             for _ in range(3):
                 reply = await rig.ask(request("pay"))
@@ -139,7 +130,7 @@
 
 def test_a_kept_connection_that_is_reset_at_the_next_request_costs_no_call() -> None:
     async def test() -> None:
-        endpoint = FakeEndpoint("e1", cut=lambda requests: requests >= 1)
+        endpoint = ScriptedEndpoint("e1", cut=lambda requests: requests >= 1)
         async with sidecar(endpoint) as rig:
             for _ in range(5):
                 assert (await rig.ask(request("pay", b"body"))).status == 200
@@ -150,7 +141,7 @@
 
 def test_a_new_connection_that_is_reset_while_the_request_comes_has_not_run_it() -> None:
     async def test() -> None:
-        cut, other = FakeEndpoint("e1", cut=lambda _: True), FakeEndpoint("e2")
+        cut, other = ScriptedEndpoint("e1", cut=lambda _: True), ScriptedEndpoint("e2")
         async with sidecar(cut, other) as rig:
             while not cut.connections:
                 assert (await rig.ask(request("pay", b"body"))).status == 200
@@ -165,13 +156,13 @@
     monkeypatch.setattr(upstream_module, "HOLD_BACK", 0.3)
 
     async def test() -> None:
-        endpoint = FakeEndpoint("e1")
+        endpoint = ScriptedEndpoint("e1")
         async with sidecar(endpoint) as rig:
             assert (await rig.ask(request("pay"))).status == 200
             client = await rig.connect()
             client.writer.write(request("pay"))
-            await until(lambda: len(endpoint.served[0].data._buffer) > 0)  # type: ignore[attr-defined]
-            endpoint.served[0].transport.write(ok(b"stale"))
+            await until(lambda: endpoint.served[0].message is not None)
+            endpoint.served[0].write(ok(b"stale"))
             reply = await read_message(client.reader)
             assert (reply.status, reply.body) == (200, b"done") and endpoint.connections == 2
 
@@ -180,7 +171,7 @@
 
 def test_bytes_that_wait_on_an_idle_connection_are_not_the_next_answer() -> None:
     async def test() -> None:
-        endpoint = FakeEndpoint("e1")
+        endpoint = ScriptedEndpoint("e1")
         upstream = Upstream(Descriptors(64), 5000.0, 60_000.0, 2.0**26)
         upstream.point(1, endpoint.address)
         ended: asyncio.Queue[tuple[Outcome, Content]] = asyncio.Queue()
@@ -196,7 +187,7 @@
         assert (await ended.get())[1].body == b"done"
         (kept,) = upstream.pools[1].idle
         kept.transport.pause_reading()  # type: ignore[union-attr]
-        endpoint.served[0].transport.write(ok(b"stale"))
+        endpoint.served[0].write(ok(b"stale"))
         await until(lambda: unread(kept.transport))  # type: ignore[arg-type]
         send()
         assert (await ended.get())[1].body == b"done" and endpoint.connections == 2
@@ -210,7 +201,7 @@
 def test_nothing_of_a_1xx_answer_gets_into_the_final_one(early: str) -> None:
     async def test() -> None:
         ahead = f"HTTP/1.1 {early}\r\nX-Never-Ran: 1\r\nLink: </early>\r\n\r\n".encode()
-        endpoint = FakeEndpoint("e1", answering(ahead + ahead + ok()))
+        endpoint = ScriptedEndpoint("e1", answering(ahead + ahead + ok()))
         async with sidecar(endpoint) as rig:
             reply = await rig.ask(request("pay"))
             assert reply.status == 200 and "link" not in reply.headers
@@ -244,13 +235,13 @@
     monkeypatch.setattr(upstream_module, "ANSWER_TIME", 0.1)
 
     async def test() -> None:
-        async def spoilt_once(_: Message, endpoint: FakeEndpoint) -> bytes:
+        async def spoilt_once(_: Message, endpoint: ScriptedEndpoint) -> bytes:
             return answer if len(endpoint.got) == 1 else ok()
 
-        endpoint = FakeEndpoint("e1", spoilt_once)
+        endpoint = ScriptedEndpoint("e1", spoilt_once)
         async with sidecar(endpoint) as rig:
             assert (await rig.ask(request("pay", patience=10 * PATIENCE))).status == 502
-            await until(lambda: endpoint.lost == 1)
+            await until(lambda: endpoint.lost_connections == 1)
             assert (await rig.ask(request("pay"))).status == 200 and endpoint.connections == 2
 
     run(test)
@@ -262,7 +253,7 @@
     monkeypatch.setattr(upstream_module, "ANSWER_TIME", 2 * LIMIT)
 
     async def test() -> None:
-        endpoint = FakeEndpoint("e1", answering(ok(b"x" * 400_000)))
+        endpoint = ScriptedEndpoint("e1", answering(ok(b"x" * 400_000)))
         async with sidecar(endpoint, memory=400_000 * 32.0) as rig:
             for _ in range(5):
                 assert len((await rig.ask(request("pay"))).body) == 400_000
@@ -293,7 +284,7 @@
     async def test() -> None:
         async with sidecar() as rig:
             assert rig.config.known["endpoints"] == []
-        dead = FakeEndpoint("dead")
+        dead = ScriptedEndpoint("dead")
         known = {"index": 1, "snapshot": True, "endpoints": [dead.entry()]}
         async with sidecar(known=known) as rig:
             begun = time.monotonic()
@@ -310,12 +301,12 @@
     monkeypatch.setattr(driver_module, "ANSWER_MARGIN", 4500.0)  # wide, for a busy machine
 
     async def test() -> None:
-        endpoint = FakeEndpoint("e1", silent)
+        endpoint = ScriptedEndpoint("e1", silent)
         async with sidecar(endpoint) as rig:
             begun = time.monotonic()
             assert (await rig.ask(request("pay", patience=5000))).status == 502
             assert 0.4 < time.monotonic() - begun < 5.0
-            await until(lambda: endpoint.lost == 1)
+            await until(lambda: endpoint.lost_connections == 1)
             endpoint.script = always_ok
             assert (await rig.ask(request("pay"))).status == 200, "a connection given up was used"
 
@@ -324,35 +315,35 @@
 
 def test_kept_connections_are_not_trusted_after_silence_or_a_restart() -> None:
     async def test() -> None:
-        async def slow(message: Message, endpoint: FakeEndpoint) -> bytes:
+        async def slow(message: Message, endpoint: ScriptedEndpoint) -> bytes:
             await until(lambda: len(endpoint.got) >= 2)
             return ok()
 
-        endpoint = FakeEndpoint("e1", slow)
+        endpoint = ScriptedEndpoint("e1", slow)
         async with sidecar(endpoint) as rig:
             got = await asyncio.gather(*(rig.ask(request("pay")) for _ in range(2)))
             assert {reply.status for reply in got} == {200} and endpoint.connections == 2
             endpoint.script = silent
             assert (await rig.ask(request("pay", patience=300))).status == 502
-            await until(lambda: endpoint.lost == 2)
+            await until(lambda: endpoint.lost_connections == 2)
             endpoint.script = always_ok
             assert (await rig.ask(request("pay"))).status == 200 and endpoint.connections == 3
             _, writer = await rig.discovery.calls.get()
             writer.write(STREAM + chunk(line(2, [endpoint.entry(since_ms=1)])))
-            await until(lambda: endpoint.lost == 3)
+            await until(lambda: endpoint.lost_connections == 3)
 
     run(test)
 
 
 def test_a_client_that_leaves_ends_its_attempt_and_nothing_more_is_sent() -> None:
     async def test() -> None:
-        endpoint, other = FakeEndpoint("e1", silent), FakeEndpoint("e2", silent)
+        endpoint, other = ScriptedEndpoint("e1", silent), ScriptedEndpoint("e2", silent)
         async with sidecar(endpoint, other) as rig:
             client = await rig.connect()
             client.writer.write(request("read"))
             await until(lambda: len(endpoint.got) + len(other.got) == 1)
             client.writer.close()
-            await until(lambda: endpoint.lost + other.lost == 1)
+            await until(lambda: endpoint.lost_connections + other.lost_connections == 1)
             endpoint.script = other.script = always_ok
             assert (await rig.ask(request("read"))).status == 200
         assert len(endpoint.got) + len(other.got) == 2
@@ -362,10 +353,10 @@
 
 def test_requests_split_and_joined_across_reads_get_their_answers_in_order() -> None:
     async def test() -> None:
-        async def echo(message: Message, _: FakeEndpoint) -> bytes:
+        async def echo(message: Message, _: ScriptedEndpoint) -> bytes:
             return ok(message.body)
 
-        async with sidecar(FakeEndpoint("e1", echo)) as rig:
+        async with sidecar(ScriptedEndpoint("e1", echo)) as rig:
             client = await rig.connect()
             data = b"".join(request("write", f"body {i}".encode()) for i in range(40))
             got = []
@@ -418,7 +409,7 @@
 @pytest.mark.parametrize(("data", "code"), BAD)
 def test_bad_input_gets_a_plain_4xx_and_no_attempt(data: bytes, code: int) -> None:
     async def test() -> None:
-        endpoint = FakeEndpoint("e1")
+        endpoint = ScriptedEndpoint("e1")
         async with sidecar(endpoint) as rig:
             assert (await rig.ask(data)).status == code
             assert not endpoint.got and not endpoint.connections
@@ -429,7 +420,7 @@
 
 def test_nothing_is_read_behind_a_request_that_may_hide_another() -> None:
     async def test() -> None:
-        endpoint = FakeEndpoint("e1")
+        endpoint = ScriptedEndpoint("e1")
         async with sidecar(endpoint) as rig:
             client = await rig.connect()
             both = request("pay", Content_Length="200", Transfer_Encoding="chunked")
@@ -442,7 +433,7 @@
 def test_an_id_that_is_open_is_not_served_twice_and_its_first_request_not_disturbed() -> None:
     async def test() -> None:
         go = asyncio.Event()
-        endpoint = FakeEndpoint("e1", answering(ok(), after=go))
+        endpoint = ScriptedEndpoint("e1", answering(ok(), after=go))
         async with sidecar(endpoint) as rig:
             first = await rig.connect()
             first.writer.write(request("pay", X_Trace_Id="same"))
@@ -458,7 +449,7 @@
 
 def test_a_client_that_asks_the_same_wrong_thing_again_and_again_is_made_to_rest_and_ended() -> None:
     async def test() -> None:
-        async with sidecar(FakeEndpoint("e1")) as rig:
+        async with sidecar(ScriptedEndpoint("e1")) as rig:
             client = await rig.connect()
             begun = time.monotonic()
             client.writer.write(request(X_Qos="unheard-of") * 500)
@@ -472,7 +463,7 @@
 def test_a_flood_of_requests_is_parsed_only_as_it_is_served() -> None:
     async def test() -> None:
         go = asyncio.Event()
-        endpoint = FakeEndpoint("e1", answering(ok(), after=go))
+        endpoint = ScriptedEndpoint("e1", answering(ok(), after=go))
         with pytest.MonkeyPatch.context() as patch:
             heads: list[Head] = []
 
@@ -496,7 +487,7 @@
 
 def test_bodies_are_bounded_in_all() -> None:
     async def test() -> None:
-        endpoint = FakeEndpoint("e1")
+        endpoint = ScriptedEndpoint("e1")
         async with sidecar(endpoint, memory=8 * 100_000.0) as rig:
             half = request("pay", b"x" * 60_000)[:-1]
             first, second = await rig.connect(), await rig.connect()
@@ -517,7 +508,7 @@
     monkeypatch.setattr(server_module, "SWEEP", 0.01)
 
     async def test() -> None:
-        async with sidecar(FakeEndpoint("e1")) as rig:
+        async with sidecar(ScriptedEndpoint("e1")) as rig:
             silent_one, kept, busy = [await rig.connect() for _ in range(3)]
             assert (await kept.ask(request())).status == 200
             assert await silent_one.reader.read() == b"" and await kept.reader.read() == b""
@@ -532,7 +523,7 @@
     raw = SETTINGS | {"classes": [SETTINGS["classes"][2] | {"deadline": 300.0}]}
 
     async def test() -> None:
-        async with sidecar(FakeEndpoint("e1", silent), settings=to_settings(raw)) as rig:
+        async with sidecar(ScriptedEndpoint("e1", silent), settings=to_settings(raw)) as rig:
             assert (await rig.ask(request("pay", patience=999_999_999))).status == 502
 
     run(test)
@@ -540,7 +531,7 @@
 
 def test_an_offer_of_another_protocol_is_passed_over() -> None:
     async def test() -> None:
-        endpoint = FakeEndpoint("e1")
+        endpoint = ScriptedEndpoint("e1")
         async with sidecar(endpoint) as rig:
             client = await rig.connect()
             reply = await client.ask(request("pay", Connection="Upgrade", Upgrade="h2c"))
@@ -555,7 +546,7 @@
     monkeypatch.setattr(server_module, "SWEEP", 0.05)
 
     async def test() -> None:
-        async with sidecar(FakeEndpoint("e1")) as rig:
+        async with sidecar(ScriptedEndpoint("e1")) as rig:
             client = await rig.connect()
             assert (await client.ask(request("pay", b"body")[:-2])).status == 408
 
@@ -564,7 +555,7 @@
 
 def test_calls_over_the_cap_are_refused_and_idle_callers_give_way() -> None:
     async def test() -> None:
-        endpoints = [FakeEndpoint(f"e{i}", silent) for i in range(5)]
+        endpoints = [ScriptedEndpoint(f"e{i}", silent) for i in range(5)]
         async with sidecar(*endpoints, sockets=32 + 13) as rig:  # 6 calls, with an attempt each
             busy = [await rig.connect() for _ in range(6)]
             for i, client in enumerate(busy):
@@ -579,7 +570,7 @@
                 endpoint.script = always_ok
             for client in busy:
                 client.writer.close()
-            await until(lambda: sum(e.lost for e in endpoints) == 6)
+            await until(lambda: sum(e.lost_connections for e in endpoints) == 6)
             assert (await rig.ask(request("read"))).status == 200
 
     run(test)
@@ -587,7 +578,7 @@
 
 def test_callers_that_say_nothing_cost_no_caller_its_answer() -> None:
     async def test() -> None:
-        async with sidecar(FakeEndpoint("e1"), sockets=32 + 60) as rig:  # 40 callers
+        async with sidecar(ScriptedEndpoint("e1"), sockets=32 + 60) as rig:  # 40 callers
             for _ in range(5):
                 crowd = [await rig.connect() for _ in range(27)]
                 assert (await rig.ask(request("read"))).status == 200
@@ -599,7 +590,7 @@
 
 def test_a_connection_with_a_request_still_unread_is_not_closed_as_idle() -> None:
     async def test() -> None:
-        async with sidecar(FakeEndpoint("e1"), sockets=32 + 8) as rig:  # 5 callers
+        async with sidecar(ScriptedEndpoint("e1"), sockets=32 + 8) as rig:  # 5 callers
             clients = [await rig.connect() for _ in range(4)]
             for client in clients:
                 assert (await client.ask(request("read"))).status in (200, 503)
@@ -624,7 +615,7 @@
             return real(listener)
 
         monkeypatch.setattr(server_module, "accept", accept)
-        async with sidecar(FakeEndpoint("e1")) as rig:
+        async with sidecar(ScriptedEndpoint("e1")) as rig:
             assert (await rig.ask(request("read"))).status == 200
         assert next(failures, None) is None
 
@@ -635,7 +626,7 @@
     """The driver keeps the rule of one answer in time even if the module were at fault."""
 
     async def test() -> None:
-        async with sidecar(FakeEndpoint("e1", silent)) as rig:
+        async with sidecar(ScriptedEndpoint("e1", silent)) as rig:
             with pytest.MonkeyPatch.context() as patch:
                 patch.setattr("millgw.decide.Balancer._attempt_ended", lambda *_: None)
                 assert (await rig.ask(request("read", patience=200))).status == 502
@@ -647,7 +638,7 @@
     assert abs(Clock()() - time.time() * 1000) < 10_000
 
     async def test() -> None:
-        endpoint = FakeEndpoint("e1")
+        endpoint = ScriptedEndpoint("e1")
         cold = endpoint.entry(since_ms=int(time.time() * 1000))
         known = {"index": 1, "snapshot": True, "endpoints": [cold]}
         raw = SETTINGS | {"rules": SETTINGS["rules"] | {"cold": 1e9, "coldShare": 0.01}}
@@ -688,14 +679,14 @@
 
 def test_a_connection_that_comes_up_for_a_given_up_attempt_is_not_written() -> None:
     async def test() -> None:
-        endpoint = FakeEndpoint("e1")
+        endpoint = ScriptedEndpoint("e1")
         await endpoint.start()
         upstream, pool, attempt, ended = await _hanging()
         assert attempt.give_up() is False
         loop = asyncio.get_running_loop()
         made = Connection(upstream, pool, attempt)
         await loop.create_connection(lambda: made, endpoint.address.host, endpoint.address.port)
-        await until(lambda: endpoint.lost == 1)
+        await until(lambda: endpoint.lost_connections == 1)
         await until(lambda: upstream.open == 0)
         assert not endpoint.got and not ended
 
--- a/tests/test_sidecar_process.py
+++ b/tests/test_sidecar_process.py
@@ -19,25 +19,19 @@
 from millgw.sidecar import discovery as discovery_module
 from millgw.sidecar.config import Address, ConfigError, read_address, read_config
 from millgw.sidecar.discovery import endpoint_id, read_listing
-from tests.rig import (
-    SETTINGS,
+from millgw.standins.address import free_address
+from millgw.standins.http import ok, status
+from millgw.standins.scripted import (
     STREAM,
-    FakeDiscovery,
-    FakeEndpoint,
-    Rig,
+    ScriptedCadastro,
+    ScriptedEndpoint,
     answering,
     chunk,
-    free_address,
     line,
-    ok,
     read_message,
-    request,
-    run,
-    sidecar,
     silent,
-    status,
-    until,
 )
+from tests.rig import SETTINGS, Rig, request, run, sidecar, until
 
 READY = b"GET /ready HTTP/1.1\r\nHost: n1\r\n\r\n"
 
@@ -49,7 +43,7 @@
 
 def test_ready_only_with_an_endpoint_and_lists_may_be_cut_anywhere() -> None:
     async def test() -> None:
-        endpoint = FakeEndpoint("e1")
+        endpoint = ScriptedEndpoint("e1")
         await endpoint.start()
         async with sidecar() as rig:
             assert (await rig.ask(READY)).status == 503
@@ -85,7 +79,7 @@
     monkeypatch.setattr(discovery_module, "SILENCE", 0.05)
 
     async def test() -> None:
-        endpoint, other = FakeEndpoint("e1"), FakeEndpoint("e2")
+        endpoint, other = ScriptedEndpoint("e1"), ScriptedEndpoint("e2")
         await other.start()
         async with sidecar(endpoint) as rig:
             _, writer = await rig.discovery.calls.get()
@@ -110,7 +104,7 @@
 
 def test_what_comes_in_one_read_with_the_end_of_a_watch_is_heard() -> None:
     async def test() -> None:
-        old, new = FakeEndpoint("e1"), FakeEndpoint("e2")
+        old, new = ScriptedEndpoint("e1"), ScriptedEndpoint("e2")
         await new.start()
         async with sidecar(old) as rig:
             _, writer = await rig.discovery.calls.get()
@@ -127,13 +121,13 @@
 
 def test_an_endpoint_that_moved_is_met_at_its_new_address() -> None:
     async def test() -> None:
-        old, new = FakeEndpoint("e1"), FakeEndpoint("e1")
+        old, new = ScriptedEndpoint("e1"), ScriptedEndpoint("e1")
         await new.start()
         async with sidecar(old) as rig:
             assert (await rig.ask(request())).status == 200
             _, writer = await rig.discovery.calls.get()
             writer.write(STREAM + chunk(line(2, [new.entry()])))
-            await until(lambda: old.lost == 1)
+            await until(lambda: old.lost_connections == 1)
             assert (await rig.ask(request())).status == 200
         assert len(old.got) == len(new.got) == 1
 
@@ -150,7 +144,7 @@
 
 
 def test_entries_that_cannot_be_read_are_skipped() -> None:
-    good = FakeEndpoint("good").entry()
+    good = ScriptedEndpoint("good").entry()
     bad: list[Any] = [
         7,
         {},
@@ -245,7 +239,7 @@
 
 
 async def in_service(
-    endpoint: FakeEndpoint, folder: Path, **changes: Any
+    endpoint: ScriptedEndpoint, folder: Path, **changes: Any
 ) -> tuple[subprocess.Popen[str], Address]:
     """A sidecar's process that serves this endpoint, and where."""
     await endpoint.start()
@@ -269,7 +263,7 @@
 
     async def test() -> None:
         go = asyncio.Event()
-        endpoint = FakeEndpoint("e1", answering(ok(b"late"), after=go))
+        endpoint = ScriptedEndpoint("e1", answering(ok(b"late"), after=go))
         async with sidecar(endpoint) as rig:
             idle, before, late = [await rig.connect() for _ in range(3)]
             before.writer.write(request("pay"))
@@ -297,7 +291,7 @@
 
 def test_after_sigterm_what_is_not_answered_in_time_fails_and_it_ends(tmp_path: Path) -> None:
     async def test() -> None:
-        endpoint = FakeEndpoint("e1", silent)
+        endpoint = ScriptedEndpoint("e1", silent)
         process, listen = await in_service(endpoint, tmp_path)
         reader, writer = await asyncio.open_connection(listen.host, listen.port)
         writer.write(request("pay"))
@@ -311,7 +305,7 @@
 
 def test_sighup_moves_the_watch_and_keeps_the_list_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
     async def test() -> None:
-        endpoint, old, new = FakeEndpoint("e1"), FakeDiscovery(), FakeDiscovery()
+        endpoint, old, new = ScriptedEndpoint("e1"), ScriptedCadastro(), ScriptedCadastro()
         await old.start()
         await new.start()
         process, listen = await in_service(endpoint, tmp_path, discovery=str(old.address))
@@ -356,7 +350,7 @@
 
     async def test() -> None:
         ask_late = to_settings(SETTINGS | {"rules": SETTINGS["rules"] | {"askWithin": 4000.0}})
-        async with sidecar(FakeEndpoint("e1"), settings=ask_late) as rig:
+        async with sidecar(ScriptedEndpoint("e1"), settings=ask_late) as rig:
             await rig.discovery.calls.get()
             begun = time.monotonic()
             await rig.discovery.calls.get()
@@ -367,7 +361,7 @@
 
 def test_sigterm_during_reloads_floods_and_half_sent_requests_ends_with_0_in_time(tmp_path: Path) -> None:
     async def test() -> None:
-        endpoint = FakeEndpoint("e1")
+        endpoint = ScriptedEndpoint("e1")
         process, listen = await in_service(endpoint, tmp_path)
         half, flood, body = [await asyncio.open_connection(listen.host, listen.port) for _ in range(3)]
         half[1].write(request("pay", b"body")[:-1])
