--- /dev/null
+++ b/millgw/checked.py
@@ -0,0 +1,74 @@
+"""TOML files with checks: types and ranges by `msgspec`, errors in one line that names file, line and key.
+
+A file's tables are `Table`s; what no single field can tell is checked by a function that raises a ValueError
+worded `path: what`, such as `faults[2].start_s: is past the day's end`.
+"""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import msgspec
+
+
+class FileError(ValueError):
+    """A file that can't be used; the text names file, line and key."""
+
+
+class Table(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """A table of a file: keys that it does not know are errors."""
+
+
+T = TypeVar("T", bound=Table)
+
+
+def read(text: str, name: str, kind: type[T], check: Callable[[T], T], error: type[FileError]) -> T:
+    """The file's whole value; `name` is what errors call the file."""
+    try:
+        data: Any = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as wrong:
+        raise error(f"{name}: {wrong}") from None
+    try:
+        return check(msgspec.convert(data, kind))
+    except msgspec.ValidationError as wrong:
+        what, _, path = str(wrong).partition(" - at `$")
+        path = path.rstrip("`").lstrip(".")
+        if match := re.search(r"unknown field `([^`]+)`", what):
+            path = f"{path}.{match[1]}".lstrip(".")
+            what = "no such key"
+        raise error(place(text, name, path, what)) from None
+    except ValueError as wrong:
+        path, _, what = str(wrong).partition(": ")
+        raise error(place(text, name, path, what)) from None
+
+
+def place(text: str, name: str, path: str, what: str) -> str:
+    """One line: where it is, as far as that can be known, and what is wrong."""
+    line = line_of(text, path) if path else None
+    where = f"{name}:{line}" if line is not None else name
+    return f"{where}: {path}: {what}" if path else f"{where}: {what}"
+
+
+def line_of(text: str, path: str) -> int | None:
+    """The line on which a key like `faults[2].start_s` stands, or that of the nearest table above it."""
+    parts = [p for p in re.split(r"[.\[\]]+", path.removeprefix("$")) if p]
+    best, at_table = None, None
+    counts: dict[str, int] = {}
+    here: list[str] = []
+    for number, line in enumerate(text.splitlines(), 1):
+        stripped = line.strip()
+        if match := re.match(r"^(\[\[?)\s*([^\]\s]+)\s*\]", stripped):
+            here = match[2].split(".")
+            if match[1] == "[[":
+                counts[match[2]] = counts.get(match[2], -1) + 1
+                here = [*here, str(counts[match[2]])]
+            if here == parts[: len(here)]:
+                at_table = number
+        elif match := re.match(r"""^["']?([A-Za-z0-9_-]+)["']?\s*=""", stripped):
+            key = [*here, match[1]]
+            if key == parts[: len(key)]:
+                best = number
+    return best or at_table
--- a/millgw/rehearsal/blows.py
+++ b/millgw/rehearsal/blows.py
@@ -103,41 +103,37 @@
 
     # Endpoints
 
-    async def _silence(self, blow: Blow) -> None:
-        """A machine vanishes and comes back cold."""
+    async def _away(
+        self, blow: Blow, go: Callable[[Endpoint], None], status: str, late: tuple[float, float]
+    ) -> Endpoint | None:
+        """Let an endpoint go, and rest; None if it was not up, or was struck by another meanwhile."""
         endpoint = self.stage.endpoints[blow.target]
         if not endpoint.up:
-            return
+            return None
         life = endpoint.lives
-        self.stage.vanish(endpoint)
-        self.stage.notice(endpoint, "terminated", self.stage.delays.silent)
+        go(endpoint)
+        self.stage.notice(endpoint, status, late)
         await self._rest(blow)
-        if endpoint.lives == life and endpoint.quiet:
+        return endpoint if endpoint.lives == life else None
+
+    async def _silence(self, blow: Blow) -> None:
+        """A machine vanishes and comes back cold."""
+        endpoint = await self._away(blow, self.stage.vanish, "terminated", self.stage.delays.silent)
+        if endpoint is not None and endpoint.quiet:
             await self.stage.revive(endpoint)
 
     async def _restart(self, blow: Blow) -> None:
         """A process ends, and a cold one takes its place."""
-        endpoint = self.stage.endpoints[blow.target]
-        if not endpoint.up:
-            return
-        life = endpoint.lives
-        self.stage.end(endpoint)
-        self.stage.notice(endpoint, "terminated", self.stage.delays.notice)
-        await self._rest(blow)
-        if endpoint.lives == life:
+        endpoint = await self._away(blow, self.stage.end, "terminated", self.stage.delays.notice)
+        if endpoint is not None:
             await self.stage.revive(endpoint)
 
     async def _drain(self, blow: Blow) -> None:
         """An endpoint drains, ends, and comes back as a cold process."""
-        endpoint = self.stage.endpoints[blow.target]
-        if not endpoint.up:
+        endpoint = await self._away(blow, Endpoint.drain, "terminating", self.stage.delays.notice)
+        if endpoint is None or not endpoint.up:
             return
         life = endpoint.lives
-        endpoint.drain()
-        self.stage.notice(endpoint, "terminating", self.stage.delays.notice)
-        await self._rest(blow)
-        if endpoint.lives != life or not endpoint.up:
-            return
         self.stage.end(endpoint)
         self.stage.notice(endpoint, "terminated", self.stage.delays.notice)
         await asyncio.sleep(RETURN_AFTER_DRAIN)
@@ -146,14 +142,8 @@
 
     async def _replaced(self, blow: Blow) -> None:
         """A machine vanishes; another one starts cold, under a name of its own, at the same address."""
-        endpoint = self.stage.endpoints[blow.target]
-        if not endpoint.up:
-            return
-        life = endpoint.lives
-        self.stage.vanish(endpoint)
-        self.stage.notice(endpoint, "terminated", self.stage.delays.silent)
-        await self._rest(blow)
-        if endpoint.lives == life and endpoint.quiet:
+        endpoint = await self._away(blow, self.stage.vanish, "terminated", self.stage.delays.silent)
+        if endpoint is not None and endpoint.quiet:
             endpoint.stop()
             build = replace(endpoint.build, name=f"s-{self.rng.getrandbits(32):08x}")
             await self.stage.revive(self.stage.replace(endpoint, build))
--- a/millgw/rehearsal/scenario.py
+++ b/millgw/rehearsal/scenario.py
@@ -6,15 +6,15 @@
 
 from __future__ import annotations
 
-import re
-import tomllib
 from collections.abc import Sequence
 from importlib import resources
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
 import msgspec
-from msgspec import Meta, Struct
+from msgspec import Meta
+
+from millgw.checked import FileError, Table, read
 
 Share = Annotated[float, Meta(ge=0.0, le=1.0)]
 Part = Annotated[float, Meta(gt=0.0, le=1.0)]
@@ -46,14 +46,10 @@
 ON_SIDECARS: frozenset[str] = frozenset({"sidecar-killed", "sidecar-restart", "connections"})
 
 
-class ScenarioError(ValueError):
+class ScenarioError(FileError):
     """The scenario can't be played; the text names file, line and key."""
 
 
-class Table(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
-    """A table of the file: keys that it does not know are errors."""
-
-
 class Speed(Table, frozen=True, kw_only=True):
     """A kind of endpoint: its share of each tier and its speed against the yardstick."""
 
@@ -292,52 +288,9 @@
 # Reading
 
 
-def line_of(text: str, path: str) -> int | None:
-    """The line on which a key like `faults[2].start_s` stands, or that of the nearest table above it."""
-    parts = [p for p in re.split(r"[.\[\]]+", path.removeprefix("$")) if p]
-    best, at_table = None, None
-    counts: dict[str, int] = {}
-    here: list[str] = []
-    for number, line in enumerate(text.splitlines(), 1):
-        stripped = line.strip()
-        if match := re.match(r"^(\[\[?)\s*([^\]\s]+)\s*\]", stripped):
-            here = match[2].split(".")
-            if match[1] == "[[":
-                counts[match[2]] = counts.get(match[2], -1) + 1
-                here = [*here, str(counts[match[2]])]
-            if here == parts[: len(here)]:
-                at_table = number
-        elif match := re.match(r"""^["']?([A-Za-z0-9_-]+)["']?\s*=""", stripped):
-            key = [*here, match[1]]
-            if key == parts[: len(key)]:
-                best = number
-    return best or at_table
-
-
 def parse(text: str, name: str) -> Scenario:
     """A scenario from its text; `name` is what errors call it."""
-    try:
-        data: Any = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        raise ScenarioError(f"{name}: {error}") from None
-    try:
-        return check(msgspec.convert(data, Scenario))
-    except msgspec.ValidationError as error:
-        what, _, path = str(error).partition(" - at `$")
-        path = path.rstrip("`").lstrip(".")
-        if match := re.search(r"unknown field `([^`]+)`", what):
-            path = f"{path}.{match[1]}".lstrip(".")
-            what = "no such key"
-        raise ScenarioError(_place(text, name, path, what)) from None
-    except ValueError as error:
-        path, _, what = str(error).partition(": ")
-        raise ScenarioError(_place(text, name, path, what)) from None
-
-
-def _place(text: str, name: str, path: str, what: str) -> str:
-    line = line_of(text, path) if path else None
-    where = f"{name}:{line}" if line is not None else name
-    return f"{where}: {path}: {what}" if path else f"{where}: {what}"
+    return read(text, name, Scenario, check, ScenarioError)
 
 
 def shipped() -> dict[str, str]:
--- a/millgw/rehearsal/stage.py
+++ b/millgw/rehearsal/stage.py
@@ -340,9 +340,9 @@
         endpoints = [(e.build.name, e.build.tier) for tier in self.tiers for e in tier]
         front = [name for name, s in self.sidecars.items() if s.stage == 0]
         blows = Blows(self)
-        # Guards against the rig's own pauses: what the day starts with is left out of collections.
+        # Guards against the rig's own pauses: a look through a whole ledger takes it some tenths of a second.
         gc.collect()
-        gc.freeze()
+        gc.disable()
         self.zero = self.clock()
         blows.schedule(plan(scenario, endpoints, front, scenario.seed))
         sampler = asyncio.create_task(Sampler(self.ledger, self.clock, list(self.sidecars.values())).run())
@@ -360,7 +360,7 @@
             for task in (sampler, playing, stopped, *self.clients.journeys):
                 task.cancel()
             blows.close()
-            gc.unfreeze()
+            gc.enable()
 
     def _facts(self, start_s: float) -> Facts:
         for sidecar in self.sidecars.values():
--- a/tests/test_sidecar_process.py
+++ b/tests/test_sidecar_process.py
@@ -143,6 +143,18 @@
     run(test)
 
 
+def test_no_known_list_is_no_warning_and_a_wrong_one_is(caplog: pytest.LogCaptureFixture) -> None:
+    async def test(known: object) -> None:
+        async with sidecar(known=known) as rig:
+            call, _ = await rig.discovery.calls.get()
+            assert call.first.split()[1] == "/v1/endpoints?watch=1"
+
+    run(lambda: test(None))
+    assert "known" not in caplog.text
+    run(lambda: test([]))
+    assert "known: not a list of endpoints" in caplog.text
+
+
 def test_entries_that_cannot_be_read_are_skipped() -> None:
     good = ScriptedEndpoint("good").entry()
     bad: list[Any] = [
