Several services in one process: the operator's file, routes, a pool for each, turns

Campaign batches and login codes follow different rules and needed separate processes. What callers send is worked on in turn by lane, so that one pool's flood does not queue before another's requests. SIGHUP adds, changes and removes services in service. Off by default: the daemon loads nothing of it (tested).

--- a/millgw/__main__.py
+++ b/millgw/__main__.py
@@ -3,9 +3,17 @@
 from __future__ import annotations
 
 import argparse
+import importlib
+import os
 import sys
 from collections.abc import Callable, Sequence
 
+FROM_TOOLS = (
+    ("millgw.operator.command", "add_parsers", ("check", "route"), "requirements-operator.txt"),
+    ("millgw.rehearsal.command", "add_parser", ("rehearse",), "requirements-tools.txt"),
+)
+"""Commands that need more than the daemon: module, what adds them, their names, what brings the rest."""
+
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Carry out a command line. Exit: 0 held, 1 did not hold, 2 bad input, 3 inconclusive."""
@@ -14,31 +22,47 @@
     )
     commands = parser.add_subparsers(required=True, metavar="COMMAND")
     serve = commands.add_parser("serve", help="one sidecar, configured by BALANCER_CONFIG and its like")
+    serve.add_argument("--operator", metavar="FILE", help="the operator's file (BALANCER_OPERATOR)")
     serve.set_defaults(main=_serve)
+    words = list(sys.argv[1:] if argv is None else argv)
+    if words[:1] != ["serve"]:  # the daemon must not load what only tools need
+        for module, add, names, brings in FROM_TOOLS:
+            _add(commands, module, add, names, brings)
+    args = parser.parse_args(words)
+    code: int = args.main(args)
+    return code
+
+
+def _add(
+    commands: argparse._SubParsersAction[argparse.ArgumentParser],
+    module: str,
+    add: str,
+    names: tuple[str, ...],
+    brings: str,
+) -> None:
     try:
-        from millgw.rehearsal import command as rehearse
+        getattr(importlib.import_module(module), add)(commands)
     except ModuleNotFoundError as missing:
         if (missing.name or "millgw").split(".")[0] == "millgw":
             raise
-        lacking = commands.add_parser("rehearse", help="needs the tools, which are not installed")
-        lacking.add_argument("rest", nargs=argparse.REMAINDER)
-        lacking.set_defaults(main=_without(missing.name or ""))
-    else:
-        rehearse.add_parser(commands)
-    args = parser.parse_args(argv)
-    code: int = args.main(args)
-    return code
+        for name in names:
+            lacking = commands.add_parser(name, help=f"needs {missing.name}, which is not installed")
+            lacking.add_argument("rest", nargs=argparse.REMAINDER)
+            lacking.set_defaults(main=_without(missing.name or "", brings))
 
 
-def _serve(_: argparse.Namespace) -> int:
+def _serve(args: argparse.Namespace) -> int:
+    from millgw.sidecar.__main__ import OPERATOR
     from millgw.sidecar.__main__ import main as serve
 
+    if args.operator is not None:
+        os.environ[OPERATOR] = args.operator
     return serve()
 
 
-def _without(missing: str) -> Callable[[argparse.Namespace], int]:
+def _without(missing: str, brings: str) -> Callable[[argparse.Namespace], int]:
     def main(_: argparse.Namespace) -> int:
-        print(f"millgw: {missing} is missing: pip install -r requirements-tools.txt", file=sys.stderr)
+        print(f"millgw: {missing} is missing: pip install -r {brings}", file=sys.stderr)
         return 2
 
     return main
--- a/millgw/checked.py
+++ b/millgw/checked.py
@@ -35,7 +35,7 @@
         return check(msgspec.convert(data, kind))
     except msgspec.ValidationError as wrong:
         what, _, path = str(wrong).partition(" - at `$")
-        path = path.rstrip("`").lstrip(".")
+        path = _keyed(path.rstrip("`").lstrip("."), data, kind, str(wrong))
         if match := re.search(r"unknown field `([^`]+)`", what):
             path = f"{path}.{match[1]}".lstrip(".")
             what = "no such key"
@@ -45,6 +45,31 @@
         raise error(place(text, name, path, what)) from None
 
 
+def _keyed(path: str, data: Any, kind: type[T], said: str) -> str:
+    """The path with the keys of free tables in it, which the checks word as `[...]`: found by trying them."""
+    while "[...]" in path:
+        before = path.partition("[...]")[0]
+        *above, last = before.split(".")
+        table = data
+        for name in above:
+            table = table[name]
+        for key, value in table[last].items():
+            table[last], whole = {key: value}, table[last]
+            try:
+                msgspec.convert(data, kind)
+                found = False
+            except msgspec.ValidationError as again:
+                found = str(again) == said
+            finally:
+                table[last] = whole
+            if found:
+                path = path.replace("[...]", f".{key}", 1)
+                break
+        else:
+            return path
+    return path
+
+
 def place(text: str, name: str, path: str, what: str) -> str:
     """One line: where it is, as far as that can be known, and what is wrong."""
     line = line_of(text, path) if path else None
--- /dev/null
+++ b/millgw/operator/file.py
@@ -0,0 +1,144 @@
+"""The operator's file: services, each with its pool, and the routes that lead to them.
+
+Absent, or with no services, the daemon is what it is without it. Errors are one line that names file, line
+and path, such as `operator.toml:7: services.login.limits.calls: Expected `int` >= 1`.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, Any
+
+from msgspec import Meta, field
+
+from millgw.checked import FileError, Table, read
+from millgw.routing.table import Route, RouteError
+from millgw.routing.table import Table as RouteTable
+from millgw.sidecar.config import read_address
+
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9_-]*$", max_length=64)]
+
+
+class OperatorError(FileError):
+    """The operator's file can't be used."""
+
+
+class Endpoint(Table, frozen=True, kw_only=True):
+    """One entry of a static list."""
+
+    name: Annotated[str, Meta(min_length=1, max_length=256)]
+    address: str
+    group: Annotated[int, Meta(ge=0)] = 0
+    weight: Annotated[float, Meta(gt=0, le=1e6)] = 1.0
+    zone: str = ""
+
+
+class Limits(Table, frozen=True, kw_only=True):
+    """What a service's pool has for sure, as shares of what the whole daemon may hold."""
+
+    calls: Annotated[float, Meta(gt=0, le=1)] | None = None
+    connections: Annotated[float, Meta(gt=0, le=1)] | None = None
+    bodies: Annotated[float, Meta(gt=0, le=1)] | None = None
+    answers: Annotated[float, Meta(gt=0, le=1)] | None = None
+
+
+class Service(Table, frozen=True, kw_only=True):
+    """One service: where its endpoints are known from, its classes, and settings that differ for it.
+
+    Without `discovery` and `endpoints` the configuration's discovery tells. `settings` holds words of the
+    configuration's object of that name and goes over it, table by table.
+    """
+
+    discovery: str | None = None
+    endpoints: tuple[Endpoint, ...] = ()
+    classes: tuple[str, ...] = ()
+    settings: dict[str, Any] = field(default_factory=dict)
+    limits: Limits = Limits()
+
+
+class RouteEntry(Table, frozen=True, kw_only=True, rename={"cls": "class"}):
+    """One route; what it leaves out may be anything."""
+
+    to: str
+    host: str = ""
+    path: Annotated[str, Meta(pattern=r"^(/.*)?$")] = ""
+    method: Annotated[str, Meta(pattern=r"^[A-Za-z]*$")] = ""
+    cls: str = ""
+    headers: dict[str, str] = field(default_factory=dict)
+
+
+class Operator(Table, frozen=True, kw_only=True):
+    """The whole file."""
+
+    services: dict[Name, Service] = field(default_factory=dict)
+    routes: tuple[RouteEntry, ...] = ()
+
+
+KINDS = ("calls", "connections", "bodies", "answers")
+
+
+def check(operator: Operator) -> Operator:
+    """What no single field can tell."""
+    for name, service in operator.services.items():
+        path = f"services.{name}"
+        if service.discovery is not None:
+            if service.endpoints:
+                raise ValueError(f"{path}.endpoints: stand beside a discovery; a service has one of the two")
+            _address(f"{path}.discovery", service.discovery)
+        names = [e.name for e in service.endpoints]
+        for i, endpoint in enumerate(service.endpoints):
+            _address(f"{path}.endpoints[{i}].address", endpoint.address)
+            if endpoint.name in names[:i]:
+                raise ValueError(f"{path}.endpoints[{i}].name: {endpoint.name!r} is given twice")
+    for kind in KINDS:
+        parts = [
+            (n, getattr(s.limits, kind)) for n, s in operator.services.items() if getattr(s.limits, kind)
+        ]
+        total = sum(part for _, part in parts)
+        if total > 1 + 1e-9:
+            raise ValueError(
+                f"services.{parts[-1][0]}.limits.{kind}: all together are {total:.3g} of the whole"
+            )
+    for i, route in enumerate(operator.routes):
+        if route.to not in operator.services:
+            raise ValueError(f"routes[{i}].to: there is no service {route.to!r}")
+    reached = {route.to for route in operator.routes}
+    for name in operator.services:
+        if name not in reached:
+            raise ValueError(f"services.{name}: no route leads to it")
+    try:
+        table(operator)
+    except RouteError as error:
+        raise ValueError(f"routes[{error.index}]: {error}") from None
+    return operator
+
+
+def _address(path: str, value: str) -> None:
+    try:
+        read_address(value)
+    except ValueError as error:
+        raise ValueError(f"{path}: {error}") from None
+
+
+def table(operator: Operator) -> RouteTable:
+    """The file's routes, compiled."""
+    return RouteTable(
+        [
+            Route(r.to, r.host, r.path, r.method, r.cls, tuple(sorted(r.headers.items())))
+            for r in operator.routes
+        ]
+    )
+
+
+def parse(text: str, name: str) -> Operator:
+    """The file from its text."""
+    return read(text, name, Operator, check, OperatorError)
+
+
+def load(path: str) -> Operator:
+    """The file at a path."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise OperatorError(f"{path}: {error}") from None
+    return parse(text, path)
--- a/millgw/sidecar/__main__.py
+++ b/millgw/sidecar/__main__.py
@@ -7,7 +7,7 @@
 import os
 import signal
 import sys
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping, Sequence
 
 import uvloop
 
@@ -16,7 +16,7 @@
 from millgw.sidecar.descriptors import Descriptors
 from millgw.sidecar.discovery import Discovery
 from millgw.sidecar.driver import Driver
-from millgw.sidecar.server import Server
+from millgw.sidecar.server import OneService, Server
 from millgw.sidecar.upstream import Upstream
 
 LONGEST = 3.0  # s of a deadline that SIGKILL waits for at the most, and a little more than ANSWER_WITHIN
@@ -25,6 +25,8 @@
 LOG_EVERY = 1.0  # s between two lines of the same kind
 FLUSH = 0.2  # s that answers may take to be read before the process ends
 
+OPERATOR = "BALANCER_OPERATOR"  # names the operator's file
+
 log = logging.getLogger("millgw")
 
 
@@ -47,20 +49,41 @@
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
+    server, drivers, reload = _several(config, environ) if environ.get(OPERATOR) else _one(config, environ)
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+    server.start()
+    log.info("%s serves at %s:%d", config.name, config.listen.host, config.listen.port)
+    await stop.wait()
+    await leave(config, server, drivers)
+
+
+Parts = tuple[Server, Callable[[], Sequence[Driver]], Callable[[], None]]
+"""A callers' side, the drivers whose calls it takes, and what a SIGHUP does."""
+
+
+def _one(config: Config, environ: Mapping[str, str]) -> Parts:
     descriptors = Descriptors(config.sockets)
     upstream = Upstream(descriptors, config.connect_timeout, config.idle, config.memory)
     discovery = Discovery(config.discovery, config.zones, lambda kind, entries: driver.listed(kind, entries))
     driver = Driver(Balancer(config.settings, config.seed), upstream, discovery.subscribe)
-    loop.add_signal_handler(signal.SIGHUP, Reload(environ, config, discovery))
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     discovery.start(config.known)
     if not config.settings.ask_discovery:
         discovery.subscribe()
-    server = Server(config, driver, descriptors)
-    server.start()
-    log.info("%s serves at %s:%d", config.name, config.listen.host, config.listen.port)
-    await stop.wait()
-    await leave(config, server, driver)
+    return OneService(config, driver, descriptors), lambda: (driver,), Reload(environ, config, discovery)
+
+
+def _several(config: Config, environ: Mapping[str, str]) -> Parts:
+    # Only here: an operator's file that is not given must cost nothing.
+    try:
+        from millgw.services.node import Node
+    except ModuleNotFoundError as missing:
+        raise ConfigError(f"{OPERATOR}: needs {missing.name}: requirements-operator.txt") from None
+
+    node = Node(config, environ, environ[OPERATOR])
+    if not node.operator.services:
+        return _one(config, environ)
+    return node.open()
 
 
 class Reload:
@@ -86,7 +109,7 @@
         self.discovery.move(self.config.discovery)
 
 
-async def leave(config: Config, server: Server, driver: Driver) -> None:
+async def leave(config: Config, server: Server, drivers: Callable[[], Sequence[Driver]]) -> None:
     """Serve on for a while, answer all that was taken, and be gone before SIGKILL.
 
     Serving on guards against a rolling restart whose next sidecar leaves before the last one is back: for
@@ -103,8 +126,9 @@
                 await asyncio.sleep(0.05)
                 server.close_idle()
     except TimeoutError:
-        log.warning("ended with %d requests unserved", len(driver.calls))
-        driver.fail_all()
+        log.warning("ended with %d requests unserved", sum(len(d.calls) for d in drivers()))
+        for driver in drivers():
+            driver.fail_all()
         await asyncio.sleep(FLUSH)
 
 
@@ -120,6 +144,9 @@
         return 2
     try:
         uvloop.run(serve(config))
+    except ConfigError as error:
+        print(f"millgw: {error}", file=sys.stderr)
+        return 2
     except OSError as error:
         print(f"millgw: {error}", file=sys.stderr)
         return 1
--- a/millgw/sidecar/caller.py
+++ b/millgw/sidecar/caller.py
@@ -35,6 +35,7 @@
     408: b"Request Timeout",
     409: b"Conflict",
     413: b"Content Too Large",
+    421: b"Misdirected Request",
     431: b"Request Header Fields Too Large",
     502: b"Bad Gateway",
     503: b"Service Unavailable",
@@ -47,6 +48,8 @@
 class CallerConnection(asyncio.BufferedProtocol):
     """One request at a time; what comes early waits its turn, unparsed."""
 
+    heads = Head
+
     def __init__(self, server: Server) -> None:
         self.server = server
         self.transport: asyncio.Transport | None = None
@@ -121,7 +124,7 @@
             return
         self.arrived = time.monotonic()
         self.rest += self.server.buffer[:nbytes]
-        self._read()
+        self.take_in()
 
     def _read(self) -> None:
         """Read on until a request is there to be served.
@@ -141,6 +144,8 @@
             if self.asked and self.head is None and not self.busy:
                 self.server.kept[self] = None
 
+    take_in = _read
+
     def _parse(self, data: bytes) -> None:
         assert self.parser is not None
         try:
@@ -184,12 +189,12 @@
         self.head = None
         call, self.current = self.current, None
         if call is not None:
-            self.server.driver.left(call)
+            self.server.give_up(call)
 
     # httptools
 
     def on_message_begin(self) -> None:
-        self.head = Head()
+        self.head = self.heads()
         self.server.busy(self)
         self.in_body = False
         if self.asked:  # the first one's time counts from connecting
@@ -260,7 +265,7 @@
             self.bad = 0
             if isinstance(made, Call):
                 self.current = made
-                self.server.driver.take(made)
+                self.server.take(made)
             else:
                 self._answer(made)
         self.serving = False
--- a/millgw/sidecar/discovery.py
+++ b/millgw/sidecar/discovery.py
@@ -119,6 +119,14 @@
         self.watch.expect(FIRST_LINE)
         self.asking = asyncio.get_running_loop().create_task(self._connect(self.watch))
 
+    def stop(self) -> None:
+        """Watch no longer."""
+        if self.asking is not None:
+            self.asking.cancel()
+        if self.watch is not None:
+            watch, self.watch = self.watch, None
+            watch.stop()
+
     def move(self, address: Address) -> None:
         """Go on at another address from the version that is known; the list and all learned of it stay."""
         if address != self.address:
--- a/millgw/sidecar/request.py
+++ b/millgw/sidecar/request.py
@@ -97,6 +97,8 @@
 class Terms:
     """What a call must be like to be taken, by the settings."""
 
+    calls = Call
+
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
         self.classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
@@ -122,4 +124,4 @@
         # Guards against a wait far over the class's deadline: timers and books would live that long.
         patience = min(float(given), cls.deadline) - (time.monotonic() - head.ended) * 1000
         tenant = self.tenants.get(values.get(b"x-customer", b""), len(self.tenants))
-        return Call(index, tenant, patience, partial(word, head), answer, values[b"x-trace-id"])
+        return self.calls(index, tenant, patience, partial(word, head), answer, values[b"x-trace-id"])
--- a/millgw/sidecar/server.py
+++ b/millgw/sidecar/server.py
@@ -12,6 +12,7 @@
 import time
 from collections.abc import Callable
 from functools import partial
+from typing import Any
 
 from millgw.sidecar.caller import CallerConnection
 from millgw.sidecar.config import Config
@@ -41,12 +42,14 @@
 
 
 class Server:
-    """All callers' connections of one sidecar."""
+    """All callers' connections of one sidecar; whose their requests are is the subclass's to say."""
 
-    def __init__(self, config: Config, driver: Driver, descriptors: Descriptors) -> None:
+    connection: Callable[[Any], CallerConnection] = CallerConnection
+    take: Callable[[Call], None]
+    give_up: Callable[[Call], None]
+
+    def __init__(self, config: Config, descriptors: Descriptors) -> None:
         self.loop = asyncio.get_running_loop()
-        self.driver = driver
-        self.terms = Terms(config.settings)
         self.descriptors = descriptors
         descriptors.callers = lambda: len(self.connections) + len(self.accepting)
         descriptors.close_caller = self._evict
@@ -95,7 +98,7 @@
 
     async def _adopt(self, connection: socket.socket) -> None:
         try:
-            await self.loop.connect_accepted_socket(partial(CallerConnection, self), connection)
+            await self.loop.connect_accepted_socket(partial(type(self).connection, self), connection)
         except OSError as error:
             log.warning("a connection was lost as it was accepted: %s", error)
 
@@ -167,6 +170,20 @@
 
     def read(self, head: Head, answer: Callable[[Answer], None]) -> Call | Answer:
         """The call that a request makes, or the answer to one that needs no endpoint."""
+        raise NotImplementedError
+
+
+class OneService(Server):
+    """The callers' side of a sidecar with one driver, which all requests are for."""
+
+    def __init__(self, config: Config, driver: Driver, descriptors: Descriptors) -> None:
+        super().__init__(config, descriptors)
+        self.driver = driver
+        self.terms = Terms(config.settings)
+        self.take = driver.take
+        self.give_up = driver.left
+
+    def read(self, head: Head, answer: Callable[[Answer], None]) -> Call | Answer:
         path = head.target.partition(b"?")[0]
         if path == b"/ready":
             if head.method != b"GET":
--- /dev/null
+++ b/tests/test_services.py
@@ -0,0 +1,494 @@
+"""Several services in one process: routes, pools and bounds of their own, reloads, and floods."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from millgw.__main__ import main
+from millgw.operator.file import OperatorError, parse
+from millgw.services.limits import Allotment, parts
+from millgw.services.turns import Turns
+from millgw.sidecar.__main__ import serve
+from millgw.sidecar.config import read_config
+from millgw.standins.address import free_address
+from millgw.standins.http import Message, ok
+from millgw.standins.scripted import ScriptedCadastro, ScriptedEndpoint, answering, read_message, silent
+from tests.rig import SETTINGS, Client, request, run, until
+
+# The operator's file
+
+GOOD = """
+[services.login]
+classes = ["pay"]
+[services.login.limits]
+calls = 0.5
+[services.campaign]
+discovery = "127.0.0.1:8501"
+
+[[routes]]
+to = "login"
+host = "login.example.org"
+
+[[routes]]
+to = "campaign"
+"""
+
+
+def test_a_good_file_is_read() -> None:
+    made = parse(GOOD, "o.toml")
+    assert set(made.services) == {"login", "campaign"} and made.services["login"].limits.calls == 0.5
+    assert parse("", "o.toml").services == {}
+
+
+@pytest.mark.parametrize(
+    ("change", "line", "says"),
+    [
+        (("calls = 0.5", "calls = 'x'"), 5, "services.login.limits.calls: Expected"),
+        (("calls = 0.5", "calls = 1.5"), 5, "services.login.limits.calls: Expected"),
+        (("calls = 0.5", "cals = 1"), 5, "services.login.limits.cals: no such key"),
+        (('to = "login"', 'to = "log"'), 10, "routes[0].to: there is no service 'log'"),
+        (('to = "campaign"', 'to = "login"\npath = "/x"'), 6, "services.campaign: no route leads to it"),
+        (('host = "login.example.org"', ""), 13, "routes[1]: can't be told apart from routes[0]"),
+        (('host = "login.example.org"', 'host = "a..b"'), 9, "host: Host is no host name"),
+        (('host = "login.example.org"', 'path = "x"'), 11, "routes[0].path"),
+        (("127.0.0.1:8501", "cadastro:8501"), 7, "services.campaign.discovery"),
+        (("[services.campaign]", "[services.Campaign]"), None, "services"),
+        (
+            ("[services.campaign]\n", "[services.campaign.limits]\ncalls = 0.6\n[services.campaign]\n"),
+            7,
+            "1.1",
+        ),
+    ],
+)
+def test_a_bad_file_is_named_with_line_and_path(change: tuple[str, str], line: int | None, says: str) -> None:
+    assert change[0] in GOOD
+    with pytest.raises(OperatorError) as caught:
+        parse(GOOD.replace(*change), "o.toml")
+    said = str(caught.value)
+    assert says in said and "\n" not in said
+    assert line is None or said.startswith(f"o.toml:{line}: "), said
+
+
+# Limits and turns
+
+NAMES = ("a", "b", "c")
+
+
+@given(
+    st.integers(12, 400),
+    st.tuples(*[st.floats(0.02, 0.33)] * 3),
+    st.lists(st.tuples(st.sampled_from(NAMES), st.integers(-60, 60), st.floats(0.0, 900.0)), max_size=150),
+)
+@settings(max_examples=300, deadline=None)
+def test_limits_are_never_over_the_sum_and_keep_a_part_of_each_guarantee_free(
+    total: int, shares: tuple[float, ...], steps: list[tuple[str, int, float]]
+) -> None:
+    guaranteed = {name: max(1, int(share * total)) for name, share in zip(NAMES, shares, strict=True)}
+    if sum(guaranteed.values()) > total:
+        return
+    allotment, used, now = Allotment(total, guaranteed, 1000.0), dict.fromkeys(NAMES, 0), 0.0
+    for pool, change, gap in steps:
+        now += gap
+        if change < 0:
+            used[pool] = max(0, used[pool] + change)
+            continue
+        for _ in range(change):
+            least = -(-guaranteed[pool] // 4)
+            granted = used[pool] < allotment.most(pool, used, now)
+            assert granted or used[pool] >= least, "the part that is never lent was not free"
+            if not granted:
+                break
+            used[pool] += 1
+        assert sum(used.values()) <= total
+
+
+@given(st.integers(8, 200), st.floats(0.1, 0.5), st.integers(0, 1000))
+@settings(max_examples=100, deadline=None)
+def test_an_owner_has_its_whole_guarantee_back_when_the_loans_have_ended(
+    total: int, share: float, seed: int
+) -> None:
+    guaranteed = {"a": max(1, int(share * total)), "b": max(1, int(0.5 * total))}
+    allotment, used = Allotment(total, guaranteed, 1000.0), {"a": 0, "b": 0}
+    loans: list[float] = []
+    now = float(seed)
+    while used["b"] < allotment.most("b", used, now):
+        if allotment.borrowed("b", used):
+            loans.append(now + 1000.0)
+        used["b"] += 1
+    assert used["b"] > guaranteed["b"] or guaranteed["a"] + guaranteed["b"] >= total - 1
+    start = now
+    while used["a"] < guaranteed["a"]:
+        # The borrower wants more all the time, and gives back each loan when its time is over.
+        for end in [end for end in loans if end <= now]:
+            loans.remove(end)
+            used["b"] -= 1
+        if used["a"] < allotment.most("a", used, now):
+            used["a"] += 1
+        elif used["b"] < allotment.most("b", used, now):
+            used["b"] += 1
+            loans.append(now + 1000.0)
+        else:
+            now += 10.0
+        assert now <= start + 1000.0, "given back too late"
+        assert sum(used.values()) <= total
+
+
+def test_guarantees_that_cannot_be_kept_are_refused() -> None:
+    with pytest.raises(ValueError, match="11 of 10"):
+        Allotment(10, {"a": 6, "b": 5}, 1000.0)
+    assert parts(100, {"a": 0.5, "b": None, "c": None}) == {"a": 50, "b": 12, "c": 12}
+
+
+@given(st.lists(st.tuples(st.sampled_from(NAMES), st.integers(1, 30)), max_size=20))
+@settings(max_examples=200, deadline=None)
+def test_every_item_has_its_turn_in_order_and_no_lane_waits_for_more_than_a_round(
+    added: list[tuple[str, int]],
+) -> None:
+    turns: Turns[tuple[str, int]] = Turns(quantum=3)
+    expected: dict[str, list[int]] = {}
+    for lane, count in added:
+        for _ in range(count):
+            number = len(expected.setdefault(lane, []))
+            expected[lane].append(number)
+            turns.add(lane, (lane, number))
+    got: dict[str, list[int]] = {}
+    since: dict[str, int] = {}
+    while turns:
+        lane, number = turns.next()
+        got.setdefault(lane, []).append(number)
+        for other in expected:
+            waiting = len(got.get(other, ())) < len(expected[other])
+            since[other] = since.get(other, 0) + 1 if waiting and other != lane else 0
+            assert since[other] <= 3 * (len(expected) - 1)
+    assert got == expected
+    with pytest.raises(IndexError):
+        turns.next()
+
+
+# In service
+
+
+class Services:
+    """A sidecar in service with an operator's file."""
+
+    def __init__(self, folder: Path, text: str, discovery: str) -> None:
+        self.folder = folder
+        self.file = folder / "operator.toml"
+        self.file.write_text(text)
+        self.config = folder / "config.json"
+        self.listen = free_address()
+        self.write(discovery)
+        self.environ = {"BALANCER_CONFIG": str(self.config), "BALANCER_OPERATOR": str(self.file)}
+
+    def write(self, discovery: str, **limits: Any) -> None:
+        self.config.write_text(
+            json.dumps(
+                {
+                    "name": "n1", "listen": str(self.listen), "discovery": discovery, "seed": "1",
+                    "limits": {"sockets": 256, "memory_mb": 32} | limits, "settings": SETTINGS,
+                }
+            )
+        )  # fmt: skip
+
+    async def connect(self) -> Client:
+        return Client(*await asyncio.open_connection(self.listen.host, self.listen.port))
+
+    async def ask(self, data: bytes) -> Message:
+        client = await self.connect()
+        try:
+            return await client.ask(data)
+        finally:
+            client.writer.close()
+
+    async def reload(self, text: str) -> None:
+        self.file.write_text(text)
+        os.kill(os.getpid(), signal.SIGHUP)
+        await asyncio.sleep(0.05)
+
+
+@asynccontextmanager
+async def services(folder: Path, text: str, discovery: str = "127.0.0.1:9") -> AsyncIterator[Services]:
+    made = Services(folder, text, discovery)
+    task = asyncio.create_task(serve(read_config(made.environ), made.environ))
+    await asyncio.sleep(0.02)
+    if task.done():
+        task.result()
+    try:
+        yield made
+    finally:
+        task.cancel()
+        with suppress(asyncio.CancelledError):
+            await task
+
+
+def static(name: str, *endpoints: ScriptedEndpoint, more: str = "") -> str:
+    lines = [f"[services.{name}]", more]
+    for e in endpoints:
+        lines += [f"[[services.{name}.endpoints]]", f'name = "{e.name}"', f'address = "{e.address}"']
+    return "\n".join(lines) + "\n"
+
+
+ROUTES = """
+[[routes]]
+to = "login"
+host = "login.example.org"
+[[routes]]
+to = "campaign"
+host = "*.campanha.example.org"
+path = "/api"
+"""
+
+
+async def two(login: ScriptedEndpoint, campaign: ScriptedEndpoint) -> str:
+    await login.start()
+    await campaign.start()
+    return static("login", login) + static("campaign", campaign) + ROUTES
+
+
+def test_each_request_goes_to_the_service_of_its_route_and_to_no_other(tmp_path: Path) -> None:
+    async def test() -> None:
+        login, campaign = ScriptedEndpoint("l"), ScriptedEndpoint("c")
+        async with services(tmp_path, await two(login, campaign)) as node:
+            client = await node.connect()
+            for _ in range(5):  # one connection that alternates
+                assert (await client.ask(request("pay", Host="Login.Example.ORG:80"))).status == 200
+                assert (await client.ask(request("write", Host="a.campanha.example.org"))).status == 200
+            assert (await node.ask(request("pay", Host="elsewhere.org"))).status == 421
+            other = request("write", target="/apiary", Host="a.campanha.example.org")
+            assert (await node.ask(other)).status == 404
+            assert (await node.ask(request("pay", Host="login.example.org", target="/api//x"))).status == 400
+            absolute = request("pay", target="http://login.example.org/api?k=7", Host="login.example.org")
+            assert (await node.ask(absolute)).status == 200
+            ready = await node.ask(b"GET /ready HTTP/1.1\r\nHost: n\r\n\r\n")
+            assert ready.status == 200 and b"login: ready" in ready.body and b"campaign: ready" in ready.body
+            one = await node.ask(b"GET /ready/login HTTP/1.1\r\nHost: n\r\n\r\n")
+            assert one.status == 200 and b"campaign" not in one.body
+            assert (await node.ask(b"GET /ready/x HTTP/1.1\r\nHost: n\r\n\r\n")).status == 404
+        assert {m.headers["x-qos"] for m in login.got} == {"pay"} and len(login.got) == 6
+        assert {m.headers["x-qos"] for m in campaign.got} == {"write"} and len(campaign.got) == 5
+        assert login.got[-1].first == "POST /api?k=7 HTTP/1.1", "an endpoint is asked for a path"
+
+    run(test)
+
+
+def test_a_flood_into_silence_takes_no_room_from_the_other_service(tmp_path: Path) -> None:
+    """One pool's endpoint is silent and its calls pile up; the other's are all served, with 256 sockets."""
+
+    async def test() -> None:
+        login, campaign = ScriptedEndpoint("l"), ScriptedEndpoint("c", silent)
+        async with services(tmp_path, await two(login, campaign)) as node:
+            flood = [await node.connect() for _ in range(90)]
+            for client in flood:
+                client.writer.write(request("write", b"x" * 8000, Host="a.campanha.example.org"))
+            await until(lambda: len(campaign.got) > 3)
+            calm = await node.connect()
+            for _ in range(60):
+                answer = await calm.ask(request("pay", Host="login.example.org"))
+                assert answer.status == 200
+            refused = 0
+            for client in flood:
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(0.01):
+                        refused += (await read_message(client.reader)).status == 503
+            assert refused > 0 and refused + len(campaign.got) <= len(flood)
+        assert len(login.got) == 60
+
+    run(test)
+
+
+def test_lanes_take_turns_so_that_a_flood_is_not_served_before_the_other(tmp_path: Path) -> None:
+    """While 60 connections flood, each calm call passes after a bounded number of the flood's."""
+
+    async def test() -> None:
+        login, campaign = ScriptedEndpoint("l"), ScriptedEndpoint("c")
+        async with services(tmp_path, await two(login, campaign)) as node:
+            calm = await node.connect()
+            assert (await calm.ask(request("pay", Host="login.example.org"))).status == 200
+            stop = False
+
+            async def flood() -> None:
+                client = await node.connect()
+                while not stop:
+                    await client.ask(request("write", Host="a.campanha.example.org"))
+
+            flooding = [asyncio.create_task(flood()) for _ in range(60)]
+            await until(lambda: len(campaign.got) > 100)
+            before = len(campaign.got)
+            for _ in range(40):
+                assert (await calm.ask(request("pay", Host="login.example.org"))).status == 200
+            between = (len(campaign.got) - before) / 40
+            stop = True
+            await asyncio.gather(*flooding)
+            assert between < 60, "a calm call waited for a whole round of the flood's connections"
+
+    run(test)
+
+
+def test_a_service_whose_discovery_is_down_refuses_and_the_other_serves(tmp_path: Path) -> None:
+    async def test() -> None:
+        login = ScriptedEndpoint("l")
+        await login.start()
+        down = f'[services.campaign]\ndiscovery = "{free_address()}"\n'
+        async with services(tmp_path, static("login", login) + down + ROUTES) as node:
+            assert (await node.ask(request("pay", Host="login.example.org"))).status == 200
+            assert (await node.ask(request("pay", patience=300, Host="x.campanha.example.org"))).status in (
+                502,
+                503,
+            )
+            assert (await node.ask(b"GET /ready HTTP/1.1\r\nHost: n\r\n\r\n")).status == 200
+            assert (await node.ask(b"GET /ready/campaign HTTP/1.1\r\nHost: n\r\n\r\n")).status == 503
+
+    run(test)
+
+
+def test_a_reload_removes_the_flooded_service_and_the_other_keeps_what_it_learned(tmp_path: Path) -> None:
+    async def test() -> None:
+        login, campaign = ScriptedEndpoint("l"), ScriptedEndpoint("c")
+        go = asyncio.Event()
+        text = await two(login, campaign)
+        async with services(tmp_path, text) as node:
+            kept = await node.connect()
+            assert (await kept.ask(request("pay", Host="login.example.org"))).status == 200
+            campaign.script = answering(ok(b"late"), after=go)
+            waiting = [await node.connect() for _ in range(3)]
+            for client in waiting:
+                client.writer.write(request("write", Host="a.campanha.example.org"))
+            await until(lambda: len(campaign.got) == 3)
+            await node.reload("[services.login\n")
+            assert (await kept.ask(request("pay", Host="login.example.org"))).status == 200
+            only = static("login", login) + '[[routes]]\nto = "login"\nhost = "login.example.org"\n'
+            await node.reload(only)
+            gone = await node.ask(request("write", Host="a.campanha.example.org"))
+            assert gone.status == 421
+            go.set()
+            for client in waiting:
+                assert (await read_message(client.reader)).body == b"late", "taken before, answered after"
+            for _ in range(3):
+                assert (await kept.ask(request("pay", Host="login.example.org"))).status == 200
+            assert login.connections == 1, "its kept connection was lost to the reload"
+            await until(lambda: campaign.lost_connections == campaign.connections)
+            await node.reload(text)
+            campaign.script = answering(ok(b"again"))
+            assert (await node.ask(request("write", Host="a.campanha.example.org"))).body == b"again"
+
+    run(test)
+
+
+def test_settings_and_classes_of_a_service_are_its_own_and_checked_at_the_start(tmp_path: Path) -> None:
+    async def test() -> None:
+        login = ScriptedEndpoint("l")
+        await login.start()
+        only = '[[routes]]\nto = "login"\n'
+        async with services(tmp_path, static("login", login, more='classes = ["pay"]') + only) as node:
+            assert (await node.ask(request("pay"))).status == 200
+            assert (await node.ask(request("write"))).status == 400
+        for more, says in (
+            ('classes = ["nope"]', r"services\.login\.classes\[0\]"),
+            ("settings = { rules = { coldShare = 7 } }", r"services\.login\.settings"),
+        ):
+            with pytest.raises(ValueError, match=says):
+                async with services(tmp_path, static("login", login, more=more) + only):
+                    pass
+
+    run(test)
+
+
+def test_a_service_may_follow_a_discovery_of_its_own(tmp_path: Path) -> None:
+    async def test() -> None:
+        cadastro, other = ScriptedCadastro(), ScriptedCadastro()
+        await cadastro.start()
+        await other.start()
+        text = f'[services.login]\n[services.campaign]\ndiscovery = "{other.address}"\n' + ROUTES
+        async with services(tmp_path, text, str(cadastro.address)):
+            for asked in (cadastro, other):
+                call, _ = await asked.calls.get()
+                assert call.first.startswith("GET /v1/endpoints?watch=1")
+
+    run(test)
+
+
+def test_a_file_without_services_is_as_if_there_were_none(tmp_path: Path) -> None:
+    async def test() -> None:
+        cadastro = ScriptedCadastro()
+        await cadastro.start()
+        async with services(tmp_path, "# nothing\n", str(cadastro.address)) as node:
+            await cadastro.calls.get()
+            assert (await node.ask(request("pay", Host="anything"))).status == 503
+
+    run(test)
+
+
+# The commands
+
+
+def test_check_prints_what_a_file_means(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    path = tmp_path / "o.toml"
+    path.write_text(GOOD)
+    assert main(["check", str(path)]) == 0
+    said = capsys.readouterr().out
+    assert "login: the configuration's discovery; classes pay" in said
+    assert "calls: 50.0% of the daemon's" in said and "campaign: discovery at 127.0.0.1:8501" in said
+    assert main(["check", str(path), "--json"]) == 0
+    assert set(json.loads(capsys.readouterr().out)["services"]) == {"login", "campaign"}
+    path.write_text(GOOD.replace("calls", "cals"))
+    assert main(["check", str(path)]) == 2
+    assert capsys.readouterr().err.count("\n") == 1
+    shipped = Path(__file__).parent.parent / "deploy" / "operator.toml"
+    assert main(["check", str(shipped)]) == 0 and "no services" in capsys.readouterr().out
+    text = shipped.read_text().split("(docs/services.md):\n#\n")[1]
+    uncommented = "\n".join(line.removeprefix("#").removeprefix(" ") for line in text.splitlines())
+    assert set(parse(uncommented, "shipped").services) == {"login", "campanha"}
+
+
+@pytest.mark.parametrize(
+    ("words", "code", "says"),
+    [
+        (["--host", "LOGIN.example.org:80"], 0, "login: the most specific route that matches: host login"),
+        (["--host", "x.org", "--path", "/x"], 0, "campaign: "),
+        (["--host", "x.org", "--path", "/x/../y"], 1, "refused with 400: the path has dot segments"),
+        (["--host", "x.org", "--header", "nonsense"], 2, ""),
+    ],
+)
+def test_route_says_which_and_why(
+    words: list[str], code: int, says: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "o.toml"
+    path.write_text(GOOD)
+    assert main(["route", str(path), *words]) == code
+    assert says in capsys.readouterr().out
+
+
+def test_the_daemon_loads_nothing_of_services_without_a_file() -> None:
+    code = (
+        "import sys; from millgw.sidecar import __main__; import millgw.__main__;"
+        "print([m for m in sys.modules if m.startswith(('msgspec', 'rich', 'millgw.services',"
+        " 'millgw.operator', 'millgw.routing', 'millgw.rehearsal', 'millgw.standins'))])"
+    )
+    out = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert out.stdout.strip() == "[]"
+
+
+def test_a_bad_operator_file_ends_the_daemon_with_2_and_one_line(tmp_path: Path) -> None:
+    made = Services(tmp_path, GOOD.replace("calls = 0.5", "calls = 7"), "127.0.0.1:9")
+    done = subprocess.run(
+        [sys.executable, "-m", "millgw", "serve", "--operator", str(made.file)],
+        env=os.environ | {"BALANCER_CONFIG": str(made.config)},
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    assert done.returncode == 2 and done.stderr.count("\n") == 1
+    assert f"{made.file}:5: services.login.limits.calls" in done.stderr
