Rehearsals with several services, and floods of one class; silence past 1,023 descriptors

The kit could not play a sidecar with services. A scenario may now name services with classes and endpoints of their own, a crowd may be of one class, and a reload takes a service away and back.

At 67 sidecars a silent stand-in failed in select(), which takes no descriptor past 1,023: poll() does. A rig that fails ends with 4 and its error, no longer with the code of a broken rule.

--- a/benchmarks/rehearsal.py
+++ b/benchmarks/rehearsal.py
@@ -1,7 +1,7 @@
 """Measures the rehearsal kit: all shipped scenarios at a scale, and how far it goes towards a larger one.
 
-    python -m benchmarks.rehearsal today  # every shipped scenario, 17 endpoints, 67 sidecars, 170/s
-    python -m benchmarks.rehearsal ladder # `calm` in steps towards 60 endpoints, 365 sidecars, 620/s
+    python -m benchmarks.rehearsal today [NAME...]  # at 17 endpoints, 67 sidecars, 170/s; all by default
+    python -m benchmarks.rehearsal ladder           # `calm` in steps towards 60 endpoints, 365 sidecars, 620/s
 
 Prints a row of a Markdown table for each day; each is played in a process of its own. Wants idle cores.
 """
@@ -15,6 +15,8 @@
 from pathlib import Path
 from typing import Any
 
+from millgw.rehearsal.scenario import shipped
+
 LADDER = ((17, 67, 170), (30, 150, 310), (45, 260, 465), (60, 365, 620))
 HEAD = (
     "| day | endpoints | sidecars | asked/s | verdicts 1 2 3 4 | service | worst 5 s | rig lag p99"
@@ -48,13 +50,11 @@
     )
 
 
-def main(what: str) -> None:
+def main(what: str, names: list[str]) -> None:
     print(HEAD)
     print("|" + " --- |" * (HEAD.count("|") - 1))
     if what == "today":
-        from millgw.rehearsal.scenario import shipped
-
-        for name in shipped():
+        for name in names or [n for n, text in shipped().items() if "[[services]]" not in text]:
             print(row(*play(name, "--scale", "today")), flush=True)
     else:
         for endpoints, sidecars, rate in LADDER:
@@ -63,6 +63,6 @@
 
 
 if __name__ == "__main__":
-    if sys.argv[1:] not in (["today"], ["ladder"]):
+    if sys.argv[1:2] not in (["today"], ["ladder"]):
         raise SystemExit(__doc__)
-    main(sys.argv[1])
+    main(sys.argv[1], sys.argv[2:])
--- a/millgw/rehearsal/arrivals.py
+++ b/millgw/rehearsal/arrivals.py
@@ -113,12 +113,13 @@
     tenants: Sequence[tuple[str, float]],
     habits: Habits,
     seed: int,
+    first: int = 0,
 ) -> Iterator[Arrival]:
-    """What comes at each of the moments."""
-    rng = random.Random(f"requests {seed}")
+    """What comes at each of the moments, numbered from `first`."""
+    rng = random.Random(f"requests {seed} {first}" if first else f"requests {seed}")
     of_kinds = list(itertools.accumulate(k.share for k in kinds))
     of_tenants = list(itertools.accumulate(share for _, share in tenants))
-    for number, at in enumerate(moments):
+    for number, at in enumerate(moments, first):
         # A fixed count of draws for each arrival, whatever it is: a change of one habit moves no other.
         a, b, c, d, e, f, g, h = (rng.random() for _ in range(8))
         kind = kinds[bisect.bisect(of_kinds, a * of_kinds[-1])]
--- a/millgw/rehearsal/auditor.py
+++ b/millgw/rehearsal/auditor.py
@@ -339,22 +339,23 @@
 
     def _unheard(self) -> Iterator[tuple[str, str, float]]:
         """Changes that count as told to a sidecar that neither watched nor asked for as long as allowed."""
-        asked: dict[str, list[tuple[float, float]]] = defaultdict(list)
+        asked: dict[tuple[str, int], list[tuple[float, float]]] = defaultdict(list)
         for record in self.ledger.asked:
             until = float("inf") if record.until is None else record.until
-            asked[record.sidecar].append((record.at, until))
+            asked[record.sidecar, record.tier].append((record.at, until))
         ends = [c for c in self.ledger.changes if c.status != "in_service"]
         tiers = {life.endpoint: life.tier for life in self.ledger.lives}
         for change in ends:
             since = self._told_from(change.at)
             due = since + self.terms.ask_within
             for name, lives in self.sidecars.items():
-                if lives[0].stage + 1 != tiers.get(change.endpoint):
+                tier = tiers.get(change.endpoint, 0)
+                if lives[0].stage + 1 != tier and (name, tier) not in asked:
                     continue  # its list never named it
                 alive = any(
                     life.start <= since and (life.ended is None or life.ended >= due) for life in lives
                 )
-                if alive and not any(a <= due and b >= since for a, b in asked[name]):
+                if alive and not any(a <= due and b >= since for a, b in asked[name, tier]):
                     yield name, change.endpoint, due
 
     def _told_from(self, at: float) -> float:
--- a/millgw/rehearsal/blows.py
+++ b/millgw/rehearsal/blows.py
@@ -57,6 +57,7 @@
             "sidecar-killed": self._sidecar_killed,
             "sidecar-restart": self._sidecar_restart,
             "connections": self._connections,
+            "reload": self._reload,
         }
         for kind in FIELDS:
             self.kinds[kind] = self._ill
@@ -227,6 +228,15 @@
         if sidecar.pid is not None:
             self.stage.front.back(sidecar)
 
+    async def _reload(self, blow: Blow) -> None:
+        """All front sidecars lose a service by SIGHUP, and get it back."""
+        for without in (blow.target, ""):
+            for sidecar in self.stage.sidecars.values():
+                if sidecar.stage == 0:
+                    sidecar.reload(self.stage.operator(sidecar.name, without))
+            if without:
+                await self._rest(blow)
+
     async def _connections(self, blow: Blow) -> None:
         """A storm: many connections at once that ask nothing, and go on being used."""
         await self.stage.sidecars[blow.target].desk.hold(int(blow.size))
--- a/millgw/rehearsal/command.py
+++ b/millgw/rehearsal/command.py
@@ -7,6 +7,7 @@
 import json
 import signal
 import sys
+import traceback
 from collections.abc import Awaitable, Sequence
 from contextlib import suppress
 from dataclasses import asdict
@@ -27,7 +28,7 @@
 from millgw.rehearsal.sidecars import DEFAULT_RUN, NotReady
 from millgw.rehearsal.stage import Stage
 
-HELD, BROKE, BAD_INPUT, INTERRUPTED = 0, 1, 2, 130
+HELD, BROKE, BAD_INPUT, RIG_FAILED, INTERRUPTED = 0, 1, 2, 4, 130
 T = TypeVar("T")
 
 
@@ -101,18 +102,23 @@
         print(f"millgw: {error}", file=sys.stderr)
         return BAD_INPUT
     except ExceptionGroup as group:
-        print(f"millgw: {_first(group)}", file=sys.stderr)
+        first = _first(group)
+        if not isinstance(first, ScenarioError | NotReady | PlayError | OSError):
+            traceback.print_exception(first)
+            return RIG_FAILED
+        print(f"millgw: {first}", file=sys.stderr)
         return BAD_INPUT
     except asyncio.CancelledError:
         print("millgw: interrupted; all that was started has ended", file=sys.stderr)
         return INTERRUPTED
+    except Exception:  # guards against a rig that fails and ends with the code of a broken rule
+        traceback.print_exc()
+        return RIG_FAILED
 
 
 def _first(error: BaseException) -> BaseException:
     while isinstance(error, BaseExceptionGroup):
         error = error.exceptions[0]
-    if not isinstance(error, ScenarioError | NotReady | PlayError | OSError):
-        raise error
     return error
 
 
--- a/millgw/rehearsal/faults.py
+++ b/millgw/rehearsal/faults.py
@@ -44,7 +44,7 @@
         elif fault.kind in ON_SIDECARS:
             targets = _some(rng, list(front), fault.share)
         else:
-            targets = [""]
+            targets = [fault.service or ""]
         for i, target in enumerate(targets):
             at = (fault.start_s + i * fault.spacing_s) * 1000
             blows.append(Blow(fault.kind, at, at + fault.length_s * 1000, target, size_of(fault), number))
@@ -59,7 +59,14 @@
 
 
 def crowds(scenario: Scenario) -> tuple[Crowd, ...]:
-    """The flash crowds, which are the traffic's own."""
-    return tuple(
-        Crowd(f.start_s * 1000, f.until_s * 1000, size_of(f)) for f in scenario.faults if f.kind == "crowd"
-    )
+    """The flash crowds of all classes, which are the traffic's own."""
+    return tuple(_crowd(f) for f in scenario.faults if f.kind == "crowd" and f.cls is None)
+
+
+def floods(scenario: Scenario) -> tuple[tuple[str, Crowd], ...]:
+    """The crowds of one class each, with its name."""
+    return tuple((f.cls, _crowd(f)) for f in scenario.faults if f.kind == "crowd" and f.cls is not None)
+
+
+def _crowd(fault: Fault) -> Crowd:
+    return Crowd(fault.start_s * 1000, fault.until_s * 1000, size_of(fault))
--- a/millgw/rehearsal/front.py
+++ b/millgw/rehearsal/front.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from millgw.rehearsal.arrivals import Arrival
 from millgw.rehearsal.scenario import Class
@@ -59,10 +59,17 @@
     """All clients: each arrival is a request with its retries, and waits for no other."""
 
     def __init__(
-        self, front: Front, classes: Sequence[Class], ledger: Ledger, clock: Clock, seed: int
+        self,
+        front: Front,
+        classes: Sequence[Class],
+        ledger: Ledger,
+        clock: Clock,
+        seed: int,
+        hosts: Mapping[str, str],
     ) -> None:
         self.front = front
         self.classes = {c.name: c for c in classes}
+        self.hosts = dict(hosts)
         self.ledger = ledger
         self.clock = clock
         self.seed = seed
@@ -100,6 +107,7 @@
                 patience=patience,
                 method="GET" if cls.repeat == "retryable" else "POST",
                 number=number,
+                host=self.hosts.get(arrival.cls, "app.svc"),
             )
             call = await self._ask(call, arrival.leaves)
             if call.status == 200 or not again(call, cls):
@@ -137,7 +145,7 @@
         return call
     again = Call(
         call.trace, call.root, call.stage, call.cls, call.tenant, call.key, call.sidecar, call.due,
-        patience=call.patience, method=call.method, number=call.number,
+        patience=call.patience, method=call.method, number=call.number, host=call.host,
     )  # fmt: skip
     ledger.calls.append(again)
     await desk.ask(again, fresh=True)
--- a/millgw/rehearsal/report.py
+++ b/millgw/rehearsal/report.py
@@ -125,6 +125,7 @@
             name: {
                 "asked": c.asked, "in_time": c.in_time, "late": c.late, "service": c.service,
                 "p50_ms": quantile(c.latencies, 0.5), "p99_ms": quantile(c.latencies, 0.99),
+                "p999_ms": quantile(c.latencies, 0.999),
             }
             for name, c in s.classes.items()
         },
--- a/millgw/rehearsal/scenario.py
+++ b/millgw/rehearsal/scenario.py
@@ -39,6 +39,7 @@
     "sidecar-restart",
     "crowd",
     "connections",
+    "reload",
 ]
 ON_ENDPOINTS: frozenset[str] = frozenset(
     {"silence", "restart", "fast-failure", "slowdown", "resets", "spoilt", "drain", "replaced", "flapping"}
@@ -159,11 +160,12 @@
     ask_within_ms: Positive = 6000.0
 
 
-class Fault(Table, frozen=True, kw_only=True):
+class Fault(Table, frozen=True, kw_only=True, rename={"cls": "class"}):
     """One fault. `share` is of the endpoints of `tier` (0: all), or of the front's sidecars.
 
     `size` is the share of requests hit (fast-failure, resets, spoilt), times as slow (slowdown), times the
-    rate (crowd) or connections to each sidecar (connections). With `spacing_s` those hit follow one another.
+    rate (crowd, of one class where `class` names it) or connections to each sidecar (connections). With
+    `spacing_s` those hit follow one another. A reload takes the `service` that it names away and back.
     """
 
     kind: FaultKind
@@ -173,12 +175,22 @@
     size: Positive | None = None
     tier: Annotated[int, Meta(ge=0, le=4)] = 0
     spacing_s: NotNegative = 0.0
+    cls: str | None = None
+    service: str | None = None
 
     @property
     def until_s(self) -> float:
         return self.start_s + self.length_s
 
 
+class Service(Table, frozen=True, kw_only=True):
+    """One of several services of a day: its classes, and endpoints of its own (0: none ever come)."""
+
+    name: Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9_-]*$", max_length=64)]
+    classes: Annotated[tuple[str, ...], Meta(min_length=1)]
+    endpoints: Annotated[int, Meta(ge=0, le=10_000)] = 4
+
+
 SIZES: dict[str, tuple[float, float]] = {
     "fast-failure": (0.6, 1.0),
     "resets": (0.1, 1.0),
@@ -221,6 +233,7 @@
     cadastro: Cadastro = Cadastro()
     limits: Limits = Limits()
     rules: Rules = Rules()
+    services: tuple[Service, ...] = ()
     faults: tuple[Fault, ...] = ()
 
 
@@ -254,6 +267,7 @@
             raise ValueError(
                 f"classes[{i}].window_ms: a dedup class needs the time its repeats are known for"
             )
+    _check_services(scenario)
     for path, (low, high) in (
         ("traffic.try_share", scenario.traffic.try_share),
         ("traffic.wait_ms", scenario.traffic.wait_ms),
@@ -268,6 +282,23 @@
     return scenario
 
 
+def _check_services(scenario: Scenario) -> None:
+    classes, seen = [c.name for c in scenario.classes], set[str]()
+    if scenario.services and len(scenario.fleet.tiers) != 1:
+        raise ValueError("fleet.tiers: a day with services has one tier")
+    for i, service in enumerate(scenario.services):
+        for j, name in enumerate(service.classes):
+            if name not in classes:
+                raise ValueError(f"services[{i}].classes[{j}]: there is no class {name!r}")
+            if name in seen:
+                raise ValueError(f"services[{i}].classes[{j}]: {name!r} has a service already")
+            seen.add(name)
+        if service.name in [s.name for s in scenario.services[:i]]:
+            raise ValueError(f"services[{i}].name: {service.name!r} is given twice")
+    if scenario.services and len(seen) < len(classes):
+        raise ValueError(f"services: class {next(c for c in classes if c not in seen)!r} has none")
+
+
 def _check_fault(path: str, fault: Fault, scenario: Scenario) -> None:
     if fault.start_s >= scenario.seconds:
         raise ValueError(f"{path}.start_s: {fault.start_s:g} is past the day's {scenario.seconds:g} seconds")
@@ -279,8 +310,18 @@
             raise ValueError(f"{path}.size: {fault.kind} takes 1 or more")
     elif fault.size is not None:
         raise ValueError(f"{path}.size: {fault.kind} has no size")
-    if fault.tier > len(scenario.fleet.tiers):
-        raise ValueError(f"{path}.tier: there are {len(scenario.fleet.tiers)}")
+    tiers = len(scenario.services) or len(scenario.fleet.tiers)
+    if fault.tier > tiers:
+        raise ValueError(f"{path}.tier: there are {tiers}")
+    if fault.cls is not None and (
+        fault.kind != "crowd" or fault.cls not in [c.name for c in scenario.classes]
+    ):
+        raise ValueError(
+            f"{path}.class: names a class of a crowd, which {fault.cls!r} of {fault.kind} is not"
+        )
+    named = fault.service in [s.name for s in scenario.services]
+    if (fault.kind == "reload") != named or (fault.service is not None and not named):
+        raise ValueError(f"{path}.service: a reload names one of the services, and nothing else does")
     if fault.tier and fault.kind not in ON_ENDPOINTS:
         raise ValueError(f"{path}.tier: {fault.kind} does not strike endpoints")
 
@@ -386,8 +427,10 @@
             tables += ["", f"[{field}]", *inner]
         elif isinstance(value, tuple):
             for entry in value:
-                keys = [k for k in entry.__struct_fields__ if getattr(entry, k) is not None]
-                tables += ["", f"[[{field}]]", *(f"{k} = {_toml(getattr(entry, k))}" for k in keys)]
+                names = zip(entry.__struct_fields__, entry.__struct_encode_fields__, strict=True)
+                given = [(word, getattr(entry, name)) for name, word in names]
+                rows = [f"{word} = {_toml(v)}" for word, v in given if v is not None]
+                tables += ["", f"[[{field}]]", *rows]
         else:
             lines.append(f"{field} = {_toml(value)}")
     return "\n".join([*lines, *tables]) + "\n"
--- a/millgw/rehearsal/sidecars.py
+++ b/millgw/rehearsal/sidecars.py
@@ -103,6 +103,7 @@
         self.life: SidecarLife | None = None
         self.ended = asyncio.Event()
         self.starts = 0
+        self.operator = ""  # the text of its operator's file, if it is given one
         self.most_memory = 0  # kB, the most that any of its processes held
         self.waiter: asyncio.Task[None] | None = None
 
@@ -155,6 +156,10 @@
         }
         path = self.folder / "config.json"
         path.write_text(json.dumps(config))
+        given = {}
+        if self.operator:
+            (self.folder / "operator.toml").write_text(self.operator)
+            given["BALANCER_OPERATOR"] = str(self.folder / "operator.toml")
         paths = [str(ROOT), *filter(None, [os.environ.get("PYTHONPATH")])]
         return os.environ | {
             "BALANCER_NAME": self.name,
@@ -163,6 +168,7 @@
             "BALANCER_CONFIG": str(path),
             "TMPDIR": str(scratch),
             "PYTHONPATH": os.pathsep.join(paths),
+            **given,
         }
 
     async def _wait(
@@ -197,6 +203,14 @@
             with contextlib.suppress(ProcessLookupError):
                 os.kill(self.process.pid, signal.SIGTERM)
 
+    def reload(self, operator: str) -> None:
+        """Give it another operator's file, and SIGHUP."""
+        self.operator = operator
+        if self.process is not None and not self.ended.is_set():
+            (self.folder / "operator.toml").write_text(operator)
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, signal.SIGHUP)
+
     @property
     def pid(self) -> int | None:
         return self.process.pid if self.process is not None and not self.ended.is_set() else None
--- a/millgw/rehearsal/stage.py
+++ b/millgw/rehearsal/stage.py
@@ -10,12 +10,13 @@
 import tempfile
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 
 from millgw.rehearsal import arrivals
 from millgw.rehearsal.auditor import ClassTerms, Repeats, Terms
 from millgw.rehearsal.blows import Blows
-from millgw.rehearsal.faults import crowds, plan
+from millgw.rehearsal.faults import crowds, floods, plan
 from millgw.rehearsal.front import Clients, Front, ask
 from millgw.rehearsal.keeper import Keeper
 from millgw.rehearsal.sampler import Sampler, own_memory
@@ -29,8 +30,10 @@
 from millgw.standins.ledger import Call, End, Ledger, shift
 from millgw.standins.register import Entry
 
+DOMAIN = "rehearsal.example"  # of the services' hosts
 STARTS_AT_ONCE = 2  # sidecars started at the same time for each core: more only wait for each other
 SETTLE = 1.0  # s between the last sidecar's start and the day's first request
+FLOOD_NUMBERS = 1 << 24  # requests of one schedule at the most: the next one's numbers begin there
 TAIL = 1.0  # s more than the longest deadline for which calls that are out are waited for
 
 
@@ -48,6 +51,11 @@
     cores: int
 
 
+def _parts(scenario: Scenario) -> tuple[float, ...]:
+    """The part of the work that each tier does; services stand beside each other and do all of theirs."""
+    return scenario.fleet.work[:1] * len(scenario.services) or scenario.fleet.work
+
+
 def terms(scenario: Scenario) -> Terms:
     """The auditor's figures for a scenario."""
     heaviest = max(c.work_ms for c in scenario.classes)
@@ -58,7 +66,7 @@
         fall_window=scenario.rules.fall_ms,
         ask_within=scenario.rules.ask_within_ms,
         most_attempts=scenario.limits.attempts,
-        heaviest={i + 1: heaviest * part for i, part in enumerate(scenario.fleet.work)},
+        heaviest={i + 1: heaviest * part for i, part in enumerate(_parts(scenario))},
     )
 
 
@@ -77,7 +85,19 @@
         traffic.impatient,
     )
     shares = [(t.name, t.share) for t in scenario.tenants]
-    return list(arrivals.arrivals(moments, kinds, shares, habits, scenario.seed))
+    planned = list(arrivals.arrivals(moments, kinds, shares, habits, scenario.seed))
+    for i, (name, crowd) in enumerate(floods(scenario), 1):
+        (kind,) = (k for k in kinds if k.name == name)
+        rate = traffic.rate * kind.share / sum(k.share for k in kinds)
+        more = arrivals.times(
+            rate, partial(_above, crowd), (), max(0.0, crowd.factor - 2), length, scenario.seed + i
+        )
+        planned += arrivals.arrivals(more, [kind], shares, habits, scenario.seed, i * FLOOD_NUMBERS)
+    return sorted(planned, key=lambda a: (a.at, a.number))
+
+
+def _above(crowd: arrivals.Crowd, t: float) -> float:
+    return crowd.at(t) - 1.0
 
 
 def _ms(seconds: tuple[float, float]) -> tuple[float, float]:
@@ -149,10 +169,11 @@
 
     def _build(self, folder: Path, keeper: Keeper) -> None:
         scenario, fleet = self.scenario, self.scenario.fleet
-        sizes = fleet.tier_sizes()
+        # Services are tiers beside each other: no endpoint calls another's.
+        sizes = tuple(s.endpoints for s in scenario.services) or fleet.tier_sizes()
         self.tiers = [self._tier(i + 1, size) for i, size in enumerate(sizes)]
         front = fleet.sidecars - fleet.owned()
-        for stage, siblings in enumerate([front, *sizes[:-1]]):
+        for stage, siblings in enumerate([front] if scenario.services else [front, *sizes[:-1]]):
             for index in range(siblings):
                 name = f"n{stage}-{index}"
                 sidecar = Sidecar(
@@ -163,17 +184,19 @@
                 if self.listen is not None and not self.sidecars:
                     sidecar.listen_at(self.listen)
                 self.sidecars[name] = sidecar
+                sidecar.operator = self.operator(name)
                 if stage:
                     self.own[self.tiers[stage - 1][index].build.name] = sidecar
         self.front = Front([self.sidecars[f"n0-{i}"] for i in range(front)], scenario.seed)
-        self.clients = Clients(self.front, scenario.classes, self.ledger, self.clock, scenario.seed)
+        hosts = {cls: f"{s.name}.{DOMAIN}" for s in scenario.services for cls in s.classes}
+        self.clients = Clients(self.front, scenario.classes, self.ledger, self.clock, scenario.seed, hosts)
 
     def _tier(self, tier: int, size: int) -> list[Endpoint]:
         scenario, fleet = self.scenario, self.scenario.fleet
         rng = random.Random(f"tier {scenario.seed} {tier}")
         weights = [k.share for k in fleet.kinds]
-        last = tier == len(fleet.tiers)
-        part = fleet.work[tier - 1]
+        last = bool(scenario.services) or tier == len(fleet.tiers)
+        part = _parts(scenario)[tier - 1]
         tasks = {
             c.name: Task(
                 work=c.work_ms * part,
@@ -249,6 +272,17 @@
 
         return known
 
+    def operator(self, sidecar: str, without: str = "") -> str:
+        """The operator's file of a front sidecar in a day with services; none in any other."""
+        lines = []
+        for tier, service in enumerate(self.scenario.services, 1):
+            if service.name != without:
+                address = self.cadastro.window(sidecar, tier)
+                classes = ", ".join(f'"{name}"' for name in service.classes)
+                lines += [f"[services.{service.name}]", f'discovery = "{address}"', f"classes = [{classes}]"]
+                lines += ["[[routes]]", f'to = "{service.name}"', f'host = "{service.name}.{DOMAIN}"']
+        return "\n".join(lines)
+
     # Its parts, for the blows
 
     def entry(self, endpoint: Endpoint, status: str) -> Entry:
--- a/millgw/standins/cadastro.py
+++ b/millgw/standins/cadastro.py
@@ -45,9 +45,10 @@
 class Window:
     """Where one sidecar asks: its calls and its watch."""
 
-    def __init__(self, cadastro: Cadastro, sidecar: str, register: Register) -> None:
+    def __init__(self, cadastro: Cadastro, sidecar: str, tier: int) -> None:
         self.cadastro = cadastro
-        self.register = register
+        self.tier = tier
+        self.register = cadastro.register(tier)
         self.clock = cadastro.clock
         self.sidecar = sidecar
         self.address: Address = free_address()
@@ -77,7 +78,7 @@
         query = parse_qs(url.query)
         since = query.get("from", [""])[0]
         index = int(since) if since.isdigit() else None
-        asked = Asked(self.sidecar, self.clock())
+        asked = Asked(self.sidecar, self.clock(), tier=self.tier)
         self.cadastro.ledger.asked.append(asked)
         watch = Watch(self, connection, index, asked) if query.get("watch") == ["1"] else None
         if watch is not None:
@@ -159,7 +160,7 @@
         self.delays = delays
         self.capacity = capacity
         self.registers: dict[int, Register] = {}
-        self.windows: dict[str, Window] = {}
+        self.windows: dict[tuple[str, int], Window] = {}
         self.down = False
         self.free_at = 0.0
         self.ever: dict[str, Entry] = {}  # all that were listed, with the last word on each
@@ -169,11 +170,11 @@
 
     def window(self, sidecar: str, tier: int) -> Address:
         """Where a sidecar asks for the endpoints of a tier; made at the first call."""
-        if sidecar not in self.windows:
-            self.windows[sidecar] = made = Window(self, sidecar, self.register(tier))
+        if (sidecar, tier) not in self.windows:
+            self.windows[sidecar, tier] = made = Window(self, sidecar, tier)
             if not self.down:
                 made.listener.open()
-        return self.windows[sidecar].address
+        return self.windows[sidecar, tier].address
 
     # What it knows
 
--- a/millgw/standins/http.py
+++ b/millgw/standins/http.py
@@ -220,7 +220,10 @@
             filler.setblocking(False)
             filler.connect_ex((self.address.host, self.address.port))
             self.fillers.append(filler)
-            if not select.select([], [filler], [], 0)[1]:
+            # `poll`, as `select` takes no descriptor past 1,023 and a large fleet has more.
+            poll = select.poll()
+            poll.register(filler, select.POLLOUT)
+            if not poll.poll(0):
                 return
 
     def close(self) -> None:
--- a/millgw/standins/ledger.py
+++ b/millgw/standins/ledger.py
@@ -83,6 +83,7 @@
     retry_after: float = 0.0
     method: str = "POST"  # GET for a class that is safe to repeat
     number: int = 0  # 0 for a first try, then the caller's own retries
+    host: str = "app.svc"
 
 
 @dataclass(slots=True)
@@ -113,6 +114,7 @@
     sidecar: str
     at: float
     until: float | None = None
+    tier: int = 1  # whose endpoints it asks for
 
 
 @dataclass(slots=True)
--- a/tests/test_rehearsal_pure.py
+++ b/tests/test_rehearsal_pure.py
@@ -76,15 +76,18 @@
     assert set(shipped()) == {
         "calm", "silence", "cold-return", "fast-failure", "shared-slowdown", "silence-and-slowdown",
         "overlap-three", "drain-wave", "cadastro-outage", "replaced-at-address", "sidecar-killed",
-        "rolling-restart", "flash-crowd", "connection-storm",
+        "rolling-restart", "flash-crowd", "connection-storm", "flood-one-pool", "pool-without-servers",
+        "reload-under-flood",
     }  # fmt: skip
     for name in shipped():
         scenario = load(name)[1]
         assert scenario.about
         for scale in SCALES:
             assert changed(scenario, scale=scale).fleet.sidecars == SCALES[scale][1]
+        assert parse(to_toml(scenario), name) == scenario
 
 
+SERVICES = "[fleet]\ntiers=[1.0]\nwork=[1.0]\n[[services]]\nclasses = ['codigo-acesso']\nname = 'a'\n"
 FAULTS = '[[faults]]\nkind = "silence"\nstart_s = 1\n'
 
 
@@ -108,6 +111,11 @@
         ("[[faults]]\nkind = 'slowdown'\nsize = 0.5\nstart_s = 4\n", 3, "takes 1 or more"),
         ("[[faults]]\nkind = 'crowd'\ntier = 1\nstart_s = 4\n", 3, "does not strike endpoints"),
         ("[[faults]]\nkind = 'drain'\ntier = 4\nstart_s = 4\n", 3, "faults[0].tier: there are 3"),
+        (SERVICES.replace("['codigo-acesso']", "['x']"), 5, "services[0].classes[0]: there is no class 'x'"),
+        (SERVICES + "[[services]]\nname='b'\nclasses=['codigo-acesso']\n", 9, "has a service already"),
+        (SERVICES, None, "services: class 'envio-campanha' has none"),
+        ("[[faults]]\nkind = 'reload'\nstart_s = 1\n", 1, "faults[0].service"),
+        ("[[faults]]\nkind = 'drain'\nstart_s = 1\nclass = 'x'\n", 4, "faults[0].class"),
         ("[fleet]\nsidecars = 12\n", 2, "none for the front"),
         ("[fleet]\ntiers = [1.0]\n", 1, "fleet.work"),
         ("[cadastro]\nnotice_s = [3, 1]\n", 2, "is no range"),
--- a/tests/test_rehearsal_wrong.py
+++ b/tests/test_rehearsal_wrong.py
@@ -12,7 +12,18 @@
 from msgspec.structs import replace
 
 from millgw.rehearsal.report import Day, judge
-from millgw.rehearsal.scenario import Cadastro, Class, Fault, Fleet, Rules, Scenario, Traffic, check, load
+from millgw.rehearsal.scenario import (
+    Cadastro,
+    Class,
+    Fault,
+    Fleet,
+    Rules,
+    Scenario,
+    Traffic,
+    changed,
+    check,
+    load,
+)
 from millgw.rehearsal.sidecars import DEFAULT_RUN
 from millgw.rehearsal.stage import Stage
 
@@ -51,6 +62,7 @@
 CROWDED = replace(BASE.traffic, rate=90.0)  # enough to push a cold endpoint over
 
 SHIPPED = ("silence-and-slowdown", "overlap-three", "drain-wave", "cadastro-outage", "sidecar-killed")
+SERVICES = ("flood-one-pool", "reload-under-flood", "pool-without-servers")
 SHIPPED_SECONDS = 9.0
 
 
@@ -87,6 +99,9 @@
 @cache
 def daemon_days() -> dict[str, Day]:
     days = {name: (short(name), DEFAULT_RUN) for name in SHIPPED}
+    for name in SERVICES:
+        scenario = changed(load(name)[1], seconds=SHIPPED_SECONDS, rate=20.0)
+        days[name] = (scenario, DEFAULT_RUN)
     days["all classes"] = (check(replace(BASE, faults=FAULTS["right"])), DEFAULT_RUN)
     return asyncio_days(days)
 
@@ -117,13 +132,23 @@
     assert not broken(wrong_days()["right"])
 
 
-@pytest.mark.parametrize("name", [*SHIPPED, "all classes"])
+@pytest.mark.parametrize("name", [*SHIPPED, *SERVICES, "all classes"])
 def test_the_daemon_breaks_no_rule(name: str) -> None:
     day = daemon_days()[name]
     assert not broken(day), broken(day)
     assert day.summary.served > 0 and day.audit.findings[0].checked > day.summary.asked / 2
 
 
+@pytest.mark.parametrize("name", SERVICES)
+def test_a_flood_or_the_lack_of_servers_in_one_pool_costs_the_other_no_request(name: str) -> None:
+    day = daemon_days()[name]
+    login, campaign = day.summary.classes["codigo-acesso"], day.summary.classes["envio-campanha"]
+    assert login.asked > 20 and login.in_time + login.late == login.asked, "a login code was lost or refused"
+    assert campaign.in_time < campaign.asked, "there was no flood"
+    tiers = {a: sum(of.values()) for a, of in day.summary.attempts.items()}
+    assert tiers[1] >= login.asked, "login codes went to endpoints of their own"
+
+
 def test_drains_and_cold_starts_were_put_to_the_test() -> None:
     by_rule = {f.rule: f for f in daemon_days()["drain-wave"].audit.findings}
     assert by_rule[2].checked and by_rule[3].checked and by_rule[4].checked
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import replace
@@ -251,6 +252,25 @@
     run(test)
 
 
+def test_silence_works_past_the_descriptors_that_select_can_take() -> None:
+    async def test() -> None:
+        held = [os.dup(0) for _ in range(1100)]
+        try:
+            listener = Listener(free_address(), asyncio.Protocol)
+            listener.open()
+            listener.silence()
+            assert listener.fillers[-1].fileno() > 1023
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.1):
+                    await asyncio.open_connection(listener.address.host, listener.address.port)
+            listener.close()
+        finally:
+            for fd in held:
+                os.close(fd)
+
+    run(test)
+
+
 # The cadastro
 
 
