--- a/benchmarks/rehearsal.py
+++ b/benchmarks/rehearsal.py
@@ -1,7 +1,7 @@
 """Measures the rehearsal kit: all shipped scenarios at a scale, and how far it goes towards a larger one.
 
     python -m benchmarks.rehearsal today [NAME...]  # at 17 endpoints, 67 sidecars, 170/s; all by default
-    python -m benchmarks.rehearsal ladder           # `calm` in steps towards 60 endpoints, 365 sidecars, 620/s
+    python -m benchmarks.rehearsal ladder           # `calm` in steps to 60, 365, 620/s
 
 Prints a row of a Markdown table for each day; each is played in a process of its own. Wants idle cores.
 """
--- a/benchmarks/services.py
+++ b/benchmarks/services.py
@@ -1,6 +1,6 @@
 """What a flood on one service does to another, and what routing costs the daemon.
 
-    python -m benchmarks.services flood     # login codes beside campaign floods of 0, 1, 2, 5 times their pool
+    python -m benchmarks.services flood    # login codes beside floods of 0, 1, 2, 5 times another pool
     python -m benchmarks.services rate      # calls a second on one core, without and with an operator's file
 
 `flood` plays days of the rehearsal kit (two services, 6 endpoints each); `rate` drives one sidecar with 64
