--- a/millgw/operator/command.py
+++ b/millgw/operator/command.py
@@ -85,6 +85,8 @@
         shares = {n: getattr(s.limits, kind) for n, s in operator.services.items()}
         guaranteed[kind] = parts(whole, shares)[name] / whole
     routes = [str(r) for r in table(operator).routes if r.service == name]
+    if service.listen is not None:
+        routes.append(f"all that comes to {service.listen}")
     return {
         "source": source, "classes": list(service.classes), "guaranteed": guaranteed, "routes": routes,
     }  # fmt: skip
--- a/millgw/operator/file.py
+++ b/millgw/operator/file.py
@@ -46,9 +46,11 @@
     """One service: where its endpoints are known from, its classes, and settings that differ for it.
 
     Without `discovery` and `endpoints` the configuration's discovery tells. `settings` holds words of the
-    configuration's object of that name and goes over it, table by table.
+    configuration's object of that name and goes over it, table by table. `listen` is an address of its own:
+    all requests there are for this service, which needs no route then.
     """
 
+    listen: str | None = None
     discovery: str | None = None
     endpoints: tuple[Endpoint, ...] = ()
     classes: tuple[str, ...] = ()
@@ -81,6 +83,11 @@
     """What no single field can tell."""
     for name, service in operator.services.items():
         path = f"services.{name}"
+        if service.listen is not None:
+            _address(f"{path}.listen", service.listen)
+            others = [n for n, s in operator.services.items() if n != name and s.listen == service.listen]
+            if others:
+                raise ValueError(f"{path}.listen: is that of services.{others[0]} too")
         if service.discovery is not None:
             if service.endpoints:
                 raise ValueError(f"{path}.endpoints: stand beside a discovery; a service has one of the two")
@@ -104,7 +111,7 @@
             raise ValueError(f"routes[{i}].to: there is no service {route.to!r}")
     reached = {route.to for route in operator.routes}
     for name in operator.services:
-        if name not in reached:
+        if name not in reached and operator.services[name].listen is None:
             raise ValueError(f"services.{name}: no route leads to it")
     try:
         table(operator)
--- a/millgw/services/front.py
+++ b/millgw/services/front.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import time
 from collections.abc import Callable
@@ -23,6 +24,7 @@
 from millgw.sidecar.upstream import Content
 
 SPELL = 0.002  # s of one turn of the loop that go to requests before connections are read again
+COME_BACK = 500.0  # ms after which a client that is turned away at a bound may find room
 NEW = ""  # the lane of connections that no request has come on yet
 
 log = logging.getLogger("millgw")
@@ -61,7 +63,7 @@
                 self.transport.pause_reading()  # guards against memory that fills while it waits
             return
         self.waits = True
-        self.server.wait(self.lane, self)
+        self.server.turns.wait(self.lane, self)
 
     def turn(self) -> None:
         self.waits = False
@@ -91,19 +93,12 @@
         super()._hold(more)
 
 
-class ServicesServer(Server):
-    """All callers' connections, and the pools that serve them."""
-
-    connection = RoutedConnection
+class Spells:
+    """The connections of all listeners that wait for their lanes' turns."""
 
-    def __init__(self, config: Config, descriptors: Descriptors, bounds: Bounds, table: Table) -> None:
-        super().__init__(config, descriptors)
-        self.bounds = bounds
-        self.table = table
+    def __init__(self) -> None:
+        self.loop = asyncio.get_running_loop()
         self.turns: Turns[RoutedConnection] = Turns()
-        self.lent = 0.0
-
-    # Turns
 
     def wait(self, lane: str, connection: RoutedConnection) -> None:
         if not self.turns:
@@ -119,6 +114,28 @@
         if self.turns:
             self.loop.call_soon(self._spell)
 
+
+class ServicesServer(Server):
+    """The callers' connections of one listener, and the pools that serve them."""
+
+    connection = RoutedConnection
+
+    def __init__(
+        self,
+        config: Config,
+        descriptors: Descriptors,
+        bounds: Bounds,
+        turns: Spells,
+        table: Table,
+        only: str = "",
+    ) -> None:
+        super().__init__(config, descriptors)
+        self.bounds = bounds
+        self.turns = turns
+        self.table = table
+        self.only = only  # the service that all requests of this listener are for
+        self.lent = 0.0
+
     # Requests
 
     def route(self, head: Head) -> Pool | BadRequest | None:
@@ -134,6 +151,8 @@
         if not head.target.startswith(b"/"):
             # To the endpoint it goes as a path (RFC 9112 section 3.2.1).
             head.target = b"/" + head.target.partition(b"://")[2].partition(b"/")[2]
+        if self.only:
+            return self.bounds.pools[self.only]
         headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in values.items()}
         cls = headers.get("x-qos", "")
         found = self.table.find(Asked(target, head.method.decode("latin-1"), cls, headers))
@@ -151,7 +170,8 @@
             return self._ready(head)
         now = pool.driver.clock()
         if pool.retired or len(pool.driver.calls) >= self.bounds.most(pool.name, "calls", now):
-            return Answer(REFUSED)  # guards against a flood: its calls would take the room of other pools
+            # Guards against a flood: its calls would take the room of other pools.
+            return Answer(REFUSED, retry_after=min(COME_BACK, pool.settings.retry_after_most))
         lent = self.bounds.borrowed(pool.name, "calls")
         call = pool.terms.call(head, answer)
         assert isinstance(call, RoutedCall)
@@ -181,6 +201,10 @@
         assert isinstance(call, RoutedCall) and call.owner is not None
         call.owner.left(call)
 
+    def give_way(self) -> bool:
+        """Close the connection of this listener that is needed least, if there is one."""
+        return self._evict()
+
     def _evict(self) -> bool:
         """Close an idle connection of a lane with more than its part before any other."""
         counts: dict[str, int] = {}
--- a/millgw/services/pool.py
+++ b/millgw/services/pool.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from hashlib import blake2b
-from typing import Any
+from typing import Any, cast
 
 from millgw.decide import Balancer
-from millgw.interface import ListKind
+from millgw.interface import Action, Event, ListKind
 from millgw.operator.file import Service
 from millgw.services.limits import Allotment
 from millgw.settings import to_settings
@@ -23,6 +23,17 @@
 log = logging.getLogger("millgw")
 
 
+def _nothing() -> None:
+    pass
+
+
+class Silent:
+    """In the place of a module whose pool has ended: its last timers come to nothing."""
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        return []
+
+
 @dataclass(slots=True, eq=False)
 class RoutedCall(Call):
     """A call that knows whose it is."""
@@ -208,10 +219,16 @@
     def retire(self) -> None:
         """No new calls; those that are open end as they would. Its endpoints are left when the last has."""
         self.retired = True
+        self.driver.subscribe = _nothing  # guards against a module that asks again, as it does now and then
         if self.discovery is not None:
             self.discovery.stop()
         self._ended()
 
+    def drop(self) -> None:
+        """Leave nothing that goes on by itself, and would keep all of this in memory."""
+        self.upstream.stop()
+        self.driver.balancer = cast(Balancer, Silent())
+
     def _ended(self) -> None:
         if self.driver.calls:
             self.upstream.loop.call_later(0.1, self._ended)
@@ -220,6 +237,7 @@
             pool = self.upstream.forget(endpoint)
             if pool is not None:
                 self.upstream.close(pool)
+        self.drop()
         log.info("service %s: removed; its last call has ended", self.name)
 
     def status(self) -> str:
--- a/millgw/sidecar/__main__.py
+++ b/millgw/sidecar/__main__.py
@@ -49,17 +49,18 @@
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
-    server, drivers, reload = _several(config, environ) if environ.get(OPERATOR) else _one(config, environ)
+    servers, drivers, reload = _several(config, environ) if environ.get(OPERATOR) else _one(config, environ)
     loop.add_signal_handler(signal.SIGHUP, reload)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-    server.start()
+    for server in servers():
+        server.start()
     log.info("%s serves at %s:%d", config.name, config.listen.host, config.listen.port)
     await stop.wait()
-    await leave(config, server, drivers)
+    await leave(config, servers(), drivers)
 
 
-Parts = tuple[Server, Callable[[], Sequence[Driver]], Callable[[], None]]
-"""A callers' side, the drivers whose calls it takes, and what a SIGHUP does."""
+Parts = tuple[Callable[[], Sequence[Server]], Callable[[], Sequence[Driver]], Callable[[], None]]
+"""The callers' sides (one for each listener), the drivers whose calls they take, and what a SIGHUP does."""
 
 
 def _one(config: Config, environ: Mapping[str, str]) -> Parts:
@@ -70,7 +71,8 @@
     discovery.start(config.known)
     if not config.settings.ask_discovery:
         discovery.subscribe()
-    return OneService(config, driver, descriptors), lambda: (driver,), Reload(environ, config, discovery)
+    server = OneService(config, driver, descriptors)
+    return lambda: (server,), lambda: (driver,), Reload(environ, config, discovery)
 
 
 def _several(config: Config, environ: Mapping[str, str]) -> Parts:
@@ -109,7 +111,9 @@
         self.discovery.move(self.config.discovery)
 
 
-async def leave(config: Config, server: Server, drivers: Callable[[], Sequence[Driver]]) -> None:
+async def leave(
+    config: Config, servers: Sequence[Server], drivers: Callable[[], Sequence[Driver]]
+) -> None:
     """Serve on for a while, answer all that was taken, and be gone before SIGKILL.
 
     Serving on guards against a rolling restart whose next sidecar leaves before the last one is back: for
@@ -117,14 +121,17 @@
     """
     longest = max(c.deadline for c in config.settings.classes) / 1000
     left = min(longest, LONGEST) + ANSWER_WITHIN
-    server.leaving = True
+    for server in servers:
+        server.leaving = True
     await asyncio.sleep(SERVE_PART * left)
-    server.stop()
+    for server in servers:
+        server.stop()
     try:
         async with asyncio.timeout(left - SERVE_PART * left):
-            while server.connections or server.accepting:
+            while any(server.connections or server.accepting for server in servers):
                 await asyncio.sleep(0.05)
-                server.close_idle()
+                for server in servers:
+                    server.close_idle()
     except TimeoutError:
         log.warning("ended with %d requests unserved", sum(len(d.calls) for d in drivers()))
         for driver in drivers():
--- a/millgw/sidecar/upstream.py
+++ b/millgw/sidecar/upstream.py
@@ -357,7 +357,7 @@
         self.most_held = int(ANSWERS_PART * memory)
         self.held = 0  # bytes of answers that are coming in
         self.tasks: set[asyncio.Task[None]] = set()
-        self.loop.call_later(SWEEP, self._sweep)
+        self.sweeping = self.loop.call_later(SWEEP, self._sweep)
 
     def point(self, endpoint: int, address: Address, since: float = 0.0) -> Pool | None:
         """Use this address from now on; returns the pool of the one before, if it is another.
@@ -475,4 +475,8 @@
             for connection in [c for c in pool.idle if c.idle_since <= oldest]:
                 pool.idle.remove(connection)
                 connection.abort()
-        self.loop.call_later(SWEEP, self._sweep)
+        self.sweeping = self.loop.call_later(SWEEP, self._sweep)
+
+    def stop(self) -> None:
+        """Look after connections no longer; there are none left that matter."""
+        self.sweeping.cancel()
--- a/tests/test_rehearsal_command.py
+++ b/tests/test_rehearsal_command.py
@@ -90,6 +90,7 @@
         (["run", "calm", "--json", "/nowhere/x.json"], "--json"),
         (["run", "calm", "--seconds", "2", "--run", "exit 7"], "code 7"),
         (["search", "--base", "no-such-day"], "no-such-day"),
+        (["search", "--count", "1", "--run", "exit 7"], "no schedule could be played"),
     ],
 )
 def test_bad_input_ends_with_2_and_one_line(
