--- a/millgw/rehearsal/command.py
+++ b/millgw/rehearsal/command.py
@@ -239,7 +239,8 @@
         low, mid = quantile(outcome.services, 0.0), quantile(outcome.services, 0.5)
         print(
             f"{outcome.played} schedules in {outcome.plays} plays: {len(outcome.found)} do harm,"
-            f" {outcome.inconclusive} inconclusive, {len(outcome.unplayed)} not played; service {mid:.3f} in the middle, {low:.3f} at the least"
+            f" {outcome.inconclusive} inconclusive, {len(outcome.unplayed)} not played;"
+            f" service {mid:.3f} in the middle, {low:.3f} at the least"
         )
         for found in outcome.found:
             print(f"  seed {found.seed}: {found.why}\n    {found.faults} faults are enough: {found.path}")
