--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -22,9 +22,10 @@
 from millgw.operator.file import OperatorError, parse
 from millgw.services.limits import Allotment, parts
 from millgw.services.pool import Pool
-from millgw.services.turns import Turns
+from millgw.services.turns import QUANTUM, Turns
 from millgw.sidecar.__main__ import serve
 from millgw.sidecar.config import read_config
+from millgw.sidecar.driver import Call, Driver
 from millgw.standins.address import free_address
 from millgw.standins.http import Message, ok
 from millgw.standins.scripted import ScriptedCadastro, ScriptedEndpoint, answering, read_message, silent
@@ -312,32 +313,62 @@
     run(test)
 
 
-def test_lanes_take_turns_so_that_a_flood_is_not_served_before_the_other(tmp_path: Path) -> None:
-    """While 60 connections flood, each calm call passes after a bounded number of the flood's."""
+def test_pipelined_floods_on_few_connections_and_three_pools_in_little_room(tmp_path: Path) -> None:
+    """256 descriptors and 32 MB for three pools; one is silent, one is flooded by pipelines, one is calm."""
 
     async def test() -> None:
-        login, campaign = ScriptedEndpoint("l"), ScriptedEndpoint("c")
-        async with services(tmp_path, await two(login, campaign)) as node:
+        login, campaign, mute = ScriptedEndpoint("l"), ScriptedEndpoint("c"), ScriptedEndpoint("m", silent)
+        await mute.start()
+        text = await two(login, campaign) + static("status", mute) + '[[routes]]\nto = "status"\n'
+        async with services(tmp_path, text) as node:
+            piling = [await node.connect() for _ in range(30)]
+            for client in piling:
+                client.writer.write(request("read", Host="status.org"))
+            pipes = [await node.connect() for _ in range(4)]
+            for pipe in pipes:
+                for _ in range(100):
+                    pipe.writer.write(request("write", b"x" * 500, Host="a.campanha.example.org"))
             calm = await node.connect()
-            assert (await calm.ask(request("pay", Host="login.example.org"))).status == 200
-            stop = False
-
-            async def flood() -> None:
-                client = await node.connect()
-                while not stop:
-                    await client.ask(request("write", Host="a.campanha.example.org"))
-
-            flooding = [asyncio.create_task(flood()) for _ in range(60)]
-            await until(lambda: len(campaign.got) > 100)
-            before = len(campaign.got)
-            for _ in range(40):
+            for _ in range(50):
                 assert (await calm.ask(request("pay", Host="login.example.org"))).status == 200
-            between = (len(campaign.got) - before) / 40
-            stop = True
-            await asyncio.gather(*flooding)
-            assert between < 60, "a calm call waited for a whole round of the flood's connections"
+            for pipe in pipes:
+                for _ in range(100):
+                    assert (await read_message(pipe.reader)).status in (200, 503), "each has its answer"
+        assert len(login.got) == 50 and {m.headers["host"] for m in mute.got} <= {"status.org"}
+
+    run(test)
+
+
+def test_a_request_waits_for_one_round_of_the_lanes_and_not_for_the_whole_flood(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """All are ready in one turn of the loop, 80 of the flood before the calm one: it is among the first."""
+    taken: list[str] = []
+    take = Driver.take
+
+    def noting(driver: Driver, call: Call) -> None:
+        taken.append(driver.balancer.settings.classes[call.cls].name)
+        take(driver, call)
+
+    monkeypatch.setattr(Driver, "take", noting)
+
+    async def test() -> None:
+        login, campaign = ScriptedEndpoint("l"), ScriptedEndpoint("c")
+        async with services(tmp_path, await two(login, campaign)) as node:
+            calm, flood = await node.connect(), [await node.connect() for _ in range(80)]
+            for client in flood:
+                await client.ask(request("write", Host="a.campanha.example.org"))
+            await calm.ask(request("pay", Host="login.example.org"))
+            taken.clear()
+            for client in flood:
+                client.writer.write(request("write", Host="a.campanha.example.org"))
+            calm.writer.write(request("pay", Host="login.example.org"))
+            assert (await read_message(calm.reader)).status == 200
+            for client in flood:
+                await read_message(client.reader)
 
     run(test)
+    assert taken.index("pay") <= 2 * QUANTUM and taken.count("pay") == 1
 
 
 def test_a_service_whose_discovery_is_down_refuses_and_the_other_serves(tmp_path: Path) -> None:
