--- a/tests/rig.py
+++ b/tests/rig.py
@@ -95,14 +95,13 @@
         return await read_message(self.reader)
 
 
-@dataclass
-class Rig:
-    config: Config
-    discovery: ScriptedCadastro
-    task: asyncio.Task[None]
+class Reachable:
+    """A sidecar that callers can ask at `listen`."""
+
+    listen: Address
 
     async def connect(self) -> Client:
-        return Client(*await asyncio.open_connection(self.config.listen.host, self.config.listen.port))
+        return Client(*await asyncio.open_connection(self.listen.host, self.listen.port))
 
     async def ask(self, data: bytes) -> Message:
         client = await self.connect()
@@ -112,6 +111,14 @@
             client.writer.close()
 
 
+class Rig(Reachable):
+    def __init__(self, config: Config, discovery: ScriptedCadastro, task: asyncio.Task[None]) -> None:
+        self.config = config
+        self.listen = config.listen
+        self.discovery = discovery
+        self.task = task
+
+
 @asynccontextmanager
 async def sidecar(*endpoints: ScriptedEndpoint, **changes: Any) -> AsyncIterator[Rig]:
     """A sidecar in service, which knows these endpoints."""
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -27,9 +27,9 @@
 from millgw.sidecar.config import read_config
 from millgw.sidecar.driver import Call, Driver
 from millgw.standins.address import free_address
-from millgw.standins.http import Message, ok
+from millgw.standins.http import ok
 from millgw.standins.scripted import ScriptedCadastro, ScriptedEndpoint, answering, read_message, silent
-from tests.rig import SETTINGS, Client, request, run, until
+from tests.rig import SETTINGS, Client, Reachable, request, run, until
 
 # The operator's file
 
@@ -184,7 +184,7 @@
 # In service
 
 
-class Services:
+class Services(Reachable):
     """A sidecar in service with an operator's file."""
 
     def __init__(self, folder: Path, text: str, discovery: str) -> None:
@@ -206,16 +206,6 @@
             )
         )  # fmt: skip
 
-    async def connect(self) -> Client:
-        return Client(*await asyncio.open_connection(self.listen.host, self.listen.port))
-
-    async def ask(self, data: bytes) -> Message:
-        client = await self.connect()
-        try:
-            return await client.ask(data)
-        finally:
-            client.writer.close()
-
     async def reload(self, text: str) -> None:
         self.file.write_text(text)
         os.kill(os.getpid(), signal.SIGHUP)
