--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -72,6 +72,7 @@
 EJECT_TIME = 4000.0  # ms of the first ejection, time to empty and to recover
 EJECT_JITTER = 0.5  # of its time, at the least: instances that eject together return at different times
 EJECT_SHARE = 1 / 3  # of the endpoints at most: when more look ill, the trouble is not theirs
+LOST_AFTER = 2  # connections in a row that did not come up, from which a machine is held to be gone
 HOME_LEAST = 3  # endpoints an instance always draws from: two to compare and one to go elsewhere
 SHED_RATE = 1.0  # of all work, by which shedding rises in an aim's time when half the answers are late
 SHED_MOST = 0.95  # of the work shed at the most: some answers must come, or nothing is learned
@@ -200,6 +201,21 @@
         self.served_at = now
         self.allowance = 1.0
         self.allowed_at = now
+        self.missed = 0
+        self.back = 0.0
+
+    def note(self, now: float, outcome: Outcome) -> None:
+        """Take what an outcome tells of the machine: one that was out of reach may come back cold."""
+        if outcome is Outcome.CONNECT_FAILED:
+            self.missed += 1
+            return
+        if self.missed >= LOST_AFTER:
+            self.back = now
+        self.missed = 0
+
+    def started(self, now: float) -> float:
+        """When it last started, as told or as seen; a machine that is out of reach has yet to."""
+        return now if self.missed >= LOST_AFTER else max(self.info.since, self.back)
 
     def slowness(self, now: float) -> float:
         """The recent time of its calls against the usual; what is old fades to 'usual'."""
@@ -244,7 +260,7 @@
         failing = sum(s.failing for s in peers) / len(peers)
         # The quicker peers: when most of a tier has slowed down from crowding, their mean would leave none
         # any rest. Warm ones: of a cold one only the least share is known, so it looks quicker than it is.
-        warm = [s for s in peers if self.cold.share(s.info, now) >= 1.0]
+        warm = [s for s in peers if self.cold.share(s, now) >= 1.0]
         quicker = sum(server.slow > OUTLIER_MULTIPLE * s.slow for s in warm)
         if server.failing > max(OUTLIER_FAILING, OUTLIER_MULTIPLE * failing) or (
             quicker > int(SLOW_PEER * len(warm))
@@ -260,28 +276,31 @@
     All instances together serve a warm endpoint no more than it can do, so what this one sees a warm
     endpoint serve is its fair part of a capacity. A cold one is sent that rate times the share it is sure
     to have by now, times most of the multiple at which it would fall over (COLD_HEADROOM).
+
+    One that could not be reached counts as cold as well, until it answers and then by its time: discovery may
+    be down, or not know yet that its machine was gone and is back.
     """
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
         self.rate = 0.0
 
-    def share(self, info: Endpoint, now: float) -> float:
+    def share(self, server: Server, now: float) -> float:
         """The part of its capacity that an endpoint is sure to have by now."""
-        s = self.settings
-        if info.since <= 0 or s.cold_time <= 0 or now >= info.since + s.cold_time:
+        s, since = self.settings, server.started(now)
+        if since <= 0 or s.cold_time <= 0 or now >= since + s.cold_time:
             return 1.0
-        return s.cold_share + (1 - s.cold_share) * max(0.0, now - info.since) / s.cold_time
+        return s.cold_share + (1 - s.cold_share) * max(0.0, now - since) / s.cold_time
 
     def learn(self, servers: list[Server], now: float) -> None:
         """Take the rate from warm endpoints only; with none left the last one seen holds."""
-        warm = [s for s in servers if self.share(s.info, now) >= 1.0]
+        warm = [s for s in servers if self.share(s, now) >= 1.0]
         size = sum(s.info.size for s in warm)
         if size > 0:
             self.rate = sum(s.served_rate(now) for s in warm) / size
 
     def admits(self, server: Server, now: float) -> bool:
-        share = self.share(server.info, now)
+        share = self.share(server, now)
         if share >= 1.0:
             return True
         s = self.settings
@@ -549,9 +568,10 @@
         else:
             elapsed = max(elapsed, aim)
         if event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
+            attempt.server.note(now, event.outcome)
             failed = event.outcome is not Outcome.OK
             slowness = event.elapsed / max(self.spent[attempt.cls], 1.0)
-            slowness *= self.cold.share(attempt.server.info, now)
+            slowness *= self.cold.share(attempt.server, now)
             self.outliers.record(now, attempt.server, failed, slowness)
             self.outliers.judge(now, attempt.server, self.ring)
         if self.admission is not None and event.outcome is not Outcome.CANCELLED:
@@ -570,7 +590,7 @@
         self.looked = now
         self.cold.learn(self.ring[: self._home()], now)
         if self.admission is not None:
-            shares = [self.cold.share(s.info, now) for s in self.ring if now >= s.ejected_until]
+            shares = [self.cold.share(s, now) for s in self.ring if now >= s.ejected_until]
             self.admission.units = max(1.0, sum(shares)) / self.settings.siblings
 
     def _retry_or_end(self, now: float, request: Request) -> None:
@@ -709,11 +729,11 @@
         """Guards against the whole limit meeting on the few endpoints that are ready."""
         if self.admission is None:
             return False
-        return len(server.out) >= self.admission.cap(self.cold.share(server.info, now))
+        return len(server.out) >= self.admission.cap(self.cold.share(server, now))
 
     def _load(self, server: Server, now: float) -> float:
         """Own calls in flight, against what the endpoint can do by size and warmth."""
-        weight = server.info.size * self.cold.share(server.info, now)
+        weight = server.info.size * self.cold.share(server, now)
         return (len(server.out) + 1) / max(weight, LEAST_RATIO)
 
     # The list
--- a/millgw/rehearsal/auditor.py
+++ b/millgw/rehearsal/auditor.py
@@ -326,6 +326,8 @@
             words[sidecar, endpoint].append((at, True))
         bans: dict[tuple[str, str], list[tuple[float, float]]] = defaultdict(list)
         for key, told in words.items():
+            # A process that has just started was told the list as it is, and nothing of what was before it.
+            told += [(life.start, False) for life in self.sidecars.get(key[0], ())]
             since: float | None = None
             for at, ends in sorted(told):
                 if ends and since is None:
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -299,6 +299,35 @@
     assert cold.ejected_until == -math.inf
 
 
+def test_a_machine_that_was_out_of_reach_is_cold_when_it_is_back_though_nobody_said_so() -> None:
+    """Guards against a machine that returns while discovery is down: its old entry says that it is warm."""
+    d = drive(4)
+    serve(d, 200)
+    lost = d.balancer.servers[1]
+    cold = d.balancer.cold
+    assert cold.share(lost, d.now) == 1.0
+    while lost.missed < 2:
+        request = d.arrive()
+        endpoint = d.tries[request][0][0]
+        d.advance(d.now + 10)
+        d.outcome(request, 0, Outcome.CONNECT_FAILED if endpoint == 1 else Outcome.OK)
+        d.advance(d.now + 500)
+    assert cold.share(lost, d.now) == d.config.cold_share, "out of reach: the least until it answers"
+    lost.note(d.now, Outcome.OK)
+    assert cold.share(lost, d.now) == d.config.cold_share
+    assert cold.share(lost, d.now + d.config.cold_time / 2) == pytest.approx((1 + d.config.cold_share) / 2)
+    assert cold.share(lost, d.now + d.config.cold_time) == 1.0
+
+
+def test_one_connection_that_does_not_come_up_makes_nobody_cold() -> None:
+    d = drive(4)
+    server = d.balancer.servers[1]
+    for _ in range(5):
+        server.note(d.now, Outcome.CONNECT_FAILED)
+        server.note(d.now, Outcome.OK)
+    assert d.balancer.cold.share(server, d.now) == 1.0
+
+
 def test_quick_cold_peers_do_not_make_a_usual_endpoint_an_outlier() -> None:
     """Cold ones, judged by the least share they are told to have, look far quicker than they are."""
     d = drive(4)
--- a/tests/test_rehearsal_auditor.py
+++ b/tests/test_rehearsal_auditor.py
@@ -342,6 +342,20 @@
         assert (broken(made.ledger) == {1}) is blamed, (read, after)
 
 
+def test_what_a_process_was_told_does_not_bind_the_next_one_of_its_name() -> None:
+    for restarted in (False, True):
+        made = Books(random.Random(1))
+        made.ledger.words.append(Word("n0", "a", 1, "terminated", 100.0))
+        if restarted:
+            made.ledger.sidecars[0].kill = made.ledger.sidecars[0].ended = 200.0
+            made.ledger.sidecars.append(SidecarLife("n0", 0, 300.0, 400.0))
+        made.now = 1000.0
+        call = plain(made, "status")
+        made.attempt(call, "a", Told.ERROR)
+        close(made, call)
+        assert broken(made.ledger) == (set() if restarted else {3})
+
+
 def test_a_drain_told_during_an_outage_counts_from_its_end() -> None:
     made = Books(random.Random(1))
     made.ledger.asked[0].until = 0.0
