The rig leaves SIGPIPE as Python has it

Importing the command set SIGPIPE to end the process, to quiet a pipe closed early. A rig writes to connections that sidecars reset, and to its keeper: any such write could have ended it, or the test run that imported it.

--- a/millgw/rehearsal/command.py
+++ b/millgw/rehearsal/command.py
@@ -9,7 +9,6 @@
 import sys
 import traceback
 from collections.abc import Awaitable, Sequence
-from contextlib import suppress
 from dataclasses import asdict
 from pathlib import Path
 from typing import TypeVar
@@ -245,7 +244,3 @@
         for found in outcome.found:
             print(f"  seed {found.seed}: {found.why}\n    {found.faults} faults are enough: {found.path}")
     return BROKE if outcome.found else HELD
-
-
-with suppress(AttributeError):  # a pipe that is closed early ends the command quietly
-    signal.signal(signal.SIGPIPE, signal.SIG_DFL)
