--- a/millgw/rehearsal/command.py
+++ b/millgw/rehearsal/command.py
@@ -11,7 +11,7 @@
 from collections.abc import Awaitable, Sequence
 from dataclasses import asdict
 from pathlib import Path
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import uvloop
 from rich.console import Console
@@ -201,15 +201,20 @@
 
 def _write(days: Sequence[Day], json_to: str | None, html_to: str | None) -> None:
     if json_to:
-        text = json.dumps(to_json(days), indent=1)
-        if json_to == "-":
-            print(text)
-        else:
-            Path(json_to).write_text(text + "\n")
+        _put(to_json(days), json_to)
     if html_to:
         Path(html_to).write_text(page(days), encoding="utf-8")
 
 
+def _put(report: dict[str, Any], path: str) -> None:
+    """Write a report as JSON to a file, or to standard output for `-`."""
+    text = json.dumps(report, indent=1)
+    if path == "-":
+        print(text)
+    else:
+        Path(path).write_text(text + "\n")
+
+
 def _search(args: argparse.Namespace) -> int:
     base = load(args.base)[1] if args.base else SMALL
 
@@ -229,11 +234,7 @@
             for name in ("played", "plays", "inconclusive", "unplayed", "services")
         }
         report |= {"kinds": dict(outcome.kinds), "found": [asdict(f) for f in outcome.found]}
-        text = json.dumps(report, indent=1)
-        if args.json == "-":
-            print(text)
-        else:
-            Path(args.json).write_text(text + "\n")
+        _put(report, args.json)
     if args.json != "-":
         low, mid = quantile(outcome.services, 0.0), quantile(outcome.services, 0.5)
         print(
