--- a/millgw/rehearsal/auditor.py
+++ b/millgw/rehearsal/auditor.py
@@ -20,6 +20,7 @@
 CROSSING = 100.0  # ms after a request's writing by which a close that crossed it has come
 KILL_SOON = 700.0  # ms after SIGTERM within which a SIGKILL excuses what was open
 REFUSALS = frozenset({429, 503})
+LEAST_SERVED = 0.02  # of the requests, below which a day puts nothing to the test
 T = TypeVar("T")
 MOST_EVIDENCE = 50  # pieces kept for each rule; all are counted
 
@@ -108,10 +109,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Audit:
-    """All findings, and what the rig says of itself."""
+    """All findings, and what the rig says of itself.
+
+    `unserved` tells why next to nothing was served, where that is so: such a day put no rule to the test.
+    """
 
     findings: tuple[Finding, ...]
     rig: Self
+    unserved: str = ""
 
     @property
     def broken(self) -> bool:
@@ -119,8 +124,13 @@
 
     @property
     def inconclusive(self) -> bool:
-        """No rule is seen broken, but the rig was too late to say that they held."""
-        return not self.broken and (bool(self.rig.reasons) or any(f.excused for f in self.findings))
+        """No rule is seen broken, but the rig was too late, or too little served, to say that they held."""
+        return not self.broken and (bool(self.reasons) or any(f.excused for f in self.findings))
+
+    @property
+    def reasons(self) -> tuple[str, ...]:
+        """Why the day can't be judged; empty where it can."""
+        return (*self.rig.reasons, self.unserved) if self.unserved else self.rig.reasons
 
     @property
     def exit_code(self) -> int:
@@ -140,7 +150,30 @@
 
     def audit(self) -> Audit:
         findings = (self.answers(), self.effects(), self.drains(), self.cold())
-        return Audit(findings, self.lateness.measure())
+        return Audit(findings, self.lateness.measure(), self.unserved())
+
+    def unserved(self) -> str:
+        """Why next to nothing was served; empty where enough was, or nothing was asked.
+
+        Guards against a day that reads as held because nothing ever came to an endpoint.
+        """
+        firsts = {c.root for c in self.ledger.calls if c.stage == 0}
+        served = {c.root for c in self.ledger.calls if c.stage == 0 and c.status == 200}
+        if not firsts or len(served) >= LEAST_SERVED * len(firsts):
+            return ""
+        told = f"{len(served)} of {len(firsts)} requests were served"
+        whys = Counter(a.why for a in self.ledger.attempts if a.told is Told.UNUSABLE)
+        if whys:
+            why, count = whys.most_common(1)[0]
+            return f"{told}: endpoints answered {whys.total()} attempts with 400, {count} as {why}"
+        ends = Counter(
+            f"{c.status}" if c.end is End.ANSWERED else c.end.value if c.end is not None else "no end"
+            for c in self.ledger.calls
+            if c.stage == 0 and c.status != 200
+        )
+        came = len(self.ledger.attempts)
+        most = ", ".join(f"{n} x {what}" for what, n in ends.most_common(3))
+        return f"{told}: callers got {most}; {came} attempts came to endpoints"
 
     def _timed(self, finding: Finding, evidence: Evidence, excess: float, start: float, sidecar: str) -> None:
         """Book a breach of a time limit by `excess` ms, unless lateness since `start` explains it."""
--- a/millgw/rehearsal/front.py
+++ b/millgw/rehearsal/front.py
@@ -121,7 +121,7 @@
         desk = self.front.pick()
         if desk is None:
             call.end = End.NOT_TAKEN
-            self.ledger.calls.append(call)
+            self.ledger.book(call)
             return call
         task = asyncio.get_running_loop().create_task(ask(desk, call, self.ledger))
         handle = asyncio.get_running_loop().call_later(leaves / 1000, task.cancel) if leaves else None
@@ -139,7 +139,7 @@
 async def ask(desk: Desk, call: Call, ledger: Ledger) -> Call:
     """Make a call; one that a close has crossed goes once more. Returns the last record of it."""
     call.sidecar = desk.name
-    ledger.calls.append(call)
+    ledger.book(call)
     await desk.ask(call)
     if call.end is not End.CROSSED:
         return call
@@ -147,7 +147,7 @@
         call.trace, call.root, call.stage, call.cls, call.tenant, call.key, call.sidecar, call.due,
         patience=call.patience, method=call.method, number=call.number, host=call.host,
     )  # fmt: skip
-    ledger.calls.append(again)
+    ledger.book(again)
     await desk.ask(again, fresh=True)
     return again
 
--- a/millgw/rehearsal/report.py
+++ b/millgw/rehearsal/report.py
@@ -95,7 +95,9 @@
                 " own lateness may explain",
                 markup=False,
             )
-    for reason in day.audit.rig.reasons:
+    for why, count in day.summary.unusable.items():
+        console.print(f"{day.name}: endpoints answered 400 to {count} attempts: {why}", markup=False)
+    for reason in day.audit.reasons:
         console.print(f"{day.name}: the rig can't vouch for this day: {reason}", markup=False)
 
 
@@ -113,6 +115,8 @@
         "scenario": to_toml(day.scenario),
         "facts": asdict(day.facts),
         "rig": asdict(day.audit.rig),
+        "reasons": list(day.audit.reasons),
+        "unusable": s.unusable,
         "service": s.service,
         "worst_5s": s.worst,
         "asked": s.asked,
--- a/millgw/rehearsal/stage.py
+++ b/millgw/rehearsal/stage.py
@@ -27,7 +27,7 @@
 from millgw.standins.cadastro import Cadastro, Capacity, Delays
 from millgw.standins.endpoint import Build, ColdRule, Endpoint, Group, NextTier, Task
 from millgw.standins.http import Clock, Message
-from millgw.standins.ledger import Call, End, Ledger, shift
+from millgw.standins.ledger import Attempt, Call, End, Ledger, shift
 from millgw.standins.register import Entry
 
 DOMAIN = "rehearsal.example"  # of the services' hosts
@@ -245,15 +245,15 @@
         numbers = iter(range(1 << 60))
         tag = random.Random(f"caller {self.scenario.seed} {endpoint}").getrandbits(24)
 
-        async def call(message: Message, task: Task, left: float) -> bool:
-            headers = message.headers
+        async def call(message: Message, attempt: Attempt, task: Task, left: float) -> bool:
+            asked = self.ledger.asked_for.get(attempt.trace)
             trace = f"{tier:02x}{tag:06x}{next(numbers):08x}"
             made = Call(
                 trace=trace,
                 root=message.first.split()[1].partition("k=")[2],
                 stage=tier,
-                cls=headers["x-qos"],
-                tenant=headers.get("x-customer", ""),
+                cls=attempt.cls,
+                tenant=asked.tenant if asked is not None else message.headers.get("x-customer", ""),
                 key=f"k{trace}" if task.keyed else "",
                 sidecar="",
                 due=self.clock(),
--- a/millgw/rehearsal/summary.py
+++ b/millgw/rehearsal/summary.py
@@ -73,6 +73,7 @@
     classes: dict[str, ClassFigures]
     seconds: list[Second]
     worst: float  # the service of the worst five seconds
+    unusable: dict[str, int] = field(default_factory=dict)  # attempts answered 400, by cause
 
 
 WORST_SPAN = 5
@@ -139,5 +140,7 @@
     for attempt in ledger.attempts:
         of_tier = summary.attempts.setdefault(tiers.get(attempt.endpoint, 0), {t.value: 0 for t in Told})
         of_tier[attempt.told.value] += 1
+        if attempt.told is Told.UNUSABLE:
+            summary.unusable[attempt.why] = summary.unusable.get(attempt.why, 0) + 1
         if attempt.last is not None and 0 <= int(attempt.last / 1000) < len(summary.seconds):
             summary.seconds[int(attempt.last / 1000)].attempts += 1
--- a/millgw/standins/caller.py
+++ b/millgw/standins/caller.py
@@ -18,7 +18,7 @@
     """A request as the protocol page has it."""
     key = f"Idempotency-Key: {call.key}\r\n" if call.key else ""
     return (
-        f"{call.method} /api?k={call.root} HTTP/1.1\r\nHost: {call.host}\r\nX-Trace-Id: {call.trace}\r\n"
+        f"{call.method} {call.target} HTTP/1.1\r\nHost: {call.host}\r\nX-Trace-Id: {call.trace}\r\n"
         f"X-Qos: {call.cls}\r\nX-Customer: {call.tenant}\r\nX-Expires-In-Ms: {patience}\r\n"
         f"{key}Content-Length: 0\r\n\r\n"
     ).encode()
--- a/millgw/standins/endpoint.py
+++ b/millgw/standins/endpoint.py
@@ -1,7 +1,8 @@
 """A stand-in server: an HTTP/1.1 endpoint that works, waits, calls the next tier, and fails as told.
 
 It keeps to what the protocol page says of endpoints: a request begins when its last byte has come, turn-aways
-carry `X-Never-Ran`, the endpoints of one group drop the repeats of a key for the class's window.
+carry `X-Never-Ran`, the endpoints of one group drop the repeats of a key for the class's window. Which class
+a request is of it knows from its client's record: sidecars are free to leave `X-Qos` out of an attempt.
 """
 
 from __future__ import annotations
@@ -17,7 +18,7 @@
 from millgw.sidecar.config import Address
 from millgw.standins.capacity import ColdBudget, Processor, Room
 from millgw.standins.http import NEVER_RAN, Clock, Message, ServerConnection, listener, ok, status
-from millgw.standins.ledger import Attempt, Ledger, Life, Told
+from millgw.standins.ledger import Attempt, Call, Ledger, Life, Told
 
 HEAVIEST = 6.0  # times its class's mean that one request may need: the tail that is drawn ends there
 SWEEP = 0.25  # s between two looks for connections that have been idle too long
@@ -102,8 +103,26 @@
     slowness: float = 1.0
 
 
-NextTier = Callable[[Message, Task, float], Awaitable[bool]]
-"""Makes one call to the next tier for a request, with the ms left; tells whether it was served."""
+NextTier = Callable[[Message, Attempt, Task, float], Awaitable[bool]]
+"""Makes one call to the next tier for an attempt, with the ms left; tells whether it was served."""
+
+
+def _unlike(message: Message, asked: Call) -> str:
+    """How an attempt differs from what its client asked; empty where it does not (protocol page)."""
+    method, target = message.first.split()[:2]
+    if method != asked.method:
+        return f"the method is {method}, the client's {asked.method}"
+    if target != asked.target:
+        return f"the target is not the client's: {_shape(target)} for {_shape(asked.target)}"
+    if message.headers.get("idempotency-key", "") != asked.key:
+        return "Idempotency-Key is not the client's"
+    return ""
+
+
+def _shape(target: str) -> str:
+    """A target without its query's values: the same for all requests that are wrong in the same way."""
+    path, question, query = target.partition("?")
+    return path + question + "&".join(part.partition("=")[0] + "=" for part in query.split("&") if part)
 
 
 def token(body: bytes) -> str:
@@ -252,15 +271,22 @@
 
     def _record(self, message: Message) -> Attempt:
         headers = message.headers
+        trace = headers.get("x-trace-id", "")
+        asked = self.ledger.asked_for.get(trace)
         attempt = Attempt(
-            trace=headers.get("x-trace-id", ""),
+            trace=trace,
             endpoint=self.build.name,
             life=self.lives,
             cell=self.build.cell,
-            cls=headers.get("x-qos", ""),
+            # One that the rig's own clients did not send may be a person's, who looks at a demo.
+            cls=asked.cls if asked is not None else headers.get("x-qos", ""),
             key=headers.get("idempotency-key", ""),
             first=message.first_byte,
         )
+        if asked is not None:
+            attempt.why = _unlike(message, asked)
+        elif attempt.cls not in self.tasks:
+            attempt.why = "X-Trace-Id is that of no client's request, and X-Qos names no class"
         self.ledger.attempts.append(attempt)
         return attempt
 
@@ -283,8 +309,9 @@
             self.stop()
             self.fell(self)
             return
-        if task is None:
-            self._tell(connection, attempt, Told.NEVER_RAN, status(400))
+        if task is None or attempt.why:
+            attempt.why = attempt.why or f"{attempt.cls!r} is no class of this tier"
+            self._tell(connection, attempt, Told.UNUSABLE, status(400))
         elif self.draining or len(self.connections) > self.build.connections:
             self._tell(connection, attempt, Told.NEVER_RAN, status(503, NEVER_RAN))
         else:
@@ -292,8 +319,7 @@
 
     def _take(self, connection: ServerConnection, message: Message, attempt: Attempt, task: Task) -> None:
         rng = random.Random(f"{self.seed} {attempt.trace} {self.build.name}")
-        left = float(message.headers.get("x-expires-in-ms", "0"))
-        if left <= 0:
+        if self._left(message, attempt, task) <= 0:
             self._tell(connection, attempt, Told.NEVER_RAN, status(504, NEVER_RAN))
         elif rng.random() < self.ills.resetting:
             self._tell(connection, attempt, Told.RESET, b"")
@@ -370,8 +396,8 @@
         if self.next_tier is not None:
             whole, part = divmod(task.calls, 1.0)
             for _ in range(int(whole) + (rng.random() < part)):
-                left = float(message.headers["x-expires-in-ms"]) - (self.clock() - message.last_byte)
-                if left <= 0 or not await self.next_tier(message, task, left):
+                left = self._left(message, attempt, task)
+                if left <= 0 or not await self.next_tier(message, attempt, task, left):
                     served = False
                     break
         if served:
@@ -382,6 +408,16 @@
         body = f"{attempt.trace} {self.build.name} {next(self.answers)}\n".encode()
         return body + b"." * rng.randrange(16, 400)
 
+    def _left(self, message: Message, attempt: Attempt, task: Task) -> float:
+        """The ms left for a request, as told; where that is not told or no number, as its client has it."""
+        told = message.headers.get("x-expires-in-ms", "")
+        if told.isascii() and told.isdigit():
+            return float(told) - (self.clock() - message.last_byte)
+        asked = self.ledger.asked_for.get(attempt.trace)
+        if asked is not None and asked.sent is not None:
+            return asked.sent + asked.patience - self.clock()
+        return task.deadline - (self.clock() - message.last_byte)
+
     async def _cpu(self, work: float) -> None:
         done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._settle(self.processor.add(self.clock(), work, done))
--- a/millgw/standins/ledger.py
+++ b/millgw/standins/ledger.py
@@ -17,6 +17,7 @@
     OK = "ok"
     ERROR = "error"
     NEVER_RAN = "never-ran"
+    UNUSABLE = "unusable"  # 400: no request that a client sent, or of no class; see `Attempt.why`
     SPOILT = "spoilt"
     RESET = "reset"
 
@@ -55,6 +56,7 @@
     told_at: float | None = None
     token: str = ""
     repeat_of: str = ""  # the trace whose run answered this one, where a group dropped a repeat
+    why: str = ""  # what was wrong with it, where it was answered 400
 
 
 @dataclass(slots=True)
@@ -85,6 +87,11 @@
     number: int = 0  # 0 for a first try, then the caller's own retries
     host: str = "app.svc"
 
+    @property
+    def target(self) -> str:
+        """Path and query, which sidecars pass on unchanged."""
+        return f"/api?k={self.root}"
+
 
 @dataclass(slots=True)
 class Word:
@@ -198,6 +205,12 @@
     samples: list[Sample] = field(default_factory=list)
     strikes: list[Strike] = field(default_factory=list)
     late: list[tuple[float, float]] = field(default_factory=list)  # arrivals: when due, ms sent late
+    asked_for: dict[str, Call] = field(default_factory=dict)  # the last call booked under each trace
+
+    def book(self, call: Call) -> None:
+        """Take a call in as its caller makes it: endpoints find it by its trace."""
+        self.calls.append(call)
+        self.asked_for[call.trace] = call
 
 
 TIMES: dict[type, tuple[str, ...]] = {
--- a/tests/test_rehearsal_auditor.py
+++ b/tests/test_rehearsal_auditor.py
@@ -141,7 +141,7 @@
 def test_books_that_keep_the_rules_are_never_blamed(seed: int, requests: int) -> None:
     found = verdict(books(seed, requests).ledger)
     assert not found.broken, [str(e) for f in found.findings for e in f.evidence]
-    assert found.exit_code == 0 and found.findings[0].checked == requests
+    assert found.exit_code == (3 if found.unserved else 0) and found.findings[0].checked == requests
 
 
 def plain(made: Books, cls: str, sidecar: str = "n0") -> Call:
--- a/tests/test_rehearsal_wrong.py
+++ b/tests/test_rehearsal_wrong.py
@@ -91,7 +91,7 @@
             ),
             f"exec {sys.executable} {SCRIPT} {kind}",
         )
-        for kind in ["right", *RULES]
+        for kind in ["right", "bare", "misspells", *RULES]
     }
     return asyncio_days(days)
 
@@ -132,6 +132,19 @@
     assert not broken(wrong_days()["right"])
 
 
+def test_a_sidecar_that_sends_only_what_the_protocol_asks_for_is_served() -> None:
+    day = wrong_days()["bare"]
+    assert not broken(day), broken(day)
+    assert not day.summary.unusable and day.summary.served > day.summary.asked * 0.8
+
+
+def test_a_day_that_served_nothing_is_inconclusive_and_names_the_cause() -> None:
+    day = wrong_days()["misspells"]
+    assert day.conclusion == "INCONCLUSIVE" and day.audit.exit_code == 3 and not day.summary.served
+    assert any("?q=" in why for why in day.summary.unusable)
+    assert "0 of" in day.audit.unserved and "the target is not the client's" in day.audit.unserved
+
+
 @pytest.mark.parametrize("name", [*SHIPPED, *SERVICES, "all classes"])
 def test_the_daemon_breaks_no_rule(name: str) -> None:
     day = daemon_days()[name]
--- a/tests/wrong/sidecar.py
+++ b/tests/wrong/sidecar.py
@@ -1,7 +1,9 @@
 """A plain sidecar of the deployment contract that does one thing wrong, named by its only argument.
 
 It decides nothing well: a random endpoint in service, one attempt on a connection of its own. `right` does no
-wrong. It is what the rehearsal kit's auditor is tested on, and shares no code with the daemon.
+wrong, and `bare` none either: it leaves out of an attempt all that the protocol leaves free. `misspells`
+changes every request's target. It is what the rehearsal kit's auditor is tested on, and shares no code with
+the daemon.
 """
 
 from __future__ import annotations
@@ -16,6 +18,7 @@
 from typing import Any
 
 WRONG = sys.argv[1]
+FREE = (b"X-Qos", b"X-Customer", b"X-Expires-In-Ms", b"Host")
 EVERY = 8  # requests between two wrongs
 WORKING_LATE = 0.3  # s past the caller's patience
 
@@ -65,6 +68,10 @@
     async def attempt(self, endpoint: dict[str, Any], request: bytes) -> tuple[int, bytes, bool]:
         """Status (0: none came), body, and whether it surely never ran."""
         host, port = endpoint["address"].rsplit(":", 1)
+        if WRONG == "bare":
+            request = b"\r\n".join(line for line in request.split(b"\r\n") if not line.startswith(FREE))
+        if WRONG == "misspells":
+            request = request.replace(b"?k=", b"?q=")
         try:
             async with asyncio.timeout(0.25):
                 reader, writer = await asyncio.open_connection(host, int(port))
