An endpoint out of reach is not kept out by what it served while it was warm

Now a warm endpoint's allowance stands at one, and what a caller's leaving cuts off is told as cancelled. Both tests were seen to fail without the change.

--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -302,6 +302,8 @@
     def admits(self, server: Server, now: float) -> bool:
         share = self.share(server, now)
         if share >= 1.0:
+            # Guards against what was sent while it was warm, which would count against it once it is cold.
+            server.allowance, server.allowed_at = 1.0, now
             return True
         s = self.settings
         least = 1.0 / (s.siblings * s.fall_window) if s.fall_window > 0 else 0.0
--- a/millgw/sidecar/driver.py
+++ b/millgw/sidecar/driver.py
@@ -195,10 +195,13 @@
         now = self.clock()
         for number, flight in list(call.out.items()):
             del call.out[number]
-            if not flight.attempt.give_up():
-                outcome = Outcome.CONNECT_FAILED  # its last byte was never written
-            elif concluded:
+            written = flight.attempt.give_up()
+            if concluded:
+                # Guards also against a crowd that leaves while its sends are held back: that tells nothing of
+                # the endpoint, which would count as out of reach.
                 outcome = Outcome.CANCELLED
+            elif not written:
+                outcome = Outcome.CONNECT_FAILED  # its last byte was never written
             else:
                 outcome = Outcome.TIMEOUT
                 self.upstream.doubt(flight.endpoint)
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -467,3 +467,23 @@
     sent = next(r for r, tries in d.tries.items() if tries)
     d.outcome(sent, 0, Outcome.OK)
     assert passes == 1
+
+
+def test_the_only_endpoint_is_used_again_soon_after_it_was_out_of_reach_however_much_it_served() -> None:
+    """What it was sent while it was warm must not count against it once it is held to be cold."""
+    d = drive(1)
+    serve(d, 2000)
+    (lost,) = d.balancer.servers.values()
+    for _ in range(2):
+        request = d.arrive(UNSAFE)
+        d.outcome(request, 0, Outcome.CONNECT_FAILED)
+        d.abort(request)
+    assert lost.missed == 2
+    tried = 0
+    for _ in range(20):
+        d.advance(d.now + 500.0)
+        request = d.arrive(UNSAFE)
+        tried += len(d.tries[request])
+        if d.tries[request]:
+            d.outcome(request, 0, Outcome.OK)
+    assert tried > 5 and lost.missed == 0
--- a/tests/test_sidecar_books.py
+++ b/tests/test_sidecar_books.py
@@ -7,9 +7,12 @@
 import time
 from typing import TypeVar
 
+import pytest
+
 from millgw.decide import Attempt as Sent
 from millgw.decide import Request
 from millgw.settings import to_settings
+from millgw.sidecar import upstream as upstream_module
 from millgw.sidecar.caller import CallerConnection
 from millgw.sidecar.driver import Call, Driver
 from millgw.sidecar.request import Head
@@ -161,3 +164,25 @@
             assert not driver.balancer.flights and driver.upstream.open == 1
 
     run(test)
+
+
+def test_callers_that_leave_while_their_sends_are_held_back_tell_nothing_of_the_endpoint(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(upstream_module, "HOLD_BACK", 0.3)
+
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e")
+        async with sidecar(endpoint) as rig:
+            driver = the(Driver)
+            for _ in range(3):
+                client = await rig.connect()
+                client.writer.write(request("pay"))
+                await until(lambda: bool(driver.calls))
+                client.writer.close()
+                await until(lambda: not driver.calls)
+            (server,) = driver.balancer.servers.values()
+            assert not server.missed and not server.out
+            assert (await rig.ask(request("pay"))).status == 200
+
+    run(test)
