--- a/millgw/__init__.py
+++ b/millgw/__init__.py
@@ -1,7 +1,11 @@
 """millgw: a load balancer's decisions for services that call services, without any I/O."""
 
-from millgw.decide import Balancer
-from millgw.interface import (
+from millgw import compiled
+
+compiled.install()  # before the first import of what may be compiled
+
+from millgw.decide import Balancer  # noqa: E402
+from millgw.interface import (  # noqa: E402
     Action,
     AttemptEnded,
     Condition,
@@ -26,7 +30,10 @@
     TimerFired,
 )
 
+VERSION = "0.1.0"
+
 __all__ = [
+    "VERSION",
     "Action",
     "AttemptEnded",
     "Balancer",
--- a/millgw/__main__.py
+++ b/millgw/__main__.py
@@ -8,6 +8,9 @@
 import sys
 from collections.abc import Callable, Sequence
 
+from millgw import VERSION, compiled
+from millgw.build import add_parser as add_build
+
 FROM_TOOLS = (
     ("millgw.operator.command", "add_parsers", ("check", "route"), "requirements-operator.txt"),
     ("millgw.rehearsal.command", "add_parser", ("rehearse",), "requirements-tools.txt"),
@@ -24,6 +27,9 @@
     serve = commands.add_parser("serve", help="one sidecar, configured by BALANCER_CONFIG and its like")
     serve.add_argument("--operator", metavar="FILE", help="the operator's file (BALANCER_OPERATOR)")
     serve.set_defaults(main=_serve)
+    add_build(commands)
+    version = commands.add_parser("version", help="which version this is, and whether compiled modules serve")
+    version.set_defaults(main=_version)
     words = list(sys.argv[1:] if argv is None else argv)
     if words[:1] != ["serve"]:  # the daemon must not load what only tools need
         for module, add, names, brings in FROM_TOOLS:
@@ -51,6 +57,11 @@
             lacking.set_defaults(main=_without(missing.name or "", brings))
 
 
+def _version(args: argparse.Namespace) -> int:
+    print(f"otterslip {VERSION}, {compiled.describe()}")
+    return 0
+
+
 def _serve(args: argparse.Namespace) -> int:
     from millgw.sidecar.__main__ import OPERATOR
     from millgw.sidecar.__main__ import main as serve
--- /dev/null
+++ b/millgw/build.py
@@ -0,0 +1,98 @@
+"""The command `build`: compiles the modules on a call's way, in place, with mypyc and a C compiler.
+
+It wants the packages of requirements-build.txt and a C compiler; without them the sources serve as they are.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from millgw.compiled import FOLDER, GROUP, MODULES, PACKAGE, Finder, key
+
+HELD, NOT_BUILT, BAD_INPUT = 0, 1, 2
+
+SCRIPT = """
+import sys
+from mypyc.build import mypycify
+from setuptools import setup
+setup(
+    name={group!r}, packages=[], py_modules=[],
+    ext_modules=mypycify({paths!r}, opt_level="2", group_name={group!r}),
+    script_args=["-q", "build_ext", "--build-lib", {out!r}, "--build-temp", {temp!r}],
+)
+"""
+
+
+class NotBuilt(Exception):
+    """The modules can't be compiled here; the text says why."""
+
+
+def add_parser(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    """Add `build` to the one command line."""
+    parser = commands.add_parser(
+        "build",
+        help="compile the modules on a call's way",
+        description="Compiles in place. Exit: 0 compiled or already so, 1 it can't be done here (the sources"
+        " serve as they are; with --if-possible this is 0 too), 2 bad input.",
+    )
+    parser.add_argument("--if-possible", action="store_true", help="end with 0 where there is no compiler")
+    parser.add_argument("--force", action="store_true", help="compile again what is there")
+    parser.set_defaults(main=main)
+
+
+def main(args: argparse.Namespace) -> int:
+    """Carry out the command; the exit code."""
+    begun = time.monotonic()
+    try:
+        folder = build(FOLDER, PACKAGE, args.force)
+    except NotBuilt as error:
+        print(f"millgw: not compiled: {error}; the sources serve as they are", file=sys.stderr)
+        return HELD if args.if_possible else NOT_BUILT
+    except OSError as error:
+        print(f"millgw: {error}", file=sys.stderr)
+        return BAD_INPUT
+    print(f"compiled {len(MODULES)} modules in {time.monotonic() - begun:.0f} s: {folder.name}")
+    return HELD
+
+
+def build(into: Path, package: Path = PACKAGE, force: bool = False) -> Path:
+    """The folder of the compiled modules, made where it is not there yet; others' folders are removed."""
+    folder = into / key(package)
+    if not force and Finder(folder).whole():
+        return folder
+    with tempfile.TemporaryDirectory(prefix="millgw-build-") as work:
+        tree = Path(work) / "src"
+        shutil.copytree(package, tree / "millgw", ignore=shutil.ignore_patterns("_compiled", "__pycache__"))
+        paths = [str(Path("millgw", *name.split(".")).with_suffix(".py")) for name in MODULES]
+        out = Path(work) / "out"
+        script = SCRIPT.format(group=GROUP, paths=paths, out=str(out), temp=str(Path(work) / "temp"))
+        done = subprocess.run(
+            [sys.executable, "-c", script],
+            cwd=tree,
+            env=os.environ | {"PYTHONPATH": str(tree)},
+            capture_output=True,
+            text=True,
+        )
+        if done.returncode:
+            lines = (done.stderr or done.stdout).strip().splitlines()
+            raise NotBuilt(lines[-1] if lines else f"the compiler ended with {done.returncode}")
+        if not Finder(out).whole():
+            raise NotBuilt("the compiler left modules out")
+        into.mkdir(exist_ok=True)
+        # Moved into place as a whole: a build that is cut off, or two at once, leave no half of it behind.
+        fresh = Path(tempfile.mkdtemp(prefix="new-", dir=into))
+        shutil.copytree(out, fresh, dirs_exist_ok=True)
+        if folder.exists():
+            shutil.rmtree(folder)
+        fresh.rename(folder)
+    for other in into.iterdir():
+        if other != folder and not other.name.startswith("new-"):
+            shutil.rmtree(other, ignore_errors=True)
+    return folder
--- /dev/null
+++ b/millgw/callers/core.py
@@ -0,0 +1,143 @@
+"""The protocol core of the callers' side: bytes in, requests and refusals out. No I/O, no clock.
+
+What can't be understood ends in a BadRequest in its place in the queue, and nothing is read behind it.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import Final
+
+import httptools
+
+from millgw.message import FRAMING_PART, MAX_HEAD, Answer
+from millgw.request import BadRequest, Head
+
+REASONS: Final = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    409: b"Conflict",
+    413: b"Content Too Large",
+    421: b"Misdirected Request",
+    431: b"Request Header Fields Too Large",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+}
+
+
+def word_answer(answer: Answer, close: bool) -> bytes:
+    """An answer as it goes to the caller; `close` tells that it is the last one on its connection."""
+    content = answer.content
+    headers = content.headers
+    if answer.retry_after > 0:
+        headers += b"Retry-After: %.3f\r\n" % (answer.retry_after / 1000)
+    if close:
+        headers += b"Connection: close\r\n"
+    return b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n%b\r\n%b" % (
+        answer.status,
+        REASONS[answer.status],
+        len(content.body),
+        headers,
+        content.body,
+    )
+
+
+class RequestCore:
+    """One connection's requests. `gate` is asked whose a request is once its headers have ended.
+
+    `queue` holds what has come to its end, `head` what has not; `begun` counts the requests that have begun.
+    `expects` tells that the caller waits for a 100 before it sends the body of `head`.
+    """
+
+    __slots__ = (
+        "arrived", "begun", "expects", "framing", "gate", "head", "in_body", "length", "parser", "queue",
+    )  # fmt: skip
+
+    def __init__(self, gate: Callable[[Head], None]) -> None:
+        self.gate = gate
+        self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self.queue: deque[Head | BadRequest] = deque()
+        self.head: Head | None = None
+        self.in_body = False
+        self.begun = 0
+        self.expects = False
+        self.framing = 0  # bytes of the request so far, without its body
+        self.length = 0  # bytes of bodies so far, of all requests
+        self.arrived = 0.0
+
+    def close(self) -> None:
+        """Break the cycle with the parser, which would keep both until the collector comes."""
+        self.parser = None
+
+    def feed(self, data: bytes, now: float) -> BadRequest | None:
+        """Read on; what is wrong, if anything: then nothing more may be fed. `now` (s) is when it came."""
+        if self.parser is None:
+            return None
+        self.arrived = now
+        before = self.length
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # The offer of another protocol is passed over; the parser reads nothing after it.
+            for item in self.queue:
+                if isinstance(item, Head):
+                    item.keep = False
+        except httptools.HttpParserError as error:
+            cause = error.__context__ if isinstance(error, httptools.HttpParserCallbackError) else None
+            return cause if isinstance(cause, BadRequest) else BadRequest(400, "malformed HTTP")
+        self.framing += len(data) - (self.length - before)
+        if self.head is not None:
+            if not self.in_body:
+                if self.framing > MAX_HEAD:
+                    return BadRequest(431, "the headers are too large")
+            elif self.framing > MAX_HEAD + FRAMING_PART * self.head.length:
+                # Guards against chunks whose extensions, which are of no use, are read without end.
+                return BadRequest(400, "the body's framing is too large")
+        return None
+
+    # httptools
+
+    def on_message_begin(self) -> None:
+        self.head = Head()
+        self.begun += 1
+        self.framing = 0
+        self.in_body = False
+        self.expects = False
+
+    def on_url(self, url: bytes) -> None:
+        assert self.head is not None
+        self.head.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        assert self.head is not None
+        if not self.in_body:  # else it is a trailer
+            self.head.add(name, value)
+
+    def on_headers_complete(self) -> None:
+        head, parser = self.head, self.parser
+        assert head is not None and parser is not None
+        self.in_body = True
+        head.complete(parser.get_method(), parser.get_http_version(), parser.should_keep_alive())
+        self.gate(head)
+        expect = head.values.get(b"expect")
+        if expect is not None and expect.lower() == b"100-continue":
+            if head.refused is not None:
+                # A final answer in place of the 100 (RFC 9110 section 10.1.1): its body never comes.
+                raise BadRequest(head.refused.status, "there is no room now")
+            self.expects = True
+
+    def on_body(self, body: bytes) -> None:
+        assert self.head is not None
+        self.length += len(body)
+        self.head.extend(body)
+
+    def on_message_complete(self) -> None:
+        assert self.head is not None
+        self.head.ended = self.arrived
+        self.queue.append(self.head)
+        self.head = None
+        self.expects = False
--- a/millgw/sidecar/server.py
+++ b/millgw/callers/server.py
@@ -10,15 +10,12 @@
 import logging
 import socket
 import time
-from collections.abc import Callable
-from functools import partial
-from typing import Any
+from typing import cast
 
-from millgw.sidecar.caller import CallerConnection
-from millgw.sidecar.config import Config
+from millgw.callers.connection import CallerConnection, Front, Lanes
+from millgw.request import BadRequest
+from millgw.sidecar.config import Address
 from millgw.sidecar.descriptors import Descriptors
-from millgw.sidecar.driver import REFUSED, Answer, Call, Driver
-from millgw.sidecar.request import BadRequest, Head, Terms
 
 READ_TIME = 2.4  # s to send a request that was begun (the first one: from connecting): callers are near
 SILENT_TIME = 2.2  # s after connecting in which a first request must begin
@@ -28,7 +25,6 @@
 ACCEPT_PAUSE = 0.05  # s before accepting is tried again after it failed, if no connection ends before
 MIN_IDLE = 0.5  # s between requests before a connection gives way to others: a client may be about to use it
 JUST_CONNECTED = 0.1  # s in which a client that has connected will send its request
-BODIES_PART = 1 / 8  # of the memory, for bodies of requests that are open or coming in
 READ_SIZE = 16 * 1024  # bytes of one read
 SWEEP = 0.2  # s between two looks for connections whose time has come
 
@@ -42,33 +38,33 @@
 
 
 class Server:
-    """All callers' connections of one sidecar; whose their requests are is the subclass's to say."""
+    """All callers' connections of one listener. `front` knows whose their requests are.
 
-    connection: Callable[[Any], CallerConnection] = CallerConnection
-    take: Callable[[Call], None]
-    give_up: Callable[[Call], None]
+    `lanes` are in use where several pools share the core; no lane may then hold more than its part of the
+    callers' connections while others need room.
+    """
 
-    def __init__(self, config: Config, descriptors: Descriptors) -> None:
+    def __init__(
+        self, listen: Address, descriptors: Descriptors, front: Front, lanes: Lanes | None = None
+    ) -> None:
         self.loop = asyncio.get_running_loop()
         self.descriptors = descriptors
-        descriptors.callers = lambda: len(self.connections) + len(self.accepting)
-        descriptors.close_caller = self._evict
+        self.front = front
+        self.lanes = lanes
+        self.parts: dict[str, float] = {}  # connections of each lane, where there are several
         self.connections: set[CallerConnection] = set()
         self.fresh: dict[CallerConnection, None] = {}  # that have not begun a request, the oldest first
         self.kept: dict[CallerConnection, None] = {}  # between requests, the one idle for longest first
         self.accepting: set[asyncio.Task[object]] = set()
         self.buffer = bytearray(READ_SIZE)  # one for all: each read is taken out before the next
-        self.most_bodies = int(BODIES_PART * config.memory)
-        self.bodies = 0  # bytes of bodies that are held now
-        self.leaving = False  # told to end, and serving on
         self.stopping = False  # every answer is the last one on its connection
         self.paused: asyncio.TimerHandle | None = None
         self.closed = False
-        family = socket.AF_INET6 if ":" in config.listen.host else socket.AF_INET
+        family = socket.AF_INET6 if ":" in listen.host else socket.AF_INET
         self.socket = socket.socket(family, socket.SOCK_STREAM)
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.socket.setblocking(False)
-        self.socket.bind((config.listen.host, config.listen.port))
+        self.socket.bind((listen.host, listen.port))
 
     def start(self) -> None:
         self.socket.listen(BACKLOG)
@@ -79,7 +75,7 @@
 
     def _accept(self, most: int = ACCEPTS) -> None:
         for _ in range(most):
-            if self.descriptors.full_of_callers() and not self._evict():
+            if self.descriptors.full_of_callers() and not self.give_way():
                 # Guards against running out of descriptors: what can't be held waits in the backlog.
                 self._pause()
                 return
@@ -98,7 +94,8 @@
 
     async def _adopt(self, connection: socket.socket) -> None:
         try:
-            await self.loop.connect_accepted_socket(partial(type(self).connection, self), connection)
+            made = cast(asyncio.Protocol, CallerConnection(self))
+            await self.loop.connect_accepted_socket(lambda: made, connection)
         except OSError as error:
             log.warning("a connection was lost as it was accepted: %s", error)
 
@@ -113,8 +110,17 @@
             self.paused = None
             self.loop.add_reader(self.socket, self._accept)
 
-    def _evict(self) -> bool:
-        """Close the connection that is needed least, if there is one: silent ones before kept ones."""
+    def held(self) -> int:
+        """Descriptors in use."""
+        return len(self.connections) + len(self.accepting)
+
+    def give_way(self) -> bool:
+        """Close the connection that is needed least, if there is one: silent ones before kept ones.
+
+        Before any other goes an idle one of a lane that holds more than its part.
+        """
+        if self.parts and self._close_of_large_lane():
+            return True
         for connections, least in ((self.fresh, JUST_CONNECTED), (self.kept, MIN_IDLE)):
             for connection in connections:
                 if connection.quiet(least):
@@ -122,6 +128,17 @@
                     return True
         return False
 
+    def _close_of_large_lane(self) -> bool:
+        counts: dict[str, int] = {}
+        for connection in self.connections:
+            counts[connection.lane] = counts.get(connection.lane, 0) + 1
+        for kept in self.kept:
+            part = self.parts.get(kept.lane)
+            if part is not None and counts[kept.lane] > part and kept.quiet(0.0):
+                kept.close()
+                return True
+        return False
+
     def left(self, connection: CallerConnection) -> None:
         self.connections.discard(connection)
         self.busy(connection)
@@ -159,42 +176,3 @@
     def close_idle(self) -> None:
         self._close_quiet(self.fresh, JUST_CONNECTED)
         self._close_quiet(self.kept, JUST_CONNECTED)
-
-    # Requests
-
-    def hold(self, more: int) -> None:
-        """Guards against memory that fills with the bodies of many clients, each within its bound."""
-        self.bodies += more
-        if more > 0 and self.bodies > self.most_bodies:
-            raise BadRequest(REFUSED, "too much is being sent")
-
-    def read(self, head: Head, answer: Callable[[Answer], None]) -> Call | Answer:
-        """The call that a request makes, or the answer to one that needs no endpoint."""
-        raise NotImplementedError
-
-
-class OneService(Server):
-    """The callers' side of a sidecar with one driver, which all requests are for."""
-
-    def __init__(self, config: Config, driver: Driver, descriptors: Descriptors) -> None:
-        super().__init__(config, descriptors)
-        self.driver = driver
-        self.terms = Terms(config.settings)
-        self.take = driver.take
-        self.give_up = driver.left
-
-    def read(self, head: Head, answer: Callable[[Answer], None]) -> Call | Answer:
-        path = head.target.partition(b"?")[0]
-        if path == b"/ready":
-            if head.method != b"GET":
-                raise BadRequest(405, "only GET asks whether the sidecar is ready")
-            return Answer(200 if self.driver.ready and not self.leaving else REFUSED)
-        if path != b"/api":
-            raise BadRequest(404, "no such path")
-        call = self.terms.call(head, answer)
-        if len(self.driver.calls) >= self.descriptors.most_calls:
-            return Answer(REFUSED)  # guards against calls for which there is no descriptor to attempt them
-        if call.trace in self.driver.open:
-            # Guards against a second answer for one request, and against attempts that disturb the first.
-            raise BadRequest(409, "X-Trace-Id is that of an open request")
-        return call
--- /dev/null
+++ b/millgw/compiled.py
@@ -0,0 +1,109 @@
+"""Compiled modules: the same sources, by mypyc, found only where they are made of exactly these sources.
+
+`python -m millgw build` puts them into `_compiled/KEY/`, where KEY is a digest of the sources and names the
+interpreter. At the start the key is worked out from the sources that are there: what was compiled from
+others, or for another interpreter, has another key and is not found, so nothing stale can stand before its
+source. Without compiled modules the sources serve as they are.
+
+`MILLGW_PURE=1` has the sources serve even where compiled modules are at hand.
+"""
+
+from __future__ import annotations
+
+import importlib.machinery
+import importlib.util
+import os
+import sys
+from collections.abc import Sequence
+from hashlib import blake2b
+from importlib.machinery import ModuleSpec
+from pathlib import Path
+from types import ModuleType
+
+PACKAGE = Path(__file__).parent
+FOLDER = PACKAGE / "_compiled"
+PURE = "MILLGW_PURE"
+SUFFIX = importlib.machinery.EXTENSION_SUFFIXES[0]  # names the interpreter and its ABI
+GROUP = "millgw_compiled"  # what the library that holds all of them is named after
+
+MODULES = (
+    "interface",
+    "decide",
+    "message",
+    "request",
+    "endpoints.attempt",
+    "endpoints.proof",
+    "endpoints.core",
+    "endpoints.connection",
+    "endpoints.upstream",
+    "pool.call",
+    "pool.deadlines",
+    "pool.driver",
+    "pool.terms",
+    "pool.share",
+    "pool.pool",
+    "callers.core",
+    "callers.connection",
+    "callers.plain",
+)
+"""What is on a call's way, in the order of imports."""
+
+
+def sources(package: Path = PACKAGE) -> list[Path]:
+    """The files that are compiled."""
+    return [package.joinpath(*name.split(".")).with_suffix(".py") for name in MODULES]
+
+
+def key(package: Path = PACKAGE) -> str:
+    """Names one state of the sources for one interpreter; an OSError where a source is missing."""
+    digest = blake2b(digest_size=12)
+    for path in sources(package):
+        data = path.read_bytes()
+        digest.update(b"%d %b\n" % (len(data), path.name.encode()) + data)
+    return f"{SUFFIX.split('.')[1]}-{digest.hexdigest()}"
+
+
+class Finder:
+    """Finds the compiled modules, before the path finder finds their sources."""
+
+    def __init__(self, folder: Path) -> None:
+        self.files = {f"millgw.{name}": folder.joinpath("millgw", *name.split(".")) for name in MODULES}
+        self.files[f"{GROUP}__mypyc"] = folder / f"{GROUP}__mypyc"
+        self.files = {name: path.with_name(path.name + SUFFIX) for name, path in self.files.items()}
+
+    def whole(self) -> bool:
+        """Guards against a build that was cut off: all of them are there, or none is used."""
+        return all(path.is_file() for path in self.files.values())
+
+    def find_spec(
+        self, name: str, path: Sequence[str] | None = None, target: ModuleType | None = None
+    ) -> ModuleSpec | None:
+        file = self.files.get(name)
+        return None if file is None else importlib.util.spec_from_file_location(name, file)
+
+
+def install() -> bool:
+    """Have imports find the compiled modules, if there are any of these sources; tells whether."""
+    if not FOLDER.is_dir() or os.environ.get(PURE):
+        return False
+    if any(isinstance(finder, Finder) for finder in sys.meta_path):
+        return True
+    try:
+        finder = Finder(FOLDER / key())
+    except OSError:
+        return False
+    if not finder.whole():
+        return False
+    sys.meta_path.insert(0, finder)
+    return True
+
+
+def describe() -> str:
+    """What serves, in words: for `python -m millgw version` and the log."""
+    if any(isinstance(finder, Finder) for finder in sys.meta_path):
+        return f"compiled {key()}"
+    if os.environ.get(PURE):
+        return f"pure: {PURE} is set"
+    if not FOLDER.is_dir() or not any(FOLDER.iterdir()):
+        return "pure: nothing is compiled (python -m millgw build)"
+    return "pure: what is compiled is not of these sources (python -m millgw build)"
--- /dev/null
+++ b/millgw/endpoints/attempt.py
@@ -0,0 +1,78 @@
+"""One attempt, from its first step to its end.
+
+    state        what holds                               `give_up` tells   if the connection breaks
+    CONNECTING   no connection is up for it yet           never ran         could not connect
+    HELD         all but its last byte is written         never ran         could not connect; a kept
+    connection
+                                                                            is made good for by a new one
+    WRITING      its last byte waits for the kernel       never ran         could not connect
+    WRITTEN      the kernel has taken its last byte       may have run      reset
+    ENDED        its outcome is told, or it is given up   -                 -
+
+A request has not run as long as its last byte was not written (protocol page): the three states before
+WRITTEN prove that, and nothing else does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, Protocol
+
+from millgw.interface import Outcome, Repeat
+from millgw.message import Content
+
+CONNECTING: Final = 0
+HELD: Final = 1
+WRITING: Final = 2
+WRITTEN: Final = 3
+ENDED: Final = 4
+
+Ended = Callable[[Outcome, Content], None]
+
+
+class Carrier(Protocol):
+    """The connection that an attempt is on."""
+
+    def leave(self) -> None:
+        """The attempt is given up: the connection is of no further use."""
+
+
+class Attempt:
+    """One attempt: connecting, then on its connection, until it has ended or is given up.
+
+    `payload` is called when it is written, as it tells the time that is left by then. `ended` is called once,
+    unless the attempt is given up before.
+    """
+
+    __slots__ = ("carrier", "connecting", "ended", "payload", "repeat", "state")
+
+    def __init__(self, payload: Callable[[], bytes], ended: Ended, repeat: Repeat = Repeat.UNSAFE) -> None:
+        self.payload = payload
+        self.ended = ended
+        self.repeat = repeat
+        self.state = CONNECTING
+        self.connecting: asyncio.Task[None] | None = None
+        self.carrier: Carrier | None = None
+
+    @property
+    def given_up(self) -> bool:
+        return self.state == ENDED
+
+    def end(self, outcome: Outcome, content: Content) -> None:
+        """Tell its outcome, once."""
+        if self.state != ENDED:
+            self.state = ENDED
+            self.carrier = None
+            self.ended(outcome, content)
+
+    def give_up(self) -> bool:
+        """Stop waiting, without a call to `ended`; tells whether the attempt may have run, or may yet."""
+        written = self.state == WRITTEN
+        self.state = ENDED
+        carrier, self.carrier = self.carrier, None
+        if carrier is not None:
+            carrier.leave()
+        elif self.connecting is not None:
+            self.connecting.cancel()
+        return written
--- /dev/null
+++ b/millgw/endpoints/connection.py
@@ -0,0 +1,253 @@
+"""A connection to an endpoint: one attempt at a time, kept for the next. The transport round the core.
+
+What this file answers for is the truth of an outcome: whether an attempt's last byte was written decides
+whether it may have run. Nothing is ever sent again here but a request that has not run, on a new connection;
+all else is the balancer's to decide.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import select
+import time
+from typing import Protocol
+
+from millgw.endpoints.attempt import CONNECTING, HELD, WRITING, WRITTEN, Attempt
+from millgw.endpoints.core import SPOILT, WHOLE, AnswerCore
+from millgw.endpoints.proof import Proof
+from millgw.interface import Outcome
+from millgw.message import NOTHING, unread, watcher
+from millgw.sidecar.config import Address
+
+ANSWER_TIME = 1.0  # s from an answer's first byte to its last: it is small and comes at once
+
+log = logging.getLogger("millgw")
+
+
+class Host:
+    """One life of an endpoint at one address: kept connections, and attempts still connecting to it."""
+
+    __slots__ = ("address", "connecting", "idle", "proof", "since", "used")
+
+    def __init__(self, address: Address, since: float) -> None:
+        self.address = address
+        self.since = since
+        self.used = True
+        self.idle: list[Connection] = []  # the last used at the end, which goes first
+        self.connecting: set[Attempt] = set()
+        self.proof = Proof()
+
+
+class Home(Protocol):
+    """What a connection needs of the upstream that it belongs to."""
+
+    loop: asyncio.AbstractEventLoop
+    open: int
+    held: int
+    held_back: int
+
+    def most_held(self) -> int:
+        """Bytes of answers that may be coming in at once."""
+
+    def keep(self, connection: Connection) -> None: ...
+
+    def lost(self, connection: Connection) -> None: ...
+
+    def connect(self, host: Host, attempt: Attempt) -> None: ...
+
+
+class Connection:
+    """An asyncio protocol, by its methods: no base class, so that it can be compiled."""
+
+    def __init__(self, home: Home, host: Host, attempt: Attempt, most_body: int) -> None:
+        self.home = home
+        self.host = host
+        self.attempt: Attempt | None = attempt
+        self.most_body = most_body
+        self.transport: asyncio.Transport | None = None
+        self.poll: select.poll | None = None
+        self.core: AnswerCore | None = None
+        self.reused = False
+        self.last_byte = b""
+        self.holding: asyncio.TimerHandle | None = None
+        self.counted = 0  # bytes of this answer that count as held
+        self.idle_since = 0.0  # ms
+        self.stalled: asyncio.TimerHandle | None = None
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def usable(self) -> bool:
+        """Guards also against bytes that wait unread: they would be taken for the next request's answer."""
+        return self.transport is not None and not unread(self.transport, self.poll)
+
+    # The attempt
+
+    def send(self, attempt: Attempt, now: float) -> None:
+        """Write a request; its last byte only when the connection is proven (see `millgw.endpoints.proof`).
+
+        Guards against connections that look open and are not: the endpoint has closed them, or resets them
+        at the next request. A request whose last byte was not written has not run, so it may go again, also
+        one that may never run twice.
+        """
+        assert self.transport is not None and self.core is not None
+        self.core.begin()
+        self.attempt, attempt.carrier = attempt, self
+        payload = attempt.payload()
+        hold = self.host.proof.hold(now, attempt.repeat, self.reused, self.idle_since)
+        if hold > 0:
+            attempt.state = HELD
+            self.last_byte = payload[-1:]
+            self.home.held_back += 1
+            self.transport.write(payload[:-1])
+            self.holding = self.home.loop.call_later(hold / 1000, self._complete)
+        else:
+            attempt.state = WRITING
+            self.transport.write(payload)
+            self._written()
+
+    def _written(self) -> None:
+        assert self.transport is not None
+        # With a high-water mark of 0 the transport keeps only what the kernel did not take at once.
+        if self.attempt is not None and not self.transport.get_write_buffer_size():
+            self.attempt.state = WRITTEN
+
+    def _complete(self) -> None:
+        self.holding = None
+        assert self.transport is not None
+        if unread(self.transport, self.poll):
+            self._broken()
+        elif self.last_byte and self.transport.get_write_buffer_size() == 0:
+            last, self.last_byte = self.last_byte, b""
+            if self.attempt is not None:
+                self.attempt.state = WRITING
+            self.transport.write(last)
+            self._written()
+
+    def _broken(self) -> None:
+        """The connection is of no use, and the request on it has not run: a kept one is made good for."""
+        self.host.proof.broke(time.monotonic() * 1000)
+        attempt = self.attempt
+        self.abort()
+        if attempt is None or not self.reused:
+            self._finish(Outcome.CONNECT_FAILED)
+            return
+        self._stop_timers()
+        self.last_byte = b""
+        self.attempt = attempt.carrier = None
+        attempt.state = CONNECTING
+        self.home.connect(self.host, attempt)
+
+    def leave(self) -> None:
+        """The attempt is given up."""
+        self.attempt = None
+        self.abort()
+
+    def _stop_timers(self) -> None:
+        if self.stalled is not None:
+            self.stalled.cancel()
+            self.stalled = None
+        if self.holding is not None:
+            self.holding.cancel()
+            self.holding = None
+
+    def _finish(self, outcome: Outcome) -> None:
+        self._stop_timers()
+        self.last_byte = b""
+        self.home.held -= self.counted
+        self.counted = 0
+        attempt, self.attempt = self.attempt, None
+        core = self.core
+        if core is None:
+            content = NOTHING
+        else:
+            content = core.content() if core.whole else NOTHING
+            core.body.clear()
+        if attempt is not None:
+            attempt.end(outcome, content)
+
+    # asyncio
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        self.home.open += 1
+        attempt = self.attempt
+        if attempt is None or attempt.given_up:
+            # Guards against an attempt that was given up, or whose endpoint drains, while it was connecting.
+            self.attempt = None
+            self.abort()
+            return
+        # Only now: a connection that never comes up has no end at which the cycle could be broken.
+        self.core = AnswerCore(self.most_body)
+        self.poll = watcher(transport)
+        self.host.connecting.discard(attempt)
+        transport.set_write_buffer_limits(high=0)
+        self.send(attempt, time.monotonic() * 1000)
+
+    def pause_writing(self) -> None:
+        """The kernel did not take all: `resume_writing` tells when it has."""
+
+    def resume_writing(self) -> None:
+        if not self.last_byte:
+            if self.attempt is not None and self.attempt.state == WRITING:
+                self.attempt.state = WRITTEN
+        elif self.holding is None:
+            self._complete()
+
+    def data_received(self, data: bytes) -> None:
+        attempt, core = self.attempt, self.core
+        if attempt is None or core is None:
+            # Guards against a late answer that would be taken for the next request's.
+            after = time.monotonic() * 1000 - self.idle_since
+            log.warning("endpoint at %s: bytes came %.1f ms after the answer", self.host.address, after)
+            self.abort()
+            return
+        if self.last_byte:
+            self._broken()  # guards against bytes that can't be this request's answer
+            return
+        read = core.feed(data)
+        grown = len(core.body) - self.counted
+        self.counted += grown
+        self.home.held += grown
+        if read == WHOLE:
+            outcome = core.outcome()
+            if core.reusable and attempt.state == WRITTEN:
+                # Kept only once its answer is out: what the answer causes may be sent on it at once.
+                self.idle_since = time.monotonic() * 1000
+                self.reused = True
+                self.home.keep(self)
+            else:
+                self.abort()
+            self._finish(outcome)
+        elif read == SPOILT:
+            self._spoilt(core.why)
+        elif self.home.held > self.home.most_held():
+            # Guards against memory that fills with the answers of many calls, each within its bound.
+            self._spoilt("too much is being answered")
+        elif not core.reading:
+            self._stop_timers()  # a 1xx answer has ended: the next may take its time
+        elif self.stalled is None:
+            self.stalled = self.home.loop.call_later(ANSWER_TIME, self._spoilt, "it stopped half-way")
+
+    def _spoilt(self, why: str) -> None:
+        log.warning("endpoint at %s: spoilt answer: %s", self.host.address, why)
+        self.abort()
+        self._finish(Outcome.ERROR)
+
+    def eof_received(self) -> None:
+        self.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self.core is not None:
+            self.core.close()
+        self.home.lost(self)
+        if self.last_byte:
+            self._broken()
+        elif self.attempt is not None and self.attempt.state == WRITTEN:
+            self.host.proof.broke(time.monotonic() * 1000)
+            self._finish(Outcome.RESET)
+        else:
+            self._finish(Outcome.CONNECT_FAILED)
+        self.core = None
--- /dev/null
+++ b/millgw/endpoints/upstream.py
@@ -0,0 +1,190 @@
+"""All connections of one pool to its endpoints: which is used again, when one is opened, when they end."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from typing import Protocol, cast
+
+from millgw.endpoints.attempt import Attempt
+from millgw.endpoints.connection import Connection, Host
+from millgw.interface import Outcome
+from millgw.message import NOTHING
+from millgw.sidecar.config import Address
+
+ANSWER_PART = 1 / 32  # of the memory, for one answer's body: endpoints are seen to answer with up to 400 kB
+ANSWERS_PART = 1 / 8  # of the memory, for all answers that are coming in
+IDLE_PART = 0.5  # of the endpoint's idle time, after which a kept connection is not used: it may be closing
+SWEEP = 1.0  # s between two looks for connections that have been idle too long
+
+log = logging.getLogger("millgw")
+
+
+class Room(Protocol):
+    """The descriptors that an upstream may use."""
+
+    endpoints: Callable[[], int]  # how many it holds: set by the upstream, asked by the room
+
+    def full(self) -> bool: ...
+
+    def make(self) -> bool:
+        """Have others give one back that they need less; tells whether there was one."""
+
+
+class Upstream:
+    """All connections to endpoints, by endpoint. `most_held` bounds the bytes of answers coming in."""
+
+    def __init__(
+        self,
+        room: Room,
+        connect_timeout: float,
+        idle: float,
+        memory: float,
+        most_held: Callable[[], int] | None = None,
+    ) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.room = room
+        self.room.endpoints = self.holds
+        self.connect_timeout = connect_timeout / 1000
+        self.idle_for = IDLE_PART * idle  # ms
+        self.hosts: dict[int, Host] = {}
+        self.open = 0
+        self.most_body = int(ANSWER_PART * memory)
+        self.whole = int(ANSWERS_PART * memory)
+        self.bound = most_held
+        self.held = 0  # bytes of answers that are coming in
+        self.sends = 0
+        self.held_back = 0  # sends whose last byte waited for a proof of their connection
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.sweeping = self.loop.call_later(SWEEP, self._sweep)
+
+    def holds(self) -> int:
+        """Descriptors in use."""
+        return self.open + len(self.tasks)
+
+    def most_held(self) -> int:
+        return self.whole if self.bound is None else self.bound()
+
+    def point(self, endpoint: int, address: Address, since: float = 0.0) -> Host | None:
+        """Use this address from now on; returns the host before, if it is another.
+
+        Guards against kept connections to a machine that went silent and is back: they end as resets.
+        """
+        host = self.hosts.get(endpoint)
+        if host is not None and host.address == address and host.since == since:
+            return None
+        self.hosts[endpoint] = Host(address, since)
+        return host
+
+    def forget(self, endpoint: int) -> Host | None:
+        """Send nothing to this endpoint from now on; returns its host."""
+        return self.hosts.pop(endpoint, None)
+
+    def close(self, host: Host) -> None:
+        """End what a host no longer in use holds; attempts that are written go on.
+
+        Guards against an attempt that is still connecting when its endpoint drains, and would be written
+        after the drain's grace.
+        """
+        host.used = False
+        self._close_idle(host)
+        for attempt in list(host.connecting):
+            host.connecting.discard(attempt)
+            if attempt.connecting is not None:
+                attempt.connecting.cancel()
+            attempt.end(Outcome.CONNECT_FAILED, NOTHING)
+
+    def doubt(self, endpoint: int) -> None:
+        """Close an endpoint's kept connections after an attempt there got no answer.
+
+        Guards against a machine that has gone silent: what is written to an open connection only times out,
+        and may have run, where a new connection that does not come up proves soon that nothing did.
+        """
+        host = self.hosts.get(endpoint)
+        if host is not None:
+            self._close_idle(host)
+
+    def _close_idle(self, host: Host) -> None:
+        for connection in host.idle:
+            connection.abort()
+        host.idle.clear()
+
+    def send(self, endpoint: int, attempt: Attempt) -> None:
+        host = self.hosts.get(endpoint)
+        if host is None:
+            attempt.end(Outcome.NOT_SENT, NOTHING)
+            return
+        self.sends += 1
+        now = time.monotonic() * 1000
+        while host.idle:
+            connection = host.idle.pop()
+            # Guards against the endpoint's own idle time: what is written to a connection that it is about
+            # to close ends as a reset, and may have run.
+            if connection.idle_since > now - self.idle_for and connection.usable():
+                connection.send(attempt, now)
+                return
+            connection.abort()
+        self.connect(host, attempt)
+
+    def connect(self, host: Host, attempt: Attempt) -> None:
+        """Make the attempt on a new connection."""
+        if not host.used:
+            attempt.end(Outcome.CONNECT_FAILED, NOTHING)
+            return
+        if self.room.full() and not (self.give_way() or self.room.make()):
+            log.warning("no descriptor left for a connection to an endpoint")
+            attempt.end(Outcome.NOT_SENT, NOTHING)
+            return
+        host.connecting.add(attempt)
+        attempt.connecting = self.loop.create_task(self._connect(host, attempt))
+        self.tasks.add(attempt.connecting)
+        attempt.connecting.add_done_callback(self.tasks.discard)
+
+    async def _connect(self, host: Host, attempt: Attempt) -> None:
+        made = cast(asyncio.Protocol, Connection(self, host, attempt, self.most_body))
+        try:
+            async with asyncio.timeout(self.connect_timeout):
+                await self.loop.create_connection(lambda: made, host.address.host, host.address.port)
+        except OSError:  # refused, or not up in time
+            attempt.end(Outcome.CONNECT_FAILED, NOTHING)
+        finally:
+            host.connecting.discard(attempt)
+            attempt.connecting = None  # guards against a cycle through the task's traceback
+
+    def keep(self, connection: Connection) -> None:
+        """Keep a connection for the next attempt, unless its endpoint is no longer in use."""
+        if connection.host.used:
+            connection.host.idle.append(connection)
+        else:
+            connection.abort()
+
+    def lost(self, connection: Connection) -> None:
+        self.open -= 1
+        if connection in connection.host.idle:
+            connection.host.idle.remove(connection)
+
+    def give_way(self) -> bool:
+        """Close the connection that has been idle for longest, if there is one."""
+        oldest: Connection | None = None
+        for host in self.hosts.values():
+            if host.idle and (oldest is None or host.idle[0].idle_since < oldest.idle_since):
+                oldest = host.idle[0]
+        if oldest is None:
+            return False
+        oldest.host.idle.remove(oldest)
+        oldest.abort()
+        return True
+
+    def _sweep(self) -> None:
+        oldest = time.monotonic() * 1000 - self.idle_for
+        for host in self.hosts.values():
+            for connection in [c for c in host.idle if c.idle_since <= oldest]:
+                host.idle.remove(connection)
+                connection.abort()
+        self.sweeping = self.loop.call_later(SWEEP, self._sweep)
+
+    def stop(self) -> None:
+        """Look after connections no longer; there are none left that matter."""
+        self.sweeping.cancel()
--- /dev/null
+++ b/millgw/message.py
@@ -0,0 +1,74 @@
+"""What both sides know of messages: their bounds, the headers of one connection only, what is passed on.
+
+Also whether bytes wait on a connection that the loop has not handed on yet: both sides ask before they use or
+end one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import select
+from dataclasses import dataclass
+from typing import Final
+
+MAX_HEAD = 16 * 1024  # bytes of a message's line and headers
+MAX_BODY = 64 * 1024  # bytes of a request's body; the protocol's bound
+FRAMING_PART = 8  # times its body that a message's framing may be: a chunk may be small, not endless
+
+OWN_HEADERS: Final = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"endpoint-load-metrics",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"x-expires-in-ms",
+    }
+)
+"""Headers that speak of one connection, or of one side's own wait: they are not passed on."""
+
+
+@dataclass(frozen=True)
+class Content:
+    """What an endpoint answered: the headers that are passed on, and the body."""
+
+    headers: bytes = b""
+    body: bytes = b""
+
+
+NOTHING: Final = Content()
+
+SERVED: Final = 200
+UNUSABLE: Final = 400
+FAILED: Final = 502
+REFUSED: Final = 503
+
+
+@dataclass(frozen=True)
+class Answer:
+    """A final answer: what an endpoint answered, or a failure, or a refusal with when to come back (ms)."""
+
+    status: int
+    content: Content = NOTHING
+    retry_after: float = 0.0
+
+
+def watcher(transport: asyncio.Transport) -> select.poll:
+    """What `unread` asks of one connection: made once for each, as it is asked for every request."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return poll
+
+
+def unread(transport: asyncio.Transport, poll: select.poll | None = None) -> bool:
+    """Whether bytes, or an end, wait in a connection's socket that the loop has not handed on yet."""
+    if transport.is_closing():
+        return True  # guards against its descriptor, which may be another one's by now
+    return bool((poll or watcher(transport)).poll(0))
--- a/millgw/operator/file.py
+++ b/millgw/operator/file.py
@@ -34,8 +34,12 @@
 
 
 class Limits(Table, frozen=True, kw_only=True):
-    """What a service's pool has for sure, as shares of what the whole daemon may hold."""
+    """What a service's pool has for sure, as shares of what the whole daemon may hold.
 
+    `callers` is its part of callers' connections: past it, its idle ones are the first to give way.
+    """
+
+    callers: Annotated[float, Meta(gt=0, le=1)] | None = None
     calls: Annotated[float, Meta(gt=0, le=1)] | None = None
     connections: Annotated[float, Meta(gt=0, le=1)] | None = None
     bodies: Annotated[float, Meta(gt=0, le=1)] | None = None
@@ -97,7 +101,7 @@
             _address(f"{path}.endpoints[{i}].address", endpoint.address)
             if endpoint.name in names[:i]:
                 raise ValueError(f"{path}.endpoints[{i}].name: {endpoint.name!r} is given twice")
-    for kind in KINDS:
+    for kind in ("callers", *KINDS):
         parts = [
             (n, getattr(s.limits, kind)) for n, s in operator.services.items() if getattr(s.limits, kind)
         ]
--- /dev/null
+++ b/millgw/pool/call.py
@@ -0,0 +1,64 @@
+"""A caller's request that is owed one answer, and its attempts that are out."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from millgw.endpoints.attempt import Attempt
+from millgw.interface import Repeat, SetTimer
+from millgw.message import Answer
+from millgw.pool.deadlines import Due
+
+
+class Flight:
+    """An attempt of a call that is out, by the balancer's words. `sent` in ms on the driver's clock."""
+
+    __slots__ = ("attempt", "endpoint", "sent")
+
+    def __init__(self, endpoint: int, sent: float, attempt: Attempt) -> None:
+        self.endpoint = endpoint
+        self.sent = sent
+        self.attempt = attempt
+
+
+class Owner(Protocol):
+    """Who answers for a call."""
+
+    def take(self, call: Call) -> None: ...
+
+    def left(self, call: Call) -> None: ...
+
+
+class Call:
+    """A caller's request that is owed one answer. `payload` words an attempt, given the time left in ms."""
+
+    __slots__ = (
+        "answer", "cls", "deadline", "id", "out", "owner", "patience", "payload", "repeat", "sends", "tenant",
+        "timers", "trace",
+    )  # fmt: skip
+
+    def __init__(
+        self,
+        cls: int,
+        tenant: int,
+        patience: float,
+        payload: Callable[[int], bytes],
+        answer: Callable[[Answer], None],
+        trace: bytes,
+        repeat: Repeat,
+        owner: Owner,
+    ) -> None:
+        self.cls = cls
+        self.tenant = tenant
+        self.patience = patience
+        self.payload = payload
+        self.answer = answer
+        self.trace = trace
+        self.repeat = repeat
+        self.owner = owner
+        self.id = 0
+        self.deadline = 0.0
+        self.sends = 0
+        self.out: dict[int, Flight] = {}
+        self.timers: list[Due[Call | SetTimer]] = []  # its deadline, and those that the module set for it
--- a/millgw/sidecar/driver.py
+++ b/millgw/pool/driver.py
@@ -7,13 +7,16 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from functools import partial
 
 from millgw.decide import Balancer
+from millgw.endpoints.attempt import Attempt
+from millgw.endpoints.connection import Host
+from millgw.endpoints.upstream import Upstream
 from millgw.interface import (
     Action,
     AttemptEnded,
@@ -31,8 +34,10 @@
     SetTimer,
     TimerFired,
 )
+from millgw.message import FAILED, REFUSED, SERVED, UNUSABLE, Answer, Content
+from millgw.pool.call import Call, Flight
+from millgw.pool.deadlines import Deadlines
 from millgw.sidecar.discovery import Listed
-from millgw.sidecar.upstream import NOTHING, Attempt, Content, Pool, Upstream
 
 ANSWER_MARGIN = 30.0  # ms before the client's deadline at which an attempt times out: room for a busy loop
 
@@ -51,44 +56,6 @@
         return (self.offset + time.monotonic()) * 1000
 
 
-@dataclass(slots=True, frozen=True)
-class Answer:
-    """A final answer: what an endpoint answered, or a failure, or a refusal with when to come back (ms)."""
-
-    status: int
-    content: Content = NOTHING
-    retry_after: float = 0.0
-
-
-SERVED, UNUSABLE, FAILED, REFUSED = 200, 400, 502, 503
-
-
-@dataclass(slots=True, eq=False)
-class Call:
-    """A caller's request that is owed one answer. `payload` words an attempt, given the time left in ms."""
-
-    cls: int
-    tenant: int
-    patience: float
-    payload: Callable[[int], bytes]
-    answer: Callable[[Answer], None]
-    trace: bytes
-    id: int = 0
-    deadline: float = 0.0
-    sends: int = 0
-    out: dict[int, Flight] = field(default_factory=dict)
-    timers: list[asyncio.TimerHandle] = field(default_factory=list)
-
-
-@dataclass(slots=True)
-class Flight:
-    """An attempt of a call that is out, by the balancer's words for it."""
-
-    endpoint: int
-    sent: float
-    attempt: Attempt
-
-
 class Driver:
     """One sidecar's balancer in service."""
 
@@ -104,6 +71,10 @@
         self.ready: set[int] = set()
         self.events: deque[Event] = deque()
         self.feeding = False
+        self.due: Deadlines[Call | SetTimer] = Deadlines()
+        self.waking: asyncio.TimerHandle | None = None
+        self.wakes_at = math.inf
+        self.ended = False
 
     # What happens
 
@@ -114,8 +85,9 @@
         call.deadline = now + call.patience - ANSWER_MARGIN
         self.calls[call.id] = call
         self.open.add(call.trace)
-        call.timers = [self.loop.call_later(max(0.0, call.deadline - now) / 1000, self._expire, call)]
+        call.timers.append(self.due.add(call.deadline, call))
         self._feed(RequestArrived(call.id, call.cls, call.deadline, call.tenant))
+        self._arm()
 
     def left(self, call: Call) -> None:
         """The client has gone away, or the sidecar has answered in the balancer's place."""
@@ -125,7 +97,7 @@
 
     def listed(self, kind: ListKind, entries: tuple[Listed, ...]) -> None:
         """Take discovery's word: addresses before the balancer can send there, closing after it knows."""
-        old: list[Pool | None] = []
+        old: list[Host | None] = []
         named = set()
         gone = self._superseded(entries)
         told = [e.endpoint for e in entries if e.endpoint.id not in gone]
@@ -141,9 +113,9 @@
         self.ready = (self.ready | named) - gone
         self._feed(EndpointList(kind, tuple(told)))
         old += [self.upstream.forget(id) for id in gone]
-        for pool in old:
-            if pool is not None:
-                self.upstream.close(pool)
+        for host in old:
+            if host is not None:
+                self.upstream.close(host)
 
     def _superseded(self, entries: tuple[Listed, ...]) -> set[int]:
         """The endpoints at whose address another one has started later.
@@ -152,7 +124,7 @@
         at its address, past the new one's counts.
         """
         told = {e.endpoint.id for e in entries}
-        last = {p.address: (p.since, id) for id, p in self.upstream.pools.items() if id not in told}
+        last = {p.address: (p.since, id) for id, p in self.upstream.hosts.items() if id not in told}
         lost = set()
         for entry in entries:
             if entry.address is not None:
@@ -205,25 +177,46 @@
             else:
                 outcome = Outcome.TIMEOUT
                 self.upstream.doubt(flight.endpoint)
-            self._feed(
-                AttemptEnded(call.id, flight.endpoint, number, outcome, now - flight.sent, concluded)
-            )
+            self._feed(AttemptEnded(call.id, flight.endpoint, number, outcome, now - flight.sent, concluded))
 
     def _set_timer(self, action: SetTimer) -> None:
+        due = self.due.add(action.at, action)
+        call = self.calls.get(action.request) if action.request is not None else None
+        if call is not None:
+            call.timers.append(due)
+        self._arm()
+
+    def _arm(self) -> None:
+        """Have the loop wake this at the first moment that is waited for; one timer serves them all.
+
+        One that is set for too early is left: what it waited for has gone, which is what mostly happens.
+        """
+        first = self.due.next()
+        if first is None or first >= self.wakes_at:
+            return
+        if self.waking is not None:
+            self.waking.cancel()
+        self.wakes_at = first
         # 1 ms more guards against the loop's clock, which counts whole ms: the balancer drops an early timer.
-        delay = max(0.0, action.at - self.clock()) / 1000 + 0.001
-        handle = self.loop.call_later(delay, self._fire, action)
-        if action.request is not None and (call := self.calls.get(action.request)):
-            call.timers.append(handle)
+        self.waking = self.loop.call_later(max(0.0, first - self.clock()) / 1000 + 0.001, self._wake)
 
-    def _fire(self, action: SetTimer) -> None:
-        if self.clock() < action.at:
-            self._set_timer(action)
-        else:
-            self._feed(TimerFired(action.timer))
+    def _wake(self) -> None:
+        self.waking = None
+        self.wakes_at = math.inf
+        now = self.clock()
+        # What these cause may cancel others that are due, or add some: those past `now` wait for the next
+        # turn.
+        while (what := self.due.pop(now)) is not None:
+            if isinstance(what, Call):
+                self._expire(what)
+            else:
+                self._feed(TimerFired(what.timer))
+        self._arm()
 
     def _feed(self, event: Event) -> None:
         """Events in the order they came: one that an action causes waits until the others are carried out."""
+        if self.ended:
+            return  # guards against what still goes on when its pool has ended, and would keep it in memory
         self.events.append(event)
         if self.feeding:
             return
@@ -249,6 +242,13 @@
         else:
             self.subscribe()
 
+    def end(self) -> None:
+        """Take no more events: its pool has ended."""
+        self.ended = True
+        if self.waking is not None:
+            self.waking.cancel()
+            self.waking = None
+
     def _answer(self, request: int, answer: Answer) -> None:
         call = self.calls[request]
         self._close(call)
@@ -257,7 +257,7 @@
     def _send(self, call: Call, endpoint: int) -> None:
         now, number = self.clock(), call.sends
         call.sends += 1
-        attempt = Attempt(partial(self._payload, call), partial(self._ended, call, number))
+        attempt = Attempt(partial(self._payload, call), partial(self._ended, call, number), call.repeat)
         call.out[number] = Flight(endpoint, now, attempt)
         self.upstream.send(endpoint, attempt)
 
@@ -266,8 +266,8 @@
 
     def _close(self, call: Call) -> bool:
         """Take a call off the books; tells whether it was still owed its answer."""
-        for timer in call.timers:
-            timer.cancel()  # guards against timers, and what they hold, that outlive their call
+        for due in call.timers:
+            self.due.cancel(due)  # guards against timers, and what they hold, that outlive their call
         call.timers.clear()
         self.open.discard(call.trace)
         return self.calls.pop(call.id, None) is not None
--- /dev/null
+++ b/millgw/pool/pool.py
@@ -0,0 +1,158 @@
+"""One pool in service: a module instance, an endpoint source, connections and a part of what the process has.
+
+The plain daemon is one of these with everything for its part; each service of an operator's file is another.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from millgw.decide import Balancer
+from millgw.endpoints.upstream import Room, Upstream
+from millgw.interface import ListKind
+from millgw.message import REFUSED, Answer
+from millgw.pool.call import Call
+from millgw.pool.driver import Driver
+from millgw.pool.share import ANSWERS, BODIES, CALLS, CONNECTIONS, Share
+from millgw.pool.terms import Terms
+from millgw.request import BadRequest, Head
+from millgw.sidecar.config import Config
+from millgw.sidecar.discovery import Heard, Listed
+
+COME_BACK = 500.0  # ms after which a client that is turned away at a bound may find room
+LOOK_FOR_END = 0.1  # s between two looks whether a retired pool's last call has ended
+
+log = logging.getLogger("millgw")
+
+
+class Source(Protocol):
+    """Where a pool's endpoints are known from. When to ask is the balancer's decision."""
+
+    def start(self, known: Any) -> None:
+        """Tell what was known before, if anything; called once, before all else."""
+
+    def subscribe(self) -> None:
+        """Tell the list and its changes from now on."""
+
+    def stop(self) -> None:
+        """Tell nothing more."""
+
+
+class Pool:
+    """`retired` once no route leads to it: it ends when its last call has.
+
+    `source` makes the pool's endpoint source, given where its lists go.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        config: Config,
+        seed: int,
+        room: Room,
+        share: Share,
+        source: Callable[[Heard], Source],
+    ) -> None:
+        self.name = name
+        self.settings = config.settings
+        self.share = share
+        self.bodies = 0
+        self.retired = False
+        self.upstream = Upstream(
+            room, config.connect_timeout, config.idle, config.memory, lambda: self.most(ANSWERS)
+        )
+        self.source = source(self._heard)
+        self.driver = Driver(Balancer(self.settings, seed), self.upstream, self.source.subscribe)
+        self.terms = Terms(self.settings, self.driver)
+
+    def _heard(self, kind: ListKind, entries: tuple[Listed, ...]) -> None:
+        if not self.retired:
+            self.driver.listed(kind, entries)
+
+    def start(self, known: Any) -> None:
+        """Begin, with the list that this sidecar had before, in discovery's form."""
+        self.source.start(known)
+        if not self.settings.ask_discovery:
+            self.source.subscribe()
+
+    # Requests
+
+    def busy(self) -> Answer | None:
+        """The answer to one more request where there is no room for it: told from its head alone.
+
+        Guards against a flood: its calls would take the room of other pools, or find no descriptor.
+        """
+        if self.retired or len(self.driver.calls) >= self.most(CALLS):
+            return Answer(REFUSED, retry_after=min(COME_BACK, self.settings.retry_after_most))
+        return None
+
+    def call(self, head: Head, answer: Callable[[Answer], None]) -> Call | Answer:
+        """The call that a request makes, or the answer to one that there is no room for."""
+        busy = self.busy()
+        if busy is not None:
+            return busy
+        call = self.terms.call(head, answer)
+        call.patience = self.share.patience(call.patience)
+        if call.trace in self.driver.open:
+            # Guards against a second answer for one request, and against attempts that disturb the first.
+            raise BadRequest(409, "X-Trace-Id is that of an open request")
+        return call
+
+    def hold(self, more: int) -> None:
+        """Guards against memory that fills with the bodies of many clients, each within its bound."""
+        if more > 0 and self.bodies + more > self.most(BODIES):
+            raise BadRequest(REFUSED, "too much is being sent")
+        self.bodies += more
+
+    # Bounds
+
+    def held(self, kind: str) -> int:
+        """How much of a kind it holds now."""
+        if kind == CALLS:
+            return len(self.driver.calls)
+        if kind == CONNECTIONS:
+            return self.upstream.holds()
+        return self.bodies if kind == BODIES else self.upstream.held
+
+    def most(self, kind: str) -> int:
+        return self.share.most(kind)
+
+    # Its end
+
+    def retire(self) -> None:
+        """No new calls; those that are open end as they would. Its endpoints are left when the last has."""
+        self.retired = True
+        self.share.end()
+        self.driver.subscribe = _nothing  # guards against a module that asks again, as it does now and then
+        self.source.stop()
+        self._ended()
+
+    def drop(self) -> None:
+        """Leave nothing that goes on by itself, and would keep all of this in memory."""
+        self.upstream.stop()
+        self.driver.end()
+
+    def _ended(self) -> None:
+        if self.driver.calls:
+            self.upstream.loop.call_later(LOOK_FOR_END, self._ended)
+            return
+        for endpoint in list(self.upstream.hosts):
+            host = self.upstream.forget(endpoint)
+            if host is not None:
+                self.upstream.close(host)
+        self.drop()
+        log.info("service %s: removed; its last call has ended", self.name)
+
+    def status(self) -> str:
+        """One line for people and scripts."""
+        kinds = (CALLS, CONNECTIONS, BODIES, ANSWERS)
+        bounds = ", ".join(f"{kind} {self.held(kind)}/{self.most(kind)}" for kind in kinds)
+        state = "ready" if self.driver.ready else "no endpoint"
+        sends = f"{self.upstream.held_back} of {self.upstream.sends} sends held back"
+        return f"{self.name}: {state}, {len(self.driver.ready)} endpoints, {bounds}, {sends}"
+
+
+def _nothing() -> None:
+    pass
--- /dev/null
+++ b/millgw/pool/terms.py
@@ -0,0 +1,47 @@
+"""What a request must be like to be taken as a call, by a pool's settings."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from functools import partial
+
+from millgw.interface import Repeat, Settings
+from millgw.message import Answer
+from millgw.pool.call import Call, Owner
+from millgw.request import BadRequest, Head, word
+
+MAX_PATIENCE_DIGITS = 9  # of X-Expires-In-Ms: enough for any wait, and a number that is cheap to read
+
+
+class Terms:
+    """Makes calls of requests; all are `owner`'s."""
+
+    def __init__(self, settings: Settings, owner: Owner) -> None:
+        self.settings = settings
+        self.owner = owner
+        self.classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
+        self.tenants = {t.name.encode(): i for i, t in enumerate(settings.tenants)}
+
+    def call(self, head: Head, answer: Callable[[Answer], None]) -> Call:
+        """The call that a request to /api makes; a BadRequest tells what is wrong with it."""
+        values = head.values
+        trace = values.get(b"x-trace-id", b"")
+        if not trace:
+            raise BadRequest(400, "X-Trace-Id is missing")
+        index = self.classes.get(values.get(b"x-qos", b""))
+        if index is None:
+            raise BadRequest(400, "X-Qos is missing or names no class")
+        cls = self.settings.classes[index]
+        if head.method != (b"GET" if cls.repeat is Repeat.SAFE else b"POST"):
+            raise BadRequest(405, "the method does not fit the class")
+        if cls.repeat is Repeat.KEYED and not values.get(b"idempotency-key"):
+            # Guards against a repeat that no endpoint could recognise.
+            raise BadRequest(400, "Idempotency-Key is missing")
+        given = values.get(b"x-expires-in-ms", b"")
+        if not given.isdigit() or len(given) > MAX_PATIENCE_DIGITS or int(given) == 0:
+            raise BadRequest(400, "X-Expires-In-Ms is missing or not whole milliseconds")
+        # Guards against a wait far over the class's deadline: timers and books would live that long.
+        patience = min(float(given), cls.deadline) - (time.monotonic() - head.ended) * 1000
+        tenant = self.tenants.get(values.get(b"x-customer", b""), len(self.tenants))
+        return Call(index, tenant, patience, partial(word, head), answer, trace, cls.repeat, self.owner)
--- a/millgw/sidecar/request.py
+++ b/millgw/request.py
@@ -1,4 +1,4 @@
-"""A caller's request: its head as it comes in, what it must be like, and how an attempt words it.
+"""A caller's request: its head and body as they come in, and how an attempt words it. No I/O, no clock.
 
 Nothing that a caller sends is believed. What can be read in two ways is refused, so that no endpoint reads it
 in the other: behind such a head another request may hide.
@@ -6,16 +6,11 @@
 
 from __future__ import annotations
 
-import time
-from collections.abc import Callable
-from functools import partial
+from typing import Final, Protocol
 
-from millgw.interface import Repeat, Settings
-from millgw.sidecar.driver import Answer, Call
-from millgw.sidecar.upstream import MAX_BODY, MAX_HEAD, OWN_HEADERS
+from millgw.message import MAX_BODY, MAX_HEAD, OWN_HEADERS, Answer
 
-MAX_PATIENCE_DIGITS = 9  # of X-Expires-In-Ms: enough for any wait, and a number that is cheap to read
-ONCE = frozenset(
+ONCE: Final = frozenset(
     {
         b"content-length",
         b"host",
@@ -38,20 +33,39 @@
         self.status = status
 
 
+class Taker(Protocol):
+    """The pool that a request is for, as far as its body goes."""
+
+    name: str
+
+    def hold(self, more: int) -> None:
+        """Count bytes of bodies that come in, or are given back; a BadRequest tells that there is no room."""
+
+
 class Head:
-    """The line and headers of one request, then its body, as they come in."""
+    """The line and headers of one request, then its body, as they come in.
 
-    __slots__ = ("body", "ended", "forward", "keep", "method", "size", "target", "values")
+    Once the headers have ended, `pool` is whose it is, `wrong` why it is nobody's, and `refused` the answer
+    to one that is turned away from its head alone: the body of such a one is read and dropped.
+    """
+
+    __slots__ = (
+        "body", "ended", "forward", "keep", "length", "method", "pool", "refused", "target", "values",
+        "wrong",
+    )  # fmt: skip
 
     def __init__(self) -> None:
         self.method = b""
         self.target = b""
         self.values: dict[bytes, bytes] = {}
-        self.forward = bytearray()
-        self.body = bytearray()
-        self.size = 0
+        self.forward = b""
+        self.body = b""
+        self.length = 0  # bytes of the body so far
         self.keep = False
-        self.ended = 0.0
+        self.ended = 0.0  # s, on the clock of who feeds it
+        self.pool: Taker | None = None
+        self.wrong: BadRequest | None = None
+        self.refused: Answer | None = None
 
     def add(self, name: bytes, value: bytes) -> None:
         lower = name.lower()
@@ -77,9 +91,18 @@
             raise BadRequest(413, "the body is too large")
 
     def extend(self, body: bytes) -> None:
-        self.body += body
-        if len(self.body) > MAX_BODY:
+        self.length += len(body)
+        if self.length > MAX_BODY:
             raise BadRequest(413, "the body is too large")
+        if self.pool is not None and self.refused is None:
+            self.pool.hold(len(body))
+            self.body += body
+
+    def release(self) -> None:
+        """Give back what its body takes: it is answered, or nobody waits for its answer."""
+        if self.pool is not None and self.body:
+            self.pool.hold(-len(self.body))
+            self.body = b""
 
 
 def word(head: Head, left: int) -> bytes:
@@ -87,41 +110,8 @@
     return b"%b %b HTTP/1.1\r\n%bX-Expires-In-Ms: %d\r\nContent-Length: %d\r\n\r\n%b" % (
         head.method,
         head.target,
-        bytes(head.forward),
+        head.forward,
         left,
         len(head.body),
-        bytes(head.body),
+        head.body,
     )
-
-
-class Terms:
-    """What a call must be like to be taken, by the settings."""
-
-    calls = Call
-
-    def __init__(self, settings: Settings) -> None:
-        self.settings = settings
-        self.classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
-        self.tenants = {t.name.encode(): i for i, t in enumerate(settings.tenants)}
-
-    def call(self, head: Head, answer: Callable[[Answer], None]) -> Call:
-        """The call that a request to /api makes."""
-        values = head.values
-        if not values.get(b"x-trace-id"):
-            raise BadRequest(400, "X-Trace-Id is missing")
-        index = self.classes.get(values.get(b"x-qos", b""))
-        if index is None:
-            raise BadRequest(400, "X-Qos is missing or names no class")
-        cls = self.settings.classes[index]
-        if head.method != (b"GET" if cls.repeat is Repeat.SAFE else b"POST"):
-            raise BadRequest(405, "the method does not fit the class")
-        if cls.repeat is Repeat.KEYED and not values.get(b"idempotency-key"):
-            # Guards against a repeat that no endpoint could recognise.
-            raise BadRequest(400, "Idempotency-Key is missing")
-        given = values.get(b"x-expires-in-ms", b"")
-        if not given.isdigit() or len(given) > MAX_PATIENCE_DIGITS or int(given) == 0:
-            raise BadRequest(400, "X-Expires-In-Ms is missing or not whole milliseconds")
-        # Guards against a wait far over the class's deadline: timers and books would live that long.
-        patience = min(float(given), cls.deadline) - (time.monotonic() - head.ended) * 1000
-        tenant = self.tenants.get(values.get(b"x-customer", b""), len(self.tenants))
-        return self.calls(index, tenant, patience, partial(word, head), answer, values[b"x-trace-id"])
--- a/millgw/services/limits.py
+++ b/millgw/services/limits.py
@@ -29,13 +29,17 @@
         self.seen: dict[str, float] = dict.fromkeys(guaranteed, -math.inf)
         self.short: dict[str, float] = {}  # pools that found less than their guarantee, and when
 
-    def most(self, pool: str, used: Mapping[str, int], now: float) -> int:
-        """How much this pool may hold now, where all hold `used`; to be asked before each taking."""
+    def most(self, pool: str, used: Mapping[str, int], now: float, gone: int = 0) -> int:
+        """How much this pool may hold now, where all hold `used`; to be asked before each taking.
+
+        `gone` is what those hold that have no part any more: it can't be taken until they give it back.
+        """
+        total = self.total - gone
         for name in self.guaranteed:
             self._note(name, used[name], now)
         others = [name for name in self.guaranteed if name != pool]
         held = sum(max(used[name], self._least(name)) for name in others)
-        own = min(self.guaranteed[pool], self.total - held)
+        own = min(self.guaranteed[pool], total - held)
         if used[pool] >= own and used[pool] < self.guaranteed[pool]:
             self.short[pool] = now
         elif used[pool] < own:
@@ -43,7 +47,7 @@
         if any(name != pool and now < at + self.lend for name, at in self.short.items()):
             return max(0, own)
         kept = sum(max(used[name], self._keep(name)) for name in others)
-        return max(0, own, self.total - kept)
+        return max(0, own, total - kept)
 
     def borrowed(self, pool: str, used: Mapping[str, int]) -> bool:
         """Whether one more would be on loan."""
--- a/millgw/services/node.py
+++ b/millgw/services/node.py
@@ -12,15 +12,17 @@
 
 from msgspec.structs import replace
 
+from millgw.callers.server import Server
+from millgw.endpoints.upstream import ANSWERS_PART
 from millgw.operator.file import KINDS, Limits, Operator, OperatorError, Service, load, table
-from millgw.services.front import ServicesServer, Spells
+from millgw.pool.driver import Clock
+from millgw.pool.pool import Pool
+from millgw.pool.share import ANSWERS, BODIES, BODIES_PART, CALLS, CONNECTIONS
+from millgw.services.front import RoutedFront, Services, Spells
 from millgw.services.limits import Allotment, parts
-from millgw.services.pool import Bounds, Pool
+from millgw.services.parts import Bounds, LentShare, PoolRoom, pool_config, pool_seed, source
 from millgw.sidecar.config import Config, ConfigError, read_address, read_config
 from millgw.sidecar.descriptors import Descriptors
-from millgw.sidecar.driver import Driver
-from millgw.sidecar.server import BODIES_PART, Server
-from millgw.sidecar.upstream import ANSWERS_PART
 
 STATUS_EVERY = 60.0  # s between two lines on each pool in the log
 LEND = 2000.0  # ms by which what is on loan is back
@@ -28,6 +30,23 @@
 log = logging.getLogger("millgw")
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class Served:
+    """One service in service: its pool, and the words that it was made of."""
+
+    pool: Pool
+    service: Service
+    raw: Mapping[str, Any]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Listener:
+    """One callers' side and the front that knows whose its requests are."""
+
+    server: Server
+    front: RoutedFront
+
+
 class Node:
     """Everything of a sidecar with services that a reload may change."""
 
@@ -37,43 +56,59 @@
         self.path = path
         self.operator = _load(path)
 
-    def open(
-        self,
-    ) -> tuple[Callable[[], Sequence[Server]], Callable[[], Sequence[Driver]], Callable[[], None]]:
+    def open(self) -> tuple[Callable[[], Sequence[Server]], Callable[[], Sequence[Pool]], Callable[[], None]]:
         """Make the pools and the callers' sides; a ConfigError tells what can't be had."""
         self.shared = Descriptors(self.config.sockets)
-        self.retired: list[Pool] = []
         raw = _settings(self.environ)
-        self.bounds = Bounds(self._allotments(self.operator))
-        self.shared.endpoints = lambda: sum(p.held("connections") for p in self._all())
+        self.bounds = Bounds(self._allotments(self.operator), Clock())
+        self.services = Services()
+        self.served: dict[str, Served] = {}
+        self.shared.endpoints = lambda: sum(p.upstream.holds() for p in self._all())
         for name, service in self.operator.services.items():
-            self.bounds.pools[name] = self._pool(name, service, self.config, raw)
-        for pool in self.bounds.pools.values():
-            pool.start(self.config.known)
+            self.served[name] = self._pool(name, service, self.config, raw)
+        self._publish()
+        for served in self.served.values():
+            served.pool.start(self.config.known)
         self.turns = Spells()
-        self.servers = {"": self._listen(self.operator, "")}
+        self.listeners = {"": self._listen(self.operator, "")}
         for name, service in self.operator.services.items():
             if service.listen is not None:
-                self.servers[name] = self._listen(self.operator, name)
-        self.closing: list[ServicesServer] = []
-        self.shared.callers = lambda: sum(len(s.connections) + len(s.accepting) for s in self._listening())
+                self.listeners[name] = self._listen(self.operator, name)
+        self.closing: list[Server] = []
+        self._share_callers(self.operator)
+        self.shared.callers = lambda: sum(s.held() for s in self._listening())
         self.shared.close_caller = lambda: any(s.give_way() for s in self._listening())
         self._status()
-        return self._listening, lambda: [p.driver for p in self._all()], self.reload
+        return self._listening, self._all, self.reload
+
+    def leave(self) -> None:
+        """The process is told to end: /ready sends callers elsewhere."""
+        self.services.leaving = True
 
-    def _listening(self) -> list[ServicesServer]:
-        return [*self.servers.values(), *self.closing]
+    def _publish(self) -> None:
+        """Have routes and bounds go by the pools there are now."""
+        self.bounds.pools = {name: served.pool for name, served in self.served.items()}
+        self.services.pools = self.bounds.pools
 
-    def _listen(self, operator: Operator, name: str) -> ServicesServer:
+    def _listening(self) -> list[Server]:
+        return [*(listener.server for listener in self.listeners.values()), *self.closing]
+
+    def _listen(self, operator: Operator, name: str) -> Listener:
         """A callers' side: the one that routes, or one service's; an OSError tells that it can't be had."""
-        config, callers, close_caller = self.config, self.shared.callers, self.shared.close_caller
-        if name:
-            config = dataclasses.replace(config, listen=read_address(operator.services[name].listen))
-        made = ServicesServer(config, self.shared, self.bounds, self.turns, table(operator), name)
-        if hasattr(self, "servers"):  # each made thinks it is the only one
-            self.shared.callers, self.shared.close_caller = callers, close_caller
-        made.lent = LEND
-        return made
+        listen = read_address(operator.services[name].listen) if name else self.config.listen
+        front = RoutedFront(self.services, table(operator), name)
+        return Listener(Server(listen, self.shared, front, self.turns), front)
+
+    def _share_callers(self, operator: Operator) -> None:
+        """Each service's part of the callers' connections, past which its idle ones give way first."""
+        shares = {name: s.limits.callers for name, s in operator.services.items()}
+        given = sum(share for share in shares.values() if share is not None)
+        rest = (1.0 - given) / max(1, sum(share is None for share in shares.values()))
+        for server in self._listening():
+            server.parts = {
+                name: self.shared.most_callers * (rest if share is None else share)
+                for name, share in shares.items()
+            }
 
     def _status(self) -> None:
         """A line for each pool in the log, now and then."""
@@ -82,18 +117,22 @@
         asyncio.get_running_loop().call_later(STATUS_EVERY, self._status)
 
     def _all(self) -> list[Pool]:
-        return [*self.bounds.pools.values(), *self.retired]
+        return [*self.bounds.pools.values(), *self.bounds.retired]
 
-    def _pool(self, name: str, service: Service, config: Config, raw: Mapping[str, Any]) -> Pool:
-        return Pool(name, service, config, raw, self.bounds, self.shared)
+    def _pool(self, name: str, service: Service, config: Config, raw: Mapping[str, Any]) -> Served:
+        own = pool_config(name, service, config, raw)
+        share = LentShare(name, self.bounds)
+        room = PoolRoom(name, self.shared, self.bounds, share)
+        seed = pool_seed(config.seed, name)
+        return Served(Pool(name, own, seed, room, share, source(service, config)), service, raw)
 
     def _allotments(self, operator: Operator) -> dict[str, Allotment]:
         """What each pool may hold of each kind; sums that can't be kept are refused."""
         totals = {
-            "calls": self.shared.most_calls,
-            "connections": self.shared.most - self.shared.most_callers,
-            "bodies": int(BODIES_PART * self.config.memory),
-            "answers": int(ANSWERS_PART * self.config.memory),
+            CALLS: self.shared.most_calls,
+            CONNECTIONS: self.shared.most - self.shared.most_callers,
+            BODIES: int(BODIES_PART * self.config.memory),
+            ANSWERS: int(ANSWERS_PART * self.config.memory),
         }
         made = {}
         for kind in KINDS:
@@ -107,8 +146,8 @@
 
     def reload(self) -> None:
         """Read both files again. What can't be used changes nothing; unchanged pools stay."""
-        fresh: list[Pool] = []
-        opened: dict[str, ServicesServer] = {}
+        fresh: list[Served] = []
+        opened: dict[str, Listener] = {}
         try:
             config = read_config(self.environ, self.config)
             operator = _load(self.path)
@@ -116,68 +155,70 @@
             if not operator.services:
                 raise ConfigError(f"{self.path}: the last service can't be removed without a restart")
             allotments = self._allotments(operator)
-            pools: dict[str, Pool] = {}
+            made: dict[str, Served] = {}
             for name, service in operator.services.items():
-                known = self.bounds.pools.get(name)
+                known = self.served.get(name)
                 if known is not None and self._same(known, service, config, raw):
                     known.service = service
-                    pools[name] = known
+                    made[name] = known
                 else:
-                    pools[name] = self._pool(name, service, config, raw)
-                    fresh.append(pools[name])
+                    made[name] = self._pool(name, service, config, raw)
+                    fresh.append(made[name])
             wanted = {n: s.listen for n, s in operator.services.items() if s.listen is not None}
-            now = {n: s.listen for n, s in self.operator.services.items() if n in self.servers}
+            now = {n: s.listen for n, s in self.operator.services.items() if n in self.listeners}
             for name, address in wanted.items():
                 if now.get(name) != address:
                     opened[name] = self._listen(operator, name)
         except (ConfigError, OSError) as error:
             # Worded here: a record that is kept would keep the error's frames, and so the pools in them.
             log.error("reload: %s; all stays as it was", str(error))
-            for pool in fresh:
-                pool.drop()
-            for server in opened.values():
-                server.stop()
+            for served in fresh:
+                served.pool.drop()
+            for listener in opened.values():
+                listener.server.stop()
             return
-        old = [pool for name, pool in self.bounds.pools.items() if pools.get(name) is not pool]
+        old = [served.pool for name, served in self.served.items() if made.get(name) is not served]
         self.bounds.allotments = allotments
-        self.bounds.pools = pools
-        for name in [n for n in self.servers if n and (n in opened or n not in wanted)]:
-            self._close(self.servers.pop(name))
-        for name, server in opened.items():
-            self.servers[name] = server
-            server.start()
-        for server in self.servers.values():
-            server.table = table(operator)
+        self.bounds.retired = [pool for pool in self.bounds.retired if pool.driver.calls] + old
+        self.served = made
+        self._publish()
+        for name in [n for n in self.listeners if n and (n in opened or n not in wanted)]:
+            self._close(self.listeners.pop(name).server)
+        for name, listener in opened.items():
+            self.listeners[name] = listener
+            listener.server.start()
+        for listener in self.listeners.values():
+            listener.front.table = table(operator)
         self.config, self.operator = config, operator
-        self.retired = [pool for pool in self.retired if pool.driver.calls] + old
-        for pool in fresh:
-            pool.start(config.known)
+        self._share_callers(operator)
+        for served in fresh:
+            served.pool.start(config.known)
         for pool in old:
             pool.retire()
-        names = ", ".join(pool.name for pool in fresh) or "none"
-        log.info("reload: services %s; new: %s; %d removed", ", ".join(pools), names, len(old))
+        names = ", ".join(served.pool.name for served in fresh) or "none"
+        log.info("reload: services %s; new: %s; %d removed", ", ".join(made), names, len(old))
 
-    def _close(self, server: ServicesServer) -> None:
+    def _close(self, server: Server) -> None:
         """Take no connections at a listener any more; those it has end with their next answers, or idle."""
         self.closing.append(server)
         server.stop()
         self._closed(server)
 
-    def _closed(self, server: ServicesServer) -> None:
+    def _closed(self, server: Server) -> None:
         server.close_idle()
         if server.connections or server.accepting:
             asyncio.get_running_loop().call_later(0.1, self._closed, server)
         else:
             self.closing.remove(server)
 
-    def _same(self, pool: Pool, service: Service, config: Config, raw: Mapping[str, Any]) -> bool:
+    def _same(self, served: Served, service: Service, config: Config, raw: Mapping[str, Any]) -> bool:
         """Whether a pool is what the files want but for its limits, which change in service."""
         plain = {"limits": Limits(), "listen": None}
-        alike = replace(pool.service, **plain) == replace(service, **plain)
+        alike = replace(served.service, **plain) == replace(service, **plain)
         moved = (
             service.discovery is None and not service.endpoints and config.discovery != self.config.discovery
         )
-        return alike and not moved and pool.raw == raw
+        return alike and not moved and served.raw == raw
 
 
 def _load(path: str) -> Operator:
--- a/millgw/sidecar/__main__.py
+++ b/millgw/sidecar/__main__.py
@@ -8,16 +8,19 @@
 import signal
 import sys
 from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
 
 import uvloop
 
-from millgw.decide import Balancer
+from millgw import compiled
+from millgw.callers.plain import PlainFront
+from millgw.callers.server import Server
+from millgw.endpoints.upstream import ANSWERS_PART
+from millgw.pool.pool import Pool
+from millgw.pool.share import ANSWERS, BODIES, BODIES_PART, CALLS, CONNECTIONS, Whole
 from millgw.sidecar.config import Config, ConfigError, read_config
 from millgw.sidecar.descriptors import Descriptors
 from millgw.sidecar.discovery import Discovery
-from millgw.sidecar.driver import Driver
-from millgw.sidecar.server import OneService, Server
-from millgw.sidecar.upstream import Upstream
 
 LONGEST = 3.0  # s of a deadline that SIGKILL waits for at the most, and a little more than ANSWER_WITHIN
 ANSWER_WITHIN = 0.3  # s more by which all is answered
@@ -49,30 +52,49 @@
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
-    servers, drivers, reload = _several(config, environ) if environ.get(OPERATOR) else _one(config, environ)
-    loop.add_signal_handler(signal.SIGHUP, reload)
+    parts = _several(config, environ) if environ.get(OPERATOR) else _one(config, environ)
+    loop.add_signal_handler(signal.SIGHUP, parts.reload)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-    for server in servers():
+    for server in parts.servers():
         server.start()
-    log.info("%s serves at %s:%d", config.name, config.listen.host, config.listen.port)
+    log.info("%s serves at %s, %s", config.name, config.listen, compiled.describe())
     await stop.wait()
-    await leave(config, servers(), drivers)
+    await leave(config, parts)
 
 
-Parts = tuple[Callable[[], Sequence[Server]], Callable[[], Sequence[Driver]], Callable[[], None]]
-"""The callers' sides (one for each listener), the drivers whose calls they take, and what a SIGHUP does."""
+@dataclass(slots=True, frozen=True)
+class Parts:
+    """The callers' sides (one for each listener), the pools whose calls they take, what a SIGHUP does.
+
+    `unready` has /ready send callers elsewhere.
+    """
+
+    servers: Callable[[], Sequence[Server]]
+    pools: Callable[[], Sequence[Pool]]
+    reload: Callable[[], None]
+    unready: Callable[[], None]
 
 
 def _one(config: Config, environ: Mapping[str, str]) -> Parts:
     descriptors = Descriptors(config.sockets)
-    upstream = Upstream(descriptors, config.connect_timeout, config.idle, config.memory)
-    discovery = Discovery(config.discovery, config.zones, lambda kind, entries: driver.listed(kind, entries))
-    driver = Driver(Balancer(config.settings, config.seed), upstream, discovery.subscribe)
-    discovery.start(config.known)
-    if not config.settings.ask_discovery:
-        discovery.subscribe()
-    server = OneService(config, driver, descriptors)
-    return lambda: (server,), lambda: (driver,), Reload(environ, config, discovery)
+    whole = Whole(
+        {
+            CALLS: descriptors.most_calls,
+            CONNECTIONS: descriptors.most,
+            BODIES: int(BODIES_PART * config.memory),
+            ANSWERS: int(ANSWERS_PART * config.memory),
+        }
+    )
+    pool = Pool(
+        "", config, config.seed, descriptors, whole,
+        lambda heard: Discovery(config.discovery, config.zones, heard),
+    )  # fmt: skip
+    assert isinstance(pool.source, Discovery)
+    front = PlainFront(pool)
+    server = Server(config.listen, descriptors, front)
+    descriptors.callers, descriptors.close_caller = server.held, server.give_way
+    pool.start(config.known)
+    return Parts(lambda: (server,), lambda: (pool,), Reload(environ, config, pool.source), front.leave)
 
 
 def _several(config: Config, environ: Mapping[str, str]) -> Parts:
@@ -85,7 +107,7 @@
     node = Node(config, environ, environ[OPERATOR])
     if not node.operator.services:
         return _one(config, environ)
-    return node.open()
+    return Parts(*node.open(), node.leave)
 
 
 class Reload:
@@ -111,9 +133,7 @@
         self.discovery.move(self.config.discovery)
 
 
-async def leave(
-    config: Config, servers: Sequence[Server], drivers: Callable[[], Sequence[Driver]]
-) -> None:
+async def leave(config: Config, parts: Parts) -> None:
     """Serve on for a while, answer all that was taken, and be gone before SIGKILL.
 
     Serving on guards against a rolling restart whose next sidecar leaves before the last one is back: for
@@ -121,21 +141,21 @@
     """
     longest = max(c.deadline for c in config.settings.classes) / 1000
     left = min(longest, LONGEST) + ANSWER_WITHIN
-    for server in servers:
-        server.leaving = True
+    parts.unready()
     await asyncio.sleep(SERVE_PART * left)
+    servers = parts.servers()
     for server in servers:
         server.stop()
     try:
         async with asyncio.timeout(left - SERVE_PART * left):
-            while any(server.connections or server.accepting for server in servers):
+            while any(server.held() for server in servers):
                 await asyncio.sleep(0.05)
                 for server in servers:
                     server.close_idle()
     except TimeoutError:
-        log.warning("ended with %d requests unserved", sum(len(d.calls) for d in drivers()))
-        for driver in drivers():
-            driver.fail_all()
+        log.warning("ended with %d requests unserved", sum(len(p.driver.calls) for p in parts.pools()))
+        for pool in parts.pools():
+            pool.driver.fail_all()
         await asyncio.sleep(FLUSH)
 
 
--- a/millgw/sidecar/descriptors.py
+++ b/millgw/sidecar/descriptors.py
@@ -18,10 +18,14 @@
         self.most_calls = int(CALLS_PART * self.most)
         self.endpoints: Callable[[], int] = int
         self.callers: Callable[[], int] = int
-        self.close_caller: Callable[[], bool] = bool  # one that asks nothing; tells whether there was one
+        self.close_caller: Callable[[], bool] = bool
 
     def full(self) -> bool:
         return self.callers() + self.endpoints() >= self.most
 
+    def make(self) -> bool:
+        """Have a caller that asks nothing give its descriptor back; tells whether there was one."""
+        return self.close_caller()
+
     def full_of_callers(self) -> bool:
         return self.callers() >= self.most_callers or self.full()
--- /dev/null
+++ b/tests/test_cores.py
@@ -0,0 +1,256 @@
+"""The protocol cores, the deadlines and the hold-back, without sockets: every split, fuzz and order."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from millgw.callers.core import RequestCore, word_answer
+from millgw.endpoints.core import MORE, SPOILT, WHOLE, AnswerCore
+from millgw.endpoints.proof import DOUBT_TIME, PROVEN_KEYED, PROVEN_SAFE, Proof
+from millgw.interface import Outcome, Repeat
+from millgw.message import MAX_BODY, REFUSED, Answer, Content
+from millgw.pool.deadlines import Deadlines, Due
+from millgw.request import BadRequest, Head, word
+
+
+class Bodies:
+    """A pool in the place where bodies are counted."""
+
+    name = "p"
+
+    def __init__(self, most: int = 1 << 30) -> None:
+        self.most = most
+        self.held = 0
+
+    def hold(self, more: int) -> None:
+        if more > 0 and self.held + more > self.most:
+            raise BadRequest(REFUSED, "too much is being sent")
+        self.held += more
+
+
+def core(pool: Bodies | None = None, refused: Answer | None = None) -> RequestCore:
+    def gate(head: Head) -> None:
+        head.pool, head.refused = pool or Bodies(), refused
+
+    return RequestCore(gate)
+
+
+def fed(data: bytes, cuts: tuple[int, ...] = ()) -> list[tuple[object, ...]]:
+    """What comes out of the callers' core: each whole request, or what it is refused with."""
+    made = core()
+    bounds = [0, *sorted(cuts), len(data)]
+    out: list[tuple[object, ...]] = []
+    for start, end in itertools.pairwise(bounds):
+        wrong = made.feed(data[start:end], 1.0)
+        while made.queue:
+            item = made.queue.popleft()
+            assert isinstance(item, Head)
+            out.append((item.method, item.target, dict(item.values), item.forward, item.body, item.keep))
+        if wrong is not None:
+            out.append((wrong.status,))
+            break
+    return out
+
+
+REQUEST = (
+    b"POST /api?k=1 HTTP/1.1\r\nHost: a\r\nX-Trace-Id: t\r\nX-Qos: pay\r\nContent-Length: 5\r\n\r\nhello"
+    b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n"
+    b"POST /api HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n"
+)
+ODD = (
+    b"POST /api HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+    b"POST /api HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+    b"GET /api HTTP/1.1\r\nHost: a\r\n\r\nnonsense",
+)
+
+
+@pytest.mark.parametrize("data", [REQUEST, *ODD])
+def test_every_split_of_requests_reads_the_same(data: bytes) -> None:
+    whole = fed(data)
+    assert whole
+    for cut in range(1, len(data)):
+        assert fed(data, (cut,)) == whole, cut
+    assert fed(data, tuple(range(1, len(data)))) == whole
+
+
+def test_chunks_with_endless_extensions_are_refused_and_small_chunks_are_not() -> None:
+    head = b"POST /api HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    sliced = range(1024, 1 << 20, 1024)
+
+    def read(body: bytes) -> list[tuple[object, ...]]:
+        data = head + body
+        return fed(data, tuple(cut for cut in sliced if cut < len(data)))
+
+    assert read(b"1;" + b"x" * 70_000 + b"\r\na\r\n0\r\n\r\n") == [(400,)]
+    assert read(b"1;xxxxxxxxxxxxxxxxxxxx\r\na\r\n" * MAX_BODY + b"0\r\n\r\n") == [(400,)]
+    ((*_, body, keep),) = read(b"1\r\na\r\n" * MAX_BODY + b"0\r\n\r\n")
+    assert body == b"a" * MAX_BODY and keep
+
+
+def test_what_is_refused_from_its_head_alone_holds_no_body_and_is_never_asked_to_go_on() -> None:
+    pool = Bodies()
+    made = core(pool, Answer(REFUSED))
+    head = b"POST /api HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n"
+    assert made.feed(head + b"\r\n12345", 0.0) is None and pool.held == 0
+    assert made.feed(b"6789", 0.0) is None and pool.held == 0
+    (item,) = made.queue
+    assert isinstance(item, Head) and item.refused is not None and item.body == b""
+    asks = core(pool, Answer(REFUSED)).feed(head + b"Expect: 100-continue\r\n\r\n", 0.0)
+    assert asks is not None and asks.status == REFUSED
+    waits = core(pool)
+    assert waits.feed(head + b"Expect: 100-continue\r\n\r\n", 0.0) is None and waits.expects
+
+
+def test_a_body_that_finds_no_room_is_refused_and_all_is_given_back() -> None:
+    pool = Bodies(most=8)
+    made = core(pool)
+    wrong = made.feed(b"POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\n1234567", 0.0)
+    assert wrong is None and pool.held == 7 and made.head is not None
+    wrong = made.feed(b"89", 0.0)
+    assert wrong is not None and wrong.status == REFUSED
+    made.head.release()
+    made.head.release()
+    assert pool.held == 0
+
+
+@given(st.binary(max_size=400), st.lists(st.integers(0, 700), max_size=5))
+@settings(max_examples=150, deadline=None)
+def test_fuzzed_requests_end_in_a_stated_refusal_or_are_read(noise: bytes, cuts: list[int]) -> None:
+    data = REQUEST[:60] + noise + REQUEST[60:]
+    for told in fed(data, tuple(c for c in cuts if c < len(data))):
+        assert len(told) == 6 or told[0] in (400, 413, 431)
+
+
+def test_an_attempt_is_worded_with_the_time_left_and_nothing_of_the_callers_connection() -> None:
+    made = core()
+    made.feed(b"POST /api?k=1 HTTP/1.1\r\nHost: a\r\nConnection: x\r\nX-Expires-In-Ms: 9\r\nA: b\r\n"
+              b"Content-Length: 2\r\n\r\nhi", 0.0)  # fmt: skip
+    (head,) = made.queue
+    assert isinstance(head, Head)
+    assert word(head, 7) == (
+        b"POST /api?k=1 HTTP/1.1\r\nHost: a\r\nA: b\r\nX-Expires-In-Ms: 7\r\nContent-Length: 2\r\n\r\nhi"
+    )
+    answer = word_answer(Answer(503, Content(b"X: y\r\n", b"no"), 1500.0), close=True)
+    assert answer == (
+        b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\nX: y\r\nRetry-After: 1.500\r\n"
+        b"Connection: close\r\n\r\nno"
+    )
+
+
+# Answers
+
+
+def answered(data: bytes, cuts: tuple[int, ...] = ()) -> tuple[object, ...]:
+    """What comes out of the endpoints' core: whole with content and outcome, spoilt, or more is wanted."""
+    made = AnswerCore(1000)
+    bounds = [0, *sorted(cuts), len(data)]
+    read = MORE
+    for start, end in itertools.pairwise(bounds):
+        if start == end:
+            continue
+        read = made.feed(data[start:end])
+        if read != MORE:
+            break
+    if read == WHOLE:
+        return ("whole", made.content(), made.outcome())
+    return ("spoilt",) if read == SPOILT else ("more",)
+
+
+ANSWERS = [
+    (b"HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 3\r\n\r\nabc", Outcome.OK),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n", Outcome.OK),
+    (b"HTTP/1.1 100 C\r\nX-Never-Ran: 1\r\n\r\nHTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR),
+    (b"HTTP/1.1 503 X\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", Outcome.REJECTED),
+    (b"HTTP/1.1 400 X\r\nContent-Length: 0\r\n\r\n", Outcome.CANCELLED),
+    (b"HTTP/1.1 429 X\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR),
+]
+
+
+@pytest.mark.parametrize(("data", "outcome"), ANSWERS)
+def test_every_split_of_an_answer_reads_the_same(data: bytes, outcome: Outcome) -> None:
+    whole = answered(data)
+    assert whole[0] == "whole" and whole[2] is outcome
+    for cut in range(1, len(data)):
+        assert answered(data, (cut,)) == whole, cut
+        assert answered(data[:cut])[0] == "more"
+    assert answered(data, tuple(range(1, len(data)))) == whole
+
+
+@given(st.binary(max_size=300), st.integers(0, 60), st.lists(st.integers(0, 400), max_size=4))
+@settings(max_examples=150, deadline=None)
+def test_fuzzed_answers_are_whole_spoilt_or_unfinished(noise: bytes, at: int, cuts: list[int]) -> None:
+    data = ANSWERS[1][0]
+    data = data[:at] + noise + data[at:]
+    assert answered(data, tuple(c for c in cuts if c < len(data)))[0] in ("whole", "spoilt", "more")
+
+
+# Deadlines
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["add", "cancel", "pass"]), st.floats(0, 50), st.integers(0, 30)),
+        max_size=60,
+    )
+)
+@settings(max_examples=200, deadline=None)
+def test_all_falls_due_once_in_order_and_never_early(steps: list[tuple[str, float, int]]) -> None:
+    made: Deadlines[int] = Deadlines()
+    waiting: dict[int, tuple[float, Due[int]]] = {}
+    now, numbers = 1e12, iter(range(1000))
+    for what, amount, which in steps:
+        if what == "add":
+            number = next(numbers)
+            waiting[number] = (now + amount, made.add(now + amount, number))
+        elif what == "cancel" and waiting:
+            number = sorted(waiting)[which % len(waiting)]
+            due = waiting.pop(number)[1]
+            made.cancel(due)
+            made.cancel(due)
+            assert due.cancelled()
+        else:
+            now += amount
+            slot = 0.0
+            while (fell := made.pop(now)) is not None:
+                at, due = waiting.pop(fell)
+                assert at <= now and due.cancelled() and int(at) >= slot - 1
+                slot = int(at)
+            assert all(at > now - 1 for at, _ in waiting.values())
+    first = made.next()
+    assert (first is None) == (not waiting)
+    assert first is None or first - 1 <= min(at for at, _ in waiting.values()) <= first
+
+
+def test_a_thousand_deadlines_in_one_millisecond_and_one_that_is_cancelled_by_another() -> None:
+    made: Deadlines[int] = Deadlines()
+    dues = [made.add(100.0 + i / 1000, i) for i in range(1000)]
+    fell = []
+    while (number := made.pop(101.0)) is not None:
+        fell.append(number)
+        if number % 2 == 0 and number + 1 < 1000:
+            made.cancel(dues[number + 1])
+    assert fell == list(range(0, 1000, 2)) and made.next() is None and not made.slots
+
+
+# Holding back
+
+
+@given(st.floats(0, 1e6), st.sampled_from(list(Repeat)), st.booleans(), st.floats(0, 1e4), st.floats(0, 1e5))
+@settings(max_examples=200, deadline=None)
+def test_an_unsafe_request_is_always_proven_and_others_where_the_endpoint_broke_connections(
+    now: float, repeat: Repeat, reused: bool, idle: float, since: float
+) -> None:
+    proof = Proof()
+    held = proof.hold(now, repeat, reused, now - idle)
+    if repeat is Repeat.UNSAFE:
+        assert held > 0
+    elif reused:
+        proven = PROVEN_KEYED if repeat is Repeat.KEYED else PROVEN_SAFE
+        assert (held == 0) == (now - (now - idle) <= proven)
+    proof.broke(now)
+    if since < DOUBT_TIME:
+        assert proof.hold(now + since, repeat, reused, now + since) > 0
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -10,6 +10,7 @@
 
 from millgw.decide import Admission, Balancer
 from millgw.interface import Endpoint, ListKind, Outcome, Repeat, RequestClass, Scope, Send, TimerFired
+from tests.kinds import patched
 from tests.support import KEYED, SAFE, TENANTS, UNSAFE, Drive, drive, endpoints, settings
 
 
@@ -447,6 +448,7 @@
     assert d.tries[d.arrive()]
 
 
+@patched
 def test_held_requests_do_not_each_pass_over_endpoints_that_are_all_busy(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
