Events with fields in the log; what the platform gives in a package; services' path compiled

Need: events were lines of text without a schema; packages imported each other both ways; routing, shares and turns were not compiled; a spell of 2 ms on requests made every round of the loop as long.

--- a/benchmarks/connections.py
+++ b/benchmarks/connections.py
@@ -32,8 +32,8 @@
 import httptools
 import uvloop
 
+from millgw.platform.config import Address
 from millgw.rehearsal.lateness import quantile
-from millgw.sidecar.config import Address
 from millgw.standins.address import free_address
 
 SENDERS = 2  # processes of callers
@@ -41,7 +41,9 @@
 PAUSE = 0.01  # s that a caller waits after an answer that is not 200
 LENGTH = re.compile(rb"(?i)content-length: *([0-9]+)")
 SETTINGS = {
-    "classes": [{"name": "read", "deadline": 5000.0, "slo": 500.0, "repeat": "retryable"}],
+    "classes": [
+        {"name": name, "deadline": 5000.0, "slo": 500.0, "repeat": "retryable"} for name in ("read", "login")
+    ],
     "limits": {"tryLimit": 3, "connectTimeout": 1000.0, "connIdle": 60_000.0},
     "rules": {"cold": 5000.0, "coldShare": 0.3, "fall": 1000.0, "fallMultiple": 3.0, "askWithin": 1000.0},
 }
@@ -141,8 +143,9 @@
 class Caller(asyncio.Protocol):
     """Asks one request after another, and notes how long each took."""
 
-    def __init__(self, tag: int, took: list[float]) -> None:
+    def __init__(self, tag: int, host: bytes, took: list[float]) -> None:
         self.tag = tag
+        self.host = host
         self.took = took
         self.number = 0
         self.bad: Counter[str] = Counter()
@@ -156,8 +159,8 @@
         self.number += 1
         self.since = time.perf_counter()
         self.transport.write(
-            b"GET /api?k=7 HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: %x-%x\r\nX-Qos: read\r\n"
-            b"X-Customer: acme\r\nX-Expires-In-Ms: 4000\r\n\r\n" % (self.tag, self.number)
+            b"GET /api?k=7 HTTP/1.1\r\nHost: %b\r\nX-Trace-Id: %x-%x\r\nX-Qos: read\r\n"
+            b"X-Customer: acme\r\nX-Expires-In-Ms: 4000\r\n\r\n" % (self.host, self.tag, self.number)
         )
 
     def data_received(self, data: bytes) -> None:
@@ -183,7 +186,7 @@
     uvloop.run(serve())
 
 
-def _bare(address: Address, cores: set[int]) -> None:
+def bare(address: Address, cores: set[int]) -> None:
     _serve(address, Bare, cores)
 
 
@@ -191,7 +194,9 @@
     _serve(address, lambda: Through(endpoint), cores)
 
 
-def _send(address: Address, connections: int, tag: int, seconds: float, cores: set[int], pipe: Pipe) -> None:
+def _send(
+    address: Address, connections: int, tag: int, seconds: float, cores: set[int], pipe: Pipe, host: bytes
+) -> None:
     """One process of callers; tells the counted calls' times, and how many were not served."""
 
     async def send() -> tuple[list[float], Counter[str]]:
@@ -200,7 +205,7 @@
         callers = []
         for i in range(connections):
             _, caller = await loop.create_connection(
-                lambda i=i: Caller(tag + i, took),  # type: ignore[misc]
+                lambda i=i: Caller(tag + i, host, took),  # type: ignore[misc]
                 address.host, address.port,
             )  # fmt: skip
             callers.append(caller)
@@ -241,7 +246,9 @@
     return next(int(line.split()[1]) for line in lines if line.startswith("VmHWM"))
 
 
-def _measure(address: Address, pid: int, connections: int, seconds: float) -> tuple[list[float], float]:
+def drive(
+    address: Address, pid: int, connections: int, seconds: float, host: bytes = b"app.svc"
+) -> tuple[list[float], float]:
     """All calls' times in s, and the processor time of `pid` for one call, over one run."""
     spawn = multiprocessing.get_context("spawn")
     senders = min(SENDERS, connections)
@@ -250,7 +257,7 @@
         mine, theirs = spawn.Pipe()
         part = connections // senders
         tag = time.time_ns() << 16 | i << 12  # no id comes twice, in no run
-        job = spawn.Process(target=_send, args=(address, part, tag, seconds, {2 + i}, theirs))
+        job = spawn.Process(target=_send, args=(address, part, tag, seconds, {2 + i}, theirs, host))
         job.start()
         pipes.append(mine)
         processes.append(job)
@@ -272,7 +279,7 @@
     """One row; `services` is an operator's file for the daemon."""
     spawn = multiprocessing.get_context("spawn")
     endpoint, listen = free_address(), free_address()
-    server = spawn.Process(target=_bare, args=(endpoint, {1}), daemon=True)
+    server = spawn.Process(target=bare, args=(endpoint, {1}), daemon=True)
     server.start()
     with tempfile.TemporaryDirectory() as folder:
         daemon: subprocess.Popen[bytes] | None = None
@@ -287,7 +294,7 @@
             listen, pid = endpoint, server.pid or 0
         try:
             time.sleep(1.0)
-            results = [_measure(listen, pid, connections, seconds) for _ in range(runs)]
+            results = [drive(listen, pid, connections, seconds) for _ in range(runs)]
             rates = [len(took) / seconds for took, _ in results]
             p50, p99 = (
                 statistics.median(quantile(took, q) * 1000 for took, _ in results) for q in (0.5, 0.99)
--- a/benchmarks/services.py
+++ b/benchmarks/services.py
@@ -1,39 +1,42 @@
 """What a flood on one service does to another, and what routing costs the daemon.
 
     python -m benchmarks.services flood    # login codes beside floods of 0, 1, 2, 5 times another pool
-    python -m benchmarks.services rate      # calls a second on one core, without and with an operator's file
+    python -m benchmarks.services core     # login codes at 50/s while campaign calls fill the daemon's core
+    python -m benchmarks.services rate     # calls a second on one core, without and with an operator's file
 
-`flood` plays days of the rehearsal kit (two services, 6 endpoints each); `rate` drives one sidecar with 64
-connections, its endpoint in a process of its own. Both want idle cores.
+`flood` plays days of the rehearsal kit (two services, 6 endpoints each); `core` and `rate` drive one sidecar
+that is bound to one core, with an endpoint that does nothing. All want idle cores.
 """
 
 from __future__ import annotations
 
 import asyncio
-import json
 import multiprocessing
 import os
 import statistics
-import subprocess
 import sys
 import tempfile
 import time
+from multiprocessing.connection import Connection as Pipe
 from pathlib import Path
 
 import uvloop
 from msgspec.structs import replace
 
+from benchmarks import connections as connection_bench
 from benchmarks.rehearsal import play
+from millgw.platform.config import Address
+from millgw.rehearsal.lateness import quantile
 from millgw.rehearsal.scenario import Fault, load, to_toml
-from millgw.sidecar.config import Address
 from millgw.standins.address import free_address
 from millgw.standins.caller import Desk
 from millgw.standins.http import Clock
 from millgw.standins.ledger import Call, End
-from millgw.standins.scripted import ScriptedEndpoint
 
 FLOODS = (0, 1, 2, 5)
-CONNECTIONS, SECONDS, RUNS = 64, 4.0, 5
+SECONDS, RUNS = 3.0, 3
+LOGINS = 50  # login codes a second
+FLOODED = (0, 64, 256)  # connections of the flood
 
 
 def flood() -> None:
@@ -65,68 +68,92 @@
     return Fault(kind="crowd", cls="envio-campanha", start_s=0.0, length_s=seconds, size=round(factor, 2))
 
 
-def _endpoint(address: Address) -> None:
-    async def serve() -> None:
-        await ScriptedEndpoint("e", address=address).start()
-        await asyncio.Event().wait()
-
-    uvloop.run(serve())
-
+ROUTED = """
+[services.{name}]
+classes = ["{cls}"]
+[[services.{name}.endpoints]]
+name = "{name}-1"
+address = "{address}"
+weight = 64.0
+[[routes]]
+to = "{name}"
+host = "{name}.example.org"
+"""
 
-SETTINGS = {
-    "classes": [{"name": "read", "deadline": 5000.0, "slo": 500.0, "repeat": "retryable"}],
-    "limits": {"tryLimit": 3, "connectTimeout": 1000.0, "connIdle": 60_000.0},
-    "rules": {"cold": 5000.0, "coldShare": 0.3, "fall": 1000.0, "fallMultiple": 3.0, "askWithin": 1000.0},
-}
 
+def _login(listen: Address, seconds: float, pipe: Pipe) -> None:
+    """One caller at LOGINS calls a second, open loop: ms from when each was due, and how many failed."""
 
-async def _drive(address: Address) -> float:
-    """Calls a second that were served, over CONNECTIONS callers that ask one after another."""
-    desks = [Desk("n", address, Clock()) for _ in range(CONNECTIONS)]
-    served = 0
+    async def ask() -> tuple[list[float], int]:
+        desk, took, unserved = Desk("n", listen, Clock()), [], 0
+        loop = asyncio.get_running_loop()
+        start, calls = loop.time() + 1.0, []
 
-    async def caller(number: int, desk: Desk, end: float) -> None:
-        nonlocal served
-        asked = 0
-        while time.monotonic() < end:
-            asked += 1
-            call = Call(f"{number}-{asked}", "k", 0, "read", "", "", "n", 0.0, patience=4000.0, method="GET")
+        async def one(number: int) -> float | None:
+            due = start + number / LOGINS
+            await asyncio.sleep(due - loop.time())
+            call = Call(
+                f"l{time.time_ns():x}", "k", 0, "login", "", "", "n", 0.0, patience=4000.0, method="GET",
+                host="login.example.org",
+            )  # fmt: skip
             await desk.ask(call)
-            served += call.end is End.ANSWERED and call.status == 200
-
-    end = time.monotonic() + SECONDS
-    await asyncio.gather(*(caller(i, desk, end) for i, desk in enumerate(desks)))
-    return served / SECONDS
-
-
-def _measure(operator: str) -> float:
-    endpoint, listen = free_address(), free_address()
-    server = multiprocessing.get_context("spawn").Process(target=_endpoint, args=(endpoint,), daemon=True)
-    server.start()
-    with tempfile.TemporaryDirectory() as folder:
-        entry = {
-            "name": "e", "address": str(endpoint), "zone": "", "group": 1, "status": "in_service",
-            "weight": 64.0, "since_ms": 0,
-        }  # fmt: skip
-        config = {
-            "name": "n", "listen": str(listen), "discovery": str(free_address()), "seed": "1",
-            "limits": {"sockets": 1024, "memory_mb": 64}, "settings": SETTINGS,
-            "known": {"index": 1, "snapshot": True, "endpoints": [entry]},
-        }  # fmt: skip
-        (Path(folder) / "c.json").write_text(json.dumps(config))
-        environ = os.environ | {"BALANCER_CONFIG": str(Path(folder) / "c.json")}
-        if operator:
-            (Path(folder) / "o.toml").write_text(operator)
-            environ["BALANCER_OPERATOR"] = str(Path(folder) / "o.toml")
-        command = [sys.executable, "-B", "-m", "millgw.sidecar"]
-        sidecar = subprocess.Popen(command, env=environ, stderr=subprocess.DEVNULL)
-        try:
-            time.sleep(1.0)
-            return uvloop.run(_drive(listen))
-        finally:
-            sidecar.kill()
-            sidecar.wait()
-            server.kill()
+            served = call.end is End.ANSWERED and call.status == 200
+            return (loop.time() - due) * 1000 if served else None
+
+        calls = [loop.create_task(one(i)) for i in range(int(seconds * LOGINS))]
+        for call in calls:
+            ms = await call
+            if ms is None:
+                unserved += 1
+            else:
+                took.append(ms)
+        return took, unserved
+
+    os.sched_setaffinity(0, {4})
+    pipe.send(uvloop.run(ask()))
+
+
+def core() -> None:
+    spawn = multiprocessing.get_context("spawn")
+    print("| flood on | campaign served/s | login asked | not served | p50 ms | p99 ms | most ms |")
+    print("| --- | --- | --- | --- | --- | --- | --- |")
+    for connections in FLOODED:
+        rows = []
+        for _ in range(RUNS):
+            endpoint, listen = free_address(), free_address()
+            server = spawn.Process(target=connection_bench.bare, args=(endpoint, {1}), daemon=True)
+            server.start()
+            text = "".join(
+                ROUTED.format(name=name, cls=cls, address=endpoint)
+                for name, cls in (("login", "login"), ("campaign", "read"))
+            )
+            with tempfile.TemporaryDirectory() as folder:
+                daemon = connection_bench.start_daemon(Path(folder), endpoint, listen, text)
+                time.sleep(1.0)
+                mine, theirs = spawn.Pipe()
+                login = spawn.Process(target=_login, args=(listen, SECONDS * 2, theirs))
+                try:
+                    login.start()
+                    served = 0.0
+                    if connections:
+                        took, _ = connection_bench.drive(
+                            listen, daemon.pid, connections, SECONDS * 2, b"campaign.example.org"
+                        )
+                        served = len(took) / SECONDS / 2
+                    rows.append((served, *mine.recv()))
+                    login.join()
+                finally:
+                    daemon.kill()
+                    daemon.wait()
+                    server.kill()
+        ms = [m for _, took, _ in rows for m in took]
+        lost = sum(r[2] for r in rows)
+        flood = statistics.median(r[0] for r in rows)
+        print(
+            f"| {connections} | {flood:.0f} | {len(ms) + lost} | {lost} | {quantile(ms, 0.5):.2f}"
+            f" | {quantile(ms, 0.99):.2f} | {max(ms):.2f} |",
+            flush=True,
+        )
 
 
 def rate() -> None:
@@ -135,13 +162,15 @@
     print("| operator's file | served/s, median of runs | least | most |")
     print("| --- | --- | --- | --- |")
     for name, text in (("none", ""), ("one service", one), ("one service, 1,001 routes", one + many)):
-        runs = [_measure(text) for _ in range(RUNS)]
-        print(f"| {name} | {statistics.median(runs):.0f} | {min(runs):.0f} | {max(runs):.0f} |", flush=True)
+        row = connection_bench.measure("daemon", 64, SECONDS, RUNS, text)
+        print(f"| {name} | {row.calls:.0f} | {row.least:.0f} | {row.most:.0f} |", flush=True)
 
 
 if __name__ == "__main__":
     if sys.argv[1:] == ["flood"]:
         flood()
+    elif sys.argv[1:] == ["core"]:
+        core()
     elif sys.argv[1:] == ["rate"]:
         rate()
     else:
--- a/millgw/__main__.py
+++ b/millgw/__main__.py
@@ -13,6 +13,7 @@
 
 FROM_TOOLS = (
     ("millgw.operator.command", "add_parsers", ("check", "route"), "requirements-operator.txt"),
+    ("millgw.standins.coordinator.command", "add_parser", ("coordinator",), "requirements-tools.txt"),
     ("millgw.rehearsal.command", "add_parser", ("rehearse",), "requirements-tools.txt"),
 )
 """Commands that need more than the daemon: module, what adds them, their names, what brings the rest."""
@@ -26,6 +27,7 @@
     commands = parser.add_subparsers(required=True, metavar="COMMAND")
     serve = commands.add_parser("serve", help="one sidecar, configured by BALANCER_CONFIG and its like")
     serve.add_argument("--operator", metavar="FILE", help="the operator's file (BALANCER_OPERATOR)")
+    serve.add_argument("--log", choices=("text", "json"), help="how events are told (BALANCER_LOG)")
     serve.set_defaults(main=_serve)
     add_build(commands)
     version = commands.add_parser("version", help="which version this is, and whether compiled modules serve")
@@ -63,11 +65,13 @@
 
 
 def _serve(args: argparse.Namespace) -> int:
-    from millgw.sidecar.__main__ import OPERATOR
+    from millgw.sidecar.__main__ import LOG, OPERATOR
     from millgw.sidecar.__main__ import main as serve
 
     if args.operator is not None:
         os.environ[OPERATOR] = args.operator
+    if args.log is not None:
+        os.environ[LOG] = args.log
     return serve()
 
 
--- a/millgw/callers/connection.py
+++ b/millgw/callers/connection.py
@@ -6,12 +6,13 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import select
 import time
+from logging import INFO
 from typing import Protocol
 
 from millgw.callers.core import RequestCore, word_answer
+from millgw.events import tell
 from millgw.message import Answer, Content, unread, watcher
 from millgw.pool.call import Call
 from millgw.request import BadRequest, Head
@@ -24,8 +25,6 @@
 MAX_BAD = 4  # bad requests in a row, after which it ends
 NEW = ""  # the lane of connections that no request has come on yet
 
-log = logging.getLogger("millgw")
-
 
 class Front(Protocol):
     """Whose a request is, and what becomes of it."""
@@ -340,7 +339,7 @@
             self.resting = self.server.loop.call_later(LINGER, self.close)
 
     def _say(self, bad: BadRequest) -> None:
-        log.info("turned a request away: %d %s", bad.status, bad)
+        tell(INFO, "request-turned-away", status=bad.status, cause=bad)
         self._write(Answer(bad.status, Content(b"Content-Type: text/plain\r\n", f"{bad}\n".encode())))
 
     def _write(self, answer: Answer) -> None:
--- a/millgw/callers/server.py
+++ b/millgw/callers/server.py
@@ -7,15 +7,16 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import socket
 import time
+from logging import WARNING
 from typing import cast
 
 from millgw.callers.connection import CallerConnection, Front, Lanes
+from millgw.events import tell
+from millgw.platform.config import Address
+from millgw.platform.descriptors import Descriptors
 from millgw.request import BadRequest
-from millgw.sidecar.config import Address
-from millgw.sidecar.descriptors import Descriptors
 
 READ_TIME = 2.4  # s to send a request that was begun (the first one: from connecting): callers are near
 SILENT_TIME = 2.2  # s after connecting in which a first request must begin
@@ -28,8 +29,6 @@
 READ_SIZE = 16 * 1024  # bytes of one read
 SWEEP = 0.2  # s between two looks for connections whose time has come
 
-log = logging.getLogger("millgw")
-
 
 def accept(listener: socket.socket) -> socket.socket:
     connection, _ = listener.accept()
@@ -85,7 +84,7 @@
                 return
             except OSError as error:
                 # Guards against an accept that fails (no descriptors, a client gone): it ends nothing.
-                log.warning("accept failed: %s", error)
+                tell(WARNING, "accept-failed", cause=error)
                 self._pause()
                 return
             task = self.loop.create_task(self._adopt(connection))
@@ -97,7 +96,7 @@
             made = cast(asyncio.Protocol, CallerConnection(self))
             await self.loop.connect_accepted_socket(lambda: made, connection)
         except OSError as error:
-            log.warning("a connection was lost as it was accepted: %s", error)
+            tell(WARNING, "caller-lost", cause=error)
 
     def _pause(self) -> None:
         self.loop.remove_reader(self.socket)
--- a/millgw/compiled.py
+++ b/millgw/compiled.py
@@ -29,6 +29,7 @@
 MODULES = (
     "interface",
     "decide",
+    "events",
     "message",
     "request",
     "endpoints.attempt",
@@ -45,6 +46,12 @@
     "callers.core",
     "callers.connection",
     "callers.plain",
+    "routing.target",
+    "routing.table",
+    "services.limits",
+    "services.turns",
+    "services.shares",
+    "services.front",
 )
 """What is on a call's way, in the order of imports."""
 
--- a/millgw/endpoints/connection.py
+++ b/millgw/endpoints/connection.py
@@ -8,22 +8,21 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import select
 import time
+from logging import WARNING
 from typing import Protocol
 
 from millgw.endpoints.attempt import CONNECTING, HELD, WRITING, WRITTEN, Attempt
 from millgw.endpoints.core import SPOILT, WHOLE, AnswerCore
 from millgw.endpoints.proof import Proof
+from millgw.events import tell
 from millgw.interface import Outcome
 from millgw.message import NOTHING, unread, watcher
-from millgw.sidecar.config import Address
+from millgw.platform.config import Address
 
 ANSWER_TIME = 1.0  # s from an answer's first byte to its last: it is small and comes at once
 
-log = logging.getLogger("millgw")
-
 
 class Host:
     """One life of an endpoint at one address: kept connections, and attempts still connecting to it."""
@@ -201,7 +200,7 @@
         if attempt is None or core is None:
             # Guards against a late answer that would be taken for the next request's.
             after = time.monotonic() * 1000 - self.idle_since
-            log.warning("endpoint at %s: bytes came %.1f ms after the answer", self.host.address, after)
+            tell(WARNING, "bytes-after-answer", endpoint=self.host.address, after_ms=round(after, 1))
             self.abort()
             return
         if self.last_byte:
@@ -232,7 +231,7 @@
             self.stalled = self.home.loop.call_later(ANSWER_TIME, self._spoilt, "it stopped half-way")
 
     def _spoilt(self, why: str) -> None:
-        log.warning("endpoint at %s: spoilt answer: %s", self.host.address, why)
+        tell(WARNING, "answer-spoilt", endpoint=self.host.address, cause=why)
         self.abort()
         self._finish(Outcome.ERROR)
 
--- a/millgw/endpoints/upstream.py
+++ b/millgw/endpoints/upstream.py
@@ -3,24 +3,23 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import time
 from collections.abc import Callable
+from logging import WARNING
 from typing import Protocol, cast
 
 from millgw.endpoints.attempt import Attempt
 from millgw.endpoints.connection import Connection, Host
+from millgw.events import tell
 from millgw.interface import Outcome
 from millgw.message import NOTHING
-from millgw.sidecar.config import Address
+from millgw.platform.config import Address
 
 ANSWER_PART = 1 / 32  # of the memory, for one answer's body: endpoints are seen to answer with up to 400 kB
 ANSWERS_PART = 1 / 8  # of the memory, for all answers that are coming in
 IDLE_PART = 0.5  # of the endpoint's idle time, after which a kept connection is not used: it may be closing
 SWEEP = 1.0  # s between two looks for connections that have been idle too long
 
-log = logging.getLogger("millgw")
-
 
 class Room(Protocol):
     """The descriptors that an upstream may use."""
@@ -134,7 +133,7 @@
             attempt.end(Outcome.CONNECT_FAILED, NOTHING)
             return
         if self.room.full() and not (self.give_way() or self.room.make()):
-            log.warning("no descriptor left for a connection to an endpoint")
+            tell(WARNING, "no-descriptor", endpoint=host.address)
             attempt.end(Outcome.NOT_SENT, NOTHING)
             return
         host.connecting.add(attempt)
--- a/millgw/operator/command.py
+++ b/millgw/operator/command.py
@@ -8,9 +8,9 @@
 from typing import TypedDict
 
 from millgw.operator.file import KINDS, Operator, OperatorError, load, table
+from millgw.operator.guarantees import parts
 from millgw.routing.table import Asked, NoRoute
 from millgw.routing.target import BadTarget, read_target
-from millgw.services.limits import parts
 
 HELD, NO_ROUTE, BAD_INPUT = 0, 1, 2
 
--- a/millgw/operator/file.py
+++ b/millgw/operator/file.py
@@ -12,9 +12,9 @@
 from msgspec import Meta, field
 
 from millgw.checked import FileError, Table, read
+from millgw.platform.config import read_address
 from millgw.routing.table import Route, RouteError
 from millgw.routing.table import Table as RouteTable
-from millgw.sidecar.config import read_address
 
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9_-]*$", max_length=64)]
 
--- /dev/null
+++ b/millgw/platform/__init__.py
@@ -0,0 +1,1 @@
+"""What the platform tells and gives a sidecar: configuration, descriptors, the list of endpoints."""
--- a/millgw/sidecar/discovery.py
+++ b/millgw/platform/discovery.py
@@ -4,17 +4,18 @@
 
 import asyncio
 import json
-import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 from hashlib import blake2b
+from logging import INFO, WARNING
 from typing import Any, cast
 
 import httptools
 
+from millgw.events import tell
 from millgw.interface import Condition, Endpoint, ListKind
+from millgw.platform.config import Address, read_address
 from millgw.settings import number
-from millgw.sidecar.config import Address, read_address
 
 SILENCE = 3.5  # s without a line after which a watch has failed: heartbeats come every 2 s
 FIRST_LINE = 6.0  # s until its first line: discovery works through calls in turn
@@ -25,8 +26,6 @@
     "terminated": Condition.GONE,
 }
 
-log = logging.getLogger("millgw")
-
 
 @dataclass(slots=True, frozen=True)
 class Listed:
@@ -62,7 +61,7 @@
         try:
             entries.append(_entry(raw, zones))
         except (ValueError, TypeError, LookupError, AttributeError) as error:
-            log.warning("discovery: skipped an entry: %s: %s", type(error).__name__, error)
+            tell(WARNING, "entry-skipped", cause=f"{type(error).__name__}: {error}")
     return Listing(int(number(data, "index", "")), data.get("snapshot") is True, tuple(entries))
 
 
@@ -101,7 +100,7 @@
         try:
             listing = Listing(0, False, ()) if known is None else read_listing(known, self.zones)
         except ValueError as error:
-            log.warning("known: %s", error)
+            tell(WARNING, "known-unusable", cause=error)
             known, listing = None, Listing(0, False, ())
         if known is None:
             self.heard(ListKind.CACHED, ())  # guards against a balancer that hears nothing and never asks
@@ -130,7 +129,7 @@
     def move(self, address: Address) -> None:
         """Go on at another address from the version that is known; the list and all learned of it stay."""
         if address != self.address:
-            log.info("discovery: moves from %s to %s", self.address, address)
+            tell(INFO, "discovery-moves", before=self.address, to=address)
             self.address = address
             self.subscribe()
 
@@ -154,7 +153,7 @@
             return
         self.watch = None
         watch.stop()
-        log.info("discovery: the watch ended: %s", why)
+        tell(INFO, "watch-ended", discovery=self.address, cause=why)
         self.heard(ListKind.FAILED, ())
 
 
--- a/millgw/pool/driver.py
+++ b/millgw/pool/driver.py
@@ -35,9 +35,9 @@
     TimerFired,
 )
 from millgw.message import FAILED, REFUSED, SERVED, UNUSABLE, Answer, Content
+from millgw.platform.discovery import Listed
 from millgw.pool.call import Call, Flight
 from millgw.pool.deadlines import Deadlines
-from millgw.sidecar.discovery import Listed
 
 ANSWER_MARGIN = 30.0  # ms before the client's deadline at which an attempt times out: room for a busy loop
 
--- a/millgw/pool/pool.py
+++ b/millgw/pool/pool.py
@@ -5,27 +5,26 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable
+from logging import INFO
 from typing import Any, Protocol
 
 from millgw.decide import Balancer
 from millgw.endpoints.upstream import Room, Upstream
+from millgw.events import tell
 from millgw.interface import ListKind
 from millgw.message import REFUSED, Answer
+from millgw.platform.config import Config
+from millgw.platform.discovery import Heard, Listed
 from millgw.pool.call import Call
 from millgw.pool.driver import Driver
 from millgw.pool.share import ANSWERS, BODIES, CALLS, CONNECTIONS, Share
 from millgw.pool.terms import Terms
 from millgw.request import BadRequest, Head
-from millgw.sidecar.config import Config
-from millgw.sidecar.discovery import Heard, Listed
 
 COME_BACK = 500.0  # ms after which a client that is turned away at a bound may find room
 LOOK_FOR_END = 0.1  # s between two looks whether a retired pool's last call has ended
 
-log = logging.getLogger("millgw")
-
 
 class Source(Protocol):
     """Where a pool's endpoints are known from. When to ask is the balancer's decision."""
@@ -143,15 +142,22 @@
             if host is not None:
                 self.upstream.close(host)
         self.drop()
-        log.info("service %s: removed; its last call has ended", self.name)
+        tell(INFO, "pool-ended", pool=self.name)
+
+    def figures(self) -> dict[str, object]:
+        """What it holds against its bounds, for the log."""
+        figures: dict[str, object] = {"pool": self.name, "endpoints": len(self.driver.ready)}
+        for kind in (CALLS, CONNECTIONS, BODIES, ANSWERS):
+            figures[kind] = f"{self.held(kind)}/{self.most(kind)}"
+        return figures | {"sends": self.upstream.sends, "held_back": self.upstream.held_back}
 
     def status(self) -> str:
-        """One line for people and scripts."""
-        kinds = (CALLS, CONNECTIONS, BODIES, ANSWERS)
-        bounds = ", ".join(f"{kind} {self.held(kind)}/{self.most(kind)}" for kind in kinds)
+        """The same as one line for people and scripts."""
+        figures = self.figures()
         state = "ready" if self.driver.ready else "no endpoint"
-        sends = f"{self.upstream.held_back} of {self.upstream.sends} sends held back"
-        return f"{self.name}: {state}, {len(self.driver.ready)} endpoints, {bounds}, {sends}"
+        kinds = ", ".join(f"{kind} {figures[kind]}" for kind in (CALLS, CONNECTIONS, BODIES, ANSWERS))
+        sends = f"{figures['held_back']} of {figures['sends']} sends held back"
+        return f"{self.name}: {state}, {figures['endpoints']} endpoints, {kinds}, {sends}"
 
 
 def _nothing() -> None:
--- a/millgw/rehearsal/blows.py
+++ b/millgw/rehearsal/blows.py
@@ -6,14 +6,17 @@
 import random
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from millgw.rehearsal.faults import Blow
-from millgw.standins.endpoint import Endpoint
-from millgw.standins.ledger import Strike
-
-if TYPE_CHECKING:
-    from millgw.rehearsal.stage import Stage
+from millgw.rehearsal.front import Front
+from millgw.rehearsal.scenario import Scenario
+from millgw.rehearsal.sidecars import Sidecar
+from millgw.standins.cadastro import Cadastro, Delays
+from millgw.standins.endpoint import Build, Endpoint
+from millgw.standins.http import Clock
+from millgw.standins.ledger import Ledger, Strike
+from millgw.standins.register import Entry
 
 RETURN_AFTER_DRAIN = 1.0  # s from the end of a drained process to its next start
 FLAP = 1.0  # s between two words on a flapping endpoint
@@ -35,10 +38,40 @@
 FIELDS = {"fast-failure": "failing", "resets": "resetting", "spoilt": "spoiling", "slowdown": "slowness"}
 
 
+class Scene(Protocol):
+    """What blows fall on: the parts of a day, and what can be done to them."""
+
+    scenario: Scenario
+    clock: Clock
+    ledger: Ledger
+    cadastro: Cadastro
+    delays: Delays
+    front: Front
+    endpoints: dict[str, Endpoint]
+    sidecars: dict[str, Sidecar]
+    say: Callable[[str], None]
+
+    def failed(self, error: BaseException) -> None: ...
+
+    def operator(self, sidecar: str, without: str = "") -> str: ...
+
+    def entry(self, endpoint: Endpoint, status: str) -> Entry: ...
+
+    def notice(self, endpoint: Endpoint, status: str, late: tuple[float, float]) -> None: ...
+
+    def vanish(self, endpoint: Endpoint) -> None: ...
+
+    def end(self, endpoint: Endpoint) -> None: ...
+
+    async def revive(self, endpoint: Endpoint) -> None: ...
+
+    def replace(self, old: Endpoint, build: Build) -> Endpoint: ...
+
+
 class Blows:
     """The faults of one day as they happen."""
 
-    def __init__(self, stage: Stage) -> None:
+    def __init__(self, stage: Scene) -> None:
         self.stage = stage
         self.loop = asyncio.get_running_loop()
         self.rng = random.Random(f"blows {stage.scenario.seed}")
--- a/millgw/rehearsal/demo.py
+++ b/millgw/rehearsal/demo.py
@@ -9,10 +9,10 @@
 
 import uvloop
 
+from millgw.platform.config import Address
 from millgw.rehearsal.report import Day, exit_code, judge, show
 from millgw.rehearsal.scenario import Cadastro, Fault, Fleet, Scenario, Traffic, check
 from millgw.rehearsal.stage import Stage
-from millgw.sidecar.config import Address
 from millgw.standins.ledger import Told
 
 ONCE_S = 14.0
--- a/millgw/rehearsal/sidecars.py
+++ b/millgw/rehearsal/sidecars.py
@@ -13,9 +13,9 @@
 from pathlib import Path
 from typing import Any
 
+from millgw.platform.config import Address
 from millgw.rehearsal.keeper import Keeper
 from millgw.rehearsal.scenario import Scenario
-from millgw.sidecar.config import Address
 from millgw.standins.address import free_address
 from millgw.standins.caller import Desk, ready
 from millgw.standins.http import Clock
--- a/millgw/rehearsal/stage.py
+++ b/millgw/rehearsal/stage.py
@@ -13,6 +13,7 @@
 from functools import partial
 from pathlib import Path
 
+from millgw.platform.config import Address
 from millgw.rehearsal import arrivals
 from millgw.rehearsal.auditor import ClassTerms, Repeats, Terms
 from millgw.rehearsal.blows import Blows
@@ -22,7 +23,6 @@
 from millgw.rehearsal.sampler import Sampler, own_memory
 from millgw.rehearsal.scenario import Scenario
 from millgw.rehearsal.sidecars import DEFAULT_RUN, NotReady, Sidecar, settings
-from millgw.sidecar.config import Address
 from millgw.standins.address import free_address
 from millgw.standins.cadastro import Cadastro, Capacity, Delays
 from millgw.standins.endpoint import Build, ColdRule, Endpoint, Group, NextTier, Task
--- a/millgw/services/front.py
+++ b/millgw/services/front.py
@@ -19,7 +19,7 @@
 from millgw.routing.target import BadTarget, read_target
 from millgw.services.turns import Turns
 
-SPELL = 0.002  # s of one turn of the loop that go to requests before connections are read again
+SPELL = 0.0005  # s of one turn of the loop that go to requests before connections are read again
 
 
 class Spells:
--- a/millgw/services/node.py
+++ b/millgw/services/node.py
@@ -5,8 +5,8 @@
 import asyncio
 import dataclasses
 import json
-import logging
 from collections.abc import Callable, Mapping, Sequence
+from logging import ERROR, INFO
 from pathlib import Path
 from typing import Any
 
@@ -14,21 +14,22 @@
 
 from millgw.callers.server import Server
 from millgw.endpoints.upstream import ANSWERS_PART
+from millgw.events import tell
 from millgw.operator.file import KINDS, Limits, Operator, OperatorError, Service, load, table
+from millgw.operator.guarantees import parts
+from millgw.platform.config import Config, ConfigError, read_address, read_config
+from millgw.platform.descriptors import Descriptors
 from millgw.pool.driver import Clock
 from millgw.pool.pool import Pool
 from millgw.pool.share import ANSWERS, BODIES, BODIES_PART, CALLS, CONNECTIONS
 from millgw.services.front import RoutedFront, Services, Spells
-from millgw.services.limits import Allotment, parts
-from millgw.services.parts import Bounds, LentShare, PoolRoom, pool_config, pool_seed, source
-from millgw.sidecar.config import Config, ConfigError, read_address, read_config
-from millgw.sidecar.descriptors import Descriptors
+from millgw.services.limits import Allotment
+from millgw.services.parts import pool_config, pool_seed, source
+from millgw.services.shares import Bounds, LentShare, PoolRoom
 
 STATUS_EVERY = 60.0  # s between two lines on each pool in the log
 LEND = 2000.0  # ms by which what is on loan is back
 
-log = logging.getLogger("millgw")
-
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Served:
@@ -113,7 +114,7 @@
     def _status(self) -> None:
         """A line for each pool in the log, now and then."""
         for pool in self._all():
-            log.info("service %s", pool.status())
+            tell(INFO, "pool", **pool.figures())
         asyncio.get_running_loop().call_later(STATUS_EVERY, self._status)
 
     def _all(self) -> list[Pool]:
@@ -171,7 +172,7 @@
                     opened[name] = self._listen(operator, name)
         except (ConfigError, OSError) as error:
             # Worded here: a record that is kept would keep the error's frames, and so the pools in them.
-            log.error("reload: %s; all stays as it was", str(error))
+            tell(ERROR, "reload-refused", cause=str(error))
             for served in fresh:
                 served.pool.drop()
             for listener in opened.values():
@@ -196,7 +197,7 @@
         for pool in old:
             pool.retire()
         names = ", ".join(served.pool.name for served in fresh) or "none"
-        log.info("reload: services %s; new: %s; %d removed", ", ".join(made), names, len(old))
+        tell(INFO, "reloaded", services=", ".join(made), new=names, removed=len(old))
 
     def _close(self, server: Server) -> None:
         """Take no connections at a listener any more; those it has end with their next answers, or idle."""
--- a/millgw/sidecar/__main__.py
+++ b/millgw/sidecar/__main__.py
@@ -3,48 +3,33 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import os
 import signal
 import sys
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
+from logging import ERROR, INFO, WARNING
 
 import uvloop
 
-from millgw import compiled
+from millgw import compiled, events
 from millgw.callers.plain import PlainFront
 from millgw.callers.server import Server
 from millgw.endpoints.upstream import ANSWERS_PART
+from millgw.events import tell
+from millgw.platform.config import Config, ConfigError, read_config
+from millgw.platform.descriptors import Descriptors
+from millgw.platform.discovery import Discovery
 from millgw.pool.pool import Pool
 from millgw.pool.share import ANSWERS, BODIES, BODIES_PART, CALLS, CONNECTIONS, Whole
-from millgw.sidecar.config import Config, ConfigError, read_config
-from millgw.sidecar.descriptors import Descriptors
-from millgw.sidecar.discovery import Discovery
 
 LONGEST = 3.0  # s of a deadline that SIGKILL waits for at the most, and a little more than ANSWER_WITHIN
 ANSWER_WITHIN = 0.3  # s more by which all is answered
 SERVE_PART = 0.6  # of the time after SIGTERM, for which requests are taken: the rest is for answering them
-LOG_EVERY = 1.0  # s between two lines of the same kind
 FLUSH = 0.2  # s that answers may take to be read before the process ends
 
 OPERATOR = "BALANCER_OPERATOR"  # names the operator's file
-
-log = logging.getLogger("millgw")
-
-
-class Sparing(logging.Filter):
-    """Lets a message through once a second: one that repeats for every request must not fill the log."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.last: dict[str, float] = {}
-
-    def filter(self, record: logging.LogRecord) -> bool:
-        due = record.created >= self.last.get(record.msg, 0.0) + LOG_EVERY
-        if due:
-            self.last[record.msg] = record.created
-        return due
+LOG = "BALANCER_LOG"  # how events are told: text or json
 
 
 async def serve(config: Config, environ: Mapping[str, str] = os.environ) -> None:
@@ -57,7 +42,7 @@
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     for server in parts.servers():
         server.start()
-    log.info("%s serves at %s, %s", config.name, config.listen, compiled.describe())
+    tell(INFO, "serving", name=config.name, listen=config.listen, modules=compiled.describe())
     await stop.wait()
     await leave(config, parts)
 
@@ -124,12 +109,12 @@
             self.config = read_config(self.environ, before)
         except ConfigError as error:
             # Guards against a file that is half written or wrong: the sidecar serves on with what it has.
-            log.error("reload: %s; the configuration stays as it was", error)
+            tell(ERROR, "reload-refused", cause=error)
             return
         for name in ("name", "listen", "sockets", "settings"):
             if getattr(self.config, name) != getattr(before, name):
-                log.warning("reload: %s has changed, which takes a restart", name)
-        log.info("reload: the configuration is read again")
+                tell(WARNING, "reload-takes-restart", field=name)
+        tell(INFO, "reloaded")
         self.discovery.move(self.config.discovery)
 
 
@@ -153,15 +138,18 @@
                 for server in servers:
                     server.close_idle()
     except TimeoutError:
-        log.warning("ended with %d requests unserved", sum(len(p.driver.calls) for p in parts.pools()))
+        tell(WARNING, "ended-unserved", requests=sum(len(p.driver.calls) for p in parts.pools()))
         for pool in parts.pools():
             pool.driver.fail_all()
         await asyncio.sleep(FLUSH)
 
 
 def main() -> int:
-    logging.basicConfig(level=logging.INFO, format="%(levelname)s %(message)s")
-    log.addFilter(Sparing())
+    try:
+        events.start(os.environ.get(LOG) or "text")
+    except ValueError as error:
+        print(f"millgw: {LOG}: {error}", file=sys.stderr)
+        return 2
     # Guards against a SIGHUP before there is a handler, which would end the process: it waits for one.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
--- a/millgw/standins/address.py
+++ b/millgw/standins/address.py
@@ -6,7 +6,7 @@
 import os
 import socket
 
-from millgw.sidecar.config import Address
+from millgw.platform.config import Address
 
 _numbers = itertools.count(1)
 
--- a/millgw/standins/cadastro.py
+++ b/millgw/standins/cadastro.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from urllib.parse import parse_qs, urlsplit
 
-from millgw.sidecar.config import Address
+from millgw.platform.config import Address
 from millgw.standins.address import free_address
 from millgw.standins.http import Clock, Listener, Message, ServerConnection, listener, ok, status
 from millgw.standins.ledger import Asked, Change, Ledger, Outage, Word
--- a/millgw/standins/caller.py
+++ b/millgw/standins/caller.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import cast
 
-from millgw.sidecar.config import Address
+from millgw.platform.config import Address
 from millgw.standins.endpoint import token
 from millgw.standins.http import AnswerReader, Clock
 from millgw.standins.ledger import Call, End
--- a/millgw/standins/endpoint.py
+++ b/millgw/standins/endpoint.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
-from millgw.sidecar.config import Address
+from millgw.platform.config import Address
 from millgw.standins.capacity import ColdBudget, Processor, Room
 from millgw.standins.http import NEVER_RAN, Clock, Message, ServerConnection, listener, ok, status
 from millgw.standins.ledger import Attempt, Call, Ledger, Life, Told
--- a/millgw/standins/http.py
+++ b/millgw/standins/http.py
@@ -15,7 +15,7 @@
 
 import httptools
 
-from millgw.sidecar.config import Address
+from millgw.platform.config import Address
 
 BACKLOG = 512
 NO_LINGER = struct.pack("ii", 1, 0)
--- a/millgw/standins/scripted.py
+++ b/millgw/standins/scripted.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from millgw.sidecar.config import Address
+from millgw.platform.config import Address
 from millgw.standins.address import free_address
 from millgw.standins.http import Clock, Message, ServerConnection, listener, ok
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -11,9 +11,9 @@
 
 import uvloop
 
+from millgw.platform.config import Address, Config
 from millgw.settings import to_settings
 from millgw.sidecar.__main__ import serve
-from millgw.sidecar.config import Address, Config
 from millgw.standins.address import free_address
 from millgw.standins.http import Message
 from millgw.standins.scripted import ScriptedCadastro, ScriptedEndpoint, read_message
--- a/tests/test_rehearsal_command.py
+++ b/tests/test_rehearsal_command.py
@@ -137,7 +137,7 @@
     html = page.read_text()
     assert "<svg" in html and "fast-failure" in html and "http" not in html.replace("http://www.w3.org", "")
     assert "day" in capsys.readouterr().out
-    assert "serves at" in (tmp_path / "day" / "n0-0.log").read_text()
+    assert "serving name=" in (tmp_path / "day" / "n0-0.log").read_text()
 
 
 def test_a_rig_that_is_itself_overloaded_is_inconclusive_and_blames_nobody() -> None:
--- a/tests/test_rehearsal_wrong.py
+++ b/tests/test_rehearsal_wrong.py
@@ -26,6 +26,7 @@
 )
 from millgw.rehearsal.sidecars import DEFAULT_RUN
 from millgw.rehearsal.stage import Stage
+from tests.alone import alone
 
 SCRIPT = Path(__file__).parent / "wrong" / "sidecar.py"
 RULES = {
@@ -114,7 +115,8 @@
 
         return await asyncio.gather(*(one(name, *what) for name, what in days.items()))
 
-    return {day.name: day for day in uvloop.run(play())}
+    with alone():
+        return {day.name: day for day in uvloop.run(play())}
 
 
 def broken(day: Day) -> dict[int, list[str]]:
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -20,13 +20,14 @@
 
 from millgw.__main__ import main
 from millgw.operator.file import OperatorError, parse
+from millgw.operator.guarantees import parts
+from millgw.platform.config import read_config
 from millgw.pool.call import Call
 from millgw.pool.driver import Driver
 from millgw.pool.pool import Pool
-from millgw.services.limits import Allotment, parts
+from millgw.services.limits import Allotment
 from millgw.services.turns import QUANTUM, Turns
 from millgw.sidecar.__main__ import serve
-from millgw.sidecar.config import read_config
 from millgw.standins.address import free_address
 from millgw.standins.http import ok
 from millgw.standins.scripted import ScriptedCadastro, ScriptedEndpoint, answering, read_message, silent
--- a/tests/test_sidecar_calls.py
+++ b/tests/test_sidecar_calls.py
@@ -18,11 +18,11 @@
 from millgw.endpoints.upstream import Upstream
 from millgw.interface import Outcome
 from millgw.message import Content, unread
+from millgw.platform.descriptors import Descriptors
 from millgw.pool import driver as driver_module
 from millgw.pool.driver import Clock
 from millgw.request import Head
 from millgw.settings import to_settings
-from millgw.sidecar.descriptors import Descriptors
 from millgw.standins.address import free_address
 from millgw.standins.http import Message, ok, status
 from millgw.standins.scripted import (
--- a/tests/test_sidecar_process.py
+++ b/tests/test_sidecar_process.py
@@ -14,11 +14,11 @@
 
 import pytest
 
+from millgw.platform import discovery as discovery_module
+from millgw.platform.config import Address, ConfigError, read_address, read_config
+from millgw.platform.discovery import endpoint_id, read_listing
 from millgw.settings import to_settings
 from millgw.sidecar import __main__ as main_module
-from millgw.sidecar import discovery as discovery_module
-from millgw.sidecar.config import Address, ConfigError, read_address, read_config
-from millgw.sidecar.discovery import endpoint_id, read_listing
 from millgw.standins.address import free_address
 from millgw.standins.http import ok, status
 from millgw.standins.scripted import (
@@ -152,7 +152,7 @@
     run(lambda: test(None))
     assert "known" not in caplog.text
     run(lambda: test([]))
-    assert "known: not a list of endpoints" in caplog.text
+    assert 'known-unusable cause="not a list of endpoints"' in caplog.text
 
 
 def test_entries_that_cannot_be_read_are_skipped() -> None:
@@ -175,7 +175,7 @@
 
 def test_names_map_to_the_same_numbers_in_every_process() -> None:
     assert endpoint_id("s-5be2a07c") != endpoint_id("s-5be2a07d")
-    code = "from millgw.sidecar.discovery import endpoint_id; print(endpoint_id('s-5be2a07c'))"
+    code = "from millgw.platform.discovery import endpoint_id; print(endpoint_id('s-5be2a07c'))"
     out = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert int(out.stdout) == endpoint_id("s-5be2a07c")
 
@@ -259,7 +259,7 @@
     known = {"index": 1, "snapshot": True, "endpoints": [endpoint.entry()]}
     data = GOOD | {"listen": str(listen), "known": known} | changes
     process = start(write_config(folder, data))
-    assert process.stderr is not None and "serves at" in await asyncio.to_thread(process.stderr.readline)
+    assert process.stderr is not None and "serving name=" in await asyncio.to_thread(process.stderr.readline)
     return process, listen
 
 
