A stand-in coordinator: ZooKeeper's protocol on loopback, with faults on command

Need: membership by ephemeral nodes (next) must be tested against a coordinator that expires sessions, lags, freezes and loses watches on command, and no third-party server is run here.

--- /dev/null
+++ b/millgw/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership by ephemeral nodes: the ZooKeeper protocol's records."""
--- /dev/null
+++ b/millgw/standins/coordinator/ensemble.py
@@ -0,0 +1,415 @@
+"""The coordinator on sockets: one to three faces over one tree, and the faults that each can have.
+
+Each face is one server of an ensemble. All agree on the tree; a face that lags serves the tree as it was, one
+that is cut off answers nothing, a read-only one refuses changes. Sessions may move from face to face.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import cast
+
+from millgw.membership import jute
+from millgw.membership.jute import BadRecord, Frames, Reader
+from millgw.platform.config import Address
+from millgw.standins.address import free_address
+from millgw.standins.coordinator.tree import Change, Code, Failed, Session, Told, Tree
+
+TICK = 0.05  # s between two looks for sessions that are overdue
+LEAST_TIMEOUT, MOST_TIMEOUT = 100.0, 40_000.0  # ms that a session's time-out is negotiated to
+
+CREATE, DELETE, EXISTS, GET_DATA, SET_DATA, GET_ACL, SET_ACL, GET_CHILDREN = range(1, 9)
+SYNC, PING, GET_CHILDREN2, CHECK, MULTI, CREATE2 = 9, 11, 12, 13, 14, 15
+AUTH, SET_WATCHES, CLOSE = 100, 101, -11
+CHANGES = frozenset({CREATE, DELETE, SET_DATA, SET_ACL, MULTI, CREATE2})
+
+XID_WATCH, XID_PING, XID_AUTH = -1, -2, -4
+CONNECTED = 3  # the state that watch events are told in
+ANYONE = jute.write_int(1) + jute.write_int(31) + jute.write_string("world") + jute.write_string("anyone")
+
+
+@dataclass(slots=True)
+class Ills:
+    """What is wrong with a face now. Times in ms."""
+
+    frozen: bool = False  # takes what comes and answers nothing
+    refusing: bool = False  # connections end as they are made
+    read_only: bool = False
+    watch_delay: float = 0.0
+    lose_watches: int = 0  # of the next ones
+    lag: Tree | None = None  # serves reads from this older tree
+
+
+@dataclass(slots=True)
+class Count:
+    """What a face has seen, for tests and measurements."""
+
+    connections: int = 0
+    sessions: int = 0
+    requests: int = 0
+    watches: int = 0
+
+
+class Face:
+    """One server of the ensemble."""
+
+    def __init__(self, ensemble: Ensemble, address: Address) -> None:
+        self.ensemble = ensemble
+        self.address = address
+        self.ills = Ills()
+        self.count = Count()
+        self.connections: set[Wire] = set()
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self.server = await asyncio.get_running_loop().create_server(
+            lambda: Wire(self), self.address.host, self.address.port
+        )
+
+    async def stop(self) -> None:
+        """The process ends: its connections are reset, new ones refused. Sessions live on."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        self.drop()
+
+    def drop(self) -> None:
+        """End all connections; their sessions live on."""
+        for connection in list(self.connections):
+            connection.abort()
+
+    def freeze(self, on: bool) -> None:
+        """Answer nothing, or answer what has waited."""
+        self.ills.frozen = on
+        if not on:
+            for connection in list(self.connections):
+                connection.go_on()
+
+    def lag(self, on: bool) -> None:
+        """Serve reads from the tree as it is now until it is off; changes go to the others' tree."""
+        self.ills.lag = copy.deepcopy(self.ensemble.tree) if on else None
+
+    @property
+    def tree(self) -> Tree:
+        """Where reads are served from."""
+        return self.ills.lag or self.ensemble.tree
+
+    def tell(self, told: list[Told]) -> None:
+        """Let the watches of this face's clients know."""
+        for connection in list(self.connections):
+            for change in told:
+                connection.fire(change)
+
+
+class Ensemble:
+    """All faces, the tree they agree on, and the commands that make it fail."""
+
+    def __init__(
+        self,
+        addresses: Sequence[Address] = (),
+        faces: int = 1,
+        seed: int = 1,
+        clock: Callable[[], float] = time.time,
+    ) -> None:
+        self.tree = Tree(seed)
+        self.clock: Callable[[], float] = lambda: clock() * 1000  # ms
+        self.faces = [Face(self, a) for a in addresses or [free_address() for _ in range(faces)]]
+        self.sweeping: asyncio.TimerHandle | None = None
+
+    @property
+    def connect_string(self) -> str:
+        """As clients take it: the faces' addresses."""
+        return ",".join(str(face.address) for face in self.faces)
+
+    async def start(self) -> None:
+        for face in self.faces:
+            await face.start()
+        self._sweep()
+
+    async def stop(self) -> None:
+        if self.sweeping is not None:
+            self.sweeping.cancel()
+        for face in self.faces:
+            await face.stop()
+
+    def _sweep(self) -> None:
+        for id in self.tree.overdue(self.clock()):
+            self.expire(id)
+        self.sweeping = asyncio.get_running_loop().call_later(TICK, self._sweep)
+
+    def publish(self, told: list[Told]) -> None:
+        """Let all faces tell of changes; one that lags has not heard of them."""
+        for face in self.faces:
+            if face.ills.lag is None:
+                face.tell(told)
+
+    # Commands
+
+    def expire(self, session: int) -> None:
+        """Expire a session now, as if its client had been silent: its nodes go, its connection ends."""
+        told = self.tree.end(session)
+        self.publish(told)
+        for face in self.faces:
+            for connection in list(face.connections):
+                if connection.session is not None and connection.session.id == session:
+                    connection.abort()
+
+    def expire_owners(self, path: str, share: float = 1.0) -> int:
+        """Expire the sessions that own a share of the ephemeral nodes below a path; tells how many."""
+        below = [self.tree.nodes[f"{path}/{name}"].owner for name in sorted(self.tree.nodes[path].children)]
+        owners = list(dict.fromkeys(owner for owner in below if owner))
+        chosen = self.tree.rng.sample(owners, round(share * len(owners)))
+        for session in chosen:
+            self.expire(session)
+        return len(chosen)
+
+    def restart_empty(self) -> None:
+        """All is lost: nodes, sessions, and the order of changes starts over."""
+        self.tree.empty()
+        for face in self.faces:
+            face.ills.lag = None
+            face.drop()
+
+    def put(self, path: str, data: bytes = b"") -> None:
+        """Make a node that no session owns, with those above it, or give it other data."""
+        now, made = self.clock(), ""
+        for name in path.strip("/").split("/"):
+            made = f"{made}/{name}"
+            if made not in self.tree.nodes:
+                self.publish(self.tree.create(made, data if made == path else b"", 0, 0, now)[1])
+        if self.tree.nodes[path].data != data:
+            self.publish(self.tree.write(path, data, -1, now)[1])
+
+    def remove(self, path: str) -> None:
+        """Delete a node, whoever owns it."""
+        self.publish(self.tree.delete(path))
+
+
+@dataclass(slots=True)
+class Watches:
+    """The one-shot watches of one connection, by what set them."""
+
+    data: set[str] = field(default_factory=set)
+    exists: set[str] = field(default_factory=set)
+    children: set[str] = field(default_factory=set)
+
+    def take(self, change: Change, path: str) -> bool:
+        """Whether a change is to be told; what is told is watched no longer."""
+        if change is Change.CREATED:
+            sets = [self.exists]
+        elif change is Change.DELETED:
+            sets = [self.data, self.exists, self.children]
+        elif change is Change.DATA:
+            sets = [self.data, self.exists]
+        else:
+            sets = [self.children]
+        found = any(path in watched for watched in sets)
+        for watched in sets:
+            watched.discard(path)
+        return found
+
+
+class Wire(asyncio.Protocol):
+    """One client's connection to a face."""
+
+    def __init__(self, face: Face) -> None:
+        self.face = face
+        self.ensemble = face.ensemble
+        self.frames = Frames()
+        self.session: Session | None = None
+        self.watches = Watches()
+        self.waiting: list[bytes] = []
+        self.transport: asyncio.Transport | None = None
+
+    # asyncio
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.face.count.connections += 1
+        self.face.connections.add(self)
+        if self.face.ills.refusing:
+            self.abort()
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.waiting += self.frames.feed(data)
+        except BadRecord:
+            self.abort()
+            return
+        self.go_on()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.face.connections.discard(self)
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def go_on(self) -> None:
+        """Answer what waits, unless the face is frozen."""
+        while self.waiting and not self.face.ills.frozen:
+            payload = self.waiting.pop(0)
+            try:
+                if self.session is None:
+                    self._connect(Reader(payload))
+                else:
+                    self._request(self.session, Reader(payload))
+            except BadRecord:
+                self.abort()
+                return
+
+    def _send(self, payload: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(jute.frame(payload))
+
+    # The session
+
+    def _connect(self, reader: Reader) -> None:
+        reader.number()
+        seen, timeout, id, password = reader.long(), reader.number(), reader.long(), reader.buffer()
+        if reader.left:
+            reader.flag()
+        now, tree = self.ensemble.clock(), self.ensemble.tree
+        if seen > self.face.tree.zxid:
+            self.abort()  # a client that has seen more than this face must not go back in time
+            return
+        wanted = float(min(max(timeout, LEAST_TIMEOUT), MOST_TIMEOUT))
+        session = tree.attach(id, password, now) if id else tree.open(wanted, now)
+        if session is None:
+            self._send(jute.write_int(0) * 2 + jute.write_long(0) + jute.write_buffer(bytes(16)) + b"\0")
+            if self.transport is not None:
+                self.transport.close()
+            return
+        if id:
+            self._move(session)
+        else:
+            self.face.count.sessions += 1
+        self.session = session
+        self._send(
+            jute.write_int(0) + jute.write_int(int(session.timeout)) + jute.write_long(session.id)
+            + jute.write_buffer(session.password) + jute.write_bool(self.face.ills.read_only)
+        )  # fmt: skip
+
+    def _move(self, session: Session) -> None:
+        """A session has one connection: an older one ends."""
+        for face in self.ensemble.faces:
+            for other in list(face.connections):
+                if other is not self and other.session is session:
+                    other.abort()
+
+    def fire(self, told: Told) -> None:
+        """Tell of a change if it is watched, with the face's ills."""
+        if not self.watches.take(told.change, told.path):
+            return
+        ills = self.face.ills
+        if ills.lose_watches > 0:
+            ills.lose_watches -= 1
+            return
+        self.face.count.watches += 1
+        event = jute.write_int(told.change) + jute.write_int(CONNECTED) + jute.write_string(told.path)
+        payload = jute.write_int(XID_WATCH) + jute.write_long(-1) + jute.write_int(0) + event
+        if ills.watch_delay > 0:
+            asyncio.get_running_loop().call_later(ills.watch_delay / 1000, self._send, payload)
+        else:
+            self._send(payload)
+
+    # Requests
+
+    def _request(self, session: Session, reader: Reader) -> None:
+        xid, kind = reader.number(), reader.number()
+        tree = self.ensemble.tree
+        session.heard = self.ensemble.clock()
+        self.face.count.requests += 1
+        code, body, told = Code.OK, b"", list[Told]()
+        if session.id not in tree.sessions:
+            code = Code.SESSION_EXPIRED
+        elif kind in CHANGES and self.face.ills.read_only:
+            code = Code.NOT_READ_ONLY
+        elif kind == CLOSE:
+            told = tree.end(session.id)
+        else:
+            try:
+                body, told = self._carry_out(kind, reader, session)
+            except Failed as failed:
+                code = failed.code
+        zxid = self.face.tree.zxid if kind not in CHANGES else tree.zxid
+        # A watch that a change causes is told before the change's own answer (programmer's guide, watches).
+        self.ensemble.publish(told)
+        self._send(jute.write_int(xid) + jute.write_long(zxid) + jute.write_int(code) + body)
+        if kind == CLOSE and self.transport is not None:
+            self.transport.close()
+
+    def _carry_out(self, kind: int, reader: Reader, session: Session) -> tuple[bytes, list[Told]]:
+        tree, now = self.ensemble.tree, self.ensemble.clock()
+        seen = self.face.tree
+        if kind in (PING, AUTH):
+            return b"", []
+        if kind == SET_WATCHES:
+            self._set_watches(reader)
+            return b"", []
+        path = reader.string()
+        if kind in (CREATE, CREATE2):
+            data = reader.buffer()
+            reader.vector(_skip_acl, 12)
+            made, told = tree.create(path, data, reader.number(), session.id, now)
+            stat = tree.nodes[made].stat().write() if kind == CREATE2 else b""
+            return jute.write_string(made) + stat, told
+        if kind == DELETE:
+            return b"", tree.delete(path, reader.number())
+        if kind == SET_DATA:
+            data = reader.buffer()
+            stat_, told = tree.write(path, data, reader.number(), now)
+            return stat_.write(), told
+        if kind == SYNC:
+            return jute.write_string(path), []
+        if kind == GET_ACL:
+            return ANYONE + seen.exists(path).write(), []
+        watch = reader.flag()
+        if kind == EXISTS:
+            if watch:
+                (self.watches.data if path in seen.nodes else self.watches.exists).add(path)
+            return seen.exists(path).write(), []
+        if kind == GET_DATA:
+            data, stat_ = seen.read(path)
+            if watch:
+                self.watches.data.add(path)
+            return jute.write_buffer(data) + stat_.write(), []
+        if kind in (GET_CHILDREN, GET_CHILDREN2):
+            names, stat_ = seen.children(path)
+            if watch:
+                self.watches.children.add(path)
+            return jute.write_strings(names) + (stat_.write() if kind == GET_CHILDREN2 else b""), []
+        raise Failed(Code.UNIMPLEMENTED)
+
+    def _set_watches(self, reader: Reader) -> None:
+        """Watches that a client had before it reconnected: what changed since is told at once."""
+        since = reader.long()
+        data, exists, children = reader.strings(), reader.strings(), reader.strings()
+        nodes, zxid = self.face.tree.nodes, self.face.tree.zxid
+        self.watches.data |= set(data)
+        self.watches.exists |= set(exists)
+        self.watches.children |= set(children)
+        for path in data:
+            if path not in nodes:
+                self.fire(Told(Change.DELETED, path, zxid))
+            elif nodes[path].mzxid > since:
+                self.fire(Told(Change.DATA, path, zxid))
+        for path in exists:
+            if path in nodes:
+                self.fire(Told(Change.CREATED, path, zxid))
+        for path in children:
+            if path not in nodes:
+                self.fire(Told(Change.DELETED, path, zxid))
+            elif nodes[path].pzxid > since:
+                self.fire(Told(Change.CHILDREN, path, zxid))
+
+
+def _skip_acl(reader: Reader) -> None:
+    """An access list's entry: the stand-in lets everyone do everything."""
+    reader.number()
+    reader.string()
+    reader.string()
--- /dev/null
+++ b/millgw/standins/coordinator/tree.py
@@ -0,0 +1,235 @@
+"""The coordinator's state: nodes, sessions and watches. Pure: the clock is handed in, events are handed out.
+
+Source: the ZooKeeper programmer's guide (znodes, ephemeral and sequential nodes, one-shot watches, sessions)
+and the error codes of its published protocol. Times are Unix ms.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from millgw.membership.jute import Stat
+
+EPHEMERAL, SEQUENTIAL = 1, 2  # flags of a create
+MAX_DATA = 1 << 20
+
+
+class Code(IntEnum):
+    """The protocol's error codes."""
+
+    OK = 0
+    MARSHALLING = -5
+    UNIMPLEMENTED = -6
+    BAD_ARGUMENTS = -8
+    NO_NODE = -101
+    BAD_VERSION = -103
+    NO_CHILDREN_FOR_EPHEMERALS = -108
+    NODE_EXISTS = -110
+    NOT_EMPTY = -111
+    SESSION_EXPIRED = -112
+    SESSION_MOVED = -118
+    NOT_READ_ONLY = -119
+
+
+class Failed(Exception):
+    """An operation that the coordinator refuses."""
+
+    def __init__(self, code: Code) -> None:
+        super().__init__(code.name)
+        self.code = code
+
+
+class Change(IntEnum):
+    """What a watch tells of."""
+
+    CREATED = 1
+    DELETED = 2
+    DATA = 3
+    CHILDREN = 4
+
+
+@dataclass(slots=True)
+class Node:
+    """One node. `owner` is the session of an ephemeral one."""
+
+    data: bytes
+    czxid: int
+    mzxid: int
+    ctime: int
+    mtime: int
+    owner: int = 0
+    version: int = 0
+    cversion: int = 0
+    pzxid: int = 0
+    sequence: int = 0  # of the next sequential child
+    children: set[str] = field(default_factory=set)
+
+    def stat(self) -> Stat:
+        return Stat(
+            self.czxid, self.mzxid, self.ctime, self.mtime, self.version, self.cversion, 0, self.owner,
+            len(self.data), len(self.children), self.pzxid,
+        )  # fmt: skip
+
+
+@dataclass(slots=True)
+class Session:
+    """One client's session, which outlives its connections by `timeout` ms."""
+
+    id: int
+    password: bytes
+    timeout: float
+    heard: float
+    ephemerals: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True, frozen=True)
+class Told:
+    """One change, as watches are told of it; `zxid` is its place in the order of all."""
+
+    change: Change
+    path: str
+    zxid: int
+
+
+def parent(path: str) -> str:
+    return path.rpartition("/")[0] or "/"
+
+
+def check_path(path: str) -> None:
+    """A Failed for what is no path: empty or dot segments, a slash at the end, control characters."""
+    parts = path.split("/")
+    wrong = not path.startswith("/") or any(p in ("", ".", "..") for p in parts[1:]) or not path.isprintable()
+    if path != "/" and wrong:
+        raise Failed(Code.BAD_ARGUMENTS)
+
+
+class Tree:
+    """All nodes and sessions. What an operation changes is returned, for the watches."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.rng = random.Random(f"coordinator {seed}")
+        self.zxid = 0
+        self.nodes: dict[str, Node] = {"/": Node(b"", 0, 0, 0, 0)}
+        self.sessions: dict[int, Session] = {}
+
+    def _node(self, path: str) -> Node:
+        check_path(path)
+        node = self.nodes.get(path)
+        if node is None:
+            raise Failed(Code.NO_NODE)
+        return node
+
+    # Reading
+
+    def exists(self, path: str) -> Stat:
+        return self._node(path).stat()
+
+    def read(self, path: str) -> tuple[bytes, Stat]:
+        node = self._node(path)
+        return node.data, node.stat()
+
+    def children(self, path: str) -> tuple[list[str], Stat]:
+        node = self._node(path)
+        return sorted(node.children), node.stat()
+
+    # Changing
+
+    def create(self, path: str, data: bytes, flags: int, session: int, now: float) -> tuple[str, list[Told]]:
+        """The path it got (a sequential one has its number), and what changed."""
+        if flags & SEQUENTIAL:
+            above = self._node(parent(path + "0"))
+            path = f"{path}{above.sequence:010d}"
+        check_path(path)
+        above = self._node(parent(path))
+        if path in self.nodes:
+            raise Failed(Code.NODE_EXISTS)
+        if above.owner:
+            raise Failed(Code.NO_CHILDREN_FOR_EPHEMERALS)
+        if len(data) > MAX_DATA:
+            raise Failed(Code.BAD_ARGUMENTS)
+        owner = session if flags & EPHEMERAL else 0
+        if owner:
+            self._session(owner).ephemerals.add(path)
+        self.zxid += 1
+        node = Node(data, self.zxid, self.zxid, int(now), int(now), owner, pzxid=self.zxid)
+        self.nodes[path] = node
+        above.sequence += 1
+        self._touch(above, path, add=True)
+        return path, [Told(Change.CREATED, path, self.zxid), Told(Change.CHILDREN, parent(path), self.zxid)]
+
+    def write(self, path: str, data: bytes, version: int, now: float) -> tuple[Stat, list[Told]]:
+        node = self._node(path)
+        if version not in (-1, node.version):
+            raise Failed(Code.BAD_VERSION)
+        if len(data) > MAX_DATA:
+            raise Failed(Code.BAD_ARGUMENTS)
+        self.zxid += 1
+        node.data, node.version = data, node.version + 1
+        node.mzxid, node.mtime = self.zxid, int(now)
+        return node.stat(), [Told(Change.DATA, path, self.zxid)]
+
+    def delete(self, path: str, version: int = -1) -> list[Told]:
+        node = self._node(path)
+        if path == "/":
+            raise Failed(Code.BAD_ARGUMENTS)
+        if version not in (-1, node.version):
+            raise Failed(Code.BAD_VERSION)
+        if node.children:
+            raise Failed(Code.NOT_EMPTY)
+        self.zxid += 1
+        del self.nodes[path]
+        if node.owner in self.sessions:
+            self.sessions[node.owner].ephemerals.discard(path)
+        self._touch(self.nodes[parent(path)], path, add=False)
+        return [Told(Change.DELETED, path, self.zxid), Told(Change.CHILDREN, parent(path), self.zxid)]
+
+    def _touch(self, above: Node, path: str, add: bool) -> None:
+        name = path.rpartition("/")[2]
+        (above.children.add if add else above.children.discard)(name)
+        above.cversion += 1
+        above.pzxid = self.zxid
+
+    # Sessions
+
+    def _session(self, id: int) -> Session:
+        session = self.sessions.get(id)
+        if session is None:
+            raise Failed(Code.SESSION_EXPIRED)
+        return session
+
+    def open(self, timeout: float, now: float) -> Session:
+        """A new session."""
+        id = self.rng.getrandbits(62) | 1
+        session = Session(id, self.rng.randbytes(16), timeout, now)
+        self.sessions[id] = session
+        return session
+
+    def attach(self, id: int, password: bytes, now: float) -> Session | None:
+        """The session that a client comes back to; None where it is gone or is not the client's."""
+        session = self.sessions.get(id)
+        if session is None or session.password != password:
+            return None
+        session.heard = now
+        return session
+
+    def end(self, id: int) -> list[Told]:
+        """Close or expire a session: its ephemeral nodes go with it."""
+        session = self.sessions.pop(id, None)
+        told: list[Told] = []
+        for path in sorted(session.ephemerals) if session is not None else ():
+            if path in self.nodes:
+                told += self.delete(path)
+        return told
+
+    def overdue(self, now: float) -> Iterator[int]:
+        """The sessions that were silent for longer than their time-out."""
+        return iter([s.id for s in self.sessions.values() if now - s.heard > s.timeout])
+
+    def empty(self) -> None:
+        """Start over with nothing, as a coordinator that lost its disk: also its order of changes."""
+        self.zxid = 0
+        self.nodes = {"/": Node(b"", 0, 0, 0, 0)}
+        self.sessions.clear()
