An endpoint out of reach is tried again by instances with few calls too

Cause: two connections in a row that don't come up make an endpoint count as cold until it answers; the less loaded of two random ones is then never that one where one call is in flight at a time, which is what most of the user's sidecars have (2.5 calls/s). After a blip it was never used again until discovery told of a new start. Change: it is ejected for 2 to 6 s after each such miss, and then taken when it is drawn, within its cold allowance.

--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -571,6 +571,9 @@
             elapsed = max(elapsed, aim)
         if event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
             attempt.server.note(now, event.outcome)
+            if attempt.server.missed >= LOST_AFTER:
+                # Tried once after each such time, and not at every chance: each try costs a call its wait.
+                attempt.server.ejected_until = now + EJECT_TIME * (EJECT_JITTER + self.rng.random())
             failed = event.outcome is not Outcome.OK
             slowness = event.elapsed / max(self.spent[attempt.cls], 1.0)
             slowness *= self.cold.share(attempt.server, now)
@@ -691,6 +694,10 @@
         if len(ready) < 2:
             return ready[0] if ready else None
         a, b = self.rng.sample(ready, 2)
+        if a.missed >= LOST_AFTER or b.missed >= LOST_AFTER:
+            # Guards against an endpoint that is back and is never seen to be: where few calls are in flight,
+            # it would lose every draw as a cold one. Its time away and cold allowance bound such tries.
+            return a if a.missed >= LOST_AFTER else b
         load_a, load_b = self._load(a, now), self._load(b, now)
         if load_a == load_b:
             # Guards against counts that tell nothing: an instance with few calls sees mostly zeros.
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -489,3 +489,28 @@
         if d.tries[request]:
             d.outcome(request, 0, Outcome.OK)
     assert tried > 5 and lost.missed == 0
+
+
+def test_an_endpoint_that_is_back_is_found_by_an_instance_with_one_call_at_a_time() -> None:
+    """As a cold one it would lose every draw, and it is held to be cold until it answers."""
+    d = drive(4)
+    serve(d, 400)
+    lost = d.balancer.servers[1]
+    for _ in range(200):
+        request = d.arrive()
+        endpoint = d.tries[request][0][0]
+        d.advance(d.now + 10)
+        d.outcome(request, 0, Outcome.CONNECT_FAILED if endpoint == 1 else Outcome.OK)
+        d.advance(d.now + 500)
+        if lost.missed == 2:
+            break
+    assert lost.missed == 2
+    before = d.count(1)
+    for _ in range(20):
+        request = d.arrive()
+        assert d.tries[request][0][0] != 1, "it is left alone for a while"
+        d.advance(d.now + 10)
+        d.outcome(request, 0, Outcome.OK)
+        d.advance(d.now + 80)
+    serve(d, 1000)  # 20 ms each
+    assert lost.missed == 0 and d.count(1) > before, "it never got another chance"
