--- a/millgw/build.py
+++ b/millgw/build.py
@@ -72,11 +72,13 @@
         shutil.copytree(package, tree / "millgw", ignore=shutil.ignore_patterns("_compiled", "__pycache__"))
         paths = [str(Path("millgw", *name.split(".")).with_suffix(".py")) for name in MODULES]
         out = Path(work) / "out"
+        before = os.environ.get("PYTHONPATH", "")
         script = SCRIPT.format(group=GROUP, paths=paths, out=str(out), temp=str(Path(work) / "temp"))
         done = subprocess.run(
             [sys.executable, "-c", script],
             cwd=tree,
-            env=os.environ | {"PYTHONPATH": str(tree)},
+            # Before what is there: a build in an environment of its own has its tools from there.
+            env=os.environ | {"PYTHONPATH": os.pathsep.join(filter(None, (str(tree), before)))},
             capture_output=True,
             text=True,
         )
--- a/setup.py
+++ b/setup.py
@@ -1,10 +1,13 @@
 """What the project's file can't say: a wheel holds the compiled modules too, where there is a C compiler."""
 
+import sys
 from pathlib import Path
 
 from setuptools import Distribution, setup
 from setuptools.command.build_py import build_py
 
+sys.path.insert(0, str(Path(__file__).parent))  # a build in an environment of its own does not look here
+
 from millgw.build import NotBuilt, build
 
 
