Both fronts read a whole request by one piece of code; a connection's end gives bodies back once

Found on reading the change again: the plain front and the routed one had the same four checks beside each other, a Protocol stood where a Callable says the same, and a connection that closes after its answer released its bodies twice. No behaviour changes; the tests of calls, books, services and cores pass on the sources, those of calls, services and compiled modules on the compiled ones.

--- a/millgw/callers/connection.py
+++ b/millgw/callers/connection.py
@@ -8,6 +8,7 @@
 import asyncio
 import select
 import time
+from collections.abc import Callable
 from logging import INFO
 from typing import Protocol
 
@@ -32,14 +33,10 @@
     def gate(self, head: Head) -> None:
         """Say, once the headers have ended, whose a request is, or that it is nobody's or refused."""
 
-    def read(self, head: Head, answer: Answerer) -> Call | Answer:
+    def read(self, head: Head, answer: Callable[[Answer], None]) -> Call | Answer:
         """The call that a whole request makes, or the answer to one that needs no endpoint."""
 
 
-class Answerer(Protocol):
-    def __call__(self, answer: Answer, /) -> None: ...
-
-
 class Lanes(Protocol):
     """Whose turn it is to be worked on, where several pools share the core."""
 
@@ -306,9 +303,8 @@
     def _after(self) -> None:
         self.since = time.monotonic()
         if not self.keep or self.server.stopping:
-            self._release()
-            self.core.queue.clear()
             self.close()
+            self.core.queue.clear()
 
     def _turn_away(self, bad: BadRequest) -> None:
         """Answer a request that is read but can't be taken.
--- a/millgw/callers/plain.py
+++ b/millgw/callers/plain.py
@@ -6,7 +6,7 @@
 
 from millgw.message import REFUSED, Answer
 from millgw.pool.call import Call
-from millgw.pool.pool import Pool
+from millgw.pool.pool import Pool, read
 from millgw.request import BadRequest, Head
 
 
@@ -31,10 +31,7 @@
             head.wrong = BadRequest(405, "only GET asks whether the sidecar is ready")
 
     def read(self, head: Head, answer: Callable[[Answer], None]) -> Call | Answer:
-        if head.wrong is not None:
-            raise head.wrong
-        if head.refused is not None:
-            return head.refused
-        if head.pool is None:
-            return Answer(200 if self.pool.driver.ready and not self.leaving else REFUSED)
-        return self.pool.call(head, answer)
+        return read(head, answer, self._ready)
+
+    def _ready(self, head: Head) -> Answer:
+        return Answer(200 if self.pool.driver.ready and not self.leaving else REFUSED)
--- a/millgw/pool/pool.py
+++ b/millgw/pool/pool.py
@@ -160,5 +160,19 @@
         return f"{self.name}: {state}, {figures['endpoints']} endpoints, {kinds}, {sends}"
 
 
+def read(
+    head: Head, answer: Callable[[Answer], None], ready: Callable[[Head], Answer]
+) -> Call | Answer:
+    """What becomes of a whole request, by what its front said of its head; one of no pool asks for /ready."""
+    if head.wrong is not None:
+        raise head.wrong
+    if head.refused is not None:
+        return head.refused
+    if head.pool is None:
+        return ready(head)
+    assert isinstance(head.pool, Pool)
+    return head.pool.call(head, answer)
+
+
 def _nothing() -> None:
     pass
--- a/millgw/services/front.py
+++ b/millgw/services/front.py
@@ -13,7 +13,7 @@
 from millgw.callers.connection import CallerConnection
 from millgw.message import REFUSED, Answer, Content
 from millgw.pool.call import Call
-from millgw.pool.pool import Pool
+from millgw.pool.pool import Pool, read
 from millgw.request import BadRequest, Head
 from millgw.routing.table import Asked, NoRoute, Route, Table
 from millgw.routing.target import BadTarget, read_target
@@ -92,14 +92,7 @@
         return self.services.pools[found.service]
 
     def read(self, head: Head, answer: Callable[[Answer], None]) -> Call | Answer:
-        if head.wrong is not None:
-            raise head.wrong
-        if head.refused is not None:
-            return head.refused
-        if head.pool is None:
-            return self._ready(head)
-        assert isinstance(head.pool, Pool)
-        return head.pool.call(head, answer)
+        return read(head, answer, self._ready)
 
     def _ready(self, head: Head) -> Answer:
         if head.method != b"GET":
