--- a/millgw/endpoints/connection.py
+++ b/millgw/endpoints/connection.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import select
 import time
 from logging import WARNING
@@ -25,9 +26,13 @@
 
 
 class Host:
-    """One life of an endpoint at one address: kept connections, and attempts still connecting to it."""
+    """One life of an endpoint at one address: kept connections, and attempts still connecting to it.
 
-    __slots__ = ("address", "connecting", "idle", "proof", "since", "used")
+    `missed` and `broken` are when (ms, monotonic) a connection last did not come up, or was ended by the
+    other side: what membership asks when an endpoint's registration has gone.
+    """
+
+    __slots__ = ("address", "broken", "connecting", "idle", "missed", "proof", "since", "used")
 
     def __init__(self, address: Address, since: float) -> None:
         self.address = address
@@ -36,6 +41,8 @@
         self.idle: list[Connection] = []  # the last used at the end, which goes first
         self.connecting: set[Attempt] = set()
         self.proof = Proof()
+        self.missed = -math.inf
+        self.broken = -math.inf
 
 
 class Home(Protocol):
@@ -72,6 +79,7 @@
         self.holding: asyncio.TimerHandle | None = None
         self.counted = 0  # bytes of this answer that count as held
         self.idle_since = 0.0  # ms
+        self.opened = 0.0  # ms
         self.stalled: asyncio.TimerHandle | None = None
 
     def abort(self) -> None:
@@ -183,7 +191,8 @@
         self.poll = watcher(transport)
         self.host.connecting.discard(attempt)
         transport.set_write_buffer_limits(high=0)
-        self.send(attempt, time.monotonic() * 1000)
+        self.opened = time.monotonic() * 1000
+        self.send(attempt, self.opened)
 
     def pause_writing(self) -> None:
         """The kernel did not take all: `resume_writing` tells when it has."""
@@ -236,12 +245,15 @@
         self._finish(Outcome.ERROR)
 
     def eof_received(self) -> None:
+        self.host.broken = time.monotonic() * 1000
         self.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         if self.core is not None:
             self.core.close()
         self.home.lost(self)
+        if exc is not None:
+            self.host.broken = time.monotonic() * 1000
         if self.last_byte:
             self._broken()
         elif self.attempt is not None and self.attempt.state == WRITTEN:
--- a/millgw/endpoints/upstream.py
+++ b/millgw/endpoints/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
 from logging import WARNING
@@ -95,6 +96,18 @@
                 attempt.connecting.cancel()
             attempt.end(Outcome.CONNECT_FAILED, NOTHING)
 
+    def seen(self, endpoint: int) -> tuple[float, float, float, float] | None:
+        """When (ms, monotonic) a kept connection last had an answer, when the oldest of these was opened,
+        when one was last ended by the other side, and when one last did not come up; None where it is not in
+        use.
+        """
+        host = self.hosts.get(endpoint)
+        if host is None:
+            return None
+        answered = max([c.idle_since for c in host.idle], default=-math.inf)
+        opened = min([c.opened for c in host.idle], default=math.inf)
+        return answered, opened, host.broken, host.missed
+
     def doubt(self, endpoint: int) -> None:
         """Close an endpoint's kept connections after an attempt there got no answer.
 
@@ -147,6 +160,7 @@
             async with asyncio.timeout(self.connect_timeout):
                 await self.loop.create_connection(lambda: made, host.address.host, host.address.port)
         except OSError:  # refused, or not up in time
+            host.missed = host.broken = time.monotonic() * 1000
             attempt.end(Outcome.CONNECT_FAILED, NOTHING)
         finally:
             host.connecting.discard(attempt)
--- /dev/null
+++ b/millgw/membership/client.py
@@ -0,0 +1,216 @@
+"""The protocol core on sockets: one session kept up over the servers of an ensemble.
+
+Time-outs follow the negotiated session time as the programmer's guide has it: a connection that is silent for
+two thirds of it is given up, a ping goes out after a third.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Sequence
+from logging import INFO, WARNING
+from typing import Protocol, cast
+
+from millgw.events import tell
+from millgw.membership.jute import BadRecord
+from millgw.membership.protocol import Ask, Core, Expired, Fired, Reply, Up
+from millgw.membership.servers import Rota, Try
+from millgw.platform.config import Address
+
+LEAST_CONNECT = 0.5  # s for a connection and its session to come up, at the least
+
+
+class Listener(Protocol):
+    """What is told of a session, in order."""
+
+    def up(self, fresh: bool, over: bool) -> None:
+        """A session serves; `fresh`: a new one, with no watches. `over`: the coordinator went back."""
+
+    def down(self) -> None:
+        """No connection: what was asked and not answered is lost."""
+
+    def reply(self, reply: Reply) -> None: ...
+
+    def fired(self, fired: Fired) -> None: ...
+
+
+class Client:
+    """One session; `listener` is told. Nothing runs before `start`."""
+
+    def __init__(
+        self, servers: Sequence[Address], timeout: float, rng: random.Random, listener: Listener
+    ) -> None:
+        self.core = Core(timeout)
+        self.rota = Rota(servers, rng)
+        self.listener = listener
+        self.wire: Wire | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.over = False
+        self.stopped = False
+
+    @property
+    def serves(self) -> bool:
+        return self.wire is not None and self.core.up
+
+    def start(self) -> None:
+        self._later(self.rota.first())
+
+    def _later(self, next_: Try) -> None:
+        if next_.over:
+            tell(WARNING, "coordinator-went-back", seen=self.core.seen)
+            self.core.forget()
+            self.over = True
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(next_.wait / 1000, self._go, next_.server)
+
+    def _go(self, server: Address) -> None:
+        self.task = asyncio.get_running_loop().create_task(self._connect(server))
+
+    async def _connect(self, server: Address) -> None:
+        loop = asyncio.get_running_loop()
+        wire = Wire(self, server)
+        self.wire = wire
+        within = max(LEAST_CONNECT, self.core.wanted / 1000 / max(1, len(self.rota.order)))
+        wire.expect(within)
+        try:
+            async with asyncio.timeout(within):
+                await loop.create_connection(lambda: wire, server.host, server.port)
+        except (OSError, TimeoutError) as error:
+            wire.end(str(error) or "no connection in time")
+
+    def ask(self, ask: Ask) -> None:
+        """Ask, if a session serves; otherwise it is lost, as `down` has told."""
+        if self.serves and self.wire is not None:
+            self.wire.write(self.core.ask(ask))
+
+    def set_watches(self, data: Sequence[str], exists: Sequence[str], children: Sequence[str]) -> None:
+        if self.serves and self.wire is not None:
+            self.wire.write(self.core.set_watches(data, exists, children))
+
+    def ended(self, wire: Wire, why: str) -> None:
+        """A connection is over: told once for each."""
+        if wire is not self.wire:
+            return
+        served, self.wire = self.core.up, None
+        self.core.up = False
+        if self.stopped:
+            return
+        tell(INFO, "coordinator-lost", server=wire.server, cause=why)
+        if served:
+            self.listener.down()
+        if wire.expired:
+            self._later(self.rota.expired())
+        else:
+            self._later(self.rota.lost(served, wire.reached, wire.reached and not served))
+
+    def take(self, wire: Wire, data: bytes) -> None:
+        try:
+            for event in self.core.receive(data):
+                if wire is not self.wire:
+                    return
+                if isinstance(event, Up):
+                    wire.served(event.timeout)
+                    self.rota.up()
+                    over, self.over = self.over, False
+                    tell(INFO, "coordinator-up", server=wire.server, fresh=event.fresh)
+                    self.listener.up(event.fresh, over)
+                elif isinstance(event, Expired):
+                    wire.expired = True
+                    tell(WARNING, "session-expired", server=wire.server)
+                    wire.end("the session has expired")
+                elif isinstance(event, Fired):
+                    self.listener.fired(event)
+                else:
+                    self.listener.reply(event)
+        except BadRecord as error:
+            wire.end(str(error))
+
+    async def close(self, within: float = 1.0) -> None:
+        """End the session in order, so that its nodes go now and not by its time-out."""
+        wire = self.wire
+        serves = self.serves
+        self.stop(abort=not serves)
+        if serves and wire is not None:
+            wire.write(self.core.close())
+            try:
+                async with asyncio.timeout(within):
+                    await wire.gone.wait()
+            except TimeoutError:
+                wire.abort()
+
+    def stop(self, abort: bool = True) -> None:
+        """Tell nothing more. The session is left to its time-out."""
+        self.stopped = True
+        if self.timer is not None:
+            self.timer.cancel()
+        if abort:
+            if self.task is not None:
+                self.task.cancel()
+            if self.wire is not None:
+                self.wire.abort()
+
+
+class Wire(asyncio.Protocol):
+    """One connection to one server."""
+
+    def __init__(self, client: Client, server: Address) -> None:
+        self.client = client
+        self.server = server
+        self.reached = False
+        self.expired = False  # the server said that the session is gone
+        self.silent = 0.0
+        self.transport: asyncio.Transport | None = None
+        self.waiting: asyncio.TimerHandle | None = None
+        self.pinging: asyncio.TimerHandle | None = None
+        self.gone = asyncio.Event()
+
+    def expect(self, within: float) -> None:
+        """Guards against a server that is cut off: its connection stays open and says nothing."""
+        if self.waiting is not None:
+            self.waiting.cancel()
+        self.waiting = asyncio.get_running_loop().call_later(within, self.end, "silent past its time")
+
+    def served(self, timeout: float) -> None:
+        self.silent = timeout * 2 / 3000
+        self.expect(self.silent)
+        self._ping()
+
+    def _ping(self) -> None:
+        self.write(self.client.core.ping())
+        self.pinging = asyncio.get_running_loop().call_later(self.silent / 2, self._ping)
+
+    def write(self, data: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
+
+    def abort(self) -> None:
+        for timer in (self.waiting, self.pinging):
+            if timer is not None:
+                timer.cancel()
+        if self.transport is not None:
+            self.transport.abort()
+
+    def end(self, why: str) -> None:
+        self.abort()
+        self.client.ended(self, why)
+
+    # asyncio
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        if self.client.wire is not self:
+            self.abort()
+            return
+        self.reached = True
+        self.transport.write(self.client.core.connect())
+
+    def data_received(self, data: bytes) -> None:
+        if self.silent:
+            self.expect(self.silent)
+        self.client.take(self, data)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.gone.set()
+        self.end(str(exc) if exc is not None else "closed by the server")
--- /dev/null
+++ b/millgw/membership/follower.py
@@ -0,0 +1,215 @@
+"""Keeps a picture of a directory of nodes: what to read, when, and what it holds by now. Pure.
+
+A watch tells once, so each read sets it again: what changes between a watch and the read is in the read,
+and what changes after the read is told by its watch. There is no gap, whatever is delayed on the way; a watch
+that tells of what is known already costs a read and changes nothing.
+
+    PATH                 the directory; each child a member, its data as `nodes` reads it
+    PATH/draining        may be there; a child `NAME` of it drains the member whose node is NAME
+"""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass, field
+
+from millgw.membership.jute import Stat
+from millgw.membership.protocol import Ask, Change, Code, Fired, Kind, Reply
+
+DRAINING = "draining"
+PACE = 100.0  # ms between two reads of one node at the least: its data may change a hundred times a second
+RECHECK = 10_000.0  # ms after which the lists are read again, whatever watches told: one may be lost
+SLICE = 64  # nodes read again at a recheck, in turn: also their watches may be lost
+READS = 256  # on the way at once
+MOST_NODES = 20_000
+
+
+@dataclass(slots=True, frozen=True)
+class Node:
+    """One member's node as it was last read."""
+
+    data: bytes
+    stat: Stat
+
+
+@dataclass(slots=True)
+class Picture:
+    """`whole`: all of it has been read since the session began. `missing`: there is no such directory."""
+
+    nodes: dict[str, Node] = field(default_factory=dict)
+    draining: frozenset[str] = frozenset()
+    whole: bool = False
+    missing: bool = False
+
+
+class Follower:
+    """Follows one directory. Its asks are to be made in order; replies and watches are given back to it."""
+
+    def __init__(self, path: str) -> None:
+        self.path = path
+        self.picture = Picture()
+        self.names: frozenset[str] = frozenset()
+        self.wanted: dict[str, None] = {}  # members to read, in order
+        self.reading: dict[str, bool] = {}  # on the way: whether it changed meanwhile
+        self.listing: dict[str, bool] = {}
+        self.read_at: dict[str, float] = {}
+        self.later: list[tuple[float, str]] = []
+        self.rechecked = 0.0
+        self.turn = 0
+        self.too_many = 0
+
+    # What happens
+
+    def up(self, now: float, fresh: bool) -> list[Ask]:
+        """A session serves. On a fresh one everything is read again; on another what was on its way."""
+        lost = list(self.reading)
+        lists = [self.path] if fresh else list(self.listing)
+        self.reading.clear()
+        self.listing.clear()
+        if fresh:
+            self.picture.whole = False
+            self.wanted = {}
+            self.read_at.clear()
+            self.names = frozenset()
+        else:
+            self.wanted = dict.fromkeys([*lost, *self.wanted])
+            if self.picture.missing:
+                lists.append(self.path)
+        self.rechecked = now
+        return [self._list(path) for path in dict.fromkeys(lists)] + self._reads(now)
+
+    def watches(self) -> tuple[list[str], list[str], list[str]]:
+        """What it watches on a session that moves: data, exists, children."""
+        if self.picture.missing:
+            return [], [self.path], []
+        lists = [self.path, *([f"{self.path}/{DRAINING}"] if DRAINING in self.names else [])]
+        return [f"{self.path}/{name}" for name in self.picture.nodes], [], lists
+
+    def fired(self, now: float, fired: Fired) -> list[Ask]:
+        """A watch told."""
+        if fired.path in (self.path, f"{self.path}/{DRAINING}"):
+            return [self._list(fired.path)] if fired.path not in self.listing else self._again(fired.path)
+        above, _, name = fired.path.rpartition("/")
+        if above != self.path or fired.change == Change.CHILDREN:
+            return []
+        if name in self.reading:
+            self.reading[name] = True
+            return []
+        due = self.read_at.get(name, 0.0) + PACE
+        if now < due:
+            heapq.heappush(self.later, (due, name))
+            return []
+        self.wanted[name] = None
+        return self._reads(now)
+
+    def _again(self, path: str) -> list[Ask]:
+        self.listing[path] = True
+        return []
+
+    def reply(self, now: float, reply: Reply) -> list[Ask]:
+        """An answer to one of its asks."""
+        path = reply.ask.path
+        if reply.ask.kind is Kind.EXISTS:
+            return [self._list(self.path)] if reply.code == Code.OK else []
+        if reply.ask.kind is Kind.READ:
+            return self._read(now, path.rpartition("/")[2], reply)
+        again = self.listing.pop(path, False)
+        asks = [self._list(path)] if again else []
+        if path == self.path:
+            return asks + self._listed(now, reply)
+        found = frozenset(reply.names) if reply.code == Code.OK else frozenset()
+        self.picture.draining = found
+        self._settle()
+        return asks
+
+    def tick(self, now: float) -> list[Ask]:
+        """What has come due; `due` says when."""
+        while self.later and self.later[0][0] <= now:
+            name = heapq.heappop(self.later)[1]
+            if name in self.reading:
+                self.reading[name] = True
+            elif name in self.names:
+                self.wanted[name] = None
+        asks = self._reads(now)
+        if now >= self.rechecked + RECHECK:
+            self.rechecked = now
+            asks += [self._list(p) for p in self.watches()[2] if p not in self.listing]
+            names = sorted(self.picture.nodes)
+            for name in names[self.turn : self.turn + SLICE]:
+                self.wanted.setdefault(name)
+            self.turn = self.turn + SLICE if self.turn + SLICE < len(names) else 0
+            asks += self._reads(now)
+        return asks
+
+    def due(self) -> float:
+        """When `tick` next has something to do."""
+        return min(self.later[0][0] if self.later else self.rechecked + RECHECK, self.rechecked + RECHECK)
+
+    # Reading
+
+    def _list(self, path: str) -> Ask:
+        self.listing[path] = False
+        return Ask(Kind.CHILDREN, path)
+
+    def _listed(self, now: float, reply: Reply) -> list[Ask]:
+        picture = self.picture
+        if reply.code == Code.NO_NODE:
+            picture.missing, picture.whole = True, True
+            picture.nodes.clear()
+            self.names = frozenset()
+            return [Ask(Kind.EXISTS, self.path)]
+        if reply.code != Code.OK:
+            return []
+        self.too_many = len(reply.names) if len(reply.names) > MOST_NODES else 0
+        if self.too_many:
+            return []  # what is known stays: such a list is no fleet's
+        before, picture.missing = self.names, False
+        self.names = frozenset(reply.names)
+        members = self.names - {DRAINING}
+        for name in [n for n in picture.nodes if n not in members]:
+            del picture.nodes[name]
+        for name in [n for n in self.wanted if n not in members]:
+            del self.wanted[name]
+        for name in sorted(members - before):
+            self.wanted[name] = None
+        asks = []
+        if DRAINING in self.names and DRAINING not in before:
+            asks.append(self._list(f"{self.path}/{DRAINING}"))
+        elif DRAINING not in self.names:
+            picture.draining = frozenset()
+        asks += self._reads(now)
+        self._settle()
+        return asks
+
+    def _reads(self, now: float) -> list[Ask]:
+        asks = []
+        while self.wanted and len(self.reading) < READS:
+            name = next(iter(self.wanted))
+            del self.wanted[name]
+            if name in self.reading:
+                continue
+            self.reading[name] = False
+            self.read_at[name] = now
+            asks.append(Ask(Kind.READ, f"{self.path}/{name}"))
+        return asks
+
+    def _read(self, now: float, name: str, reply: Reply) -> list[Ask]:
+        changed = self.reading.pop(name, False)
+        if reply.code == Code.OK and reply.stat is not None:
+            if name in self.names:
+                self.picture.nodes[name] = Node(reply.data, reply.stat)
+                if changed:
+                    heapq.heappush(self.later, (now + PACE, name))
+        else:
+            self.picture.nodes.pop(name, None)
+            self.read_at.pop(name, None)
+            # Guards against a node that is made again before its directory is listed again: it is new then.
+            self.names -= {name}
+        asks = self._reads(now)
+        self._settle()
+        return asks
+
+    def _settle(self) -> None:
+        listing = {p for p in self.listing if p == self.path or DRAINING in self.names}
+        if not (self.wanted or self.reading or listing):
+            self.picture.whole = True
--- /dev/null
+++ b/millgw/membership/judge.py
@@ -0,0 +1,381 @@
+"""What a vanished, lingering, re-created or flapping node means for its endpoint. Pure.
+
+An ephemeral node says that a session lives, not that a server does. So its going is weighed:
+
+    told        an explicit drain (status, `draining` list), a draining node's end, or the end of FEW nodes
+                or fewer within WINDOW: the endpoint is out at once, or after SETTLE, and stays out. Rule 3
+                counts from here.
+    held        more than FEW vanish within WINDOW, or the coordinator itself is in doubt (it went back in
+                time, its directory is gone): that says something of sessions, and nothing of any one server.
+                Each stays until it is there again, drains, or is seen dead, HOLD at the most if nothing is
+                heard of it, HOLD_MOST in any case; then they go FEW a WINDOW.
+    aside       the node is there and its server is not: no connection comes up for ASIDE_AFTER. It is offered
+                again after a growing time, as a cold one, and stays if it answers.
+
+FEW is a share of those that were there, one at the least. While the coordinator can't be reached nothing is
+asked of this module, so all stays. All times are ms of the caller's clock (Unix time).
+
+The start of an endpoint is what its node says (`since_ms`); else its node's creation. A node made again under
+the same name is a new and cold endpoint, unless its process is proven to be the same: by the token that its
+writer put there, or, while it is held, by a connection from before its node vanished that never broke.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import deque
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, replace
+from enum import Enum
+
+from millgw.membership.nodes import Held
+from millgw.platform.discovery import Listed
+
+FLAPS = 3  # returns within FLAP_WINDOW from which a node has to wait before it is believed
+FLAP_WINDOW = 30_000.0
+FLAP_WAIT, FLAP_MOST = 1000.0, 8000.0  # ms: the first wait, doubled at each return more
+ASIDE_AFTER = 10_000.0  # of connections that don't come up
+ASIDE_FIRST, ASIDE_MOST = 10_000.0, 60_000.0  # ms until it is offered again: doubled each time, with jitter
+LOOK_EVERY = 1000.0  # ms between two looks at what can't be reached
+ASIDE_SHARE = 1 / 3  # of the members at the most: when more can't be reached, the trouble is this side's
+REMEMBER = 600_000.0  # ms for which the end of a node is remembered, so that older lists don't bring it back
+HEARD_WITHIN = 5000.0  # ms since its last answer for which a held endpoint counts as heard
+
+
+@dataclass(slots=True, frozen=True)
+class Terms:
+    """The operator's figures. Times in ms."""
+
+    share: float = 0.15
+    window: float = 10_000.0
+    settle: float = 150.0  # in which it is seen whether others go with it; well within a drain's grace
+    hold: float = 30_000.0
+    hold_most: float = 300_000.0
+
+
+@dataclass(slots=True, frozen=True)
+class Found:
+    """A member's node: who made it when, and what it says."""
+
+    czxid: int
+    mzxid: int
+    ctime: int  # Unix ms
+    owner: int
+    held: Held
+
+    @property
+    def identity(self) -> tuple[int, int, int]:
+        """The same for the same node, whatever its data."""
+        return self.czxid, self.ctime, self.owner
+
+
+@dataclass(slots=True, frozen=True)
+class Seen:
+    """What this sidecar has seen of an endpoint itself; `-inf` for never.
+
+    `answered`: its last answer on a connection that is kept; `opened`: when the oldest of these was made;
+    `broken`: when the other side last ended one, or one did not come up; `missed`: the latter alone;
+    `misses`: how many attempts in a row found no connection by now.
+    """
+
+    answered: float = -math.inf
+    opened: float = math.inf
+    broken: float = -math.inf
+    missed: float = -math.inf
+    misses: int = 0
+
+
+class State(Enum):
+    """Where a member stands. What is PRESENT, LEAVING or HELD is offered."""
+
+    PRESENT = "present"
+    LEAVING = "leaving"  # vanished; whether others go with it is not known yet
+    HELD = "held"
+    WAITING = "waiting"  # flaps: there, and not believed yet
+    ASIDE = "aside"
+
+
+OFFERED = frozenset({State.PRESENT, State.LEAVING, State.HELD})
+
+
+@dataclass(slots=True)
+class Member:
+    """One endpoint by its name."""
+
+    found: Found
+    since: float
+    node: str
+    state: State = State.PRESENT
+    at: float = 0.0  # when its state began
+    until: float = math.inf  # when it ends by itself
+    misses_from: float = math.inf  # the first of the misses that no answer has followed
+    asides: int = 0
+
+    def move(self, state: State, at: float, until: float = math.inf) -> None:
+        self.state, self.at, self.until = state, at, until
+
+
+@dataclass(slots=True, frozen=True)
+class Ended:
+    """A node that was told to be gone or draining."""
+
+    identity: tuple[int, int, int]
+    mzxid: int
+    at: float
+    marked: bool = False  # by the operator's list, which may take it back
+
+
+@dataclass(slots=True)
+class Counts:
+    """What was decided so far, for the log and for tests."""
+
+    gone: int = 0
+    drained: int = 0
+    held: int = 0
+    returned: int = 0
+    dead: int = 0
+    released: int = 0
+    aside: int = 0
+    stale: int = 0
+
+
+Witness = Callable[[str], Seen]
+
+
+class Judge:
+    """The members of one directory. `see` takes a whole list, `decide` what time and own evidence tell."""
+
+    def __init__(self, terms: Terms, rng: random.Random, witness: Witness) -> None:
+        self.terms = terms
+        self.rng = rng
+        self.witness = witness
+        self.members: dict[str, Member] = {}
+        self.ended: dict[str, Ended] = {}
+        self.draining: dict[str, Listed] = {}  # told to drain, and still there
+        self.departures: deque[tuple[float, str]] = deque()  # within the window, of those not back
+        self.returns: dict[str, list[float]] = {}
+        self.counts = Counts()
+        self.suspect = False
+        self.looked = -math.inf
+
+    # Lists
+
+    def see(
+        self,
+        now: float,
+        nodes: Collection[tuple[str, Found]],
+        drained: Collection[str],
+        suspect: bool = False,
+    ) -> None:
+        """The whole list as it is now: node names with what they hold, and the nodes that an operator drains.
+
+        `suspect`: the coordinator can't be taken by its word on who is gone.
+        """
+        self.suspect = suspect
+        newest: dict[str, tuple[Found, str]] = {}
+        for node, found in nodes:
+            name = found.held.name
+            if name not in newest or found.czxid > newest[name][0].czxid:
+                newest[name] = found, node
+        for name, (found, node) in newest.items():
+            if node in drained or not found.held.ready:
+                self._drain(now, name, found, node in drained)
+            elif not self._stale(name, found):
+                self._present(now, name, node, found)
+        self.draining = {n: entry for n, entry in self.draining.items() if n in newest}
+        for name, member in list(self.members.items()):
+            if name in newest:
+                continue
+            if member.node in drained:
+                self._end(now, name, member.found)  # an operator's drain is heeded also while it is held
+                self.counts.drained += 1
+            elif member.state in (State.WAITING, State.ASIDE):
+                self._end(now, name, member.found)
+                self.counts.gone += 1
+            elif member.state is State.PRESENT:
+                member.move(State.LEAVING, now, now + self.terms.settle)
+                self.departures.append((now, name))
+
+    def _stale(self, name: str, found: Found) -> bool:
+        """Whether this is an older word on a node that has ended: of a server that lags, or went back."""
+        ended = self.ended.get(name)
+        if ended is None or ended.identity != found.identity:
+            return False
+        if (ended.marked or found.mzxid > ended.mzxid) and not self.suspect:
+            return False  # the drain was taken back
+        self.counts.stale += 1
+        return True
+
+    def _drain(self, now: float, name: str, found: Found, marked: bool) -> None:
+        """Told: out at once, whatever else holds."""
+        self.draining[name] = found.held.listed
+        if name in self.members:
+            del self.members[name]
+            self.counts.drained += 1
+        self.ended[name] = Ended(found.identity, found.mzxid, now, marked)
+
+    def _end(self, now: float, name: str, found: Found) -> None:
+        self.members.pop(name, None)
+        self.ended[name] = Ended(found.identity, found.mzxid, now)
+
+    def _present(self, now: float, name: str, node: str, found: Found) -> None:
+        member = self.members.get(name)
+        if member is None:
+            member = self.members[name] = Member(found, self._start(found), node, at=now)
+            self._explained(name)
+            wait = self._flap(now, name) if name in self.ended else 0.0
+            if wait:
+                member.move(State.WAITING, now, now + wait)
+            self.ended.pop(name, None)
+            return
+        vanished = member.state in (State.LEAVING, State.HELD)
+        if member.found.identity != found.identity:
+            if not self._same_process(member, found, name):
+                member.since = max(self._start(found), member.since + 1.0)
+                member.misses_from, member.asides = math.inf, 0
+                if member.state is State.ASIDE:
+                    member.move(State.PRESENT, now)
+        elif found.held.listed.endpoint.since > 0:
+            member.since = found.held.listed.endpoint.since
+        member.found, member.node = found, node
+        if vanished:
+            member.move(State.PRESENT, now)
+            self.counts.returned += 1
+            self._explained(name)
+
+    def _explained(self, name: str) -> None:
+        """It is back, or seen dead: its departure says nothing of the coordinator any more."""
+        if any(name == gone for _, gone in self.departures):
+            self.departures = deque(d for d in self.departures if d[1] != name)
+
+    @staticmethod
+    def _start(found: Found) -> float:
+        return found.held.listed.endpoint.since or float(found.ctime)
+
+    def _same_process(self, member: Member, found: Found, name: str) -> bool:
+        before = member.found.held
+        if before.listed.address != found.held.listed.address:
+            return False
+        if before.instance or found.held.instance:
+            return before.instance == found.held.instance
+        if before.listed.endpoint.since > 0 or found.held.listed.endpoint.since > 0:
+            return before.listed.endpoint.since == found.held.listed.endpoint.since
+        if member.state is not State.HELD:
+            return False
+        seen = self.witness(name)
+        return seen.opened < member.at and seen.answered > member.at and seen.broken < seen.opened
+
+    def _flap(self, now: float, name: str) -> float:
+        """How long a node that is back has to wait: 0 unless it comes and goes."""
+        times = [t for t in self.returns.get(name, []) if t > now - FLAP_WINDOW] + [now]
+        self.returns[name] = times
+        more = len(times) - FLAPS
+        return min(FLAP_MOST, FLAP_WAIT * 2.0**more) if more >= 0 else 0.0
+
+    # Time and evidence
+
+    def few(self) -> int:
+        """How many may vanish within a window and be taken as told."""
+        there = sum(m.state in OFFERED for m in self.members.values())
+        gone = sum(name not in self.members for _, name in self.departures)
+        return max(1, math.ceil(self.terms.share * (there + gone)))
+
+    def decide(self, now: float) -> None:
+        """Carry out what has come due."""
+        self._forget(now)
+        mass = self.suspect or len(self.departures) > self.few()
+        for name, member in list(self.members.items()):
+            if member.state is State.LEAVING:
+                if mass:
+                    member.move(State.HELD, member.at, member.at + self.terms.hold)
+                    self.counts.held += 1
+                elif now >= member.until:
+                    self._end(now, name, member.found)
+                    self.counts.gone += 1
+            elif member.state is State.WAITING and now >= member.until:
+                member.move(State.PRESENT, now)
+        self._holds(now)
+        if now >= self.looked + LOOK_EVERY:
+            self.looked = now
+            self._lingering(now)
+
+    def _forget(self, now: float) -> None:
+        while self.departures and self.departures[0][0] <= now - self.terms.window:
+            self.departures.popleft()
+        for name in [n for n, e in self.ended.items() if e.at < now - REMEMBER]:
+            del self.ended[name]
+        for name in [n for n, times in self.returns.items() if times[-1] < now - FLAP_WINDOW]:
+            del self.returns[name]
+
+    def _holds(self, now: float) -> None:
+        """Held ones go by evidence, or when their time is over: then few at a time."""
+        held = [(n, m) for n, m in self.members.items() if m.state is State.HELD]
+        room = self.few() - sum(name not in self.members for _, name in self.departures)
+        for name, member in sorted(held, key=lambda h: (h[1].at, h[0])):
+            seen = self.witness(name)
+            if seen.misses and seen.missed > max(member.at, seen.answered):
+                # Two signs that don't hang on each other: its session is gone, and it takes no connection.
+                self._end(now, name, member.found)
+                self._explained(name)
+                self.counts.dead += 1
+                continue
+            heard = seen.answered > now - HEARD_WITHIN and now < member.at + self.terms.hold_most
+            if now >= member.until and not heard and room > 0:
+                room -= 1
+                self._end(now, name, member.found)
+                self.departures.append((now, name))
+                self.counts.released += 1
+
+    def _lingering(self, now: float) -> None:
+        """Put aside what is listed and can't be reached; offer again what has been aside for its time."""
+        most = int(ASIDE_SHARE * len(self.members))
+        aside = sum(m.state is State.ASIDE for m in self.members.values())
+        for name, member in self.members.items():
+            if member.state is State.ASIDE:
+                if now >= member.until:
+                    aside -= 1
+                    member.since = max(member.since, now)  # nobody knows what happened meanwhile: cold
+                    member.misses_from = math.inf
+                    member.move(State.PRESENT, now)
+                continue
+            if member.state is not State.PRESENT:
+                continue
+            seen = self.witness(name)
+            if not seen.misses:
+                member.misses_from = math.inf
+                if seen.answered > member.at:
+                    member.asides = 0
+            else:
+                member.misses_from = min(member.misses_from, seen.missed)
+            tried = member.asides > 0 and member.misses_from < math.inf  # offered again, and not there again
+            if aside < most and (tried or seen.missed - member.misses_from >= ASIDE_AFTER):
+                aside += 1
+                wait = min(ASIDE_MOST, ASIDE_FIRST * 2.0**member.asides) * (0.5 + 0.5 * self.rng.random())
+                member.asides += 1
+                member.move(State.ASIDE, now, now + wait)
+                self.counts.aside += 1
+
+    def due(self) -> float:
+        """When a state ends by itself; evidence may come before."""
+        return min((m.until for m in self.members.values()), default=math.inf)
+
+    def unsettled(self) -> bool:
+        """Whether own evidence may decide something soon."""
+        return any(m.state in (State.LEAVING, State.HELD) for m in self.members.values())
+
+    # What comes of it
+
+    def offered(self) -> dict[str, Listed]:
+        """The endpoints that may be sent to, by name."""
+        return {
+            name: replace(entry := m.found.held.listed, endpoint=replace(entry.endpoint, since=m.since))
+            for name, m in self.members.items()
+            if m.state in OFFERED and m.found.held.listed.address is not None
+        }
+
+    def states(self) -> dict[str, int]:
+        """How many members stand where."""
+        return {s.value: sum(m.state is s for m in self.members.values()) for s in State} | {
+            "draining": len(self.draining)
+        }
--- /dev/null
+++ b/millgw/membership/nodes.py
@@ -0,0 +1,100 @@
+"""What a member's node holds, in the layouts that stacks write: pure.
+
+    entry       discovery's own: {"name", "address": "IP:port", "status", "group", "weight", "zone",
+                "since_ms"}, and "instance", a token of the process
+    serverset   Finagle's: {"serviceEndpoint": {"host", "port"}, "additionalEndpoints", "status", "shard"}
+    curator     Curator's service discovery: {"id", "address", "port", "registrationTimeUTC", "enabled", ...}
+
+Each is told from the others by its fields. Hosts must be IP addresses: nothing is looked up.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from millgw.interface import Condition
+from millgw.platform.discovery import Listed, read_entry
+
+STATUS = {
+    "ALIVE": "in_service", "WARNING": "in_service", "STOPPING": "terminating", "STOPPED": "terminating",
+    "DEAD": "terminating",
+}  # fmt: skip
+"""A serverset's words; STARTING and STOPPED-like words that are not here are no members yet."""
+MOST_DATA = 65_536  # bytes of one node
+
+
+@dataclass(slots=True, frozen=True)
+class Held:
+    """What a node says: the entry, its name, a token of the process that wrote it ('': none)."""
+
+    name: str
+    listed: Listed
+    instance: str = ""
+
+    @property
+    def ready(self) -> bool:
+        return self.listed.endpoint.condition is Condition.READY
+
+
+def read_node(data: bytes, zones: tuple[str, ...], port: str = "") -> Held | None:
+    """A node's data; None for a server that says that it is still starting. A ValueError says what is wrong.
+
+    `port` names one of a serverset's additional endpoints; '' is its service endpoint.
+    """
+    if len(data) > MOST_DATA:
+        raise ValueError(f"{len(data)} bytes; the most are {MOST_DATA}")
+    try:
+        raw = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise ValueError(f"no JSON: {error}") from None
+    if not isinstance(raw, dict):
+        raise ValueError("no JSON object")
+    try:
+        if "serviceEndpoint" in raw:
+            entry, instance = _serverset(raw, port), str(raw.get("instance", ""))
+        elif "id" in raw and "port" in raw:
+            entry = _curator(raw)
+            instance = f"{raw['id']} {entry['since_ms']}" if entry["since_ms"] else ""
+        else:
+            entry, instance = raw, str(raw.get("instance", ""))
+        if entry is None:
+            return None
+        return Held(entry["name"], read_entry(entry, zones), instance)
+    except (ValueError, TypeError, LookupError, AttributeError) as error:
+        raise ValueError(f"{type(error).__name__}: {error}") from None
+
+
+def _address(host: Any, port: Any) -> str:
+    if not isinstance(host, str) or isinstance(port, bool) or not isinstance(port, int):
+        raise ValueError(f"{host!r} and {port!r} are no host and port")
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+def _serverset(raw: Mapping[str, Any], port: str) -> dict[str, Any] | None:
+    """Its nodes are sequential, with another name at each registration: the address names the endpoint."""
+    at = raw["additionalEndpoints"][port] if port else raw["serviceEndpoint"]
+    status = raw.get("status", "ALIVE")
+    if status == "STARTING":
+        return None
+    if status not in STATUS:
+        raise ValueError(f"status {status!r} is none of a serverset's")
+    address = _address(at["host"], at["port"])
+    shard = raw.get("shard")
+    return {
+        "name": address, "address": address, "status": STATUS[status],
+        "group": shard if isinstance(shard, int) and shard >= 0 else 0,
+    }  # fmt: skip
+
+
+def _curator(raw: Mapping[str, Any]) -> dict[str, Any]:
+    if not isinstance(raw["id"], str) or not raw["id"]:
+        raise ValueError(f"id {raw['id']!r} is no name")
+    since = raw.get("registrationTimeUTC", 0)
+    return {
+        "name": raw["id"], "address": _address(raw["address"], raw["port"]),
+        "status": "in_service" if raw.get("enabled", True) else "terminating",
+        "since_ms": since if isinstance(since, int) and not isinstance(since, bool) else 0,
+    }  # fmt: skip
--- /dev/null
+++ b/millgw/membership/protocol.py
@@ -0,0 +1,234 @@
+"""A client's side of the ZooKeeper protocol: bytes in, events out; asks in, bytes out. No I/O, no clock.
+
+Source: the published records (`zookeeper.jute`) and the programmer's guide (sessions, one-shot watches).
+Replies come in the order of their requests. The order of changes (zxid) never goes back within what one
+`Core` has seen: a server that knows less is not believed (`BadRecord`), until `forget` starts over.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import IntEnum
+
+from millgw.membership import jute
+from millgw.membership.jute import BadRecord, Frames, Reader, Stat, read_stat
+
+MOST_ANSWER = 8 << 20  # bytes of one frame from a server: a list of 100,000 names has a few million
+MOST_PENDING = 10_000  # requests without a reply
+
+NOTHING = bytes(16)  # the password of a session that is yet to be
+XID_WATCH, XID_PING, XID_SET_WATCHES = -1, -2, -8
+CREATE, DELETE, EXISTS, GET_DATA, SET_DATA, GET_CHILDREN2 = 1, 2, 3, 4, 5, 12
+PING, SET_WATCHES, CLOSE = 11, 101, -11
+EPHEMERAL = 1
+EVERYTHING = 31  # all permissions
+
+
+class Code(IntEnum):
+    """The error codes that a client acts on; others are told as they come."""
+
+    OK = 0
+    NO_NODE = -101
+    BAD_VERSION = -103
+    NODE_EXISTS = -110
+    SESSION_EXPIRED = -112
+    SESSION_MOVED = -118
+    NOT_READ_ONLY = -119
+
+
+class Change(IntEnum):
+    """What a watch tells of."""
+
+    CREATED = 1
+    DELETED = 2
+    DATA = 3
+    CHILDREN = 4
+
+
+class Kind(IntEnum):
+    """What is asked."""
+
+    CREATE = CREATE
+    DELETE = DELETE
+    EXISTS = EXISTS
+    READ = GET_DATA
+    WRITE = SET_DATA
+    CHILDREN = GET_CHILDREN2
+
+
+@dataclass(slots=True, frozen=True)
+class Ask:
+    """One request. Reads set their watch; a created node is ephemeral unless `lasting`."""
+
+    kind: Kind
+    path: str
+    data: bytes = b""
+    version: int = -1
+    lasting: bool = False
+
+    def payload(self) -> bytes:
+        path = jute.write_string(self.path)
+        if self.kind is Kind.CREATE:
+            anyone = jute.write_string("world") + jute.write_string("anyone")
+            access = jute.write_int(1) + jute.write_int(EVERYTHING) + anyone
+            flags = jute.write_int(0 if self.lasting else EPHEMERAL)
+            return path + jute.write_buffer(self.data) + access + flags
+        if self.kind is Kind.WRITE:
+            return path + jute.write_buffer(self.data) + jute.write_int(self.version)
+        if self.kind is Kind.DELETE:
+            return path + jute.write_int(self.version)
+        return path + jute.write_bool(True)
+
+
+# Events
+
+
+@dataclass(slots=True, frozen=True)
+class Up:
+    """A session serves on this connection. `fresh`: it is a new one. `timeout` in ms, as negotiated."""
+
+    session: int
+    timeout: float
+    fresh: bool
+    read_only: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Expired:
+    """The session is gone, and its nodes with it; the next connection opens a new one."""
+
+
+@dataclass(slots=True, frozen=True)
+class Fired:
+    """A watch: something changed at a path. It is set no longer."""
+
+    change: int
+    path: str
+
+
+@dataclass(slots=True, frozen=True)
+class Reply:
+    """The answer to an `Ask`; what does not belong to its kind is empty."""
+
+    ask: Ask
+    code: int
+    names: tuple[str, ...] = ()
+    data: bytes = b""
+    stat: Stat | None = None
+
+
+Event = Up | Expired | Fired | Reply
+
+
+class Core:
+    """One client over all its connections: its session, what it has seen, what is still to be answered."""
+
+    def __init__(self, timeout: float) -> None:
+        self.wanted = timeout  # ms
+        self.session = 0
+        self.password = NOTHING
+        self.seen = 0
+        self.up = False
+        self.xid = 0
+        self.pending: deque[tuple[int, Ask | None]] = deque()
+        self.frames = Frames(MOST_ANSWER)
+
+    def connect(self) -> bytes:
+        """What to write first on a new connection; what was pending on the last one is lost."""
+        self.up = False
+        self.pending.clear()
+        self.frames = Frames(MOST_ANSWER)
+        return jute.frame(
+            jute.write_int(0) + jute.write_long(self.seen) + jute.write_int(int(self.wanted))
+            + jute.write_long(self.session) + jute.write_buffer(self.password) + jute.write_bool(True)
+        )  # fmt: skip
+
+    def forget(self) -> None:
+        """Start over: no session, nothing seen. For a coordinator that knows less than it did."""
+        self.session, self.password, self.seen = 0, NOTHING, 0
+
+    def ask(self, ask: Ask) -> bytes:
+        """A request; a BadRecord where far too much is unanswered."""
+        if len(self.pending) >= MOST_PENDING:
+            raise BadRecord(f"{len(self.pending)} requests without a reply")
+        self.xid = self.xid % 0x7FFFFFFF + 1
+        self.pending.append((self.xid, ask))
+        return jute.frame(jute.write_int(self.xid) + jute.write_int(ask.kind) + ask.payload())
+
+    def ping(self) -> bytes:
+        return jute.frame(jute.write_int(XID_PING) + jute.write_int(PING))
+
+    def set_watches(self, data: Sequence[str], exists: Sequence[str], children: Sequence[str]) -> bytes:
+        """Set again, on a session that moved, the watches it had: what changed since is told at once."""
+        self.pending.append((XID_SET_WATCHES, None))
+        return jute.frame(
+            jute.write_int(XID_SET_WATCHES) + jute.write_int(SET_WATCHES) + jute.write_long(self.seen)
+            + jute.write_strings(data) + jute.write_strings(exists) + jute.write_strings(children)
+        )  # fmt: skip
+
+    def close(self) -> bytes:
+        """End the session, and its nodes with it."""
+        self.xid = self.xid % 0x7FFFFFFF + 1
+        self.pending.append((self.xid, None))
+        return jute.frame(jute.write_int(self.xid) + jute.write_int(CLOSE))
+
+    def receive(self, data: bytes) -> list[Event]:
+        """What came, at any split; a BadRecord ends the connection."""
+        events: list[Event] = []
+        for payload in self.frames.feed(data):
+            reader = Reader(payload)
+            if self.up:
+                self._take(reader, events)
+            else:
+                events.append(self._handshake(reader))
+        return events
+
+    def _handshake(self, reader: Reader) -> Event:
+        reader.number()
+        timeout, session, password = reader.number(), reader.long(), reader.buffer()
+        read_only = reader.flag() if reader.left else False
+        if timeout <= 0 or session == 0:
+            self.session, self.password = 0, NOTHING
+            return Expired()
+        fresh = session != self.session
+        self.session, self.password, self.up = session, password, True
+        return Up(session, float(timeout), fresh, read_only)
+
+    def _take(self, reader: Reader, events: list[Event]) -> None:
+        xid, zxid, code = reader.number(), reader.long(), reader.number()
+        if xid == XID_WATCH:
+            change = reader.number()
+            reader.number()
+            events.append(Fired(change, reader.string()))
+            return
+        if xid != XID_PING and (not self.pending or self.pending[0][0] != xid):
+            # First: what is no reply must not move the order of changes, or honest servers would refuse us.
+            raise BadRecord(f"a reply to {xid}, which is not the next")
+        if zxid > 0:
+            if zxid < self.seen:
+                raise BadRecord(f"change {zxid} after {self.seen}: the server is behind")
+            self.seen = zxid
+        if xid == XID_PING:
+            return
+        ask = self.pending.popleft()[1]
+        if code == Code.SESSION_EXPIRED:
+            self.session, self.password = 0, NOTHING
+            events.append(Expired())
+        elif ask is not None:
+            events.append(_reply(ask, code, reader))
+
+
+def _reply(ask: Ask, code: int, reader: Reader) -> Reply:
+    if code != Code.OK:
+        return Reply(ask, code)
+    if ask.kind is Kind.CHILDREN:
+        names = tuple(reader.strings())
+        return Reply(ask, code, names, stat=read_stat(reader))
+    if ask.kind is Kind.READ:
+        data = reader.buffer()
+        return Reply(ask, code, data=data, stat=read_stat(reader))
+    if ask.kind in (Kind.EXISTS, Kind.WRITE):
+        return Reply(ask, code, stat=read_stat(reader))
+    return Reply(ask, code)
--- /dev/null
+++ b/millgw/membership/registrar.py
@@ -0,0 +1,176 @@
+"""Registers one server: keeps its node there while it serves, and takes it down before the server stops.
+
+A library call for programs that register themselves, and what the command `register` is made of:
+
+    registrar = Registrar(servers, "/services/login", Entry("a1", "10.0.0.7:8080"), 10_000.0)
+    registrar.start()
+    ...
+    await registrar.leave(drain=2.0)     # told to drain, 2 s, taken down, session closed
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import secrets
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from logging import INFO, WARNING
+from typing import Literal
+
+from millgw.events import tell
+from millgw.membership.client import Client
+from millgw.membership.protocol import Ask, Fired, Reply
+from millgw.membership.registration import Registration, State, Wish
+from millgw.platform.config import Address, read_address
+
+RETRY = 1.0  # s until what the coordinator refused is tried again
+LEAVE_WITHIN = 3.0  # s for the coordinator to hear of the drain, and again of the end
+
+Layout = Literal["entry", "serverset", "curator"]
+LAYOUTS: tuple[Layout, ...] = ("entry", "serverset", "curator")
+
+
+@dataclass(slots=True, frozen=True)
+class Entry:
+    """What the node says of the server; `since`: its start in Unix ms, `instance`: a token of its process."""
+
+    name: str
+    address: str
+    group: int = 0
+    weight: float = 1.0
+    zone: str = ""
+    layout: Layout = "entry"
+    since: int = field(default_factory=lambda: int(time.time() * 1000))
+    instance: str = field(default_factory=lambda: secrets.token_hex(8))
+
+    def data(self, wish: Wish) -> bytes:
+        """The node's data: serving, or draining."""
+        serves, at = wish is Wish.SERVE, read_address(self.address)
+        said: dict[str, object]
+        if self.layout == "serverset":
+            said = {
+                "serviceEndpoint": {"host": at.host, "port": at.port}, "additionalEndpoints": {},
+                "status": "ALIVE" if serves else "STOPPING", "shard": self.group,
+            }  # fmt: skip
+        elif self.layout == "curator":
+            said = {
+                "name": self.name, "id": self.name, "address": at.host, "port": at.port, "sslPort": None,
+                "payload": None, "registrationTimeUTC": self.since, "serviceType": "DYNAMIC",
+                "uriSpec": None, "enabled": serves,
+            }  # fmt: skip
+        else:
+            said = {
+                "name": self.name, "address": self.address,
+                "status": "in_service" if serves else "terminating", "group": self.group,
+                "weight": self.weight, "zone": self.zone, "since_ms": self.since,
+            }  # fmt: skip
+        return json.dumps(said | {"instance": self.instance}).encode()
+
+    def mine(self, data: bytes) -> bool:
+        """Whether a node's data was written by this very process."""
+        try:
+            said = json.loads(data)
+        except (ValueError, RecursionError):
+            return False
+        return isinstance(said, dict) and said.get("instance") == self.instance
+
+
+class Registrar:
+    """One node. `registered` is set while it is there under the session that serves."""
+
+    def __init__(
+        self,
+        servers: Sequence[Address],
+        directory: str,
+        entry: Entry,
+        timeout: float,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.registration = Registration(f"{directory}/{entry.name}", entry.data, entry.mine)
+        self.client = Client(servers, timeout, rng or random.Random(), self)
+        self.registered = asyncio.Event()
+        self.drained = asyncio.Event()
+        self.left = asyncio.Event()
+        self.retrying: asyncio.TimerHandle | None = None
+        self.taken = False
+
+    def start(self) -> None:
+        self.client.start()
+        self._retry()
+
+    def _retry(self) -> None:
+        self._ask(self.registration.tick())
+        self.retrying = asyncio.get_running_loop().call_later(RETRY, self._retry)
+
+    async def leave(self, drain: float) -> bool:
+        """Tell that it drains, wait (s), take the node down and end the session; whether the node is down.
+
+        The session's end takes it down too, at once or by its time-out, where the coordinator can't be asked.
+        """
+        self._ask(self.registration.want(Wish.DRAIN))
+        await _within(self.drained)
+        if self.registration.made:
+            await asyncio.sleep(drain)
+        down = await self.withdraw()
+        return down
+
+    async def withdraw(self) -> bool:
+        """Take the node down now, and end the session."""
+        self._ask(self.registration.want(Wish.LEAVE))
+        down = await _within(self.left)
+        if self.retrying is not None:
+            self.retrying.cancel()
+        await self.client.close()
+        return down
+
+    def _ask(self, asks: list[Ask]) -> None:
+        for ask in asks:
+            self.client.ask(ask)
+        state = self.registration.state
+        _mark(self.registered, state is State.SERVES)
+        _mark(self.drained, state in (State.DRAINS, State.LEFT))
+        _mark(self.left, state is State.LEFT)
+        if state is State.TAKEN and not self.taken:
+            tell(WARNING, "name-taken", node=self.registration.path)
+        self.taken = state is State.TAKEN
+        if self.registration.problem:
+            tell(
+                WARNING, "register-refused", node=self.registration.path, code=self.registration.problem
+            )  # fmt: skip
+
+    # The client's listener
+
+    def up(self, fresh: bool, over: bool) -> None:
+        self._ask(self.registration.up(self.client.core.session))
+
+    def down(self) -> None:
+        self.registration.down()
+        self._ask([])
+
+    def reply(self, reply: Reply) -> None:
+        made = self.registration.made
+        self._ask(self.registration.reply(reply))
+        if self.registration.made > made:
+            tell(INFO, "registered", node=self.registration.path, times=self.registration.made)
+
+    def fired(self, fired: Fired) -> None:
+        self._ask(self.registration.fired(fired))
+
+
+def _mark(event: asyncio.Event, holds: bool) -> None:
+    if holds:
+        event.set()
+    else:
+        event.clear()
+
+
+async def _within(event: asyncio.Event) -> bool:
+    try:
+        async with asyncio.timeout(LEAVE_WITHIN):
+            await event.wait()
+    except TimeoutError:
+        return False
+    return True
--- a/millgw/operator/command.py
+++ b/millgw/operator/command.py
@@ -79,6 +79,9 @@
         source = f"{len(service.endpoints)} endpoints of a static list"
     elif service.discovery is not None:
         source = f"discovery at {service.discovery}"
+    if service.coordinator is not None:
+        told = f"nodes below {service.coordinator.path} at {service.coordinator.connect}"
+        source = told if service.membership is None else f"{told}, and {source}: {service.membership}"
     whole = 1_000_000
     guaranteed = {}
     for kind in KINDS:
--- a/millgw/operator/file.py
+++ b/millgw/operator/file.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal
 
 from msgspec import Meta, field
 
 from millgw.checked import FileError, Table, read
+from millgw.membership.servers import check_path, read_connect
 from millgw.platform.config import read_address
 from millgw.routing.table import Route, RouteError
 from millgw.routing.table import Table as RouteTable
@@ -33,6 +34,24 @@
     zone: str = ""
 
 
+class Coordinator(Table, frozen=True, kw_only=True):
+    """A ZooKeeper-style coordinator whose ephemeral nodes below `path` are a service's endpoints.
+
+    `connect` is `IP:port,IP:port/root`. `endpoint` names one of a serverset's additional endpoints.
+    `mass_share` is the share of endpoints that may vanish within `window_s` and be taken as gone; when more
+    do, they are held for `hold_s` if nothing is heard of them, and for `hold_most_s` in any case.
+    """
+
+    connect: str
+    path: str
+    session_s: Annotated[float, Meta(ge=0.2, le=600)] = 10.0
+    endpoint: str = ""
+    mass_share: Annotated[float, Meta(gt=0, le=1)] = 0.15
+    window_s: Annotated[float, Meta(ge=0.5, le=600)] = 10.0
+    hold_s: Annotated[float, Meta(ge=0, le=3600)] = 30.0
+    hold_most_s: Annotated[float, Meta(ge=0, le=86_400)] = 300.0
+
+
 class Limits(Table, frozen=True, kw_only=True):
     """What a service's pool has for sure, as shares of what the whole daemon may hold.
 
@@ -49,13 +68,17 @@
 class Service(Table, frozen=True, kw_only=True):
     """One service: where its endpoints are known from, its classes, and settings that differ for it.
 
-    Without `discovery` and `endpoints` the configuration's discovery tells. `settings` holds words of the
+    Without `discovery`, `coordinator` and `endpoints` the configuration's discovery tells. With a
+    coordinator, `membership` says how its list and a discovery's become one (`Mode` of
+    `millgw.membership.merge`); without it the coordinator alone tells. `settings` holds words of the
     configuration's object of that name and goes over it, table by table. `listen` is an address of its own:
     all requests there are for this service, which needs no route then.
     """
 
     listen: str | None = None
     discovery: str | None = None
+    coordinator: Coordinator | None = None
+    membership: Literal["union", "intersection", "coordinator", "discovery"] | None = None
     endpoints: tuple[Endpoint, ...] = ()
     classes: tuple[str, ...] = ()
     settings: dict[str, Any] = field(default_factory=dict)
@@ -96,6 +119,7 @@
             if service.endpoints:
                 raise ValueError(f"{path}.endpoints: stand beside a discovery; a service has one of the two")
             _address(f"{path}.discovery", service.discovery)
+        _check_coordinator(path, service)
         names = [e.name for e in service.endpoints]
         for i, endpoint in enumerate(service.endpoints):
             _address(f"{path}.endpoints[{i}].address", endpoint.address)
@@ -124,6 +148,28 @@
     return operator
 
 
+def _check_coordinator(path: str, service: Service) -> None:
+    told = service.coordinator
+    if told is None:
+        if service.membership is not None:
+            raise ValueError(f"{path}.membership: says how two sources are one; there is no coordinator")
+        return
+    if service.endpoints:
+        raise ValueError(f"{path}.endpoints: stand beside a coordinator; a service has one of the two")
+    if service.discovery is not None and service.membership is None:
+        raise ValueError(f"{path}.membership: is needed beside a discovery and a coordinator")
+    for key, reads, value in (
+        ("connect", read_connect, told.connect),
+        ("path", check_path, told.path),
+    ):
+        try:
+            reads(value)
+        except ValueError as error:
+            raise ValueError(f"{path}.coordinator.{key}: {error}") from None
+    if told.hold_most_s < told.hold_s:
+        raise ValueError(f"{path}.coordinator.hold_most_s: is under the hold_s of {told.hold_s:g}")
+
+
 def _address(path: str, value: str) -> None:
     try:
         read_address(value)
--- a/millgw/platform/discovery.py
+++ b/millgw/platform/discovery.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from hashlib import blake2b
 from logging import INFO, WARNING
 from typing import Any, cast
@@ -59,13 +59,14 @@
     entries: list[Listed] = []
     for raw in data["endpoints"]:
         try:
-            entries.append(_entry(raw, zones))
+            entries.append(read_entry(raw, zones))
         except (ValueError, TypeError, LookupError, AttributeError) as error:
             tell(WARNING, "entry-skipped", cause=f"{type(error).__name__}: {error}")
     return Listing(int(number(data, "index", "")), data.get("snapshot") is True, tuple(entries))
 
 
-def _entry(raw: Any, zones: tuple[str, ...]) -> Listed:
+def read_entry(raw: Any, zones: tuple[str, ...]) -> Listed:
+    """One entry of a list; a ValueError, TypeError, LookupError or AttributeError says that it is none."""
     name, condition = raw["name"], CONDITIONS.get(raw.get("status"))
     if not isinstance(name, str) or condition is None:
         raise ValueError(f"{name!r} has no known status")
@@ -84,6 +85,11 @@
     return Listed(endpoint, read_address(raw.get("address")))
 
 
+def listed_as(listed: Listed, condition: Condition) -> Listed:
+    """An entry that says of its endpoint that it drains or is gone."""
+    return Listed(replace(listed.endpoint, condition=condition), None)
+
+
 class Discovery:
     """The list as last heard, and the watch that is on, if any. When to ask is the balancer's decision."""
 
@@ -133,6 +139,10 @@
             self.address = address
             self.subscribe()
 
+    def figures(self) -> dict[str, object]:
+        """Nothing more than the pool's own, for the log."""
+        return {}
+
     async def _connect(self, watch: Watch) -> None:
         loop = asyncio.get_running_loop()
         try:
--- a/millgw/pool/driver.py
+++ b/millgw/pool/driver.py
@@ -135,6 +135,11 @@
                     lost.add(loser)
         return lost
 
+    def misses(self, endpoint: int) -> int:
+        """How many attempts in a row found no connection to an endpoint."""
+        server = self.balancer.servers.get(endpoint)
+        return 0 if server is None else server.missed
+
     def fail_all(self) -> None:
         """Answer all that is owed: the process is about to end."""
         for call in list(self.calls.values()):
--- a/millgw/pool/pool.py
+++ b/millgw/pool/pool.py
@@ -38,11 +38,22 @@
     def stop(self) -> None:
         """Tell nothing more."""
 
+    def figures(self) -> dict[str, object]:
+        """What the log should know of it."""
+
+
+class Witness(Protocol):
+    """What a pool has seen of its endpoints itself: some sources weigh it against what they are told."""
+
+    def seen(self, endpoint: int) -> tuple[float, float, float, float] | None: ...
+
+    def misses(self, endpoint: int) -> int: ...
+
 
 class Pool:
     """`retired` once no route leads to it: it ends when its last call has.
 
-    `source` makes the pool's endpoint source, given where its lists go.
+    `source` makes the pool's endpoint source, given where its lists go and what the pool has seen itself.
     """
 
     def __init__(
@@ -52,7 +63,7 @@
         seed: int,
         room: Room,
         share: Share,
-        source: Callable[[Heard], Source],
+        source: Callable[[Heard, Witness], Source],
     ) -> None:
         self.name = name
         self.settings = config.settings
@@ -62,10 +73,18 @@
         self.upstream = Upstream(
             room, config.connect_timeout, config.idle, config.memory, lambda: self.most(ANSWERS)
         )
-        self.source = source(self._heard)
+        self.source = source(self._heard, self)
         self.driver = Driver(Balancer(self.settings, seed), self.upstream, self.source.subscribe)
         self.terms = Terms(self.settings, self.driver)
 
+    def seen(self, endpoint: int) -> tuple[float, float, float, float] | None:
+        """What its connections to an endpoint tell (see `Upstream.seen`)."""
+        return self.upstream.seen(endpoint)
+
+    def misses(self, endpoint: int) -> int:
+        """Attempts in a row that found no connection to an endpoint."""
+        return self.driver.misses(endpoint)
+
     def _heard(self, kind: ListKind, entries: tuple[Listed, ...]) -> None:
         if not self.retired:
             self.driver.listed(kind, entries)
@@ -149,6 +168,7 @@
         figures: dict[str, object] = {"pool": self.name, "endpoints": len(self.driver.ready)}
         for kind in (CALLS, CONNECTIONS, BODIES, ANSWERS):
             figures[kind] = f"{self.held(kind)}/{self.most(kind)}"
+        figures |= self.source.figures()
         return figures | {"sends": self.upstream.sends, "held_back": self.upstream.held_back}
 
     def status(self) -> str:
--- a/millgw/rehearsal/blows.py
+++ b/millgw/rehearsal/blows.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
+from millgw.rehearsal.coordination import Coordination
 from millgw.rehearsal.faults import Blow
 from millgw.rehearsal.front import Front
 from millgw.rehearsal.scenario import Scenario
@@ -49,6 +50,7 @@
     front: Front
     endpoints: dict[str, Endpoint]
     sidecars: dict[str, Sidecar]
+    coordination: Coordination | None
     say: Callable[[str], None]
 
     def failed(self, error: BaseException) -> None: ...
@@ -91,6 +93,11 @@
             "sidecar-restart": self._sidecar_restart,
             "connections": self._connections,
             "reload": self._reload,
+            "zk-expire": self._expire,
+            "zk-lag": self._lag,
+            "zk-drop": self._drop,
+            "zk-freeze": self._freeze,
+            "zk-restart-empty": self._restart_empty,
         }
         for kind in FIELDS:
             self.kinds[kind] = self._ill
@@ -224,6 +231,61 @@
         if not self.outages:
             self.stage.cadastro.come_back(history=blow.kind == "cadastro-outage")
 
+    # The coordinator
+
+    @property
+    def _coordination(self) -> Coordination:
+        assert self.stage.coordination is not None  # the scenario's check
+        return self.stage.coordination
+
+    async def _expire(self, blow: Blow) -> None:
+        """Its session expires while it serves; it registers again when the fault is over."""
+        endpoint = self.stage.endpoints[blow.target]
+        self._coordination.expire(endpoint)
+        await self._rest(blow)
+        self._again_registered(blow.target)
+
+    def _again_registered(self, name: str) -> None:
+        """Whoever serves under a name by now, and has no session, registers."""
+        endpoint = self.stage.endpoints[name]
+        if endpoint.up and not endpoint.draining and name not in self._coordination.sessions:
+            self._coordination.serve(endpoint, self.stage.entry(endpoint, "in_service"))
+
+    async def _lag(self, blow: Blow) -> None:
+        """The first face follows no more: its clients hear nothing, and read what was."""
+        face = self._coordination.ensemble.faces[0]
+        face.lag(True)
+        await self._rest(blow)
+        face.lag(False)
+        face.drop()
+
+    async def _drop(self, blow: Blow) -> None:
+        """All connections end at once and new ones are refused for a while."""
+        faces = self._coordination.ensemble.faces
+        for face in faces:
+            face.ills.refusing = True
+            face.drop()
+        await self._rest(blow)
+        for face in faces:
+            face.ills.refusing = False
+
+    async def _freeze(self, blow: Blow) -> None:
+        """Connections stay open and nothing is answered."""
+        faces = self._coordination.ensemble.faces
+        for face in faces:
+            face.freeze(True)
+        await self._rest(blow)
+        for face in faces:
+            face.freeze(False)
+
+    async def _restart_empty(self, blow: Blow) -> None:
+        """Nodes, sessions and the order of changes are lost; who serves registers again, one by one."""
+        self._coordination.forget_all()
+        serving = [n for n, e in self.stage.endpoints.items() if e.up and not e.draining]
+        for name in serving:
+            await asyncio.sleep((blow.until - blow.at) / 1000 / len(serving))
+            self._again_registered(name)
+
     # Sidecars
 
     async def _sidecar_killed(self, blow: Blow) -> None:
--- a/millgw/rehearsal/scenario.py
+++ b/millgw/rehearsal/scenario.py
@@ -40,10 +40,18 @@
     "crowd",
     "connections",
     "reload",
+    "zk-expire",
+    "zk-lag",
+    "zk-drop",
+    "zk-freeze",
+    "zk-restart-empty",
 ]
 ON_ENDPOINTS: frozenset[str] = frozenset(
-    {"silence", "restart", "fast-failure", "slowdown", "resets", "spoilt", "drain", "replaced", "flapping"}
-)
+    {
+        "silence", "restart", "fast-failure", "slowdown", "resets", "spoilt", "drain", "replaced", "flapping",
+        "zk-expire",
+    }
+)  # fmt: skip
 ON_SIDECARS: frozenset[str] = frozenset({"sidecar-killed", "sidecar-restart", "connections"})
 
 
@@ -140,6 +148,17 @@
     timeout_s: Positive = 3.0
 
 
+class Coordinator(Table, frozen=True, kw_only=True):
+    """A ZooKeeper-style coordinator at which endpoints register, and sidecars' sessions at it.
+
+    `membership` is how sidecars use it: `alone`, or beside the cadastro as the operator's file words it.
+    """
+
+    faces: Annotated[int, Meta(ge=1, le=3)] = 3
+    session_s: Annotated[float, Meta(ge=0.2, le=600)] = 4.0
+    membership: Literal["alone", "union", "intersection", "coordinator", "discovery"] = "alone"
+
+
 class Limits(Table, frozen=True, kw_only=True):
     """What each sidecar is given."""
 
@@ -234,6 +253,7 @@
     limits: Limits = Limits()
     rules: Rules = Rules()
     services: tuple[Service, ...] = ()
+    coordinator: Coordinator | None = None
     faults: tuple[Fault, ...] = ()
 
 
@@ -284,6 +304,8 @@
 
 def _check_services(scenario: Scenario) -> None:
     classes, seen = [c.name for c in scenario.classes], set[str]()
+    if scenario.services and scenario.coordinator is not None:
+        raise ValueError("coordinator: a day with services has a cadastro for each")
     if scenario.services and len(scenario.fleet.tiers) != 1:
         raise ValueError("fleet.tiers: a day with services has one tier")
     for i, service in enumerate(scenario.services):
@@ -322,6 +344,8 @@
     named = fault.service in [s.name for s in scenario.services]
     if (fault.kind == "reload") != named or (fault.service is not None and not named):
         raise ValueError(f"{path}.service: a reload names one of the services, and nothing else does")
+    if fault.kind.startswith("zk-") and scenario.coordinator is None:
+        raise ValueError(f"{path}.kind: {fault.kind} strikes a coordinator, and the day has none")
     if fault.tier and fault.kind not in ON_ENDPOINTS:
         raise ValueError(f"{path}.tier: {fault.kind} does not strike endpoints")
 
@@ -419,10 +443,11 @@
         if value == getattr(standard, field):
             continue
         if isinstance(value, Table):
+            usual = getattr(standard, field) or type(value)()
             inner = [
                 f"{key} = {_toml(getattr(value, key))}"
                 for key in value.__struct_fields__
-                if getattr(value, key) != getattr(getattr(standard, field), key)
+                if getattr(value, key) != getattr(usual, key)
             ]
             tables += ["", f"[{field}]", *inner]
         elif isinstance(value, tuple):
--- a/millgw/rehearsal/stage.py
+++ b/millgw/rehearsal/stage.py
@@ -17,6 +17,7 @@
 from millgw.rehearsal import arrivals
 from millgw.rehearsal.auditor import ClassTerms, Repeats, Terms
 from millgw.rehearsal.blows import Blows
+from millgw.rehearsal.coordination import Coordination
 from millgw.rehearsal.faults import crowds, floods, plan
 from millgw.rehearsal.front import Clients, Front, ask
 from millgw.rehearsal.keeper import Keeper
@@ -126,6 +127,11 @@
         self.delays = Delays(_ms(known.notice_s), _ms(known.silent_s), _ms(known.add_s))
         capacity = Capacity(known.lines_per_s, known.call_lines, known.timeout_s * 1000)
         self.cadastro = Cadastro(self.ledger, self.clock, scenario.seed, self.delays, capacity)
+        self.coordination: Coordination | None = None
+        if scenario.coordinator is not None:
+            self.coordination = Coordination(
+                scenario.coordinator, self.ledger, self.clock, scenario.seed
+            )  # fmt: skip
         self.endpoints: dict[str, Endpoint] = {}
         self.sidecars: dict[str, Sidecar] = {}
         self.own: dict[str, Sidecar] = {}  # endpoints' own, by the endpoint's name
@@ -184,7 +190,8 @@
                 if self.listen is not None and not self.sidecars:
                     sidecar.listen_at(self.listen)
                 self.sidecars[name] = sidecar
-                sidecar.operator = self.operator(name)
+                if self.coordination is None:
+                    sidecar.operator = self.operator(name)
                 if stage:
                     self.own[self.tiers[stage - 1][index].build.name] = sidecar
         self.front = Front([self.sidecars[f"n0-{i}"] for i in range(front)], scenario.seed)
@@ -285,6 +292,11 @@
 
     # Its parts, for the blows
 
+    @property
+    def listed(self) -> bool:
+        """Whether the cadastro knows of endpoints: sidecars may take them from a coordinator alone."""
+        return self.scenario.coordinator is None or self.scenario.coordinator.membership != "alone"
+
     def entry(self, endpoint: Endpoint, status: str) -> Entry:
         build, life = endpoint.build, endpoint.ledger_life()
         since = self.clock.unix(life.start) if life.cold_ms > 0 else 0
@@ -293,8 +305,19 @@
         )
 
     def notice(self, endpoint: Endpoint, status: str, late: tuple[float, float]) -> None:
-        """Let the cadastro know after a while."""
-        self.cadastro.notice(self.entry(endpoint, status), late)
+        """Let the cadastro know after a while, and the coordinator what an endpoint itself would tell it."""
+        entry = self.entry(endpoint, status)
+        if self.listed:
+            self.cadastro.notice(entry, late)
+        if self.coordination is not None:
+            if status == "in_service":
+                self.coordination.serve(endpoint, entry)
+            elif status == "terminating":
+                self.coordination.drain(endpoint, entry)
+            elif endpoint.draining:
+                self.coordination.leave(endpoint)
+            else:
+                self.coordination.die(endpoint)
 
     def vanish(self, endpoint: Endpoint) -> None:
         endpoint.silence()
@@ -349,10 +372,18 @@
     # The day
 
     async def _start(self) -> None:
+        if self.coordination is not None:
+            await self.coordination.start(list(self.sidecars), len(self.tiers))
+            for sidecar in self.sidecars.values():
+                sidecar.operator = self.coordination.operator(sidecar.name, sidecar.stage + 1)
         for tier in self.tiers:
             for endpoint in tier:
                 endpoint.start(cold=False)
-                self.cadastro.list(self.entry(endpoint, "in_service"))
+                entry = self.entry(endpoint, "in_service")
+                if self.listed:
+                    self.cadastro.list(entry)
+                if self.coordination is not None:
+                    self.coordination.serve(endpoint, entry)
         gate = asyncio.Semaphore(STARTS_AT_ONCE * (os.cpu_count() or 1))
         up = 0
 
@@ -419,6 +450,8 @@
         for endpoint in self.endpoints.values():
             endpoint.stop()
         self.cadastro.close()
+        if self.coordination is not None:
+            await self.coordination.stop()
 
     def _keep_logs(self, folder: Path, logs: Path) -> None:
         logs.mkdir(parents=True, exist_ok=True)
--- a/millgw/services/node.py
+++ b/millgw/services/node.py
@@ -125,7 +125,7 @@
         share = LentShare(name, self.bounds)
         room = PoolRoom(name, self.shared, self.bounds, share)
         seed = pool_seed(config.seed, name)
-        return Served(Pool(name, own, seed, room, share, source(service, config)), service, raw)
+        return Served(Pool(name, own, seed, room, share, source(name, service, config)), service, raw)
 
     def _allotments(self, operator: Operator) -> dict[str, Allotment]:
         """What each pool may hold of each kind; sums that can't be kept are refused."""
@@ -217,7 +217,10 @@
         plain = {"limits": Limits(), "listen": None}
         alike = replace(served.service, **plain) == replace(service, **plain)
         moved = (
-            service.discovery is None and not service.endpoints and config.discovery != self.config.discovery
+            service.discovery is None
+            and not service.endpoints
+            and (service.coordinator is None or service.membership is not None)
+            and config.discovery != self.config.discovery
         )
         return alike and not moved and served.raw == raw
 
--- a/millgw/services/parts.py
+++ b/millgw/services/parts.py
@@ -9,10 +9,11 @@
 from typing import Any
 
 from millgw.interface import ListKind
-from millgw.operator.file import Service
+from millgw.membership.servers import read_connect
+from millgw.operator.file import Coordinator, Service
 from millgw.platform.config import Config, ConfigError, read_address
 from millgw.platform.discovery import Discovery, Heard, Listed, read_listing
-from millgw.pool.pool import Source
+from millgw.pool.pool import Source, Witness
 from millgw.settings import to_settings
 
 
@@ -36,6 +37,9 @@
     def stop(self) -> None:
         """It says nothing by itself."""
 
+    def figures(self) -> dict[str, object]:
+        return {}
+
 
 class OwnDiscovery:
     """A discovery of a service's own: the configuration's list, which is another's, is not for it."""
@@ -44,6 +48,7 @@
         self.discovery = discovery
         self.subscribe = discovery.subscribe
         self.stop = discovery.stop
+        self.figures = discovery.figures
 
     def start(self, known: Any) -> None:
         self.discovery.start(None)
@@ -59,15 +64,47 @@
     return out
 
 
-def source(service: Service, config: Config) -> Callable[[Heard], Source]:
+def source(name: str, service: Service, config: Config) -> Callable[[Heard, Witness], Source]:
     """How a service's endpoints are known."""
     if service.endpoints:
         entries = static_list(service, config)
-        return lambda heard: StaticList(entries, heard)
+        return lambda heard, _: StaticList(entries, heard)
+    if service.coordinator is not None:
+        return _coordinated(service, service.coordinator, config, pool_seed(config.seed, name))
     if service.discovery is None:
-        return lambda heard: Discovery(config.discovery, config.zones, heard)
+        return lambda heard, _: Discovery(config.discovery, config.zones, heard)
     address = read_address(service.discovery)
-    return lambda heard: OwnDiscovery(Discovery(address, config.zones, heard))
+    return lambda heard, _: OwnDiscovery(Discovery(address, config.zones, heard))
+
+
+def _coordinated(
+    service: Service, told: Coordinator, config: Config, seed: int
+) -> Callable[[Heard, Witness], Source]:
+    # Only here: a coordinator that is not named must cost nothing.
+    from millgw.membership.judge import Terms
+    from millgw.membership.merge import Merger, Mode
+    from millgw.membership.source import BothSources, CoordinatorSource, Where
+
+    servers, root = read_connect(told.connect)
+    where = Where(
+        servers,
+        root + told.path,
+        told.session_s * 1000,
+        Terms(
+            share=told.mass_share,
+            window=told.window_s * 1000,
+            hold=told.hold_s * 1000,
+            hold_most=told.hold_most_s * 1000,
+        ),
+        told.endpoint,
+    )
+    if service.membership is None:
+        return lambda heard, witness: CoordinatorSource(where, config.zones, seed, witness, heard)
+    mode, own = Mode(service.membership), service.discovery is not None
+    address = config.discovery if service.discovery is None else read_address(service.discovery)
+    return lambda heard, witness: BothSources(
+        where, Merger(mode), address, own, config.settings.ask_within, config.zones, seed, witness, heard
+    )
 
 
 def static_list(service: Service, config: Config) -> tuple[Listed, ...]:
--- a/millgw/sidecar/__main__.py
+++ b/millgw/sidecar/__main__.py
@@ -72,7 +72,7 @@
     )
     pool = Pool(
         "", config, config.seed, descriptors, whole,
-        lambda heard: Discovery(config.discovery, config.zones, heard),
+        lambda heard, _: Discovery(config.discovery, config.zones, heard),
     )  # fmt: skip
     assert isinstance(pool.source, Discovery)
     front = PlainFront(pool)
--- a/millgw/standins/coordinator/command.py
+++ b/millgw/standins/coordinator/command.py
@@ -19,6 +19,7 @@
 HELP = """Lines on standard input, each answered by one line of JSON:
   nodes PATH                 the names below a node, with their owners
   put PATH [TEXT]            make a node that no session owns, or give it other data
+  own PATH [TEXT]            make an ephemeral node of a session of its own; tells the session
   remove PATH                delete a node, whoever owns it
   sessions                   those that are open
   expire SESSION             expire one now
@@ -105,6 +106,8 @@
             return {"sessions": sorted(ensemble.tree.sessions)}
         if command == "put":
             ensemble.put(rest[0], " ".join(rest[1:]).encode())
+        elif command == "own":
+            return {"session": ensemble.own(rest[0], " ".join(rest[1:]).encode())}
         elif command == "remove":
             ensemble.remove(rest[0])
         elif command == "expire":
--- a/millgw/standins/coordinator/ensemble.py
+++ b/millgw/standins/coordinator/ensemble.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import copy
+import math
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -17,7 +18,7 @@
 from millgw.membership.jute import BadRecord, Frames, Reader
 from millgw.platform.config import Address
 from millgw.standins.address import free_address
-from millgw.standins.coordinator.tree import Change, Code, Failed, Session, Told, Tree
+from millgw.standins.coordinator.tree import EPHEMERAL, Change, Code, Failed, Session, Told, Tree
 
 TICK = 0.05  # s between two looks for sessions that are overdue
 LEAST_TIMEOUT, MOST_TIMEOUT = 100.0, 40_000.0  # ms that a session's time-out is negotiated to
@@ -32,6 +33,10 @@
 ANYONE = jute.write_int(1) + jute.write_int(31) + jute.write_string("world") + jute.write_string("anyone")
 
 
+Heard = Callable[[str, str, tuple[str, ...] | None, bytes], None]
+"""What a client was told: its name, the path, and its list of names or (None) its data."""
+
+
 @dataclass(slots=True)
 class Ills:
     """What is wrong with a face now. Times in ms."""
@@ -63,18 +68,22 @@
         self.ills = Ills()
         self.count = Count()
         self.connections: set[Wire] = set()
-        self.server: asyncio.Server | None = None
+        self.servers: list[asyncio.Server] = []
 
     async def start(self) -> None:
-        self.server = await asyncio.get_running_loop().create_server(
-            lambda: Wire(self), self.address.host, self.address.port
-        )
+        await self.listen(self.address, "")
+
+    async def listen(self, address: Address, client: str) -> None:
+        """Take connections at one more address; those who come there are called `client`."""
+        loop = asyncio.get_running_loop()
+        made = await loop.create_server(lambda: Wire(self, client), address.host, address.port, backlog=1024)
+        self.servers.append(made)
 
     async def stop(self) -> None:
         """The process ends: its connections are reset, new ones refused. Sessions live on."""
-        if self.server is not None:
-            self.server.close()
-            self.server = None
+        for server in self.servers:
+            server.close()
+        self.servers.clear()
         self.drop()
 
     def drop(self) -> None:
@@ -119,6 +128,7 @@
         self.clock: Callable[[], float] = lambda: clock() * 1000  # ms
         self.faces = [Face(self, a) for a in addresses or [free_address() for _ in range(faces)]]
         self.sweeping: asyncio.TimerHandle | None = None
+        self.told: Heard | None = None
 
     @property
     def connect_string(self) -> str:
@@ -130,6 +140,13 @@
             await face.start()
         self._sweep()
 
+    async def window(self, client: str) -> str:
+        """Addresses of a client's own at all faces, as a connect string: `told` then names it."""
+        addresses = [free_address() for _ in self.faces]
+        for face, address in zip(self.faces, addresses, strict=True):
+            await face.listen(address, client)
+        return ",".join(map(str, addresses))
+
     async def stop(self) -> None:
         if self.sweeping is not None:
             self.sweeping.cancel()
@@ -184,6 +201,20 @@
         if self.tree.nodes[path].data != data:
             self.publish(self.tree.write(path, data, -1, now)[1])
 
+    def own(self, path: str, data: bytes) -> int:
+        """Make an ephemeral node of a session of its own, which only a command ends; the session."""
+        above = path.rpartition("/")[0]
+        if above and above not in self.tree.nodes:
+            self.put(above)
+        now = self.clock()
+        session = self.tree.open(math.inf, now).id
+        self.publish(self.tree.create(path, data, EPHEMERAL, session, now)[1])
+        return session
+
+    def write(self, path: str, data: bytes) -> None:
+        """Give a node other data, whoever owns it."""
+        self.publish(self.tree.write(path, data, -1, self.clock())[1])
+
     def remove(self, path: str) -> None:
         """Delete a node, whoever owns it."""
         self.publish(self.tree.delete(path))
@@ -216,8 +247,9 @@
 class Wire(asyncio.Protocol):
     """One client's connection to a face."""
 
-    def __init__(self, face: Face) -> None:
+    def __init__(self, face: Face, client: str) -> None:
         self.face = face
+        self.client = client
         self.ensemble = face.ensemble
         self.frames = Frames()
         self.session: Session | None = None
@@ -377,14 +409,20 @@
             data, stat_ = seen.read(path)
             if watch:
                 self.watches.data.add(path)
+            self._note(path, None, data)
             return jute.write_buffer(data) + stat_.write(), []
         if kind in (GET_CHILDREN, GET_CHILDREN2):
             names, stat_ = seen.children(path)
             if watch:
                 self.watches.children.add(path)
+            self._note(path, tuple(names), b"")
             return jute.write_strings(names) + (stat_.write() if kind == GET_CHILDREN2 else b""), []
         raise Failed(Code.UNIMPLEMENTED)
 
+    def _note(self, path: str, names: tuple[str, ...] | None, data: bytes) -> None:
+        if self.client and self.ensemble.told is not None:
+            self.ensemble.told(self.client, path, names, data)
+
     def _set_watches(self, reader: Reader) -> None:
         """Watches that a client had before it reconnected: what changed since is told at once."""
         since = reader.long()
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -4,14 +4,18 @@
 
 import asyncio
 import itertools
+import json
+import os
+import signal
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any
 
 import uvloop
 
-from millgw.platform.config import Address, Config
+from millgw.platform.config import Address, Config, read_config
 from millgw.settings import to_settings
 from millgw.sidecar.__main__ import serve
 from millgw.standins.address import free_address
@@ -135,3 +139,46 @@
         task.cancel()
         with suppress(asyncio.CancelledError):
             await task
+
+
+class Services(Reachable):
+    """A sidecar in service with an operator's file."""
+
+    def __init__(self, folder: Path, text: str, discovery: str) -> None:
+        self.folder = folder
+        self.file = folder / "operator.toml"
+        self.file.write_text(text)
+        self.config = folder / "config.json"
+        self.listen = free_address()
+        self.write(discovery)
+        self.environ = {"BALANCER_CONFIG": str(self.config), "BALANCER_OPERATOR": str(self.file)}
+
+    def write(self, discovery: str, **limits: Any) -> None:
+        self.config.write_text(
+            json.dumps(
+                {
+                    "name": "n1", "listen": str(self.listen), "discovery": discovery, "seed": "1",
+                    "limits": {"sockets": 256, "memory_mb": 32} | limits, "settings": SETTINGS,
+                }
+            )
+        )  # fmt: skip
+
+    async def reload(self, text: str) -> None:
+        self.file.write_text(text)
+        os.kill(os.getpid(), signal.SIGHUP)
+        await asyncio.sleep(0.05)
+
+
+@asynccontextmanager
+async def services(folder: Path, text: str, discovery: str = "127.0.0.1:9") -> AsyncIterator[Services]:
+    made = Services(folder, text, discovery)
+    task = asyncio.create_task(serve(read_config(made.environ), made.environ))
+    await asyncio.sleep(0.02)
+    if task.done():
+        task.result()
+    try:
+        yield made
+    finally:
+        task.cancel()
+        with suppress(asyncio.CancelledError):
+            await task
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,573 @@
+"""Ephemeral membership on loopback: the daemon and the registrar against a coordinator that fails."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import random
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from functools import partial
+from pathlib import Path
+
+import pytest
+from kazoo.client import KazooClient
+
+from millgw.membership import jute
+from millgw.membership.client import Client
+from millgw.membership.follower import MOST_NODES
+from millgw.membership.judge import Terms
+from millgw.membership.protocol import Ask, Fired, Kind, Reply
+from millgw.membership.registrar import Entry, Registrar
+from millgw.membership.source import Directory, Where
+from millgw.operator.file import OperatorError, parse
+from millgw.platform.config import Address
+from millgw.platform.discovery import Listed, endpoint_id
+from millgw.standins.address import free_address
+from millgw.standins.coordinator.ensemble import Ensemble
+from millgw.standins.coordinator.tree import Told
+from millgw.standins.scripted import STREAM, ScriptedCadastro, ScriptedEndpoint, chunk, line
+from tests.rig import Reachable, request, run, services, until
+from tests.test_coordinator import running
+
+PATH = "/services/login"
+
+
+@asynccontextmanager
+async def ensemble(faces: int = 1) -> AsyncIterator[Ensemble]:
+    made = Ensemble(faces=faces)
+    await made.start()
+    try:
+        yield made
+    finally:
+        await made.stop()
+
+
+def entry(name: str, address: Address, status: str = "in_service") -> bytes:
+    said = {"name": name, "address": str(address), "status": status, "since_ms": 1}
+    return json.dumps(said).encode()
+
+
+class Watching:
+    """One directory as a pool follows it, without a pool: nothing is seen of any endpoint but by `views`."""
+
+    def __init__(self, made: Ensemble, timeout: float = 4000.0, terms: Terms | None = None) -> None:
+        servers = tuple(face.address for face in made.faces)
+        self.names: dict[int, str] = {}
+        self.ready: set[str] = set()
+        self.drains: set[str] = set()
+        self.told = 0
+        where = Where(servers, PATH, timeout, terms or Terms())
+        self.directory = Directory(where, (), 1, self, self.changed)
+        self.views: dict[str, tuple[float, float, float, float]] = {}
+
+    def knows(self, *names: str) -> None:
+        self.names |= {endpoint_id(name): name for name in names}
+
+    def changed(self, ready: dict[int, Listed], drains: dict[int, Listed]) -> None:
+        self.told += 1
+        self.ready = {self.names[id] for id in ready}
+        self.drains = {self.names[id] for id in drains}
+
+    def seen(self, endpoint: int) -> tuple[float, float, float, float] | None:
+        return self.views.get(self.names[endpoint], (-math.inf, math.inf, -math.inf, -math.inf))
+
+    def misses(self, endpoint: int) -> int:
+        return 0
+
+
+@asynccontextmanager
+async def watching(
+    made: Ensemble, names: str, timeout: float = 4000.0, terms: Terms | None = None
+) -> AsyncIterator[tuple[Watching, dict[str, int]]]:
+    """A directory that is followed, with members of these names; each one's session."""
+    rig = Watching(made, timeout, terms)
+    rig.knows(*names, "x", "y")
+    sessions = {}
+    for i, name in enumerate(names):
+        sessions[name] = made.own(f"{PATH}/{name}", entry(name, Address("127.0.0.1", 1000 + i)))
+    rig.directory.start()
+    await until(lambda: rig.ready == set(names))
+    try:
+        yield rig, sessions
+    finally:
+        rig.directory.stop()
+
+
+def test_the_daemon_sends_to_registered_endpoints_and_stops_when_told(tmp_path: Path) -> None:
+    async def test() -> None:
+        made = [ScriptedEndpoint(name) for name in "abc"]
+        async with ensemble() as zk:
+            for e in made:
+                await e.start()
+                zk.own(f"{PATH}/{e.name}", entry(e.name, e.address))
+            async with services(tmp_path, service(zk)) as node:
+                await has(node, 3)
+                for _ in range(30):
+                    assert (await node.ask(request("pay"))).status == 200
+                assert all(e.got for e in made)
+                zk.remove(f"{PATH}/a")
+                await has(node, 2)
+                zk.write(f"{PATH}/b", entry("b", made[1].address, "terminating"))
+                await has(node, 1)
+                before = [len(e.got) for e in made]
+                for _ in range(20):
+                    assert (await node.ask(request("pay"))).status == 200
+                assert [len(e.got) for e in made] == [before[0], before[1], before[2] + 20]
+                ready = await node.ask(b"GET /ready HTTP/1.1\r\nHost: n\r\n\r\n")
+                assert b"login: ready" in ready.body
+
+    run(test)
+
+
+def test_all_expire_and_serve_on_and_one_that_dies_is_taken_out(tmp_path: Path) -> None:
+    async def test() -> None:
+        made = [ScriptedEndpoint(f"e{i}") for i in range(6)]
+        async with ensemble() as zk:
+            for e in made:
+                await e.start()
+                zk.own(f"{PATH}/{e.name}", entry(e.name, e.address))
+            async with services(tmp_path, service(zk)) as node:
+                await has(node, 6)
+                for _ in range(40):
+                    assert (await node.ask(request("read"))).status == 200
+                assert zk.expire_owners(PATH) == 6
+                await asyncio.sleep(0.5)
+                for _ in range(40):
+                    assert (await node.ask(request("read"))).status == 200
+                await has(node, 6)
+                made[0].listener.close()
+                for connection in made[0].served:
+                    connection.reset()
+                while await count(node) != 5:  # its session is gone and it takes no connection
+                    asked = [node.ask(request("read")) for _ in range(12)]
+                    assert all(answer.status == 200 for answer in await asyncio.gather(*asked))
+                for e in made[1:]:
+                    zk.own(f"{PATH}/{e.name}", entry(e.name, e.address))
+                await has(node, 5)
+                zk.remove(f"{PATH}/e1")
+                await has(node, 4)
+
+    run(test)
+
+
+def service(zk: Ensemble, more: str = "") -> str:
+    return f"""[services.login]
+{more}
+[services.login.coordinator]
+connect = "{zk.connect_string}"
+path = "{PATH}"
+session_s = 4
+[[routes]]
+to = "login"
+"""
+
+
+async def count(node: Reachable) -> int:
+    ready = await node.ask(b"GET /ready HTTP/1.1\r\nHost: n\r\n\r\n")
+    return int(ready.body.decode().partition(" endpoints")[0].rpartition(" ")[2])
+
+
+async def has(node: Reachable, endpoints: int) -> None:
+    while await count(node) != endpoints:
+        await asyncio.sleep(0.01)
+
+
+def test_both_sources_are_one_list_and_either_may_drain(tmp_path: Path) -> None:
+    async def test() -> None:
+        a, b, c = (ScriptedEndpoint(name) for name in "abc")
+        cadastro = ScriptedCadastro()
+        await cadastro.start()
+        async with ensemble() as zk:
+            for e in (a, b, c):
+                await e.start()
+            zk.own(f"{PATH}/a", entry("a", a.address))
+            zk.own(f"{PATH}/b", entry("b", b.address))
+            text = service(zk, 'membership = "union"')
+            async with services(tmp_path, text, str(cadastro.address)) as node:
+                _, writer = await cadastro.calls.get()
+                writer.write(STREAM + chunk(line(1, [b.entry(), c.entry()], snapshot=True)))
+                await has(node, 3)
+                writer.write(chunk(line(2, [b.entry("terminating")])))
+                await has(node, 2)
+                zk.remove(f"{PATH}/a")
+                await has(node, 1)
+                assert (await node.ask(request("pay"))).status == 200 and len(c.got) == 1
+                writer.close()
+                zk.write(f"{PATH}/b", entry("b", b.address, "terminating"))  # word that is not discovery's
+                _, writer = await cadastro.calls.get()
+                writer.write(STREAM + chunk(line(2, [c.entry()], snapshot=True)))
+                writer.write(chunk(line(3, [a.entry(since_ms=int(time.time() * 1000) + 60_000)])))
+                await has(node, 2)
+
+    run(test)
+
+
+def test_the_sidecar_s_session_expires_amid_a_drain() -> None:
+    async def test() -> None:
+        async with ensemble(2) as zk, watching(zk, "abcdef") as (rig, _):
+            for face in zk.faces:
+                face.ills.refusing = True
+            zk.expire(rig.directory.client.core.session)
+            zk.write(f"{PATH}/a", entry("a", Address("127.0.0.1", 1000), "terminating"))
+            zk.remove(f"{PATH}/b")
+            await asyncio.sleep(0.1)
+            assert rig.ready == set("abcdef"), "nothing is decided while nothing is heard"
+            for face in zk.faces:
+                face.ills.refusing = False
+            await until(lambda: rig.ready == set("cdef") and rig.drains == {"a"})
+            zk.put(f"{PATH}/draining/c")
+            await until(lambda: rig.drains == {"a", "c"})
+            zk.remove(f"{PATH}/draining/c")
+            await until(lambda: rig.ready == set("cdef"))
+
+    run(test)
+
+
+def test_a_session_that_moves_misses_nothing() -> None:
+    async def test() -> None:
+        async with ensemble(3) as zk, watching(zk, "abcdef") as (rig, _):
+            session = rig.directory.client.core.session
+            for _ in range(2):
+                for face in zk.faces:
+                    face.drop()
+                zk.remove(f"{PATH}/a")
+                zk.own(f"{PATH}/a", entry("a", Address("127.0.0.1", 1000)))
+                zk.write(f"{PATH}/b", entry("b", Address("127.0.0.1", 1001), "terminating"))
+                await until(lambda: rig.ready == set("acdef"))
+                zk.write(f"{PATH}/b", entry("b", Address("127.0.0.1", 1001)))
+                await until(lambda: rig.ready == set("abcdef"))
+            assert rig.directory.client.core.session == session
+
+    run(test)
+
+
+def test_a_delayed_watch_crosses_a_re_creation() -> None:
+    async def test() -> None:
+        async with ensemble() as zk, watching(zk, "abcdef") as (rig, _):
+            zk.faces[0].ills.watch_delay = 200.0
+            before = rig.directory.judge.members["a"].since
+            zk.remove(f"{PATH}/a")
+            data = json.dumps({"name": "a", "address": "127.0.0.1:1000", "status": "in_service"}).encode()
+            zk.own(f"{PATH}/a", data)
+            await until(lambda: rig.directory.judge.members["a"].since > before)
+            assert rig.ready == set("abcdef")
+
+    run(test)
+
+
+def test_a_face_that_lags_and_a_coordinator_that_restarts_empty_take_out_nobody() -> None:
+    async def test() -> None:
+        async with ensemble(2) as zk, watching(zk, "abcdef") as (rig, _):
+            behind, ahead = zk.faces
+            behind.lag(True)
+            zk.remove(f"{PATH}/a")
+            serving = next(f for f in zk.faces if f.connections)
+            if serving is behind:
+                behind.drop()
+            await until(lambda: rig.ready == set("bcdef"))
+            ahead.ills.refusing = True
+            ahead.drop()
+            await until(lambda: behind.count.connections > 1)
+            assert rig.ready == set("bcdef"), "an older list does not bring back who was told to be gone"
+            ahead.ills.refusing = False
+            zk.restart_empty()
+            await until(lambda: rig.directory.judge.counts.held == 5)
+            assert rig.ready == set("bcdef") and rig.directory.follower.picture.missing
+            for i, name in enumerate("abcdef"):
+                zk.own(f"{PATH}/{name}", entry(name, Address("127.0.0.1", 1000 + i)))
+            await until(lambda: rig.ready == set("abcdef"))
+            assert rig.directory.judge.states()["held"] == 0
+
+    run(test)
+
+
+def test_what_can_t_be_read_is_skipped_and_far_too_many_nodes_change_nothing(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def test() -> None:
+        async with ensemble() as zk, watching(zk, "abc") as (rig, _):
+            zk.put(f"{PATH}/odd", b"{")
+            zk.put(f"{PATH}/x", entry("x", Address("127.0.0.1", 2000)))
+            await until(lambda: rig.ready == set("abcx"))
+            assert f"node={PATH}/odd" in caplog.text
+            for i in range(100_000):
+                zk.tree.create(f"{PATH}/{i}", b"", 0, 0, 0.0)
+            zk.put(f"{PATH}/y", entry("y", Address("127.0.0.1", 2001)))
+            await until(lambda: rig.directory.follower.too_many > MOST_NODES)
+            assert rig.ready == set("abcx")
+
+    run(test)
+
+
+def test_hostile_servers_are_left_and_the_next_is_tried() -> None:
+    session = jute.write_int(4000) + jute.write_long(5) + jute.write_buffer(bytes(16))
+    up = jute.frame(jute.write_int(0) + session) + jute.frame(b"\1" * 16)
+    words = [b"\x7f\xff\xff\xff" * 9, b"\xff\xff\xff\xff", b"HTTP/1.1 400 \r\n\r\n", up]
+
+    async def test() -> None:
+        met = set[int]()
+
+        async def serve(which: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            met.add(which)
+            writer.write(words[which])
+            await reader.read()
+            writer.close()
+
+        async with ensemble() as zk:
+            liars = [free_address() for _ in words]
+            servers = [
+                await asyncio.start_server(partial(serve, i), liar.host, liar.port)
+                for i, liar in enumerate(liars)
+            ]
+            rig = Watching(zk)
+            rig.knows("a")
+            zk.own(f"{PATH}/a", entry("a", Address("127.0.0.1", 1000)))
+            rig.directory.client = Client((*liars, zk.faces[0].address), 4000.0, Late(), rig.directory)
+            rig.directory.start()
+            await until(lambda: rig.ready == {"a"})
+            assert len(met) == len(words)
+            rig.directory.stop()
+            for server in servers:
+                server.close()
+
+    run(test)
+
+
+class Late(random.Random):
+    """Shuffles nothing: the honest server is tried last."""
+
+    def shuffle(self, x: object) -> None: ...
+
+
+def test_a_frozen_coordinator_is_noticed_and_nobody_goes() -> None:
+    async def test() -> None:
+        async with ensemble(2) as zk, watching(zk, "abcdef", timeout=600.0) as (rig, _):
+            frozen = next(f for f in zk.faces if f.connections)
+            frozen.freeze(True)
+            await until(lambda: bool(next(f for f in zk.faces if f is not frozen).connections))
+            await until(lambda: rig.directory.client.serves)
+            assert rig.ready == set("abcdef")
+            zk.remove(f"{PATH}/a")
+            await until(lambda: rig.ready == set("bcdef"))
+
+    run(test)
+
+
+# Registration
+
+
+def test_a_registrar_keeps_one_node_through_expiry_drops_and_its_old_session(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with ensemble(2) as zk:
+            servers = tuple(face.address for face in zk.faces)
+            registrar = Registrar(servers, PATH, Entry("a", "127.0.0.1:1000"), 4000.0, random.Random(1))
+            registrar.start()
+            await registrar.registered.wait()
+            for turn in range(3):
+                if turn == 0:
+                    zk.expire(registrar.client.core.session)
+                else:
+                    for face in zk.faces:
+                        face.drop()
+                    if turn == 2:  # the client starts over while its old session and node linger
+                        registrar.client.core.forget()
+                await until(lambda: not registrar.registered.is_set())
+                await registrar.registered.wait()
+                owner = zk.tree.nodes[f"{PATH}/a"].owner
+                assert owner == registrar.client.core.session
+            other = Registrar(servers, PATH, Entry("a", "127.0.0.1:2000"), 4000.0, random.Random(2))
+            other.start()
+            await until(lambda: other.taken)
+            assert json.loads(zk.tree.nodes[f"{PATH}/a"].data)["address"] == "127.0.0.1:1000"
+            assert await registrar.leave(0.05)
+            await other.registered.wait()
+            assert json.loads(zk.tree.nodes[f"{PATH}/a"].data)["address"] == "127.0.0.1:2000"
+            zk.faces[0].ills.read_only = zk.faces[1].ills.read_only = True
+            leaving = asyncio.create_task(other.leave(0.0))
+            await until(lambda: bool(other.registration.problem))
+            zk.faces[0].ills.read_only = zk.faces[1].ills.read_only = False
+            assert await leaving and f"{PATH}/a" not in zk.tree.nodes
+
+    run(test)
+
+
+CHILD = """
+import pathlib, signal, socket, sys, time
+s = socket.create_server((sys.argv[3], int(sys.argv[1])))
+def end(*_):
+    pathlib.Path(sys.argv[2]).write_text(str(time.monotonic_ns()))
+    raise SystemExit
+signal.signal(signal.SIGTERM, end)
+while True:
+    c, _ = s.accept()
+    c.close()
+"""
+
+
+def test_the_command_drains_and_takes_the_node_down_before_the_server_stops(tmp_path: Path) -> None:
+    async def test() -> None:
+        address = free_address()
+        log: list[tuple[int, str, int]] = []
+        async with ensemble() as zk:
+            told = zk.publish
+
+            def publish(changes: list[Told]) -> None:
+                log.extend((c.change, c.path, time.monotonic_ns()) for c in changes)
+                told(changes)
+
+            zk.publish = publish  # type: ignore[method-assign, assignment]
+            words = ["--connect", zk.connect_string, "--path", PATH, "--name", "a", "--drain-s", "0.2"]
+            ended = tmp_path / "ended"
+            child = [sys.executable, "-c", CHILD, str(address.port), str(ended), address.host]
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "millgw", "register", *words, "--address", str(address), "--", *child,
+                stderr=subprocess.DEVNULL,
+            )  # fmt: skip
+            await until(lambda: f"{PATH}/a" in zk.tree.nodes)
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+            mine = [(change, at) for change, path, at in log if path == f"{PATH}/a"]
+            assert [change for change, _ in mine] == [1, 3, 2], "made, drained, taken down"
+            assert mine[1][1] + 0.2e9 <= mine[2][1] < int(ended.read_text())
+            assert not zk.tree.sessions, "its session is closed, not left to its time-out"
+            dies = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "millgw", "register", *words, "--address", str(address), "--at-once",
+                "--", sys.executable, "-c", "import time; time.sleep(1); raise SystemExit(7)",
+                stderr=subprocess.DEVNULL,
+            )  # fmt: skip
+            await until(lambda: f"{PATH}/a" in zk.tree.nodes)
+            assert await dies.wait() == 1 and f"{PATH}/a" not in zk.tree.nodes
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("change", "says"),
+    [
+        ({"--connect": "here"}, "--connect"),
+        ({"--path": "services"}, "--path"),
+        ({"--name": "a/b"}, "--name"),
+        ({"--address": "here:1"}, "--address"),
+        ({"--session-s": "0"}, "--session-s"),
+        ({"--weight": "0"}, "--weight"),
+        ({"--drain-s": "-1"}, "--drain-s"),
+    ],
+)
+def test_bad_words_are_named_in_one_line(
+    change: dict[str, str], says: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    from millgw.__main__ import main
+
+    words = {"--connect": "127.0.0.1:1", "--path": "/s", "--name": "a", "--address": "127.0.0.1:2"} | change
+    assert main(["register", *(w for pair in words.items() for w in pair)]) == 2
+    said = capsys.readouterr().err
+    assert says in said and said.count("\n") == 1
+
+
+def test_an_unmodified_client_s_nodes_are_read_and_ours_by_it() -> None:
+    with running() as made:
+        client = made.client()
+        assert isinstance(client, KazooClient)
+        client.ensure_path(PATH)
+        member = {"serviceEndpoint": {"host": "10.0.0.1", "port": 80}, "status": "ALIVE"}
+        client.create(f"{PATH}/member_", json.dumps(member).encode(), ephemeral=True, sequence=True)
+        client.create(f"{PATH}/bad", b"?", ephemeral=True)
+        ours = subprocess.Popen(
+            [
+                sys.executable, "-m", "millgw", "register", "--connect", made.ensemble.connect_string,
+                "--path", PATH, "--name", "mine", "--address", "127.0.0.1:9", "--at-once", "--drain-s", "0",
+            ],
+            stderr=subprocess.DEVNULL,
+        )  # fmt: skip
+        for _ in range(1000):
+            if client.exists(f"{PATH}/mine"):
+                break
+            time.sleep(0.01)
+        data, stat = client.get(f"{PATH}/mine")
+        assert json.loads(data)["address"] == "127.0.0.1:9" and stat.ephemeralOwner
+        read = subprocess.run(
+            [
+                sys.executable, "-m", "millgw", "members", "--connect", made.ensemble.connect_string,
+                "--path", PATH, "--json",
+            ],
+            capture_output=True, text=True,
+        )  # fmt: skip
+        rows = {row["node"]: row for row in json.loads(read.stdout)["members"]}
+        assert read.returncode == 1 and rows["bad"]["means"] == "unreadable" and "JSON" in rows["bad"]["why"]
+        assert rows["member_0000000000"]["name"] == "10.0.0.1:80" and rows["mine"]["means"] == "ready"
+        ours.send_signal(signal.SIGTERM)
+        assert ours.wait(15) == 0 and client.exists(f"{PATH}/mine") is None
+        client.delete(f"{PATH}/bad")
+        nowhere = subprocess.run(
+            [
+                sys.executable, "-m", "millgw", "members", "--connect", str(free_address()), "--path", PATH,
+                "--within-s", "0.3",
+            ],
+            capture_output=True, text=True,
+        )  # fmt: skip
+        assert nowhere.returncode == 3 and nowhere.stderr.count("\n") == 1
+
+
+# The operator's file
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ('membership = "union"', "services.login.membership: says how two sources"),
+        ('membership = "both"', "services.login.membership: Invalid enum value 'both'"),
+        ('[services.login.coordinator]\nconnect = "zk:2181"\npath = "/s"', "coordinator.connect: "),
+        ('[services.login.coordinator]\nconnect = "127.0.0.1:1"\npath = "s"', "path: 's' is no path"),
+        ('[services.login.coordinator]\nconnect = "127.0.0.1:1"', "coordinator"),
+        (
+            'discovery = "127.0.0.1:2"\n[services.login.coordinator]\nconnect = "127.0.0.1:1"\npath = "/s"',
+            "services.login.membership: is needed",
+        ),
+        (
+            '[services.login.coordinator]\nconnect = "127.0.0.1:1"\npath = "/s"\nhold_s = 400',
+            "coordinator.hold_most_s: is under",
+        ),
+    ],
+)
+def test_a_coordinator_that_can_t_be_used_is_named(text: str, says: str) -> None:
+    with pytest.raises(OperatorError) as caught:
+        parse(f'[services.login]\n{text}\n[[routes]]\nto = "login"\n', "o.toml")
+    assert says in str(caught.value) and str(caught.value).startswith("o.toml:")
+
+
+class Quiet:
+    """A listener that only asks for the list, over and over."""
+
+    def __init__(self) -> None:
+        self.replies = 0
+        self.client: Client
+
+    def up(self, fresh: bool, over: bool) -> None:
+        self.client.ask(Ask(Kind.CHILDREN, PATH))
+
+    def down(self) -> None: ...
+
+    def reply(self, reply: Reply) -> None:
+        self.replies += 1
+
+    def fired(self, fired: Fired) -> None: ...
+
+
+def test_closing_ends_the_session_at_once() -> None:
+    async def test() -> None:
+        async with ensemble() as zk:
+            listener = Quiet()
+            listener.client = Client((zk.faces[0].address,), 4000.0, random.Random(1), listener)
+            listener.client.start()
+            await until(lambda: listener.replies == 1)
+            assert len(zk.tree.sessions) == 1
+            await listener.client.close()
+            assert not zk.tree.sessions
+
+    run(test)
--- /dev/null
+++ b/tests/test_membership_pure.py
@@ -0,0 +1,822 @@
+"""Ephemeral membership's decisions: protocol core, follower, judge, merge, registration. No sockets."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import math
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from millgw.interface import Condition, Endpoint
+from millgw.membership import jute
+from millgw.membership.follower import RECHECK, Follower
+from millgw.membership.judge import ASIDE_AFTER, FLAPS, Found, Judge, Seen, State, Terms
+from millgw.membership.jute import BadRecord, Stat
+from millgw.membership.merge import COORDINATOR, DISCOVERY, Merger, Mode, changes
+from millgw.membership.nodes import Held, read_node
+from millgw.membership.protocol import Ask, Change, Code, Core, Expired, Fired, Kind, Reply, Up
+from millgw.membership.registrar import Entry
+from millgw.membership.registration import Registration, Wish
+from millgw.membership.registration import State as Node
+from millgw.membership.servers import BACKWARD_ROUNDS, SPREAD, Rota, read_connect
+from millgw.platform.config import Address
+from millgw.platform.discovery import Listed, endpoint_id, listed_as
+from millgw.standins.coordinator.tree import Code as Refused
+from millgw.standins.coordinator.tree import Failed, Told, Tree
+
+NOWHERE = Stat(1, 2, 3, 4, 0, 0, 0, 0, 0, 0, 5)
+
+
+# The protocol core
+
+
+def handshake(session: int = 9, timeout: int = 4000) -> bytes:
+    return jute.frame(
+        jute.write_int(0) + jute.write_int(timeout) + jute.write_long(session)
+        + jute.write_buffer(bytes(16)) + b"\0"
+    )  # fmt: skip
+
+
+def answer(xid: int, zxid: int, code: int = 0, body: bytes = b"") -> bytes:
+    return jute.frame(jute.write_int(xid) + jute.write_long(zxid) + jute.write_int(code) + body)
+
+
+def fired(path: str) -> bytes:
+    body = jute.write_int(Change.DATA) + jute.write_int(3) + jute.write_string(path)
+    return answer(-1, -1, 0, body)
+
+
+@given(st.lists(st.integers(0, 400), max_size=12))
+@settings(max_examples=100, deadline=None)
+def test_the_core_reads_the_same_at_any_split(cuts: list[int]) -> None:
+    lists = jute.write_strings(["a", "b"]) + NOWHERE.write()
+    data = b"".join([
+        handshake(), answer(1, 7, 0, lists), fired("/s/a"), answer(-2, 7),
+        answer(2, 8, 0, jute.write_buffer(b"x") + NOWHERE.write()), answer(3, 8, Code.NO_NODE),
+    ])  # fmt: skip
+    core = Core(4000.0)
+    core.connect()
+    asks = [Ask(Kind.CHILDREN, "/s"), Ask(Kind.READ, "/s/a"), Ask(Kind.READ, "/s/b")]
+    for ask in asks:
+        core.ask(ask)
+    events = []
+    for start, end in itertools.pairwise([0, *sorted(c for c in cuts if c < len(data)), len(data)]):
+        events += core.receive(data[start:end])
+    assert events == [
+        Up(9, 4000.0, True, False), Reply(asks[0], 0, ("a", "b"), stat=NOWHERE), Fired(Change.DATA, "/s/a"),
+        Reply(asks[1], 0, data=b"x", stat=NOWHERE), Reply(asks[2], Code.NO_NODE),
+    ]  # fmt: skip
+    assert core.seen == 8
+
+
+@given(st.binary(max_size=300), st.booleans())
+@settings(max_examples=300, deadline=None)
+def test_whatever_comes_is_read_or_refused(data: bytes, up: bool) -> None:
+    core = Core(4000.0)
+    core.connect()
+    core.ask(Ask(Kind.CHILDREN, "/s"))
+    try:
+        core.receive((handshake() if up else b"") + data)
+        core.receive(jute.frame(data))
+    except BadRecord:
+        pass
+
+
+@pytest.mark.parametrize(
+    ("data", "says"),
+    [
+        (answer(5, 1), "not the next"),
+        (answer(1, 9, Code.NO_NODE) + answer(2, 8), "behind"),
+        (b"\x7f\xff\xff\xff", "frame of"),
+        (b"\xff\xff\xff\xf0", "frame of"),
+        (answer(1, 9, 0, jute.write_int(1 << 30)), "vector"),
+        (jute.frame(b"\0\0\0"), "int"),
+    ],
+)
+def test_hostile_replies_end_the_connection(data: bytes, says: str) -> None:
+    core = Core(4000.0)
+    core.connect()
+    core.ask(Ask(Kind.CHILDREN, "/s"))
+    core.ask(Ask(Kind.EXISTS, "/s"))
+    core.receive(handshake())
+    with pytest.raises(BadRecord, match=says):
+        core.receive(data)
+
+
+def test_a_session_moves_expires_and_starts_over() -> None:
+    core = Core(4000.0)
+    core.connect()
+    assert core.receive(handshake()) == [Up(9, 4000.0, True, False)]
+    core.receive(answer(-2, 77))
+    again = core.connect()
+    assert jute.write_long(77) in again and jute.write_long(9) in again, "what it has seen, and its session"
+    assert core.receive(handshake()) == [Up(9, 4000.0, False, False)]
+    core.connect()
+    assert core.receive(handshake(0, 0)) == [Expired()] and core.session == 0
+    core.forget()
+    assert jute.write_long(77) not in core.connect()
+
+
+# Which server, and when
+
+
+def test_a_connect_string_is_read_or_named() -> None:
+    assert read_connect("127.0.0.1:1,127.0.0.1:2/a/b") == (
+        (Address("127.0.0.1", 1), Address("127.0.0.1", 2)), "/a/b",
+    )  # fmt: skip
+    for text in ("", "here:1", "127.0.0.1:1,127.0.0.1:1", "127.0.0.1:1/a//b", "127.0.0.1"):
+        with pytest.raises(ValueError):
+            read_connect(text)
+
+
+def test_clients_that_lose_a_server_together_come_back_spread() -> None:
+    servers = [Address("127.0.0.1", port) for port in (1, 2, 3)]
+    comes = []
+    for seed in range(420):
+        rota = Rota(servers, random.Random(seed))
+        rota.first()
+        rota.up()
+        comes.append(rota.lost(served=True, reached=True, refused=False))
+    by_tenth = Counter(int(t.wait // (SPREAD / 10)) for t in comes)
+    by_server = Counter(t.server for t in comes)
+    assert max(by_tenth.values()) < 420 / 10 * 1.6, "no tenth of the time has much more than its part"
+    assert max(by_server.values()) < 420 / 3 * 1.3, "no server either"
+
+
+@given(st.lists(st.sampled_from(["refused", "unreachable", "silent"]), min_size=1, max_size=30))
+def test_it_starts_over_only_where_all_that_can_be_reached_refuse(kinds: list[str]) -> None:
+    servers = [Address("127.0.0.1", port) for port in (1, 2)]
+    rota = Rota(servers, random.Random(1))
+    rota.first()
+    since: list[str] = []
+    for kind in kinds:
+        made = rota.lost(False, kind != "unreachable", kind == "refused")
+        since.append(kind)
+        if made.over:
+            assert "silent" not in since and since.count("refused") > 0
+            assert len(since) >= BACKWARD_ROUNDS * len(servers)
+            since = []
+        elif len(since) == BACKWARD_ROUNDS * len(servers):
+            assert "silent" in since or "refused" not in since
+
+
+# What nodes hold
+
+
+ENTRY = {"name": "a", "address": "10.0.0.1:80", "status": "in_service", "group": 2, "weight": 1.5}
+SERVERSET = {
+    "serviceEndpoint": {"host": "10.0.0.1", "port": 80},
+    "additionalEndpoints": {"admin": {"host": "10.0.0.1", "port": 90}},
+    "status": "ALIVE",
+    "shard": 3,
+}
+CURATOR = {"name": "svc", "id": "u-1", "address": "10.0.0.1", "port": 80, "registrationTimeUTC": 1234}
+
+
+def test_three_layouts_are_read() -> None:
+    entry = read_node(json.dumps(ENTRY).encode(), ())
+    assert entry is not None and entry.name == "a" and entry.listed.endpoint.cell == 2
+    member = read_node(json.dumps(SERVERSET).encode(), ())
+    assert member is not None and member.name == "10.0.0.1:80" and member.listed.endpoint.cell == 3
+    admin = read_node(json.dumps(SERVERSET).encode(), (), "admin")
+    assert admin is not None and admin.listed.address == Address("10.0.0.1", 90)
+    instance = read_node(json.dumps(CURATOR).encode(), ())
+    assert instance is not None and instance.name == "u-1" and instance.listed.endpoint.since == 1234
+    for raw in (
+        ENTRY | {"status": "terminating"}, SERVERSET | {"status": "STOPPING"}, CURATOR | {"enabled": False},
+    ):  # fmt: skip
+        drains = read_node(json.dumps(raw).encode(), ())
+        assert drains is not None and not drains.ready
+    assert read_node(json.dumps(SERVERSET | {"status": "STARTING"}).encode(), ()) is None
+    for layout in ("entry", "serverset", "curator"):
+        made = Entry("a", "10.0.0.1:80", layout=layout, since=5)
+        held, drained = (read_node(made.data(w), ()) for w in (Wish.SERVE, Wish.DRAIN))
+        assert held is not None and held.listed.address == Address("10.0.0.1", 80) and held.instance
+        assert drained is not None and not drained.ready and made.mine(made.data(Wish.DRAIN))
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"", b"[]", b"7", b"\xff", b"[" * 9000, b"{}", b'{"id": 3, "port": 1}',
+        json.dumps(SERVERSET | {"serviceEndpoint": {"host": "db", "port": 1}}).encode(),
+        json.dumps(SERVERSET | {"status": "ODD"}).encode(), json.dumps(ENTRY | {"address": 5}).encode(),
+        json.dumps(ENTRY | {"name": "x" * 70_000}).encode(),
+    ],
+)  # fmt: skip
+def test_what_can_t_be_read_says_why(data: bytes) -> None:
+    with pytest.raises(ValueError, match=r"\w"):
+        read_node(data, ())
+
+
+# The follower against a coordinator
+
+
+class Server:
+    """A coordinator as one client has it: replies in order, watches that tell once, all on one wire."""
+
+    def __init__(self) -> None:
+        self.tree = Tree()
+        self.owner = self.tree.open(1e9, 0.0).id
+        self.watched: set[tuple[str, str]] = set()
+        self.asked: list[Ask] = []
+        self.wire: list[Reply | Fired] = []
+        self.lose = False
+
+    def change(self, told: list[Told]) -> None:
+        for one in told:
+            kinds = {
+                Change.CREATED: ("exists",), Change.DELETED: ("data", "exists", "children"),
+                Change.DATA: ("data", "exists"), Change.CHILDREN: ("children",),
+            }[Change(one.change)]  # fmt: skip
+            found = {(k, one.path) for k in kinds} & self.watched
+            self.watched -= found
+            if found and not self.lose:
+                self.wire.append(Fired(one.change, one.path))
+
+    def answer(self) -> None:
+        ask = self.asked.pop(0)
+        try:
+            if ask.kind is Kind.CHILDREN:
+                names, stat = self.tree.children(ask.path)
+                self.watched.add(("children", ask.path))
+                self.wire.append(Reply(ask, 0, tuple(names), stat=stat))
+            elif ask.kind is Kind.READ:
+                data, stat = self.tree.read(ask.path)
+                self.watched.add(("data", ask.path))
+                self.wire.append(Reply(ask, 0, data=data, stat=stat))
+            else:
+                self.watched.add(("exists" if ask.path not in self.tree.nodes else "data", ask.path))
+                self.wire.append(Reply(ask, 0, stat=self.tree.exists(ask.path)))
+        except Failed as failed:
+            self.wire.append(Reply(ask, failed.code))
+
+    def act(self, what: str, path: str) -> None:
+        try:
+            if what == "delete":
+                for child in sorted(self.tree.nodes[path].children) if path in self.tree.nodes else ():
+                    self.change(self.tree.delete(f"{path}/{child}"))
+                self.change(self.tree.delete(path))
+            elif what == "write":
+                self.change(self.tree.write(path, b"%d" % self.tree.zxid, -1, 0.0)[1])
+            elif what == "create":
+                self.change(self.tree.create(path, b"new", 0, self.owner, 0.0)[1])
+        except Failed:
+            pass
+
+
+NAMES = ["/s", "/s/a", "/s/b", "/s/c", "/s/draining", "/s/draining/a"]
+HAPPENINGS = st.lists(
+    st.tuples(st.sampled_from(["create", "create", "write", "delete", "answer", "read", "wait", "move"]),
+              st.sampled_from(NAMES)),
+    max_size=80,
+)  # fmt: skip
+
+
+def take(server: Server, follower: Follower, now: float) -> None:
+    came = server.wire.pop(0)
+    asks = follower.reply(now, came) if isinstance(came, Reply) else follower.fired(now, came)
+    server.asked += asks
+
+
+def quiet(server: Server, follower: Follower, now: float) -> float:
+    """Let all that is under way come to its end."""
+    for _ in range(1000):
+        while server.asked or server.wire:
+            if server.asked:
+                server.answer()
+            while server.wire:
+                take(server, follower, now)
+        due = follower.due()
+        if due > now + 1000.0:
+            return now
+        now = max(now, due)
+        server.asked += follower.tick(now)
+    raise AssertionError("it never comes to rest")
+
+
+def same(server: Server, follower: Follower) -> None:
+    nodes, picture = server.tree.nodes, follower.picture
+    assert picture.whole and picture.missing == ("/s" not in nodes)
+    members = nodes["/s"].children - {"draining"} if "/s" in nodes else set()
+    assert {n: (p.data, p.stat.czxid) for n, p in picture.nodes.items()} == {
+        n: (nodes[f"/s/{n}"].data, nodes[f"/s/{n}"].czxid) for n in members
+    }
+    assert picture.draining == (nodes["/s/draining"].children if "/s/draining" in nodes else set())
+
+
+@given(HAPPENINGS)
+@settings(max_examples=400, deadline=None)
+def test_the_follower_s_picture_comes_to_be_the_tree_whatever_crosses(steps: list[tuple[str, str]]) -> None:
+    server, follower, now = Server(), Follower("/s"), 0.0
+    server.asked += follower.up(now, True)
+    for what, path in steps:
+        now += 7.0
+        if what == "answer" and server.asked:
+            server.answer()
+        elif what == "read" and server.wire:
+            take(server, follower, now)
+        elif what == "wait":
+            server.asked += follower.tick(now)
+        elif what == "move" and follower.picture.whole:
+            # A new connection under the same session: what is under way is lost, watches are set again.
+            server.wire, server.asked, server.watched = [], [], set()
+            data, exists, children = follower.watches()
+            for kind, paths in (("data", data), ("exists", exists), ("children", children)):
+                for each in paths:
+                    server.watched.add((kind, each))
+                    server.wire.append(Fired(Change.CHILDREN if kind == "children" else Change.DATA, each))
+            server.asked += follower.up(now, False)
+        else:
+            server.act(what, path)
+    quiet(server, follower, now)
+    same(server, follower)
+
+
+def test_a_lost_watch_is_made_good_by_the_recheck() -> None:
+    server, follower = Server(), Follower("/s")
+    for path in ("/s", "/s/a", "/s/b"):
+        server.act("create", path)
+    server.asked += follower.up(0.0, True)
+    now = quiet(server, follower, 0.0)
+    server.lose = True
+    server.act("create", "/s/c")
+    server.act("write", "/s/a")
+    server.lose = False
+    assert "c" not in follower.picture.nodes
+    now += RECHECK
+    server.asked += follower.tick(now)
+    quiet(server, follower, now)
+    same(server, follower)
+
+
+def test_data_that_changes_all_the_time_is_read_now_and_then() -> None:
+    server, follower, now = Server(), Follower("/s"), 0.0
+    server.act("create", "/s")
+    server.act("create", "/s/a")
+    server.asked += follower.up(now, True)
+    quiet(server, follower, now)
+    reads = 0
+    for _ in range(500):  # 100 a second for 5 s
+        now += 10.0
+        server.act("write", "/s/a")
+        server.asked += follower.tick(now)
+        while server.asked or server.wire:
+            reads += len(server.asked)
+            while server.asked:
+                server.answer()
+            while server.wire:
+                take(server, follower, now)
+    assert 40 <= reads <= 55, reads
+    quiet(server, follower, now)
+    same(server, follower)
+
+
+# The judge
+
+
+class Fleet:
+    """Members of one directory, and what a sidecar sees of them."""
+
+    def __init__(self, count: int, terms: Terms | None = None, since: float = 0.0) -> None:
+        self.now = 1_000_000.0
+        self.zxid = 0
+        self.nodes: dict[str, Found] = {}
+        self.views: dict[str, Seen] = {}
+        self.judge = Judge(terms or Terms(), random.Random(1), lambda name: self.views.get(name, Seen()))
+        for i in range(count):
+            self.make(f"m{i}", since=since)
+        self.see()
+
+    def make(self, name: str, status: bool = True, since: float = 0.0, instance: str = "") -> None:
+        self.zxid += 1
+        condition = Condition.READY if status else Condition.DRAINING
+        endpoint = Endpoint(endpoint_id(name), condition, since=since)
+        listed = Listed(endpoint, Address("10.0.0.1", 1000 + int(name[1:])) if status else None)
+        self.nodes[name] = Found(self.zxid, self.zxid, int(self.now), 1, Held(name, listed, instance))
+
+    def write(self, name: str, status: bool) -> None:
+        old = self.nodes[name]
+        self.make(name, status)
+        self.nodes[name] = replace(self.nodes[name], czxid=old.czxid, ctime=old.ctime, owner=old.owner)
+
+    def see(self, drained: tuple[str, ...] = (), suspect: bool = False) -> None:
+        self.judge.see(self.now, list(self.nodes.items()), drained, suspect)
+        self.judge.decide(self.now)
+
+    def wait(self, ms: float, alive: Callable[[str], bool] = lambda name: True) -> None:
+        """Time passes; calls are made to all that are offered, and those that live answer."""
+        end = self.now + ms
+        while self.now < end:
+            self.now = min(end, self.now + 50.0)
+            for name in self.judge.offered():
+                seen = self.views.get(name, Seen())
+                if alive(name):
+                    opened = min(seen.opened, self.now)
+                    self.views[name] = replace(seen, answered=self.now, opened=opened, misses=0)
+                else:
+                    self.views[name] = replace(
+                        seen, missed=self.now, broken=self.now, opened=math.inf, misses=seen.misses + 1
+                    )
+            self.judge.decide(self.now)
+
+    def offered(self) -> set[str]:
+        return set(self.judge.offered())
+
+
+def test_one_that_vanishes_is_gone_well_within_the_grace() -> None:
+    fleet = Fleet(17)
+    del fleet.nodes["m3"]
+    fleet.see()
+    fleet.wait(200.0)
+    assert "m3" not in fleet.offered() and len(fleet.offered()) == 16 and fleet.judge.counts.gone == 1
+
+
+@pytest.mark.parametrize("at_once", [True, False])
+def test_all_sessions_expire_and_all_serve(at_once: bool) -> None:
+    fleet = Fleet(17)
+    fleet.wait(500.0)
+    few, starts = fleet.judge.few(), {n: e.endpoint.since for n, e in fleet.judge.offered().items()}
+    for name in list(fleet.nodes):
+        del fleet.nodes[name]
+        if not at_once:
+            fleet.see()
+            fleet.wait(400.0)
+    fleet.see()
+    fleet.wait(20_000.0)
+    assert len(fleet.offered()) >= 17 - (0 if at_once else few) and few == 3
+    held = fleet.offered()
+    for i in range(17):
+        fleet.make(f"m{i}")
+    fleet.see()
+    assert len(fleet.offered()) == 17
+    now = fleet.judge.offered()
+    assert all(now[n].endpoint.since == starts[n] for n in held), "the same processes: not one counts as cold"
+    assert all(now[n].endpoint.since > starts[n] for n in now.keys() - held)
+
+
+def test_a_third_expires_while_some_have_died() -> None:
+    fleet = Fleet(18)
+    fleet.wait(500.0)
+    lost, dead = [f"m{i}" for i in range(6)], {"m0", "m1"}
+    for name in lost:
+        del fleet.nodes[name]
+    fleet.see()
+    fleet.wait(2000.0, lambda name: name not in dead)
+    assert fleet.offered() == {f"m{i}" for i in range(18)} - dead and fleet.judge.counts.dead == 2
+    fleet.make("m0")
+    fleet.make("m2")
+    fleet.see()
+    now = fleet.judge.offered()
+    assert now["m0"].endpoint.since == fleet.nodes["m0"].ctime, "another process under its name: cold"
+    assert now["m2"].endpoint.since < fleet.nodes["m2"].ctime
+
+
+def test_a_hold_ends_few_at_a_time_and_at_last_for_all() -> None:
+    fleet = Fleet(20, Terms(hold=2000.0, hold_most=8000.0, window=1000.0))
+    quiet = {f"m{i}" for i in range(10)}
+    fleet.nodes.clear()
+    fleet.see()
+    for name in quiet:
+        fleet.views[name] = Seen()
+    lost = []
+    before = 20
+    for _ in range(120):
+        fleet.wait(250.0)
+        for name in quiet:  # nobody calls these: nothing is heard of them
+            fleet.views[name] = Seen()
+        lost.append(before - len(fleet.offered()))
+        before = len(fleet.offered())
+    assert before == 0 and max(lost) <= 3, lost
+    assert sum(lost[: 2000 // 250 - 1]) == 0, "none before its hold is over"
+
+
+@pytest.mark.parametrize("how", ["status", "mark", "held", "mass"])
+def test_an_explicit_drain_counts_at_once_and_is_never_held(how: str) -> None:
+    fleet = Fleet(10)
+    if how in ("held", "mass"):
+        kept = fleet.nodes.pop("m0") if how == "held" else fleet.nodes["m0"]
+        for i in range(1, 8):
+            del fleet.nodes[f"m{i}"]
+        fleet.see()
+        assert fleet.judge.states()["held"] >= 7
+        fleet.nodes["m0"] = kept
+    if how != "mark":
+        fleet.write("m0", status=False)
+    fleet.see(drained=("m0",) if how == "mark" else ())
+    assert "m0" not in fleet.offered() and "m0" in fleet.judge.draining
+    if how == "mark":
+        fleet.see()
+        assert "m0" in fleet.offered(), "an operator's mark can be taken away"
+        return
+    drained = fleet.nodes["m0"]
+    fleet.nodes["m0"] = replace(drained, mzxid=drained.mzxid - 1, held=Fleet(1).nodes["m0"].held)
+    fleet.see()
+    assert "m0" not in fleet.offered() and fleet.judge.counts.stale, "an older word of a server that lags"
+
+
+def test_a_node_that_was_told_gone_is_not_brought_back_by_an_older_list() -> None:
+    fleet = Fleet(10)
+    old = fleet.nodes.pop("m1")
+    fleet.see()
+    fleet.wait(200.0)
+    fleet.nodes["m1"] = old
+    fleet.see(suspect=True)
+    assert "m1" not in fleet.offered()
+    fleet.make("m1")
+    fleet.see()
+    assert fleet.judge.offered()["m1"].endpoint.since == fleet.nodes["m1"].ctime, "a new node: new and cold"
+
+
+def test_a_coordinator_in_doubt_takes_out_nobody() -> None:
+    fleet = Fleet(10)
+    del fleet.nodes["m1"]
+    fleet.see(suspect=True)
+    fleet.wait(2000.0)
+    assert len(fleet.offered()) == 10 and fleet.judge.states()["held"] == 1
+
+
+def test_a_node_made_anew_is_a_new_process_unless_its_token_says_otherwise() -> None:
+    fleet = Fleet(0)
+    fleet.make("m0", instance="x")
+    fleet.make("m1", instance="x")
+    fleet.make("m2")
+    fleet.see()
+    starts = {n: e.endpoint.since for n, e in fleet.judge.offered().items()}
+    fleet.now += 5000.0
+    fleet.make("m0", instance="x")
+    fleet.make("m1", instance="y")
+    fleet.make("m2")
+    fleet.see()
+    now = {n: e.endpoint.since for n, e in fleet.judge.offered().items()}
+    assert now["m0"] == starts["m0"] and now["m1"] > starts["m1"] and now["m2"] > starts["m2"]
+
+
+def test_what_flaps_has_to_wait() -> None:
+    fleet = Fleet(10)
+    for turn in range(FLAPS + 2):
+        del fleet.nodes["m0"]
+        fleet.see()
+        fleet.wait(200.0)
+        fleet.make("m0")
+        fleet.see()
+        assert ("m0" in fleet.offered()) == (turn + 1 < FLAPS), turn
+    fleet.wait(9000.0)
+    assert "m0" in fleet.offered()
+
+
+def test_what_lingers_is_put_aside_and_comes_back_by_evidence_as_a_cold_one() -> None:
+    fleet = Fleet(9)
+    dead = {"m0", "m1"}
+    fleet.wait(ASIDE_AFTER + 3000.0, lambda n: n not in dead)
+    assert fleet.offered() == {f"m{i}" for i in range(9)} - dead
+    offers = 0
+    for _ in range(1200):  # two minutes
+        was = fleet.offered() & dead
+        fleet.wait(100.0, lambda n: n not in dead)
+        offers += len((fleet.offered() & dead) - was)
+    assert 3 <= offers <= 12, "offered again at growing times, no storm"
+    dead.clear()
+    fleet.wait(61_000.0)
+    assert len(fleet.offered()) == 9
+    assert fleet.judge.offered()["m0"].endpoint.since > fleet.judge.offered()["m5"].endpoint.since
+
+
+def test_when_most_can_t_be_reached_the_trouble_is_on_this_side() -> None:
+    fleet = Fleet(9)
+    fleet.wait(30_000.0, lambda n: False)
+    assert len(fleet.offered()) >= 6
+
+
+ACTS = st.lists(
+    st.tuples(
+        st.sampled_from(["vanish", "make", "drain", "wait", "suspect", "die", "mark"]),
+        st.integers(0, 11),
+        st.floats(0.0, 3000.0),
+    ),
+    max_size=60,
+)
+
+
+@given(ACTS)
+@settings(max_examples=300, deadline=None)
+def test_whatever_happens_drains_hold_and_the_living_are_not_evicted(
+    acts: list[tuple[str, int, float]],
+) -> None:
+    fleet = Fleet(12)
+    dead: set[str] = set()
+    touched: set[str] = set()  # whose end someone wanted
+    told_gone: dict[str, tuple[int, int, int]] = {}
+    for what, which, ms in acts:
+        name = f"m{which}"
+        if what == "vanish":
+            fleet.nodes.pop(name, None)
+        elif what == "make":
+            fleet.make(name)
+            dead.discard(name)
+        elif what == "drain" and name in fleet.nodes:
+            fleet.write(name, status=False)
+            touched.add(name)
+        elif what == "die":
+            dead.add(name)
+            touched.add(name)
+        before = fleet.offered()
+        fleet.see(drained=(name,) if what == "mark" else (), suspect=what == "suspect")
+        offered = fleet.offered()
+        assert not any(n in offered and not f.held.ready for n, f in fleet.nodes.items()), "a drain is told"
+        assert what != "mark" or name not in offered
+        for gone in before - offered:
+            if gone in fleet.judge.ended:
+                told_gone[gone] = fleet.judge.ended[gone].identity
+        for n in offered:
+            if n in told_gone and n in fleet.nodes and not fleet.judge.suspect:
+                marked = fleet.judge.ended.get(n)
+                assert marked is None or fleet.nodes[n].identity != told_gone[n]
+        if what == "wait":
+            fleet.wait(ms, lambda n: n not in dead)
+    assert sum(m.state is State.ASIDE for m in fleet.judge.members.values()) <= len(fleet.judge.members) / 3
+
+
+@given(st.integers(2, 40), st.data())
+@settings(max_examples=40, deadline=None)
+def test_no_expiry_without_deaths_takes_out_more_than_few(count: int, data: st.DataObject) -> None:
+    fleet = Fleet(count)
+    gaps = data.draw(st.lists(st.sampled_from([0.0, 30.0, 140.0, 300.0]), min_size=count, max_size=count))
+    few = fleet.judge.few()
+    for name, gap in zip(list(fleet.nodes), gaps, strict=True):
+        del fleet.nodes[name]
+        if gap:
+            fleet.see()
+            fleet.wait(gap)
+        if fleet.now > 1_000_000.0 + Terms().window:
+            break
+    fleet.see()
+    fleet.wait(1000.0)
+    assert count - len(fleet.offered()) <= few
+
+
+# Both sources
+
+
+def entries(*names: str, **common: float) -> dict[int, Listed]:
+    made = {}
+    for name in names:
+        endpoint = Endpoint(endpoint_id(name), since=common.get("since", 0.0))
+        made[endpoint.id] = Listed(endpoint, Address("10.0.0.1", 1 + int(name[1:])))
+    return made
+
+
+def draining(*names: str) -> dict[int, Listed]:
+    return {id: listed_as(e, Condition.DRAINING) for id, e in entries(*names).items()}
+
+
+def names(merger: Merger, condition: Condition = Condition.READY) -> set[str]:
+    known = {endpoint_id(f"{letter}{i}"): f"{letter}{i}" for letter in "mx" for i in range(9)}
+    return {known[id] for id, e in merger.result().items() if e.endpoint.condition is condition}
+
+
+def test_the_four_ways_two_lists_become_one() -> None:
+    for mode, both, one_ails in (
+        (Mode.UNION, {"m0", "m1", "m2"}, {"m0", "m1", "m2"}),
+        (Mode.INTERSECTION, {"m1"}, {"m1"}),
+        (Mode.COORDINATOR, {"m0", "m1"}, {"m1", "m2"}),
+        (Mode.DISCOVERY, {"m1", "m2"}, {"m1", "m2"}),
+    ):
+        merger = Merger(mode)
+        merger.tell(DISCOVERY, entries("m1", "m2"), {})
+        assert names(merger) == {"m1", "m2"}, "one that has yet to speak takes nothing away"
+        merger.tell(COORDINATOR, entries("m0", "m1"), {})
+        assert names(merger) == both
+        merger.ails(COORDINATOR)
+        assert names(merger) == one_ails
+
+
+def test_a_drain_or_end_that_either_tells_counts_and_a_later_start_lifts_it() -> None:
+    merger = Merger(Mode.UNION)
+    merger.tell(COORDINATOR, entries("m0", "m1", since=5.0), {})
+    merger.tell(DISCOVERY, entries("m0", "m1", "m2"), {})
+    merger.tell(DISCOVERY, entries("m1", "m2"), {})
+    assert names(merger) == {"m1", "m2"}, "discovery told its end"
+    merger.tell(DISCOVERY, entries("m1"), draining("m2"))
+    assert names(merger) == {"m1"} and names(merger, Condition.DRAINING) == {"m2"}
+    merger.tell(COORDINATOR, entries("m0", "m1", since=6.0), {})
+    assert names(merger) == {"m0", "m1"}, "another process"
+
+
+def test_an_address_is_one_endpoint_under_the_coordinator_s_name() -> None:
+    merger = Merger(Mode.UNION)
+    merger.tell(COORDINATOR, entries("m0"), {})
+    merger.tell(DISCOVERY, entries("x0", "x1"), {})
+    assert names(merger) == {"m0", "x1"}
+
+
+NAMED = st.sets(st.sampled_from([f"m{i}" for i in range(5)] + [f"x{i}" for i in range(5)]))
+
+
+@given(st.sampled_from(list(Mode)), st.lists(st.tuples(st.integers(0, 1), NAMED, NAMED), max_size=12))
+@settings(max_examples=200, deadline=None)
+def test_merged_lists_know_each_address_once_and_heed_each_drain(
+    mode: Mode, words: list[tuple[int, set[str], set[str]]]
+) -> None:
+    merger, told = Merger(mode), dict[int, Listed]()
+    for side, ready, drains in words:
+        mine = {i: e for n in ready - drains for i, e in entries(n).items()}
+        merger.tell(side, mine, draining(*drains))
+        result = merger.result()
+        at = [e.address for e in result.values() if e.address is not None]
+        assert len(at) == len(set(at))
+        for one in merger.sides:
+            for id in one.drains:
+                assert id not in result or result[id].address is None
+        for entry in changes(told, result):
+            if entry.endpoint.condition is Condition.GONE:
+                del told[entry.endpoint.id]
+            else:
+                told[entry.endpoint.id] = entry
+        assert told == result, "what is told step by step comes to the whole"
+
+
+# Registration
+
+
+@given(st.lists(st.sampled_from(
+    ["step", "step", "step", "drop", "lose", "expire", "other", "other-goes", "drain", "leave", "tick"]
+), max_size=60))  # fmt: skip
+@settings(max_examples=400, deadline=None)
+def test_a_registration_keeps_its_node_and_touches_nobody_else_s(steps: list[str]) -> None:
+    tree = Tree()
+    entry = Entry("a", "10.0.0.1:80", instance="me")
+    node = Registration("/s/x/a", entry.data, entry.mine)
+    stranger = tree.open(1e9, 0.0).id
+    session = tree.open(1e9, 0.0).id
+    asked = node.up(session)
+
+    def carry_out(ask: Ask) -> Reply:
+        try:
+            if ask.kind is Kind.CREATE:
+                tree.create(ask.path, ask.data, 0 if ask.lasting else 1, session, 0.0)
+                return Reply(ask, 0)
+            if ask.kind is Kind.READ:
+                data, stat = tree.read(ask.path)
+                return Reply(ask, 0, data=data, stat=stat)
+            if ask.kind is Kind.WRITE:
+                return Reply(ask, 0, stat=tree.write(ask.path, ask.data, ask.version, 0.0)[0])
+            before = tree.nodes.get(ask.path)
+            assert before is None or entry.mine(before.data), "another's node must not be taken down"
+            current = tree.exists(ask.path)
+            if ask.version not in (-1, current.version):
+                raise Failed(Refused.BAD_VERSION)
+            tree.delete(ask.path)
+            return Reply(ask, 0)
+        except Failed as failed:
+            return Reply(ask, int(failed.code))
+
+    def settle() -> None:
+        for _ in range(40):
+            if not asked:
+                return
+            asked.extend(node.reply(carry_out(asked.pop(0))))
+
+    for step in [*steps, "leave"]:
+        if step == "step" and asked:
+            asked += node.reply(carry_out(asked.pop(0)))
+        elif step in ("drop", "lose"):
+            if step == "lose" and asked:
+                carry_out(asked[0])  # it was carried out; its reply is lost
+            node.down()
+            asked = node.up(session)
+        elif step == "expire":
+            node.down()
+            if random.Random(len(asked)).random() < 0.5:
+                tree.end(session)  # else the old one lingers beside the new
+            session = tree.open(1e9, 0.0).id
+            asked = node.up(session)
+        elif step == "other" and "/s/x" in tree.nodes and "/s/x/a" not in tree.nodes:
+            tree.create("/s/x/a", b"{}", 1, stranger, 0.0)
+            asked += node.fired(Fired(Change.CREATED, "/s/x/a"))
+        elif step == "other-goes" and "/s/x/a" in tree.nodes and tree.nodes["/s/x/a"].owner == stranger:
+            tree.delete("/s/x/a")
+            asked += node.fired(Fired(Change.DELETED, "/s/x/a"))
+        elif step in ("drain", "leave"):
+            if step == "leave" and node.wish is Wish.SERVE:
+                settle()
+                asked += node.tick()
+                settle()
+                there = tree.nodes.get("/s/x/a")
+                assert there is not None, "it serves: there is a node"
+                assert there.owner in (session, stranger), "never one that an older session takes with it"
+            asked += node.want(Wish(step))
+        elif step == "tick":
+            asked += node.tick()
+    settle()
+    asked += node.tick()
+    settle()
+    left = tree.nodes.get("/s/x/a")
+    assert node.state is Node.LEFT and (left is None or left.owner == stranger)
--- a/tests/test_rehearsal_pure.py
+++ b/tests/test_rehearsal_pure.py
@@ -77,7 +77,8 @@
         "calm", "silence", "cold-return", "fast-failure", "shared-slowdown", "silence-and-slowdown",
         "overlap-three", "drain-wave", "cadastro-outage", "replaced-at-address", "sidecar-killed",
         "rolling-restart", "flash-crowd", "connection-storm", "flood-one-pool", "pool-without-servers",
-        "reload-under-flood", "cold-unheard",
+        "reload-under-flood", "cold-unheard", "zk-mass-expiry", "zk-lingering", "zk-lagging-face",
+        "zk-restart-empty", "zk-reconnect-storm", "zk-both-sources",
     }  # fmt: skip
     for name in shipped():
         scenario = load(name)[1]
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -6,13 +6,10 @@
 import gc
 import json
 import os
-import signal
 import subprocess
 import sys
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager, suppress
+from contextlib import suppress
 from pathlib import Path
-from typing import Any
 
 import pytest
 from hypothesis import given, settings
@@ -21,17 +18,15 @@
 from millgw.__main__ import main
 from millgw.operator.file import OperatorError, parse
 from millgw.operator.guarantees import parts
-from millgw.platform.config import read_config
 from millgw.pool.call import Call
 from millgw.pool.driver import Driver
 from millgw.pool.pool import Pool
 from millgw.services.limits import Allotment
 from millgw.services.turns import QUANTUM, Turns
-from millgw.sidecar.__main__ import serve
 from millgw.standins.address import free_address
 from millgw.standins.http import ok
 from millgw.standins.scripted import ScriptedCadastro, ScriptedEndpoint, answering, read_message, silent
-from tests.rig import SETTINGS, Client, Reachable, request, run, until
+from tests.rig import Client, Services, request, run, services, until
 
 # The operator's file
 
@@ -186,49 +181,6 @@
 # In service
 
 
-class Services(Reachable):
-    """A sidecar in service with an operator's file."""
-
-    def __init__(self, folder: Path, text: str, discovery: str) -> None:
-        self.folder = folder
-        self.file = folder / "operator.toml"
-        self.file.write_text(text)
-        self.config = folder / "config.json"
-        self.listen = free_address()
-        self.write(discovery)
-        self.environ = {"BALANCER_CONFIG": str(self.config), "BALANCER_OPERATOR": str(self.file)}
-
-    def write(self, discovery: str, **limits: Any) -> None:
-        self.config.write_text(
-            json.dumps(
-                {
-                    "name": "n1", "listen": str(self.listen), "discovery": discovery, "seed": "1",
-                    "limits": {"sockets": 256, "memory_mb": 32} | limits, "settings": SETTINGS,
-                }
-            )
-        )  # fmt: skip
-
-    async def reload(self, text: str) -> None:
-        self.file.write_text(text)
-        os.kill(os.getpid(), signal.SIGHUP)
-        await asyncio.sleep(0.05)
-
-
-@asynccontextmanager
-async def services(folder: Path, text: str, discovery: str = "127.0.0.1:9") -> AsyncIterator[Services]:
-    made = Services(folder, text, discovery)
-    task = asyncio.create_task(serve(read_config(made.environ), made.environ))
-    await asyncio.sleep(0.02)
-    if task.done():
-        task.result()
-    try:
-        yield made
-    finally:
-        task.cancel()
-        with suppress(asyncio.CancelledError):
-            await task
-
-
 def static(name: str, *endpoints: ScriptedEndpoint, more: str = "") -> str:
     lines = [f"[services.{name}]", more]
     for e in endpoints:
