--- a/tests/test_compiled.py
+++ b/tests/test_compiled.py
@@ -7,6 +7,7 @@
 import shutil
 import subprocess
 import sys
+import traceback
 from pathlib import Path
 
 import pytest
@@ -14,7 +15,10 @@
 import millgw
 from millgw import compiled
 from millgw.build import NotBuilt, build
+from millgw.decide import Balancer
+from millgw.interface import RequestArrived
 from tests.kinds import COMPILED
+from tests.support import SETTINGS
 
 PACKAGE = Path(millgw.__file__).parent
 TELL = """
@@ -155,6 +159,14 @@
     assert "\n" not in str(told.value) and not list((tmp_path / "out").glob("*"))
 
 
+def test_an_exception_inside_the_module_names_its_line_on_either_kind() -> None:
+    balancer = Balancer(SETTINGS, 1)
+    with pytest.raises(IndexError) as caught:
+        balancer.handle(0.0, RequestArrived(1, 99, 10.0))
+    lines = [f.lineno for f in traceback.extract_tb(caught.tb) if f.filename.endswith("decide.py")]
+    assert lines and all(line and line > 1 for line in lines)
+
+
 @pytest.mark.skipif(not COMPILED, reason="wants what is compiled")
 def test_sources_and_compiled_modules_decide_the_same() -> None:
     done = subprocess.run(
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -24,7 +24,7 @@
 from millgw.services.limits import Allotment
 from millgw.services.turns import QUANTUM, Turns
 from millgw.standins.address import free_address
-from millgw.standins.http import ok
+from millgw.standins.http import Message, ok
 from millgw.standins.scripted import ScriptedCadastro, ScriptedEndpoint, answering, read_message, silent
 from tests.rig import Client, Services, request, run, services, until
 
@@ -257,6 +257,37 @@
     run(test)
 
 
+def test_from_one_service_to_three_and_back_each_call_in_flight_is_answered_once(tmp_path: Path) -> None:
+    async def test() -> None:
+        gate = asyncio.Event()
+        spots = [ScriptedEndpoint(name, answering(ok(), gate)) for name in "abc"]
+        for spot in spots:
+            await spot.start()
+        one = static("all", spots[0]) + '[[routes]]\nto = "all"\n'
+        three = one + static("two", spots[1]) + static("three", spots[2])
+        for name in ("two", "three"):
+            three += f'[[routes]]\nto = "{name}"\nhost = "{name}.org"\n'
+        async with services(tmp_path, one) as node:
+            asked: list[asyncio.Task[Message]] = []
+
+            async def ask(wanted: tuple[int, int, int], *hosts: str) -> None:
+                for host in hosts:
+                    asked.append(asyncio.create_task(node.ask(request("pay", Host=host))))
+                await until(lambda: tuple(len(spot.got) for spot in spots) == wanted)
+
+            await ask((2, 0, 0), "x.org", "two.org")
+            await node.reload(three)
+            await ask((3, 2, 1), "x.org", "two.org", "two.org", "three.org")
+            await node.reload(one)
+            await ask((5, 2, 1), "two.org", "three.org")
+            gate.set()
+            assert [answer.status for answer in await asyncio.gather(*asked)] == [200] * 8
+            traces = [m.headers["x-trace-id"] for spot in spots for m in spot.got]
+            assert len(traces) == len(set(traces)) == 8, "none is asked twice"
+
+    run(test)
+
+
 def test_pipelined_floods_on_few_connections_and_three_pools_in_little_room(tmp_path: Path) -> None:
     """256 descriptors and 32 MB for three pools; one is silent, one is flooded by pipelines, one is calm."""
 
