--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -358,14 +358,21 @@
 """
 MILLGW = """
 import threading
-from benchmarks.membership import Alone
-made = time.monotonic() - t
+from millgw.membership.judge import Terms
+from millgw.membership.servers import read_connect
+from millgw.membership.source import Directory, Where
+made, known = time.monotonic() - t, set()
+class Blind:
+    seen = staticmethod(lambda endpoint: None)
+    misses = staticmethod(lambda endpoint: 0)
 async def main():
-    alone = Alone(sys.argv[1]); alone.directory.start()
-    while alone.known < 70: await asyncio.sleep(0.001)
+    where = Where(read_connect(sys.argv[1])[0], "/services/login", 10_000.0, Terms())
+    directory = Directory(where, (), 1, Blind, lambda ready, drains: known.update(ready))
+    directory.start()
+    while len(known) < 70: await asyncio.sleep(0.001)
     print(f"| this one | {made * 1000:.0f} ms | {(time.monotonic() - t) * 1000:.0f} ms"
           f" | {size() - base:.1f} MB | {threading.active_count()} |")
-    alone.directory.stop()
+    directory.stop()
 uvloop.run(main())
 """
 
