--- a/millgw/membership/protocol.py
+++ b/millgw/membership/protocol.py
@@ -215,6 +215,8 @@
         if xid == XID_PING:
             return
         ask = self.pending.popleft()[1]
+        if code == Code.SESSION_MOVED:
+            raise BadRecord("the session has moved to another server")
         if code == Code.SESSION_EXPIRED:
             self.session, self.password = 0, NOTHING
             events.append(Expired())
--- a/millgw/membership/source.py
+++ b/millgw/membership/source.py
@@ -22,7 +22,7 @@
 from millgw.membership.judge import Found, Judge, Seen, State, Terms
 from millgw.membership.merge import COORDINATOR, DISCOVERY, Merger, changes
 from millgw.membership.nodes import Held, read_node
-from millgw.membership.protocol import Ask, Fired, Reply
+from millgw.membership.protocol import Ask, Code, Fired, Reply
 from millgw.membership.servers import Waits
 from millgw.platform.config import Address
 from millgw.platform.discovery import Discovery, Heard, Listed, endpoint_id, listed_as
@@ -113,6 +113,9 @@
         self.down_since = self.now()
 
     def reply(self, reply: Reply) -> None:
+        if reply.code not in (Code.OK, Code.NO_NODE):
+            # What is known stays, and the recheck asks again.
+            tell(WARNING, "coordinator-refused", path=reply.ask.path, code=reply.code)
         before = self.follower.changes
         self._ask(self.follower.reply(self.now(), reply))
         if self.follower.changes != before or self.follower.too_many:
--- a/tests/test_membership_pure.py
+++ b/tests/test_membership_pure.py
@@ -96,6 +96,7 @@
     ("data", "says"),
     [
         (answer(5, 1), "not the next"),
+        (answer(1, 9, Code.SESSION_MOVED), "moved"),
         (answer(1, 9, Code.NO_NODE) + answer(2, 8), "behind"),
         (b"\x7f\xff\xff\xff", "frame of"),
         (b"\xff\xff\xff\xf0", "frame of"),
