--- a/tests/test_rehearsal_wrong.py
+++ b/tests/test_rehearsal_wrong.py
@@ -168,6 +168,7 @@
     assert day.summary.served > 0 and day.audit.findings[0].checked > day.summary.asked / 2
 
 
+@once
 @pytest.mark.parametrize("name", COORDINATED)
 def test_the_daemon_breaks_no_rule_by_a_coordinator_s_word(name: str) -> None:
     day = coordinated_days()[name]
