--- a/tests/test_rehearsal_command.py
+++ b/tests/test_rehearsal_command.py
@@ -21,8 +21,11 @@
 from millgw.rehearsal.scenario import parse
 from millgw.rehearsal.search import draw
 from millgw.rehearsal.stage import Stage
+from tests.kinds import once
 from tests.rig import LIMIT
 
+pytestmark = once
+
 ROOT = Path(__file__).parent.parent
 TINY = """
 seconds = 2.0
