One list of the protocol's codes and changes for client and stand-in; one way to tell the module a list

Found on reading the change again: the stand-in's tree had its own copy of the error codes and watch changes that the client's protocol names, and both sources told the module whole lists and differences by the same ten lines. No behaviour changes; lint, types and the tests of coordinator, membership and the rehearsal's pure parts pass.

--- a/millgw/membership/protocol.py
+++ b/millgw/membership/protocol.py
@@ -27,12 +27,17 @@
 
 
 class Code(IntEnum):
-    """The error codes that a client acts on; others are told as they come."""
+    """The protocol's error codes, as far as client and stand-in know them."""
 
     OK = 0
+    MARSHALLING = -5
+    UNIMPLEMENTED = -6
+    BAD_ARGUMENTS = -8
     NO_NODE = -101
     BAD_VERSION = -103
+    NO_CHILDREN_FOR_EPHEMERALS = -108
     NODE_EXISTS = -110
+    NOT_EMPTY = -111
     SESSION_EXPIRED = -112
     SESSION_MOVED = -118
     NOT_READ_ONLY = -119
--- a/millgw/membership/source.py
+++ b/millgw/membership/source.py
@@ -205,6 +205,23 @@
         }
 
 
+class Teller:
+    """Tells the module a list as it comes to be: whole once it has asked (`due`), then what changes."""
+
+    def __init__(self, heard: Heard) -> None:
+        self.heard = heard
+        self.told: dict[int, Listed] = {}
+        self.due = False
+
+    def tell(self, wanted: dict[int, Listed]) -> None:
+        if self.due:
+            self.due = False
+            self.heard(ListKind.FULL, tuple(wanted.values()))
+        elif told := changes(self.told, wanted):
+            self.heard(ListKind.DELTA, told)
+        self.told = wanted
+
+
 class CoordinatorSource:
     """A pool's source: a coordinator alone."""
 
@@ -213,16 +230,15 @@
     ) -> None:
         self.heard = heard
         self.directory = Directory(where, zones, seed, witness, self._changed)
-        self.told: dict[int, Listed] = {}
+        self.teller = Teller(heard)
         self.begun = False
-        self.due = False  # the module has asked and not been told
 
     def start(self, known: Any) -> None:
         """The configuration's list is its discovery's, not this one's."""
         self.heard(ListKind.CACHED, ())
 
     def subscribe(self) -> None:
-        self.due = True
+        self.teller.due = True
         if not self.begun:
             self.begun = True
             self.directory.start()
@@ -234,13 +250,7 @@
 
     def _tell(self) -> None:
         ready, drains = self.directory.last
-        wanted = ready | drains
-        if self.due:
-            self.due = False
-            self.heard(ListKind.FULL, tuple(wanted.values()))
-        elif told := changes(self.told, wanted):
-            self.heard(ListKind.DELTA, told)
-        self.told = wanted
+        self.teller.tell(ready | drains)
 
     def stop(self) -> None:
         self.directory.stop()
@@ -274,9 +284,8 @@
         self.asking: asyncio.TimerHandle | None = None
         self.ready: dict[int, Listed] = {}
         self.drains: dict[int, Listed] = {}
-        self.told: dict[int, Listed] = {}
+        self.teller = Teller(heard)
         self.begun = False
-        self.due = False
         self.watching: asyncio.TimerHandle | None = None
 
     def start(self, known: Any) -> None:
@@ -284,7 +293,7 @@
         self.discovery.start(None if self.own else known)
 
     def subscribe(self) -> None:
-        self.due = True
+        self.teller.due = True
         if not self.begun:
             self.begun = True
             self.directory.start()
@@ -330,7 +339,7 @@
                 self.drains[id] = entry
         if kind is ListKind.CACHED:
             self.heard(kind, entries)  # an old list: sent to, and no word on who is gone
-            self.told = {e.endpoint.id: e for e in entries}
+            self.teller.told = {e.endpoint.id: e for e in entries}
             return
         self.waits.reset()
         self.merger.tell(DISCOVERY, self.ready, self.drains)
@@ -341,13 +350,7 @@
             self.discovery.subscribe()
 
     def _tell(self) -> None:
-        wanted = self.merger.result()
-        if self.due:
-            self.due = False
-            self.heard(ListKind.FULL, tuple(wanted.values()))
-        elif told := changes(self.told, wanted):
-            self.heard(ListKind.DELTA, told)
-        self.told = wanted
+        self.teller.tell(self.merger.result())
 
     def stop(self) -> None:
         self.directory.stop()
--- a/millgw/standins/coordinator/ensemble.py
+++ b/millgw/standins/coordinator/ensemble.py
@@ -16,9 +16,10 @@
 
 from millgw.membership import jute
 from millgw.membership.jute import BadRecord, Frames, Reader
+from millgw.membership.protocol import EPHEMERAL, Change, Code
 from millgw.platform.config import Address
 from millgw.standins.address import free_address
-from millgw.standins.coordinator.tree import EPHEMERAL, Change, Code, Failed, Session, Told, Tree
+from millgw.standins.coordinator.tree import Failed, Session, Told, Tree
 
 TICK = 0.05  # s between two looks for sessions that are overdue
 LEAST_TIMEOUT, MOST_TIMEOUT = 100.0, 40_000.0  # ms that a session's time-out is negotiated to
--- a/millgw/standins/coordinator/tree.py
+++ b/millgw/standins/coordinator/tree.py
@@ -9,31 +9,14 @@
 import random
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from enum import IntEnum
 
 from millgw.membership.jute import Stat
+from millgw.membership.protocol import EPHEMERAL, Change, Code
 
-EPHEMERAL, SEQUENTIAL = 1, 2  # flags of a create
+SEQUENTIAL = 2  # a flag of a create, beside EPHEMERAL
 MAX_DATA = 1 << 20
 
 
-class Code(IntEnum):
-    """The protocol's error codes."""
-
-    OK = 0
-    MARSHALLING = -5
-    UNIMPLEMENTED = -6
-    BAD_ARGUMENTS = -8
-    NO_NODE = -101
-    BAD_VERSION = -103
-    NO_CHILDREN_FOR_EPHEMERALS = -108
-    NODE_EXISTS = -110
-    NOT_EMPTY = -111
-    SESSION_EXPIRED = -112
-    SESSION_MOVED = -118
-    NOT_READ_ONLY = -119
-
-
 class Failed(Exception):
     """An operation that the coordinator refuses."""
 
@@ -42,15 +25,6 @@
         self.code = code
 
 
-class Change(IntEnum):
-    """What a watch tells of."""
-
-    CREATED = 1
-    DELETED = 2
-    DATA = 3
-    CHILDREN = 4
-
-
 @dataclass(slots=True)
 class Node:
     """One node. `owner` is the session of an ephemeral one."""
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -28,9 +28,10 @@
 
 from millgw.membership import jute
 from millgw.membership.jute import BadRecord, Frames, Reader, Stat, read_stat
+from millgw.membership.protocol import Code
 from millgw.standins.coordinator.command import carry_out
 from millgw.standins.coordinator.ensemble import Ensemble
-from millgw.standins.coordinator.tree import Code, Failed, Tree
+from millgw.standins.coordinator.tree import Failed, Tree
 from tests.kinds import once
 
 pytestmark = once
--- a/tests/test_membership_pure.py
+++ b/tests/test_membership_pure.py
@@ -28,7 +28,6 @@
 from millgw.membership.servers import BACKWARD_ROUNDS, SPREAD, Rota, read_connect
 from millgw.platform.config import Address
 from millgw.platform.discovery import Listed, endpoint_id, listed_as
-from millgw.standins.coordinator.tree import Code as Refused
 from millgw.standins.coordinator.tree import Failed, Told, Tree
 from tests.kinds import once
 
@@ -834,7 +833,7 @@
             assert before is None or entry.mine(before.data), "another's node must not be taken down"
             current = tree.exists(ask.path)
             if ask.version not in (-1, current.version):
-                raise Failed(Refused.BAD_VERSION)
+                raise Failed(Code.BAD_VERSION)
             tree.delete(ask.path)
             return Reply(ask, 0)
         except Failed as failed:
