--- /dev/null
+++ b/millgw/connections/introduction.py
@@ -0,0 +1,95 @@
+"""Which endpoints the decision module is told of: a cold one only once a connection to it is there. Pure.
+
+The module picks among the endpoints that it is told of, and a call that is sent to one with no connection
+needs a handshake at once. A cold endpoint is asked for handshakes in turns (`opening`), so one whose turn
+here is still to come is kept from the module until then: it has others to go to. Drains and ends are never
+kept from it.
+
+Guards against a list of which too little would be left: at most a share is kept back, and none past its cold
+time.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from millgw.interface import Condition, Endpoint, ListKind
+
+HIDDEN_MOST = 0.5  # of the endpoints that are ready
+
+
+class Introduction:
+    """The list as the module has it, and who is kept back. Times are those of `Endpoint.since`."""
+
+    def __init__(self, cold_time: float) -> None:
+        self.cold_time = cold_time
+        self.shown: dict[int, Endpoint] = {}
+        self.hidden: dict[int, Endpoint] = {}
+
+    def listed(
+        self, now: float, kind: ListKind, entries: Sequence[Endpoint], connected: Callable[[int], bool]
+    ) -> list[Endpoint]:
+        """What to tell the module of a list. `connected` tells whether a connection to one is there."""
+        if kind is ListKind.FAILED:
+            return list(entries)
+        before = dict(self.shown)
+        if kind is not ListKind.DELTA:
+            self.shown.clear()
+            self.hidden.clear()
+        told = []
+        for entry in entries:
+            self.hidden.pop(entry.id, None)
+            if entry.condition is not Condition.READY:
+                self.shown.pop(entry.id, None)
+                told.append(entry)
+                continue
+            known = before.get(entry.id)
+            same = known is not None and known.since == entry.since
+            if same or not self._cold(entry, now) or connected(entry.id):
+                self.shown[entry.id] = entry
+                told.append(entry)
+            else:
+                self.hidden[entry.id] = entry
+        told += self._too_many()
+        # One that came back under its name is another to the module: the life that it knows is over.
+        over = [Endpoint(i, Condition.GONE) for i in self.hidden if i in self.shown]
+        for gone in over:
+            self.shown.pop(gone.id)
+        return told + over
+
+    def _cold(self, entry: Endpoint, now: float) -> bool:
+        return entry.since > 0 and now < entry.since + self.cold_time
+
+    def _too_many(self) -> list[Endpoint]:
+        """Those that can't be kept back: the ones that have started first are the warmest."""
+        known = len(self.shown.keys() | self.hidden.keys())
+        freed = []
+        for entry in sorted(self.hidden.values(), key=lambda e: (e.since, e.id)):
+            if len(self.hidden) <= HIDDEN_MOST * known:
+                break
+            freed.append(self._show(entry))
+        return freed
+
+    def _show(self, entry: Endpoint) -> Endpoint:
+        del self.hidden[entry.id]
+        self.shown[entry.id] = entry
+        return entry
+
+    def connected(self, id: int) -> bool:
+        """A connection has come up; tells whether the module is to be told of its endpoint."""
+        entry = self.hidden.get(id)
+        if entry is None:
+            return False
+        self._show(entry)
+        return True
+
+    def due(self, now: float) -> bool:
+        """Show those whose cold time is over; tells whether there are any."""
+        warm = [e for e in self.hidden.values() if not self._cold(e, now)]
+        for entry in warm:
+            self._show(entry)
+        return bool(warm)
+
+    def whole(self) -> tuple[Endpoint, ...]:
+        """The list as the module should have it."""
+        return tuple(self.shown.values())
--- a/millgw/endpoints/connection.py
+++ b/millgw/endpoints/connection.py
@@ -16,10 +16,10 @@
 
 from millgw.endpoints.attempt import CONNECTING, HELD, WRITING, WRITTEN, Attempt
 from millgw.endpoints.core import SPOILT, WHOLE, AnswerCore
-from millgw.endpoints.proof import Proof
+from millgw.endpoints.proof import HOLD_BACK, Proof
 from millgw.events import tell
 from millgw.interface import Outcome
-from millgw.message import NOTHING, unread, watcher
+from millgw.message import NOTHING, unconfirmed, unread, watcher
 from millgw.platform.config import Address
 
 ANSWER_TIME = 1.0  # s from an answer's first byte to its last: it is small and comes at once
@@ -45,10 +45,19 @@
         self.broken = -math.inf
 
 
+class Lanes(Protocol):
+    """Whose turn it is to be worked on, where several pools share the core."""
+
+    def wait(self, lane: str, connection: Connection) -> None:
+        """Call the connection's `turn` when its lane's has come."""
+
+
 class Home(Protocol):
     """What a connection needs of the upstream that it belongs to."""
 
     loop: asyncio.AbstractEventLoop
+    lanes: Lanes | None
+    lane: str
     open: int
     held: int
     held_back: int
@@ -60,16 +69,24 @@
 
     def lost(self, connection: Connection) -> None: ...
 
-    def connect(self, host: Host, attempt: Attempt) -> None: ...
+    def came_up(self, connection: Connection) -> None: ...
+
+    def again(self, connection: Connection, attempt: Attempt) -> None:
+        """Its connection is dead, and the attempt has not run: it goes on another one."""
 
 
 class Connection:
-    """An asyncio protocol, by its methods: no base class, so that it can be compiled."""
+    """An asyncio protocol, by its methods: no base class, so that it can be compiled.
 
-    def __init__(self, home: Home, host: Host, attempt: Attempt, most_body: int) -> None:
+    Without an `attempt` it is opened ahead of need, and counts as one that was used before: since its
+    handshake it may have died like any other that stood idle.
+    """
+
+    def __init__(self, home: Home, host: Host, attempt: Attempt | None, most_body: int) -> None:
         self.home = home
         self.host = host
-        self.attempt: Attempt | None = attempt
+        self.attempt = attempt
+        self.ahead = attempt is None
         self.most_body = most_body
         self.transport: asyncio.Transport | None = None
         self.poll: select.poll | None = None
@@ -77,10 +94,12 @@
         self.reused = False
         self.last_byte = b""
         self.holding: asyncio.TimerHandle | None = None
+        self.prove_until = 0.0  # ms; until then the last byte waits for the rest to be confirmed
         self.counted = 0  # bytes of this answer that count as held
         self.idle_since = 0.0  # ms
         self.opened = 0.0  # ms
         self.stalled: asyncio.TimerHandle | None = None
+        self.waits = False  # its answer is whole and waits for its lane's turn
 
     def abort(self) -> None:
         if self.transport is not None:
@@ -92,9 +111,12 @@
 
     # The attempt
 
-    def send(self, attempt: Attempt, now: float) -> None:
+    def send(self, attempt: Attempt, now: float, prove: float = 0.0) -> None:
         """Write a request; its last byte only when the connection is proven (see `millgw.endpoints.proof`).
 
+        With `prove` it waits for so long (ms) at the most until the other machine has confirmed all before
+        it, and does not go if that does not come.
+
         Guards against connections that look open and are not: the endpoint has closed them, or resets them
         at the next request. A request whose last byte was not written has not run, so it may go again, also
         one that may never run twice.
@@ -104,6 +126,8 @@
         self.attempt, attempt.carrier = attempt, self
         payload = attempt.payload()
         hold = self.host.proof.hold(now, attempt.repeat, self.reused, self.idle_since)
+        if prove > 0:
+            hold, self.prove_until = HOLD_BACK, now + prove
         if hold > 0:
             attempt.state = HELD
             self.last_byte = payload[-1:]
@@ -126,8 +150,15 @@
         assert self.transport is not None
         if unread(self.transport, self.poll):
             self._broken()
+        elif self.last_byte and self.prove_until > 0 and unconfirmed(self.transport):
+            # Guards against a box on the way that has forgotten the connection: what is written vanishes.
+            if time.monotonic() * 1000 < self.prove_until:
+                self.holding = self.home.loop.call_later(HOLD_BACK / 1000, self._complete)
+            else:
+                self._broken()
         elif self.last_byte and self.transport.get_write_buffer_size() == 0:
             last, self.last_byte = self.last_byte, b""
+            self.prove_until = 0.0
             if self.attempt is not None:
                 self.attempt.state = WRITING
             self.transport.write(last)
@@ -145,7 +176,7 @@
         self.last_byte = b""
         self.attempt = attempt.carrier = None
         attempt.state = CONNECTING
-        self.home.connect(self.host, attempt)
+        self.home.again(self, attempt)
 
     def leave(self) -> None:
         """The attempt is given up."""
@@ -181,7 +212,7 @@
         self.transport = transport
         self.home.open += 1
         attempt = self.attempt
-        if attempt is None or attempt.given_up:
+        if not self.host.used if attempt is None else attempt.given_up:
             # Guards against an attempt that was given up, or whose endpoint drains, while it was connecting.
             self.attempt = None
             self.abort()
@@ -189,10 +220,14 @@
         # Only now: a connection that never comes up has no end at which the cycle could be broken.
         self.core = AnswerCore(self.most_body)
         self.poll = watcher(transport)
-        self.host.connecting.discard(attempt)
         transport.set_write_buffer_limits(high=0)
         self.opened = time.monotonic() * 1000
-        self.send(attempt, self.opened)
+        if attempt is None:
+            self.reused, self.idle_since = True, self.opened
+        self.home.came_up(self)
+        if attempt is not None:
+            self.host.connecting.discard(attempt)
+            self.send(attempt, self.opened)
 
     def pause_writing(self) -> None:
         """The kernel did not take all: `resume_writing` tells when it has."""
@@ -215,20 +250,22 @@
         if self.last_byte:
             self._broken()  # guards against bytes that can't be this request's answer
             return
+        if self.waits:
+            self.turn()  # guards against bytes behind an answer that would be read as a part of it
+            self.data_received(data)
+            return
         read = core.feed(data)
         grown = len(core.body) - self.counted
         self.counted += grown
         self.home.held += grown
         if read == WHOLE:
-            outcome = core.outcome()
-            if core.reusable and attempt.state == WRITTEN:
-                # Kept only once its answer is out: what the answer causes may be sent on it at once.
-                self.idle_since = time.monotonic() * 1000
-                self.reused = True
-                self.home.keep(self)
+            self._stop_timers()
+            if self.home.lanes is None:
+                self._whole(attempt, core)
             else:
-                self.abort()
-            self._finish(outcome)
+                # What an answer causes is most of its cost: it waits its turn, as requests do.
+                self.waits = True
+                self.home.lanes.wait(self.home.lane, self)
         elif read == SPOILT:
             self._spoilt(core.why)
         elif self.home.held > self.home.most_held():
@@ -239,6 +276,24 @@
         elif self.stalled is None:
             self.stalled = self.home.loop.call_later(ANSWER_TIME, self._spoilt, "it stopped half-way")
 
+    def turn(self) -> None:
+        """Its lane's turn has come: what its answer causes happens now."""
+        if self.waits:
+            self.waits = False
+            if self.attempt is not None and self.core is not None:
+                self._whole(self.attempt, self.core)
+
+    def _whole(self, attempt: Attempt, core: AnswerCore) -> None:
+        outcome = core.outcome()
+        if core.reusable and attempt.state == WRITTEN:
+            # Kept only once its answer is out: what the answer causes may be sent on it at once.
+            self.idle_since = time.monotonic() * 1000
+            self.reused = True
+            self.home.keep(self)
+        else:
+            self.abort()
+        self._finish(outcome)
+
     def _spoilt(self, why: str) -> None:
         tell(WARNING, "answer-spoilt", endpoint=self.host.address, cause=why)
         self.abort()
@@ -249,6 +304,7 @@
         self.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self.turn()  # guards against a whole answer that would be told as a reset
         if self.core is not None:
             self.core.close()
         self.home.lost(self)
--- a/millgw/endpoints/upstream.py
+++ b/millgw/endpoints/upstream.py
@@ -10,7 +10,7 @@
 from typing import Protocol, cast
 
 from millgw.endpoints.attempt import Attempt
-from millgw.endpoints.connection import Connection, Host
+from millgw.endpoints.connection import Connection, Host, Lanes
 from millgw.events import tell
 from millgw.interface import Outcome
 from millgw.message import NOTHING
@@ -33,8 +33,37 @@
         """Have others give one back that they need less; tells whether there was one."""
 
 
+class Tending(Protocol):
+    """What an operator may put in the place of the plain way: see `millgw.connections.tended`."""
+
+    def send(self, endpoint: int, host: Host, attempt: Attempt, now: float) -> None: ...
+
+    def again(self, connection: Connection, attempt: Attempt) -> None: ...
+
+    def up(self, connection: Connection) -> None: ...
+
+    def tried(self, host: Host, missed: bool) -> None: ...
+
+    def keep(self, connection: Connection) -> None: ...
+
+    def lost(self, connection: Connection, idle: bool) -> None: ...
+
+    def doubt(self, host: Host) -> None: ...
+
+    def close(self, host: Host) -> None: ...
+
+    def stop(self) -> None: ...
+
+    def figures(self) -> dict[str, object]:
+        """What happened to connections, for the log."""
+
+
 class Upstream:
-    """All connections to endpoints, by endpoint. `most_held` bounds the bytes of answers coming in."""
+    """All connections to endpoints, by endpoint. `most_held` bounds the bytes of answers coming in.
+
+    `lanes` are in use where several pools share the core: what answers cause waits there for the turn of
+    `lane`.
+    """
 
     def __init__(
         self,
@@ -43,8 +72,12 @@
         idle: float,
         memory: float,
         most_held: Callable[[], int] | None = None,
+        lanes: Lanes | None = None,
+        lane: str = "",
     ) -> None:
         self.loop = asyncio.get_running_loop()
+        self.lanes = lanes
+        self.lane = lane
         self.room = room
         self.room.endpoints = self.holds
         self.connect_timeout = connect_timeout / 1000
@@ -59,6 +92,12 @@
         self.held_back = 0  # sends whose last byte waited for a proof of their connection
         self.tasks: set[asyncio.Task[None]] = set()
         self.sweeping = self.loop.call_later(SWEEP, self._sweep)
+        self.tending: Tending | None = None
+
+    def tend(self, tending: Tending) -> None:
+        """Have another part say which connection is used, kept and opened."""
+        self.sweeping.cancel()
+        self.tending = tending
 
     def holds(self) -> int:
         """Descriptors in use."""
@@ -95,6 +134,8 @@
             if attempt.connecting is not None:
                 attempt.connecting.cancel()
             attempt.end(Outcome.CONNECT_FAILED, NOTHING)
+        if self.tending is not None:
+            self.tending.close(host)
 
     def seen(self, endpoint: int) -> tuple[float, float, float, float] | None:
         """When (ms, monotonic) a kept connection last had an answer, when the oldest of these was opened,
@@ -117,6 +158,8 @@
         host = self.hosts.get(endpoint)
         if host is not None:
             self._close_idle(host)
+            if self.tending is not None:
+                self.tending.doubt(host)
 
     def _close_idle(self, host: Host) -> None:
         for connection in host.idle:
@@ -130,6 +173,9 @@
             return
         self.sends += 1
         now = time.monotonic() * 1000
+        if self.tending is not None:
+            self.tending.send(endpoint, host, attempt, now)
+            return
         while host.idle:
             connection = host.idle.pop()
             # Guards against the endpoint's own idle time: what is written to a connection that it is about
@@ -140,6 +186,13 @@
             connection.abort()
         self.connect(host, attempt)
 
+    def again(self, connection: Connection, attempt: Attempt) -> None:
+        """An attempt that has not run goes on, as its connection is dead."""
+        if self.tending is not None:
+            self.tending.again(connection, attempt)
+        else:
+            self.connect(connection.host, attempt)
+
     def connect(self, host: Host, attempt: Attempt) -> None:
         """Make the attempt on a new connection."""
         if not host.used:
@@ -150,33 +203,56 @@
             attempt.end(Outcome.NOT_SENT, NOTHING)
             return
         host.connecting.add(attempt)
-        attempt.connecting = self.loop.create_task(self._connect(host, attempt))
-        self.tasks.add(attempt.connecting)
-        attempt.connecting.add_done_callback(self.tasks.discard)
+        attempt.connecting = self._start(host, attempt)
 
-    async def _connect(self, host: Host, attempt: Attempt) -> None:
+    def open_ahead(self, host: Host) -> None:
+        """Open a connection that no attempt waits for."""
+        self._start(host, None)
+
+    def _start(self, host: Host, attempt: Attempt | None) -> asyncio.Task[None]:
+        task = self.loop.create_task(self._connect(host, attempt))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def _connect(self, host: Host, attempt: Attempt | None) -> None:
+        missed = False
         made = cast(asyncio.Protocol, Connection(self, host, attempt, self.most_body))
         try:
             async with asyncio.timeout(self.connect_timeout):
                 await self.loop.create_connection(lambda: made, host.address.host, host.address.port)
         except OSError:  # refused, or not up in time
+            missed = True
             host.missed = host.broken = time.monotonic() * 1000
-            attempt.end(Outcome.CONNECT_FAILED, NOTHING)
         finally:
-            host.connecting.discard(attempt)
-            attempt.connecting = None  # guards against a cycle through the task's traceback
+            if attempt is not None:
+                host.connecting.discard(attempt)
+                attempt.connecting = None  # guards against a cycle through the task's traceback
+            if self.tending is not None:
+                self.tending.tried(host, missed)
+        if missed and attempt is not None:
+            attempt.end(Outcome.CONNECT_FAILED, NOTHING)
+
+    def came_up(self, connection: Connection) -> None:
+        if self.tending is not None:
+            self.tending.up(connection)
 
     def keep(self, connection: Connection) -> None:
         """Keep a connection for the next attempt, unless its endpoint is no longer in use."""
-        if connection.host.used:
+        if self.tending is not None:
+            self.tending.keep(connection)
+        elif connection.host.used:
             connection.host.idle.append(connection)
         else:
             connection.abort()
 
     def lost(self, connection: Connection) -> None:
         self.open -= 1
-        if connection in connection.host.idle:
+        idle = connection in connection.host.idle
+        if idle:
             connection.host.idle.remove(connection)
+        if self.tending is not None:
+            self.tending.lost(connection, idle)
 
     def give_way(self) -> bool:
         """Close the connection that has been idle for longest, if there is one."""
@@ -201,3 +277,5 @@
     def stop(self) -> None:
         """Look after connections no longer; there are none left that matter."""
         self.sweeping.cancel()
+        if self.tending is not None:
+            self.tending.stop()
--- a/millgw/message.py
+++ b/millgw/message.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import select
+import socket
+import struct
 from dataclasses import dataclass
 from typing import Final
 
@@ -72,3 +74,17 @@
     if transport.is_closing():
         return True  # guards against its descriptor, which may be another one's by now
     return bool((poll or watcher(transport)).poll(0))
+
+
+UNACKED: Final = struct.Struct("=I")
+UNACKED_AT: Final = 24  # of tcpi_unacked in Linux' struct tcp_info (tcp(7)): eight bytes, then four words
+
+
+def unconfirmed(transport: asyncio.Transport) -> bool:
+    """Whether the other machine's kernel has yet to confirm some of what was written to a connection."""
+    if transport.is_closing():
+        return True
+    sock = transport.get_extra_info("socket")
+    info: bytes = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, UNACKED_AT + 4)
+    (unacked,) = UNACKED.unpack_from(info, UNACKED_AT)
+    return bool(unacked)
--- a/millgw/operator/file.py
+++ b/millgw/operator/file.py
@@ -12,6 +12,7 @@
 from msgspec import Meta, field
 
 from millgw.checked import FileError, Table, read
+from millgw.connections.terms import Order, Proving, Terms
 from millgw.membership.servers import check_path, read_connect
 from millgw.platform.config import read_address
 from millgw.routing.table import Route, RouteError
@@ -52,6 +53,45 @@
     hold_most_s: Annotated[float, Meta(ge=0, le=86_400)] = 300.0
 
 
+class Connections(Table, frozen=True, kw_only=True):
+    """How connections to endpoints are tended (docs/connections.md); a table that is there switches it on."""
+
+    order: Literal["lifo", "fifo"] = "lifo"
+    keep_least: Annotated[int, Meta(ge=0, le=1000)] = 0
+    keep_most: Annotated[int, Meta(ge=0, le=100_000)] = 0
+    open_most: Annotated[int, Meta(ge=0, le=100_000)] = 0
+    ahead: bool = True
+    headroom: Annotated[float, Meta(ge=0, le=10)] = 0.25
+    age_s: Annotated[float, Meta(ge=0, le=1e6)] = 0.0
+    uses: Annotated[int, Meta(ge=0)] = 0
+    idle_part: Annotated[float, Meta(gt=0, le=1)] = 0.5
+    jitter: Annotated[float, Meta(ge=0, le=0.9)] = 0.2
+    learn: bool = True
+    at_once: Annotated[int, Meta(ge=1, le=10_000)] = 4
+    at_once_all: Annotated[int, Meta(ge=1, le=100_000)] = 64
+    cold_per_s: Annotated[float, Meta(ge=1, le=1e6)] = 20.0
+    wait_ms: Annotated[float, Meta(ge=0, le=10_000)] = 50.0
+    probe_ms: tuple[Annotated[float, Meta(ge=10, le=1e6)], Annotated[float, Meta(ge=10, le=1e6)]] = (
+        100.0,
+        2000.0,
+    )
+    panic: Annotated[float, Meta(ge=0, le=1)] = 0.5
+    prove: Literal["hold", "ack"] = "hold"
+    silent_after_s: Annotated[float, Meta(ge=0, le=1e6)] = 5.0
+    prove_ms: Annotated[float, Meta(ge=10, le=10_000)] = 100.0
+
+    def terms(self) -> Terms:
+        """The same as the decisions have it; a ValueError names the field that can't be."""
+        return Terms(
+            order=Order(self.order), keep_least=self.keep_least, keep_most=self.keep_most,
+            open_most=self.open_most, ahead=self.ahead, headroom=self.headroom, age=self.age_s * 1000,
+            uses=self.uses, idle_part=self.idle_part, jitter=self.jitter, learn=self.learn,
+            at_once=self.at_once, at_once_all=self.at_once_all, cold_rate=self.cold_per_s,
+            wait=self.wait_ms, probe_base=self.probe_ms[0], probe_most=self.probe_ms[1], panic=self.panic,
+            prove=Proving(self.prove), silent_after=self.silent_after_s * 1000, prove_most=self.prove_ms,
+        )  # fmt: skip
+
+
 class Limits(Table, frozen=True, kw_only=True):
     """What a service's pool has for sure, as shares of what the whole daemon may hold.
 
@@ -72,7 +112,8 @@
     coordinator, `membership` says how its list and a discovery's become one (`Mode` of
     `millgw.membership.merge`); without it the coordinator alone tells. `settings` holds words of the
     configuration's object of that name and goes over it, table by table. `listen` is an address of its own:
-    all requests there are for this service, which needs no route then.
+    all requests there are for this service, which needs no route then. `connections` stands in the place of
+    the whole file's table of that name.
     """
 
     listen: str | None = None
@@ -83,6 +124,7 @@
     classes: tuple[str, ...] = ()
     settings: dict[str, Any] = field(default_factory=dict)
     limits: Limits = Limits()
+    connections: Connections | None = None
 
 
 class RouteEntry(Table, frozen=True, kw_only=True, rename={"cls": "class"}):
@@ -101,6 +143,13 @@
 
     services: dict[Name, Service] = field(default_factory=dict)
     routes: tuple[RouteEntry, ...] = ()
+    connections: Connections | None = None
+
+    def tends(self, name: str = "") -> Terms | None:
+        """How a service's connections are tended, or those of the one pool; None for the plain way."""
+        own = self.services[name].connections if name else None
+        told = self.connections if own is None else own
+        return None if told is None else told.terms()
 
 
 KINDS = ("calls", "connections", "bodies", "answers")
@@ -108,8 +157,10 @@
 
 def check(operator: Operator) -> Operator:
     """What no single field can tell."""
+    _check_connections("connections", operator.connections)
     for name, service in operator.services.items():
         path = f"services.{name}"
+        _check_connections(f"{path}.connections", service.connections)
         if service.listen is not None:
             _address(f"{path}.listen", service.listen)
             others = [n for n, s in operator.services.items() if n != name and s.listen == service.listen]
@@ -148,6 +199,16 @@
     return operator
 
 
+def _check_connections(path: str, told: Connections | None) -> None:
+    try:
+        if told is not None:
+            told.terms()
+    except ValueError as error:
+        field, _, what = str(error).partition(": ")
+        field = "probe_ms" if field.startswith("probe") else field
+        raise ValueError(f"{path}.{field}: {what}") from None
+
+
 def _check_coordinator(path: str, service: Service) -> None:
     told = service.coordinator
     if told is None:
--- a/millgw/pool/driver.py
+++ b/millgw/pool/driver.py
@@ -10,8 +10,9 @@
 import math
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import partial
+from typing import Protocol
 
 from millgw.decide import Balancer
 from millgw.endpoints.attempt import Attempt
@@ -56,6 +57,13 @@
         return (self.offset + time.monotonic()) * 1000
 
 
+class Curtain(Protocol):
+    """What may stand between the lists and the module (see `millgw.connections.introduction`)."""
+
+    def listed(self, kind: ListKind, entries: Sequence[Endpoint]) -> tuple[Endpoint, ...]:
+        """What the module is to be told of a list."""
+
+
 class Driver:
     """One sidecar's balancer in service."""
 
@@ -75,6 +83,7 @@
         self.waking: asyncio.TimerHandle | None = None
         self.wakes_at = math.inf
         self.ended = False
+        self.curtain: Curtain | None = None
 
     # What happens
 
@@ -111,12 +120,17 @@
         if kind in (ListKind.FULL, ListKind.CACHED):
             gone |= self.ready - named
         self.ready = (self.ready | named) - gone
-        self._feed(EndpointList(kind, tuple(told)))
+        seen = tuple(told) if self.curtain is None else self.curtain.listed(kind, told)
+        self._feed(EndpointList(kind, seen))
         old += [self.upstream.forget(id) for id in gone]
         for host in old:
             if host is not None:
                 self.upstream.close(host)
 
+    def show(self, endpoints: tuple[Endpoint, ...]) -> None:
+        """Tell the module the whole list as it should have it: no word of discovery's, which may be down."""
+        self._feed(EndpointList(ListKind.CACHED, endpoints))
+
     def _superseded(self, entries: tuple[Listed, ...]) -> set[int]:
         """The endpoints at whose address another one has started later.
 
--- a/millgw/pool/pool.py
+++ b/millgw/pool/pool.py
@@ -10,6 +10,7 @@
 from typing import Any, Protocol
 
 from millgw.decide import Balancer
+from millgw.endpoints.connection import Lanes
 from millgw.endpoints.upstream import Room, Upstream
 from millgw.events import tell
 from millgw.interface import ListKind
@@ -64,6 +65,7 @@
         room: Room,
         share: Share,
         source: Callable[[Heard, Witness], Source],
+        lanes: Lanes | None = None,
     ) -> None:
         self.name = name
         self.settings = config.settings
@@ -71,7 +73,7 @@
         self.bodies = 0
         self.retired = False
         self.upstream = Upstream(
-            room, config.connect_timeout, config.idle, config.memory, lambda: self.most(ANSWERS)
+            room, config.connect_timeout, config.idle, config.memory, lambda: self.most(ANSWERS), lanes, name
         )
         self.source = source(self._heard, self)
         self.driver = Driver(Balancer(self.settings, seed), self.upstream, self.source.subscribe)
@@ -168,16 +170,22 @@
         figures: dict[str, object] = {"pool": self.name, "endpoints": len(self.driver.ready)}
         for kind in (CALLS, CONNECTIONS, BODIES, ANSWERS):
             figures[kind] = f"{self.held(kind)}/{self.most(kind)}"
-        figures |= self.source.figures()
+        figures |= self.source.figures() | self.tended()
         return figures | {"sends": self.upstream.sends, "held_back": self.upstream.held_back}
 
+    def tended(self) -> dict[str, object]:
+        """What happened to its connections, where they are tended."""
+        tending = self.upstream.tending
+        return {} if tending is None else tending.figures()
+
     def status(self) -> str:
         """The same as one line for people and scripts."""
         figures = self.figures()
         state = "ready" if self.driver.ready else "no endpoint"
         kinds = ", ".join(f"{kind} {figures[kind]}" for kind in (CALLS, CONNECTIONS, BODIES, ANSWERS))
         sends = f"{figures['held_back']} of {figures['sends']} sends held back"
-        return f"{self.name}: {state}, {figures['endpoints']} endpoints, {kinds}, {sends}"
+        tended = "".join(f", {name} {value}" for name, value in self.tended().items())
+        return f"{self.name}: {state}, {figures['endpoints']} endpoints, {kinds}, {sends}{tended}"
 
 
 def read(
--- a/millgw/rehearsal/blows.py
+++ b/millgw/rehearsal/blows.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, replace
@@ -98,6 +99,7 @@
             "zk-drop": self._drop,
             "zk-freeze": self._freeze,
             "zk-restart-empty": self._restart_empty,
+            "middlebox": self._middlebox,
         }
         for kind in FIELDS:
             self.kinds[kind] = self._ill
@@ -202,6 +204,13 @@
             self.stage.cadastro.list(entry)
             await asyncio.sleep(FLAP)
 
+    async def _middlebox(self, blow: Blow) -> None:
+        """A box on the way forgets connections idle for `size` s: what is written to them vanishes."""
+        endpoint = self.stage.endpoints[blow.target]
+        endpoint.forgets_after = blow.size * 1000
+        await self._rest(blow)
+        endpoint.forgets_after = math.inf
+
     async def _ill(self, blow: Blow) -> None:
         """Failures, resets and spoilt answers for a share of the requests; slowness. The worst counts."""
         endpoint = self.stage.endpoints[blow.target]
--- a/millgw/rehearsal/report.py
+++ b/millgw/rehearsal/report.py
@@ -97,6 +97,12 @@
             )
     for why, count in day.summary.unusable.items():
         console.print(f"{day.name}: endpoints answered 400 to {count} attempts: {why}", markup=False)
+    if day.scenario.connections is not None:
+        console.print(
+            f"{day.name}: {day.summary.handshakes} handshakes; at a cold endpoint"
+            f" {day.summary.cold_handshakes} in a second at the most",
+            markup=False,
+        )
     for reason in day.audit.reasons:
         console.print(f"{day.name}: the rig can't vouch for this day: {reason}", markup=False)
 
@@ -124,6 +130,8 @@
         "served": s.served,
         "refused": s.refused,
         "failed": s.failed,
+        "handshakes": s.handshakes,
+        "cold_handshakes_per_s": s.cold_handshakes,
         "attempts": {str(tier): of for tier, of in s.attempts.items()},
         "classes": {
             name: {
--- a/millgw/rehearsal/scenario.py
+++ b/millgw/rehearsal/scenario.py
@@ -15,6 +15,7 @@
 from msgspec import Meta
 
 from millgw.checked import FileError, Table, read
+from millgw.operator.file import Connections
 
 Share = Annotated[float, Meta(ge=0.0, le=1.0)]
 Part = Annotated[float, Meta(gt=0.0, le=1.0)]
@@ -45,11 +46,12 @@
     "zk-drop",
     "zk-freeze",
     "zk-restart-empty",
+    "middlebox",
 ]
 ON_ENDPOINTS: frozenset[str] = frozenset(
     {
         "silence", "restart", "fast-failure", "slowdown", "resets", "spoilt", "drain", "replaced", "flapping",
-        "zk-expire",
+        "zk-expire", "middlebox",
     }
 )  # fmt: skip
 ON_SIDECARS: frozenset[str] = frozenset({"sidecar-killed", "sidecar-restart", "connections"})
@@ -70,6 +72,9 @@
     """Endpoints in the first tier, the tiers' sizes against it, and the sidecars of all stages together.
 
     Each endpoint of every tier but the last has a sidecar of its own; the others stand at the front.
+    `idle_s` is what sidecars are told that idle connections are kept for; endpoints really do so for
+    `idle_part` of it, or a random part of that, and close one without a word after `uses` answers (0: never
+    for that).
     """
 
     endpoints: Count = 6
@@ -90,6 +95,9 @@
     handshake_work_ms: NotNegative = 1.0
     handshake_ms: NotNegative = 0.6
     idle_s: Positive = 30.0
+    idle_part: Part = 1.0
+    idle_random: bool = False
+    uses: Annotated[int, Meta(ge=0, le=1_000_000)] = 0
     cold_share: Part = 0.2
     cold_s: NotNegative = 14.0
     drops_waiting: bool = True
@@ -183,7 +191,8 @@
     """One fault. `share` is of the endpoints of `tier` (0: all), or of the front's sidecars.
 
     `size` is the share of requests hit (fast-failure, resets, spoilt), times as slow (slowdown), times the
-    rate (crowd, of one class where `class` names it) or connections to each sidecar (connections). With
+    rate (crowd, of one class where `class` names it), connections to each sidecar (connections) or seconds
+    idle after which a connection is forgotten on the way, without a word (middlebox). With
     `spacing_s` those hit follow one another. A reload takes the `service` that it names away and back.
     """
 
@@ -217,6 +226,7 @@
     "slowdown": (2.0, 100.0),
     "crowd": (3.0, 100.0),
     "connections": (100.0, 10_000.0),
+    "middlebox": (1.0, 600.0),
 }
 """Kinds that have a size: what it is by default, and at the most."""
 
@@ -254,6 +264,7 @@
     rules: Rules = Rules()
     services: tuple[Service, ...] = ()
     coordinator: Coordinator | None = None
+    connections: Connections | None = None
     faults: tuple[Fault, ...] = ()
 
 
@@ -433,6 +444,14 @@
         raise ScenarioError(f"command line: {error}") from None
 
 
+def connections_toml(scenario: Scenario) -> str:
+    """How the day's sidecars tend connections, as a table of the operator's file; empty for not at all."""
+    told = scenario.connections
+    if told is None:
+        return ""
+    return "\n".join(["[connections]", *(f"{k} = {_toml(getattr(told, k))}" for k in told.__struct_fields__)])
+
+
 def to_toml(scenario: Scenario, comment: str = "") -> str:
     """The file that `parse` reads back as this scenario; what stands at its default is left out."""
     lines = [f"# {line}".rstrip() for line in comment.splitlines()]
--- a/millgw/rehearsal/stage.py
+++ b/millgw/rehearsal/stage.py
@@ -22,7 +22,7 @@
 from millgw.rehearsal.front import Clients, Front, ask
 from millgw.rehearsal.keeper import Keeper
 from millgw.rehearsal.sampler import Sampler, own_memory
-from millgw.rehearsal.scenario import Scenario
+from millgw.rehearsal.scenario import Scenario, connections_toml
 from millgw.rehearsal.sidecars import DEFAULT_RUN, NotReady, Sidecar, settings
 from millgw.standins.address import free_address
 from millgw.standins.cadastro import Cadastro, Capacity, Delays
@@ -233,7 +233,9 @@
                 connections=fleet.connections,
                 handshake_work=fleet.handshake_work_ms,
                 handshake_ms=fleet.handshake_ms,
-                idle=fleet.idle_s * 1000,
+                idle=fleet.idle_s * fleet.idle_part * 1000,
+                idle_random=fleet.idle_random,
+                uses=fleet.uses,
                 cold_share=fleet.cold_share,
                 cold_ms=fleet.cold_s * 1000,
                 drops_waiting=fleet.drops_waiting,
@@ -280,8 +282,8 @@
         return known
 
     def operator(self, sidecar: str, without: str = "") -> str:
-        """The operator's file of a front sidecar in a day with services; none in any other."""
-        lines = []
+        """The operator's file of a sidecar: services at the front, how connections are tended."""
+        lines = [connections_toml(self.scenario)]
         for tier, service in enumerate(self.scenario.services, 1):
             if service.name != without:
                 address = self.cadastro.window(sidecar, tier)
@@ -375,7 +377,8 @@
         if self.coordination is not None:
             await self.coordination.start(list(self.sidecars), len(self.tiers))
             for sidecar in self.sidecars.values():
-                sidecar.operator = self.coordination.operator(sidecar.name, sidecar.stage + 1)
+                own = self.coordination.operator(sidecar.name, sidecar.stage + 1)
+                sidecar.operator = f"{connections_toml(self.scenario)}\n{own}"
         for tier in self.tiers:
             for endpoint in tier:
                 endpoint.start(cold=False)
--- a/millgw/rehearsal/summary.py
+++ b/millgw/rehearsal/summary.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -74,6 +75,8 @@
     seconds: list[Second]
     worst: float  # the service of the worst five seconds
     unusable: dict[str, int] = field(default_factory=dict)  # attempts answered 400, by cause
+    handshakes: int = 0  # at all endpoints, over the day
+    cold_handshakes: int = 0  # at the most at one endpoint, within one second while it was cold
 
 
 WORST_SPAN = 5
@@ -123,6 +126,8 @@
         figures.earned += gained
         earned[at] += gained
     _attempts(ledger, summary)
+    summary.handshakes = sum(h.at >= 0 for h in ledger.handshakes)
+    summary.cold_handshakes = most_while_cold(ledger)
     if sum(offered) > 0:
         summary.service = sum(earned) / sum(offered)
     spans = range(max(1, len(seconds) - WORST_SPAN + 1))
@@ -135,6 +140,25 @@
     return summary
 
 
+def most_while_cold(ledger: Ledger) -> int:
+    """The most handshakes that one cold endpoint was asked for within one second."""
+    cold = {(x.endpoint, x.number): x.start + x.cold_ms for x in ledger.lives if x.cold_ms > 0}
+    by_life: dict[tuple[str, int], list[float]] = {}
+    for handshake in ledger.handshakes:
+        life = (handshake.endpoint, handshake.life)
+        if handshake.at < cold.get(life, -math.inf):
+            by_life.setdefault(life, []).append(handshake.at)
+    most = 0
+    for times in by_life.values():
+        times.sort()
+        first = 0
+        for last, at in enumerate(times):
+            while times[first] <= at - 1000:
+                first += 1
+            most = max(most, last - first + 1)
+    return most
+
+
 def _attempts(ledger: Ledger, summary: Summary) -> None:
     tiers = {life.endpoint: life.tier for life in ledger.lives}
     for attempt in ledger.attempts:
--- a/millgw/services/front.py
+++ b/millgw/services/front.py
@@ -1,7 +1,8 @@
 """The callers' side with several services: routes requests, and lets no pool's flood queue before another's.
 
 What comes in is only read at once; parsing, routing and taking a request wait for the turn of the lane that
-the connection was last routed to, and a turn of the loop spends no longer than `SPELL` on them.
+the connection was last routed to, what an endpoint's whole answer causes for that of its pool, and a turn of
+the loop spends no longer than `SPELL` on both.
 """
 
 from __future__ import annotations
@@ -9,8 +10,8 @@
 import asyncio
 import time
 from collections.abc import Callable, Mapping
+from typing import Protocol
 
-from millgw.callers.connection import CallerConnection
 from millgw.message import REFUSED, Answer, Content
 from millgw.pool.call import Call
 from millgw.pool.pool import Pool, read
@@ -19,17 +20,23 @@
 from millgw.routing.target import BadTarget, read_target
 from millgw.services.turns import Turns
 
-SPELL = 0.0005  # s of one turn of the loop that go to requests before connections are read again
+SPELL = 0.0002  # s of one turn of the loop that go to requests and answers before connections are read again
+
+
+class Waiting(Protocol):
+    """A caller's connection with a request to be read, or an endpoint's with an answer that is whole."""
+
+    def turn(self) -> None: ...
 
 
 class Spells:
-    """The connections of all listeners that wait for their lanes' turns."""
+    """The connections of both sides that wait for their lanes' turns."""
 
     def __init__(self) -> None:
         self.loop = asyncio.get_running_loop()
-        self.turns: Turns[CallerConnection] = Turns()
+        self.turns: Turns[Waiting] = Turns()
 
-    def wait(self, lane: str, connection: CallerConnection) -> None:
+    def wait(self, lane: str, connection: Waiting) -> None:
         if not self.turns:
             self.loop.call_soon(self._spell)
         self.turns.add(lane, connection)
--- a/millgw/services/node.py
+++ b/millgw/services/node.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from logging import ERROR, INFO
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from msgspec.structs import replace
 
@@ -24,20 +24,24 @@
 from millgw.pool.share import ANSWERS, BODIES, BODIES_PART, CALLS, CONNECTIONS
 from millgw.services.front import RoutedFront, Services, Spells
 from millgw.services.limits import Allotment
-from millgw.services.parts import pool_config, pool_seed, source
+from millgw.services.parts import attach, pool_config, pool_seed, source
 from millgw.services.shares import Bounds, LentShare, PoolRoom
 
+if TYPE_CHECKING:
+    from millgw.connections.tended import Tended
+
 STATUS_EVERY = 60.0  # s between two lines on each pool in the log
 LEND = 2000.0  # ms by which what is on loan is back
 
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Served:
-    """One service in service: its pool, and the words that it was made of."""
+    """One service in service: its pool, the words that it was made of, what tends its connections."""
 
     pool: Pool
     service: Service
     raw: Mapping[str, Any]
+    tended: Tended | None
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -64,13 +68,13 @@
         self.bounds = Bounds(self._allotments(self.operator), Clock())
         self.services = Services()
         self.served: dict[str, Served] = {}
+        self.turns = Spells()
         self.shared.endpoints = lambda: sum(p.upstream.holds() for p in self._all())
-        for name, service in self.operator.services.items():
-            self.served[name] = self._pool(name, service, self.config, raw)
+        for name in self.operator.services:
+            self.served[name] = self._pool(self.operator, name, self.config, raw)
         self._publish()
         for served in self.served.values():
             served.pool.start(self.config.known)
-        self.turns = Spells()
         self.listeners = {"": self._listen(self.operator, "")}
         for name, service in self.operator.services.items():
             if service.listen is not None:
@@ -120,12 +124,14 @@
     def _all(self) -> list[Pool]:
         return [*self.bounds.pools.values(), *self.bounds.retired]
 
-    def _pool(self, name: str, service: Service, config: Config, raw: Mapping[str, Any]) -> Served:
+    def _pool(self, operator: Operator, name: str, config: Config, raw: Mapping[str, Any]) -> Served:
+        service = operator.services[name]
         own = pool_config(name, service, config, raw)
         share = LentShare(name, self.bounds)
         room = PoolRoom(name, self.shared, self.bounds, share)
         seed = pool_seed(config.seed, name)
-        return Served(Pool(name, own, seed, room, share, source(name, service, config)), service, raw)
+        made = Pool(name, own, seed, room, share, source(name, service, config), self.turns)
+        return Served(made, service, raw, attach(made, operator.tends(name), own, seed))
 
     def _allotments(self, operator: Operator) -> dict[str, Allotment]:
         """What each pool may hold of each kind; sums that can't be kept are refused."""
@@ -157,13 +163,12 @@
                 raise ConfigError(f"{self.path}: the last service can't be removed without a restart")
             allotments = self._allotments(operator)
             made: dict[str, Served] = {}
-            for name, service in operator.services.items():
+            for name in operator.services:
                 known = self.served.get(name)
-                if known is not None and self._same(known, service, config, raw):
-                    known.service = service
+                if known is not None and self._same(known, operator, name, config, raw):
                     made[name] = known
                 else:
-                    made[name] = self._pool(name, service, config, raw)
+                    made[name] = self._pool(operator, name, config, raw)
                     fresh.append(made[name])
             wanted = {n: s.listen for n, s in operator.services.items() if s.listen is not None}
             now = {n: s.listen for n, s in self.operator.services.items() if n in self.listeners}
@@ -182,6 +187,11 @@
         self.bounds.allotments = allotments
         self.bounds.retired = [pool for pool in self.bounds.retired if pool.driver.calls] + old
         self.served = made
+        for name, served in made.items():
+            served.service = operator.services[name]
+            terms = operator.tends(name)
+            if served.tended is not None and terms is not None:
+                served.tended.change(terms)
         self._publish()
         for name in [n for n in self.listeners if n and (n in opened or n not in wanted)]:
             self._close(self.listeners.pop(name).server)
@@ -212,9 +222,12 @@
         else:
             self.closing.remove(server)
 
-    def _same(self, served: Served, service: Service, config: Config, raw: Mapping[str, Any]) -> bool:
-        """Whether a pool is what the files want but for its limits, which change in service."""
-        plain = {"limits": Limits(), "listen": None}
+    def _same(
+        self, served: Served, operator: Operator, name: str, config: Config, raw: Mapping[str, Any]
+    ) -> bool:
+        """Whether a pool is what the files want but for what changes in service: limits, connections."""
+        service = operator.services[name]
+        plain = {"limits": Limits(), "listen": None, "connections": None}
         alike = replace(served.service, **plain) == replace(service, **plain)
         moved = (
             service.discovery is None
@@ -222,7 +235,8 @@
             and (service.coordinator is None or service.membership is not None)
             and config.discovery != self.config.discovery
         )
-        return alike and not moved and served.raw == raw
+        tends = (served.tended is None) == (operator.tends(name) is None)
+        return alike and not moved and tends and served.raw == raw
 
 
 def _load(path: str) -> Operator:
--- a/millgw/services/parts.py
+++ b/millgw/services/parts.py
@@ -6,16 +6,20 @@
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from hashlib import blake2b
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from millgw.interface import ListKind
 from millgw.membership.servers import read_connect
 from millgw.operator.file import Coordinator, Service
 from millgw.platform.config import Config, ConfigError, read_address
 from millgw.platform.discovery import Discovery, Heard, Listed, read_listing
-from millgw.pool.pool import Source, Witness
+from millgw.pool.pool import Pool, Source, Witness
 from millgw.settings import to_settings
 
+if TYPE_CHECKING:
+    from millgw.connections.tended import Tended
+    from millgw.connections.terms import Terms
+
 
 class StaticList:
     """A list that the operator wrote, told as often as the module asks."""
@@ -107,6 +111,16 @@
     )
 
 
+def attach(pool: Pool, terms: Terms | None, config: Config, seed: int) -> Tended | None:
+    """Have a pool's connections tended, where the operator's file says how."""
+    if terms is None:
+        return None
+    # Only here: connections that are left to the plain way must cost nothing.
+    from millgw.connections.attach import tend
+
+    return tend(pool, terms, config, seed)
+
+
 def static_list(service: Service, config: Config) -> tuple[Listed, ...]:
     """The endpoints that an operator's file names for a service."""
     entries = [
--- a/millgw/sidecar/__main__.py
+++ b/millgw/sidecar/__main__.py
@@ -60,7 +60,9 @@
     unready: Callable[[], None]
 
 
-def _one(config: Config, environ: Mapping[str, str]) -> Parts:
+def _one(
+    config: Config, environ: Mapping[str, str], tend: Callable[[Pool], object] | None = None
+) -> Parts:
     descriptors = Descriptors(config.sockets)
     whole = Whole(
         {
@@ -74,6 +76,8 @@
         "", config, config.seed, descriptors, whole,
         lambda heard, _: Discovery(config.discovery, config.zones, heard),
     )  # fmt: skip
+    if tend is not None:
+        tend(pool)
     assert isinstance(pool.source, Discovery)
     front = PlainFront(pool)
     server = Server(config.listen, descriptors, front)
@@ -86,12 +90,13 @@
     # Only here: an operator's file that is not given must cost nothing.
     try:
         from millgw.services.node import Node
+        from millgw.services.parts import attach
     except ModuleNotFoundError as missing:
         raise ConfigError(f"{OPERATOR}: needs {missing.name}: requirements-operator.txt") from None
 
     node = Node(config, environ, environ[OPERATOR])
     if not node.operator.services:
-        return _one(config, environ)
+        return _one(config, environ, lambda pool: attach(pool, node.operator.tends(), config, config.seed))
     return Parts(*node.open(), node.leave)
 
 
--- a/millgw/standins/endpoint.py
+++ b/millgw/standins/endpoint.py
@@ -18,10 +18,10 @@
 from millgw.platform.config import Address
 from millgw.standins.capacity import ColdBudget, Processor, Room
 from millgw.standins.http import NEVER_RAN, Clock, Message, ServerConnection, listener, ok, status
-from millgw.standins.ledger import Attempt, Call, Ledger, Life, Told
+from millgw.standins.ledger import Attempt, Call, Handshake, Ledger, Life, Told
 
 HEAVIEST = 6.0  # times its class's mean that one request may need: the tail that is drawn ends there
-SWEEP = 0.25  # s between two looks for connections that have been idle too long
+SWEEP = 0.1  # s between two looks for connections that have been idle too long
 SPOILT_STALL = 3.0  # s after which a stalled answer's connection is reset
 SPOILS = ("short", "garbled", "doubled", "stalled")
 
@@ -55,6 +55,8 @@
     handshake_work: float = 1.0  # core-ms
     handshake_ms: float = 0.6
     idle: float = 30_000.0
+    idle_random: bool = False  # each connection draws a part of that
+    uses: int = 0  # answers on a connection, after which it is closed without a word; 0 for no bound
     cold_share: float = 0.2
     cold_ms: float = 14_000.0
     drops_waiting: bool = True  # waiting work whose connection has ended is dropped
@@ -159,6 +161,9 @@
         self.life: Life | None = None
         self.draining = False
         self.quiet = False
+        self.forgets_after = math.inf  # ms idle, after which a box on the way forgets a connection
+        self.idle_times: dict[ServerConnection, float] = {}
+        self.rng = random.Random(f"idle {seed} {build.name}")
         self.listener = listener(build.address, self)
         self.connections: set[ServerConnection] = set()
         self.attempts: dict[ServerConnection, Attempt] = {}
@@ -242,6 +247,8 @@
 
     def opened(self, connection: ServerConnection) -> None:
         self.connections.add(connection)
+        self.ledger.handshakes.append(Handshake(self.build.name, self.lives, self.clock()))
+        self.idle_times[connection] = self.build.idle * (self.rng.random() if self.build.idle_random else 1.0)
         if self.up and self.build.handshake_work > 0:
             self._settle(self.processor.add(self.clock(), self.build.handshake_work, None))
             self._schedule()
@@ -251,6 +258,7 @@
 
     def lost(self, connection: ServerConnection) -> None:
         self.connections.discard(connection)
+        self.idle_times.pop(connection, None)
         attempt = self.attempts.pop(connection, None)
         if attempt is None and connection.message is not None:
             # A request whose last byte never came: what is known of it stands in its headers.
@@ -261,9 +269,14 @@
             waiting.cancel()
 
     def _sweep(self) -> None:
-        oldest = self.clock() - self.build.idle
+        now = self.clock()
         for connection in list(self.connections):
-            if not connection.busy and connection.message is None and connection.idle_since < oldest:
+            if connection.busy or connection.message is not None or connection.forgotten:
+                continue
+            idle = now - connection.idle_since
+            if idle > self.forgets_after:
+                connection.forget()
+            elif idle > self.idle_times[connection]:
                 connection.close()
         self.sweeper = asyncio.get_running_loop().call_later(SWEEP, self._sweep)
 
@@ -450,11 +463,13 @@
         if self.attempts.pop(connection, None) is None:
             return  # the sidecar has gone
         attempt.told, attempt.told_at = told, self.clock()
-        if data:
-            connection.write(data)
-            connection.answered()
-        else:
+        if not data:
             connection.reset()
+            return
+        connection.write(data)
+        connection.answered()
+        if self.build.uses and connection.requests >= self.build.uses:
+            connection.close()
 
     async def _spoil(self, connection: ServerConnection, attempt: Attempt, body: bytes, how: str) -> None:
         whole = ok(body)
--- a/millgw/standins/http.py
+++ b/millgw/standins/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import select
 import socket
 import struct
@@ -19,6 +20,9 @@
 
 BACKLOG = 512
 NO_LINGER = struct.pack("ii", 1, 0)
+DROP_ALL = ctypes.create_string_buffer(struct.pack("HBBI", 0x06, 0, 0, 0))  # classic BPF: return 0 bytes
+DROP_FILTER = struct.pack("HP", 1, ctypes.addressof(DROP_ALL))  # struct sock_fprog (socket(7))
+SO_ATTACH_FILTER = 26
 ACCEPTS = 64  # connections accepted in one turn
 FILLERS = 4  # connections that fill the queue of a silent listener at the most; the kernel takes one or two
 
@@ -93,6 +97,7 @@
         self.requests = 0
         self.idle_since = site.clock()
         self.closed = False
+        self.forgotten = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -162,6 +167,16 @@
             self.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
             self.transport.abort()
 
+    def forget(self) -> None:
+        """Let all that comes from now on vanish, unconfirmed, as a box on the way does that knows it no more.
+
+        The kernel drops what comes for the socket before TCP sees it.
+        """
+        if self.transport is not None and not self.closed:
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, DROP_FILTER)
+            self.forgotten = True
+
     def close(self) -> None:
         if self.transport is not None:
             self.transport.close()
--- a/millgw/standins/ledger.py
+++ b/millgw/standins/ledger.py
@@ -155,6 +155,15 @@
         return self.speed * (self.cold_share + (1 - self.cold_share) * part)
 
 
+@dataclass(slots=True)
+class Handshake:
+    """A connection that an endpoint accepted."""
+
+    endpoint: str
+    life: int
+    at: float
+
+
 @dataclass(slots=True)
 class SidecarLife:
     """One process of a sidecar: its first 200 to /ready, and when the rig sent SIGTERM or SIGKILL."""
@@ -201,6 +210,7 @@
     asked: list[Asked] = field(default_factory=list)
     outages: list[Outage] = field(default_factory=list)
     lives: list[Life] = field(default_factory=list)
+    handshakes: list[Handshake] = field(default_factory=list)
     sidecars: list[SidecarLife] = field(default_factory=list)
     samples: list[Sample] = field(default_factory=list)
     strikes: list[Strike] = field(default_factory=list)
@@ -221,6 +231,7 @@
     Asked: ("at", "until"),
     Outage: ("at", "until"),
     Life: ("start", "until", "fell"),
+    Handshake: ("at",),
     SidecarLife: ("start", "ready", "term", "kill", "ended"),
     Sample: ("at",),
     Strike: ("at", "until"),
@@ -232,7 +243,7 @@
     """Move all times by so many ms: the stand-ins run before the day's 0 is known."""
     for records in (
         ledger.attempts, ledger.calls, ledger.words, ledger.changes, ledger.asked, ledger.outages,
-        ledger.lives, ledger.sidecars, ledger.samples, ledger.strikes,
+        ledger.lives, ledger.handshakes, ledger.sidecars, ledger.samples, ledger.strikes,
     ):  # fmt: skip
         for record in records:
             for name in TIMES[type(record)]:
--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,354 @@
+"""Connections to endpoints as a sidecar tends them: each way in which they die, on loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from millgw.operator.file import OperatorError, parse
+from millgw.platform.discovery import endpoint_id
+from millgw.standins.http import ServerConnection
+from millgw.standins.scripted import (
+    STREAM,
+    ScriptedCadastro,
+    ScriptedEndpoint,
+    chunk,
+    line,
+)
+from tests.rig import Reachable, request, run, services, until
+
+
+def operator(connections: str, *endpoints: ScriptedEndpoint, service: str = "") -> str:
+    """An operator's file: one service with these endpoints, its connections tended."""
+    lines = ["[connections]", connections, "[services.all]", service]
+    for endpoint in endpoints:
+        lines.append("[[services.all.endpoints]]")
+        lines += [f'name = "{endpoint.name}"', f'address = "{endpoint.address}"']
+    return "\n".join([*lines, "[[routes]]", 'to = "all"'])
+
+
+async def counts(rig: Reachable) -> dict[str, int]:
+    """What /ready says of connections."""
+    text = (await rig.ask(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")).body.decode()
+    return {name: int(number) for name, number in re.findall(r", ([a-z_-]+) (\d+)(?=,|$)", text.strip())}
+
+
+def traces(endpoint: ScriptedEndpoint) -> list[str]:
+    return [m.headers["x-trace-id"] for m in endpoint.got]
+
+
+def test_connections_that_end_long_before_their_time_cost_no_unsafe_call(tmp_path: Path) -> None:
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e1")
+        await endpoint.start()
+
+        async def close_idle() -> None:
+            while True:
+                await asyncio.sleep(0.01)
+                for connection in endpoint.served:
+                    if connection.busy or connection.message is not None:
+                        continue
+                    if endpoint.clock() - connection.idle_since > 100:
+                        connection.close()
+
+        closing = asyncio.create_task(close_idle())
+        async with services(tmp_path, operator("", endpoint)) as rig:
+            for i in range(25):
+                assert (await rig.ask(request("pay"))).status == 200
+                await asyncio.sleep(0.02 * (i % 9))
+            seen = await counts(rig)
+        closing.cancel()
+        assert len(set(traces(endpoint))) == len(endpoint.got) == 25
+        assert seen.get("failed-on-reuse-unsafe", 0) == 0
+        # 0.1 s, of the 60 s that are promised, is learned from the first few that ended.
+        assert seen["ended-idle"] + seen.get("moved-unsafe", 0) <= 6 and seen["given-up-idle"] >= 5
+
+    run(test)
+
+
+def test_an_endpoint_that_ends_each_connection_after_some_answers_is_seen_through(tmp_path: Path) -> None:
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e1", cut=lambda requests: requests >= 4)
+        await endpoint.start()
+        async with services(tmp_path, operator("", endpoint)) as rig:
+            client = await rig.connect()
+            for _ in range(60):
+                assert (await client.ask(request("pay"))).status == 200
+            seen = await counts(rig)
+        assert len(set(traces(endpoint))) == len(endpoint.got) == 60
+        # Twice to believe it, and no more.
+        assert seen["moved-unsafe"] == 2 and seen["given-up-uses"] == 13
+
+    run(test)
+
+
+FORGOTTEN = 'prove = "ack"\nsilent_after_s = 0.1'
+
+
+@pytest.mark.parametrize("cls", ["pay", "write", "read"])
+def test_a_call_on_a_connection_that_was_forgotten_on_the_way_goes_on_another(
+    tmp_path: Path, cls: str
+) -> None:
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e1")
+        await endpoint.start()
+        async with services(tmp_path, operator(FORGOTTEN, endpoint)) as rig:
+            assert (await rig.ask(request(cls))).status == 200
+            (old,) = endpoint.served
+            old.forget()
+            await asyncio.sleep(0.15)
+            assert (await rig.ask(request(cls, patience=3000))).status == 200
+            seen = await counts(rig)
+        assert len(set(traces(endpoint))) == len(endpoint.got) == 2
+        assert [n for n in seen if n.startswith("moved")] and endpoint.served[0] is old
+
+    run(test)
+
+
+def test_without_that_proof_such_a_call_is_lost(tmp_path: Path) -> None:
+    """What the proof guards against: the whole request is written, and may have run for all that is known."""
+
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e1")
+        await endpoint.start()
+        async with services(tmp_path, operator("", endpoint)) as rig:
+            assert (await rig.ask(request("pay"))).status == 200
+            endpoint.served[0].forget()
+            assert (await rig.ask(request("pay", patience=600))).status == 502
+
+    run(test)
+
+
+def test_a_reset_that_crosses_the_request_costs_no_call_that_has_not_run(tmp_path: Path) -> None:
+    async def test() -> None:
+        first = [True]
+
+        def cut(requests: int) -> bool:
+            if requests and first[0]:
+                first[0] = False
+                return True
+            return False
+
+        endpoint = ScriptedEndpoint("e1", cut=cut)
+        await endpoint.start()
+        async with services(tmp_path, operator("", endpoint)) as rig:
+            for _ in range(3):
+                assert (await rig.ask(request("pay"))).status == 200
+            assert (await counts(rig))["moved-unsafe"] == 1
+        assert len(endpoint.got) == 3
+
+    run(test)
+
+
+def test_one_connection_at_a_time_asks_an_endpoint_that_says_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e1")
+        await endpoint.start()
+        endpoint.listener.silence()
+        settings = "[services.all.settings.limits]\ntryLimit = 1"
+        async with services(tmp_path, operator("wait_ms = 30", endpoint, service=settings)) as rig:
+            before = time.monotonic()
+            got = await asyncio.gather(*(rig.ask(request("pay")) for _ in range(12)))
+            # All but the one that asks are told within their wait, long before the connect time-out of 5 s.
+            assert time.monotonic() - before < 5.5
+            assert [m.status for m in got].count(503) == 12
+            seen = await counts(rig)
+            assert seen["not-up"] == 1 and seen["waited-in-vain"] >= 3
+            # Now it is known to be down: calls hear so at once, and one connection goes on asking.
+            before = time.monotonic()
+            assert (await rig.ask(request("pay"))).status == 503
+            assert time.monotonic() - before < 1.0
+            endpoint.listener.open()
+            while (await rig.ask(request("pay"))).status != 200:
+                await asyncio.sleep(0.05)
+        assert len(endpoint.got) == 1
+
+    # The one call is more than half of the endpoints: without others, all are tried.
+    run(test)
+
+
+def test_an_endpoint_that_accepts_and_closes_is_not_asked_over_and_over(tmp_path: Path) -> None:
+    async def test() -> None:
+        class Slammed(ScriptedEndpoint):
+            def opened(self, connection: ServerConnection) -> None:
+                super().opened(connection)
+                connection.close()
+
+        bad, good = Slammed("bad"), [ScriptedEndpoint(f"good{i}") for i in range(2)]
+        for endpoint in (bad, *good):
+            await endpoint.start()
+        async with services(tmp_path, operator("keep_least = 2", bad, *good)) as rig:
+            got = []
+            for _ in range(20):
+                got.append((await rig.ask(request("pay"))).status)
+                await asyncio.sleep(0.05)
+            assert got.count(200) >= 15  # a call or two finds no token left for another try
+        # Waits of 100 ms to 2 s between tries, where nothing but the machine's speed would bound it else.
+        assert 1 <= bad.connections <= 15 and not bad.got
+
+    run(test)
+
+
+def test_opening_ahead_never_takes_the_descriptors_that_calls_need(tmp_path: Path) -> None:
+    async def test() -> None:
+        some = [ScriptedEndpoint(f"e{i}") for i in range(6)]
+        for endpoint in some:
+            await endpoint.start()
+        text = operator("keep_least = 40\nat_once = 40", *some)
+        async with services(tmp_path, text) as rig:  # 256 descriptors
+            await until(lambda: sum(e.connections for e in some) >= 50)
+            for _ in range(20):
+                got = await asyncio.gather(*(rig.ask(request("pay")) for _ in range(10)))
+                assert {m.status for m in got} == {200}
+            open_now = sum(e.connections - e.lost_connections for e in some)
+        assert open_now <= 256 - 32
+
+    run(test)
+
+
+def test_what_is_opened_ahead_is_used_first_time(tmp_path: Path) -> None:
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e1")
+        await endpoint.start()
+        async with services(tmp_path, operator("keep_least = 3", endpoint)) as rig:
+            await until(lambda: endpoint.connections == 3)
+            await asyncio.sleep(0.05)
+            got = await asyncio.gather(*(rig.ask(request("read")) for _ in range(3)))
+            assert {m.status for m in got} == {200}
+            seen = await counts(rig)
+        assert seen["opened-ahead"] >= 3 and seen["reused"] == 3 and "opened" not in seen
+
+    run(test)
+
+
+async def told(cadastro: ScriptedCadastro, *entries: dict[str, object]) -> asyncio.StreamWriter:
+    """Answer the sidecar's watch with a whole list, and leave it open."""
+    _, writer = await cadastro.calls.get()
+    writer.write(STREAM + chunk(line(2, list(entries), snapshot=True)))
+    return writer
+
+
+def test_a_drain_ends_what_is_being_opened_ahead(tmp_path: Path) -> None:
+    async def test() -> None:
+        cadastro, stays = ScriptedCadastro(), ScriptedEndpoint("stays")
+        leaves = ScriptedEndpoint("leaves")
+        await cadastro.start()
+        for endpoint in (stays, leaves):
+            await endpoint.start()
+        leaves.listener.silence()  # what is being opened to it does not come up until it listens again
+        text = '[connections]\nkeep_least = 2\n[services.all]\n[[routes]]\nto = "all"'
+        async with services(tmp_path, text, str(cadastro.address)) as rig:
+            writer = await told(cadastro, stays.entry(), leaves.entry())
+            await until(lambda: stays.connections == 2)
+            writer.write(chunk(line(3, [leaves.entry("terminating")])))
+            await asyncio.sleep(0.05)
+            leaves.listener.open()
+            for _ in range(10):
+                assert (await rig.ask(request("pay"))).status == 200
+            await asyncio.sleep(0.3)
+        assert not leaves.got and leaves.connections == leaves.lost_connections
+
+    run(test)
+
+
+@pytest.mark.parametrize(("place", "shown"), [(0, True), (399, False)])
+def test_a_cold_endpoint_is_called_once_its_turn_for_a_connection_has_come(
+    tmp_path: Path, place: int, shown: bool
+) -> None:
+    """Of 400 siblings the first has its turn after 0.2 s, the last not while the endpoint is cold."""
+
+    async def test() -> None:
+        cadastro, warm = ScriptedCadastro(), [ScriptedEndpoint(f"w{i}") for i in range(2)]
+        cold = ScriptedEndpoint("cold")
+        await cadastro.start()
+        for endpoint in (*warm, cold):
+            await endpoint.start()
+        index = (place - endpoint_id("cold")) % 400
+        text = f"""
+[connections]
+cold_per_s = 20
+keep_least = 1
+[services.all]
+[services.all.settings]
+me = {index}
+siblings = 400
+[[routes]]
+to = "all"
+"""
+        async with services(tmp_path, text, str(cadastro.address)) as rig:
+            since = int(time.time() * 1000)
+            entries = [e.entry() for e in warm]
+            await told(cadastro, *entries, cold.entry(since_ms=since))
+            await asyncio.sleep(1.0)
+            for _ in range(10):
+                assert (await rig.ask(request("read"))).status == 200
+            seen = await counts(rig)
+        assert (cold.connections > 0) is shown and ("not_yet_shown" not in seen) is shown
+        assert shown or not cold.got
+
+    run(test)
+
+
+def test_how_connections_are_tended_changes_in_service(tmp_path: Path) -> None:
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e1")
+        await endpoint.start()
+        async with services(tmp_path, operator("", endpoint)) as rig:
+            assert (await rig.ask(request("pay"))).status == 200
+            await rig.reload(operator("keep_least = 4", endpoint))
+            await until(lambda: endpoint.connections == 4)
+            seen = await counts(rig)
+            assert seen["opened"] == 1 and seen["opened-ahead"] == 3  # the pool went on with what it had
+
+    run(test)
+
+
+def test_one_pool_without_services_is_tended_too(tmp_path: Path) -> None:
+    async def test() -> None:
+        cadastro, endpoint = ScriptedCadastro(), ScriptedEndpoint("e1")
+        await cadastro.start()
+        await endpoint.start()
+        async with services(tmp_path, "[connections]\nkeep_least = 2", str(cadastro.address)) as rig:
+            await told(cadastro, endpoint.entry())
+            await until(lambda: endpoint.connections == 2)
+            assert (await rig.ask(request("pay"))).status == 200
+        assert endpoint.connections == 2
+
+    run(test)
+
+
+def test_off_costs_nothing() -> None:
+    code = (
+        "import sys, millgw.sidecar.__main__, millgw.callers.plain\n"
+        "print([m for m in sys.modules if m.startswith('millgw.connections')])"
+    )
+    got = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert got.stdout.strip() == "[]"
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("[connections]\nkept = 1", "operator.toml:2: connections.kept: no such key"),
+        ("[connections]\nprobe_ms = [200, 100]", "operator.toml:2: connections.probe_ms: is under"),
+        (
+            "[connections]\nkeep_least = 5\nkeep_most = 2",
+            "operator.toml:3: connections.keep_most: is under the keep_least of 5",
+        ),
+        ("[connections]\ncold_per_s = 0.5", "operator.toml:2: connections.cold_per_s: "),
+        (
+            '[services.a]\nlisten = "127.0.0.1:9"\n[services.a.connections]\nkeep_most = 5\nopen_most = 3',
+            "operator.toml:5: services.a.connections.open_most: is under what is to be kept",
+        ),
+    ],
+)
+def test_terms_that_can_not_be_are_refused_by_line(text: str, says: str) -> None:
+    with pytest.raises(OperatorError) as caught:
+        parse(text, "operator.toml")
+    assert str(caught.value).startswith(says)
