--- a/tests/test_compiled.py
+++ b/tests/test_compiled.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ast
 import hashlib
 import os
 import shutil
@@ -33,6 +34,29 @@
 """
 
 
+def test_what_compiles_knows_all_that_compiled_modules_import() -> None:
+    """Guards against a deployment whose build tools lack a package: it would serve from the sources."""
+    wanted = set()
+    for path in compiled.sources():
+        for node in ast.walk(ast.parse(path.read_text())):
+            names = [a.name for a in node.names] if isinstance(node, ast.Import) else []
+            names += [node.module or ""] if isinstance(node, ast.ImportFrom) else []
+            wanted |= {name.partition(".")[0] for name in names}
+    wanted -= set(sys.stdlib_module_names) | {"millgw"}
+    assert wanted and wanted <= _pinned(PACKAGE.parent / "requirements-build.txt")
+
+
+def _pinned(path: Path) -> set[str]:
+    """The packages that a requirements file names, with those of the files that it names."""
+    names = set()
+    for line in path.read_text().split("\n"):
+        if line.startswith("-r "):
+            names |= _pinned(path.with_name(line[3:]))
+        else:
+            names.add(line.partition("==")[0])
+    return names
+
+
 def decisions(seed: int, requests: int) -> str:
     """A digest of all that the module wants in a seeded run with failures, drains, floods and time-outs."""
     import random
