--- a/millgw/__main__.py
+++ b/millgw/__main__.py
@@ -15,6 +15,7 @@
     ("millgw.membership.command", "add_parsers", ("register", "members"), "requirements.txt"),
     ("millgw.operator.command", "add_parsers", ("check", "route"), "requirements-operator.txt"),
     ("millgw.standins.coordinator.command", "add_parser", ("coordinator",), "requirements-tools.txt"),
+    ("millgw.load.command", "add_parser", ("load",), "requirements-tools.txt"),
     ("millgw.rehearsal.command", "add_parser", ("rehearse",), "requirements-tools.txt"),
 )
 """Commands that need more than the daemon: module, what adds them, their names, what brings the rest."""
--- a/millgw/connections/need.py
+++ b/millgw/connections/need.py
@@ -12,7 +12,7 @@
 PEAK_MEMORY = 20_000.0  # ms after which a peak is mostly forgotten
 QUICK, SLOW = 200.0, 3000.0  # ms over which rates are averaged
 RISE_MOST = 4.0  # times: a guess beyond that is no better
-FEW = 3.0  # calls within QUICK under which a rise is chance
+CHANCE = 3.0  # standard deviations of a count, and calls, up to which more of them than usual is chance
 
 
 class Rate:
@@ -60,15 +60,19 @@
 
     def rise(self, now: float) -> float:
         """How many times as fast calls come as they did; 1 where they don't come faster."""
-        if self.quick.fresh(now) < FEW:
+        usual = self.slow.rate(now) * QUICK
+        if self.quick.fresh(now) <= usual + CHANCE * math.sqrt(usual) + CHANCE:
             return 1.0
         # The slow rate needs its time to fill: until then it looks lower than it is, and a start like a rise.
-        return min(RISE_MOST, max(1.0, self.quick.rate(now) / max(self.slow.rate(now), 1e-9)))
+        return min(RISE_MOST, self.quick.fresh(now) / max(usual, 1e-9))
 
     def wanted(self, now: float, busy: int, headroom: float) -> int:
         """How many should be open by now, busy ones among them."""
-        likely = max(self.level(now), busy * self.rise(now))
-        return math.floor(likely * (1.0 + headroom) + 0.5)
+        rise = self.rise(now)
+        if rise > 1.0:
+            return math.floor(max(self.level(now), busy * rise) * (1.0 + headroom) + 0.5)
+        # Where nothing rises, the connections that a peak opened are there until they age; one is kept ready.
+        return max(busy, min(math.floor(self.level(now) + 0.5), busy + 1))
 
     def spared(self, now: float, left: int) -> None:
         """One was given up as nobody used it, and so many are left: more than these are not needed.
--- a/millgw/rehearsal/arrivals.py
+++ b/millgw/load/arrivals.py
@@ -54,6 +54,10 @@
     wait: float
     honours: bool
     leaves: float | None  # ms after its sending at which the client goes away
+    about: str = ""  # what it is about, the query's `k`
+    size: int = 0  # bytes of its body
+    host: str = ""  # of its Host header; empty for the target's own
+    path: str = ""  # of its request; empty for the usual one
 
 
 @dataclass(slots=True, frozen=True)
@@ -95,15 +99,22 @@
     seed: int,
 ) -> Iterator[float]:
     """The times (ms) of arrivals at `rate` a second, within `length` ms."""
-    rng = random.Random(f"times {seed}")
     top = rate * (1 + swing) * math.prod(max(1.0, c.factor) for c in crowds) / 1000
+
+    def now(t: float) -> float:
+        return rate * course(t) * math.prod(c.at(t) for c in crowds) / 1000
+
+    return thinned(now, top, length, random.Random(f"times {seed}"))
+
+
+def thinned(rate: Callable[[float], float], top: float, length: float, rng: random.Random) -> Iterator[float]:
+    """The times (ms) of a Poisson process whose rate (per ms) follows a course that never passes `top`."""
     t = 0.0
     while top > 0:
         t += rng.expovariate(top)
         if t >= length:
             return
-        now = rate * course(t) * math.prod(c.at(t) for c in crowds) / 1000
-        if rng.random() * top < now:
+        if rng.random() * top < rate(t):
             yield t
 
 
--- a/millgw/operator/command.py
+++ b/millgw/operator/command.py
@@ -13,6 +13,7 @@
 from millgw.routing.target import BadTarget, read_target
 
 HELD, NO_ROUTE, BAD_INPUT = 0, 1, 2
+TENDED = "connections to endpoints are tended"
 
 
 def add_parsers(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
@@ -53,11 +54,14 @@
         print(json.dumps({"services": services}, indent=1))
         return HELD
     if not services:
-        print("no services: the daemon is what it is without this file")
+        tended = operator.tends() is not None
+        print("no services: " + (TENDED if tended else "the daemon is what it is without this file"))
     for name, told in services.items():
         print(f"{name}: {told['source']}; classes {', '.join(told['classes']) or 'all'}")
         for kind, share in told["guaranteed"].items():
             print(f"    {kind}: {share:.1%} of the daemon's for sure, more while others leave it idle")
+        if told["tended"]:
+            print(f"    {TENDED}")
         for route in told["routes"]:
             print(f"    takes {route}")
     return HELD
@@ -70,6 +74,7 @@
     classes: list[str]
     guaranteed: dict[str, float]
     routes: list[str]
+    tended: bool
 
 
 def _service(operator: Operator, name: str) -> Meaning:
@@ -92,6 +97,7 @@
         routes.append(f"all that comes to {service.listen}")
     return {
         "source": source, "classes": list(service.classes), "guaranteed": guaranteed, "routes": routes,
+        "tended": operator.tends(name) is not None,
     }  # fmt: skip
 
 
--- a/millgw/rehearsal/faults.py
+++ b/millgw/rehearsal/faults.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from millgw.rehearsal.arrivals import Crowd
+from millgw.load.arrivals import Crowd
 from millgw.rehearsal.scenario import ON_ENDPOINTS, ON_SIDECARS, SIZES, Fault, Scenario
 
 
--- a/millgw/rehearsal/front.py
+++ b/millgw/rehearsal/front.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Callable, Mapping, Sequence
 
-from millgw.rehearsal.arrivals import Arrival
+from millgw.load.arrivals import Arrival
 from millgw.rehearsal.scenario import Class
 from millgw.rehearsal.sidecars import Sidecar
 from millgw.standins.caller import Desk
--- a/millgw/rehearsal/stage.py
+++ b/millgw/rehearsal/stage.py
@@ -13,8 +13,8 @@
 from functools import partial
 from pathlib import Path
 
+from millgw.load import arrivals
 from millgw.platform.config import Address
-from millgw.rehearsal import arrivals
 from millgw.rehearsal.auditor import ClassTerms, Repeats, Terms
 from millgw.rehearsal.blows import Blows
 from millgw.rehearsal.coordination import Coordination
--- a/millgw/standins/caller.py
+++ b/millgw/standins/caller.py
@@ -6,6 +6,7 @@
 from typing import cast
 
 from millgw.platform.config import Address
+from millgw.standins import http
 from millgw.standins.endpoint import token
 from millgw.standins.http import AnswerReader, Clock
 from millgw.standins.ledger import Call, End
@@ -16,12 +17,9 @@
 
 def word(call: Call, patience: int) -> bytes:
     """A request as the protocol page has it."""
-    key = f"Idempotency-Key: {call.key}\r\n" if call.key else ""
-    return (
-        f"{call.method} {call.target} HTTP/1.1\r\nHost: {call.host}\r\nX-Trace-Id: {call.trace}\r\n"
-        f"X-Qos: {call.cls}\r\nX-Customer: {call.tenant}\r\nX-Expires-In-Ms: {patience}\r\n"
-        f"{key}Content-Length: 0\r\n\r\n"
-    ).encode()
+    return http.ask(
+        call.method, call.target, call.host, call.trace, call.cls, call.tenant, call.key, patience, b""
+    )
 
 
 class Line(asyncio.Protocol):
--- a/millgw/standins/endpoint.py
+++ b/millgw/standins/endpoint.py
@@ -262,8 +262,7 @@
         attempt = self.attempts.pop(connection, None)
         if attempt is None and connection.message is not None:
             # A request whose last byte never came: what is known of it stands in its headers.
-            message = connection.message
-            self._record(message)
+            self._record(connection.message, whole=False)
         waiting = self.of_connection.pop(connection, None)
         if waiting is not None and self.build.drops_waiting and self.room.drop(waiting):
             waiting.cancel()
@@ -282,7 +281,8 @@
 
     # Requests
 
-    def _record(self, message: Message) -> Attempt:
+    def _record(self, message: Message, whole: bool = True) -> Attempt:
+        """Book an attempt; of one that is not `whole` the line may be unread, and is held against nothing."""
         headers = message.headers
         trace = headers.get("x-trace-id", "")
         asked = self.ledger.asked_for.get(trace)
@@ -296,7 +296,9 @@
             key=headers.get("idempotency-key", ""),
             first=message.first_byte,
         )
-        if asked is not None:
+        if not whole:
+            attempt.why = ""
+        elif asked is not None:
             attempt.why = _unlike(message, asked)
         elif attempt.cls not in self.tasks:
             attempt.why = "X-Trace-Id is that of no client's request, and X-Qos names no class"
--- a/millgw/standins/http.py
+++ b/millgw/standins/http.py
@@ -65,6 +65,26 @@
     return f"HTTP/1.1 {code} X\r\n{more}Content-Length: 0\r\n\r\n".encode()
 
 
+def ask(
+    method: str,
+    target: str,
+    host: str,
+    trace: str,
+    cls: str,
+    tenant: str,
+    key: str,
+    patience: int,
+    body: bytes,
+) -> bytes:
+    """A caller's request as the protocol page has it."""
+    keyed = f"Idempotency-Key: {key}\r\n" if key else ""
+    head = (
+        f"{method} {target} HTTP/1.1\r\nHost: {host}\r\nX-Trace-Id: {trace}\r\nX-Qos: {cls}\r\n"
+        f"X-Customer: {tenant}\r\nX-Expires-In-Ms: {patience}\r\n{keyed}Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
 NEVER_RAN = "X-Never-Ran: 1\r\n"
 
 
--- a/tests/kinds.py
+++ b/tests/kinds.py
@@ -13,4 +13,7 @@
 once = pytest.mark.skipif(
     bool(os.environ.get(compiled.PURE)), reason="touches nothing that is compiled: the other run has it"
 )
+aside = pytest.mark.skipif(
+    not os.environ.get(compiled.PURE), reason="touches nothing that is compiled: the run on the sources has it"
+)
 patched = pytest.mark.skipif(COMPILED, reason="puts another method in place")
--- a/tests/test_connections_pure.py
+++ b/tests/test_connections_pure.py
@@ -19,7 +19,9 @@
 from millgw.connections.standing import DOWN, UNPROVEN, UP, Standing, panics
 from millgw.connections.terms import Order, Terms
 from millgw.interface import Condition, Endpoint, ListKind
+from tests.kinds import aside
 
+pytestmark = aside
 SINCE = 1_000_000.0
 WALL = 1_700_000_000_000.0  # a Unix time
 TICK = 50.0  # ms between two looks of an instance
--- a/tests/test_rehearsal_pure.py
+++ b/tests/test_rehearsal_pure.py
@@ -12,7 +12,8 @@
 from hypothesis import strategies as st
 from msgspec.structs import replace
 
-from millgw.rehearsal import arrivals, search
+from millgw.load import arrivals
+from millgw.rehearsal import search
 from millgw.rehearsal.faults import crowds, plan
 from millgw.rehearsal.page import page
 from millgw.rehearsal.scenario import (
@@ -81,7 +82,8 @@
         "overlap-three", "drain-wave", "cadastro-outage", "replaced-at-address", "sidecar-killed",
         "rolling-restart", "flash-crowd", "connection-storm", "flood-one-pool", "pool-without-servers",
         "reload-under-flood", "cold-unheard", "zk-mass-expiry", "zk-lingering", "zk-lagging-face",
-        "zk-restart-empty", "zk-reconnect-storm", "zk-both-sources",
+        "zk-restart-empty", "zk-reconnect-storm", "zk-both-sources", "stale-pools",
+        "cold-handshake-storm", "silent-middlebox",
     }  # fmt: skip
     for name in shipped():
         scenario = load(name)[1]
--- a/tests/test_rehearsal_wrong.py
+++ b/tests/test_rehearsal_wrong.py
@@ -27,7 +27,7 @@
 from millgw.rehearsal.sidecars import DEFAULT_RUN
 from millgw.rehearsal.stage import Stage
 from tests.alone import alone
-from tests.kinds import once
+from tests.kinds import aside, once
 
 SCRIPT = Path(__file__).parent / "wrong" / "sidecar.py"
 RULES = {
@@ -69,6 +69,7 @@
     "zk-mass-expiry", "zk-lingering", "zk-lagging-face", "zk-restart-empty", "zk-reconnect-storm",
     "zk-both-sources",
 )  # fmt: skip
+TENDED = ("stale-pools", "cold-handshake-storm", "silent-middlebox")
 SHIPPED_SECONDS = 9.0
 
 
@@ -117,6 +118,11 @@
     return asyncio_days({name: (short(name), DEFAULT_RUN) for name in COORDINATED})
 
 
+@cache
+def tended_days() -> dict[str, Day]:
+    return asyncio_days({name: (short(name), DEFAULT_RUN) for name in TENDED})
+
+
 def asyncio_days(days: dict[str, tuple[Scenario, str]]) -> dict[str, Day]:
     async def play() -> list[Day]:
         async def one(name: str, scenario: Scenario, run: str) -> Day:
@@ -192,3 +198,17 @@
 def test_drains_and_cold_starts_were_put_to_the_test() -> None:
     by_rule = {f.rule: f for f in daemon_days()["drain-wave"].audit.findings}
     assert by_rule[2].checked and by_rule[3].checked and by_rule[4].checked
+
+
+@aside
+@pytest.mark.parametrize("name", TENDED)
+def test_the_daemon_breaks_no_rule_with_its_connections_tended(name: str) -> None:
+    day = tended_days()[name]
+    assert not broken(day), broken(day)
+    assert day.summary.asked > 100
+    if name == "silent-middlebox":
+        # What is written to a forgotten connection has not run, and goes on another.
+        assert day.summary.served > 0.98 * day.summary.asked
+    if name == "cold-handshake-storm":
+        assert day.scenario.connections is not None
+        assert day.summary.cold_handshakes <= day.scenario.connections.cold_per_s
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -507,7 +507,8 @@
     assert main(["check", str(shipped)]) == 0 and "no services" in capsys.readouterr().out
     text = shipped.read_text().split("(docs/services.md):\n#\n")[1]
     uncommented = "\n".join(line.removeprefix("#").removeprefix(" ") for line in text.splitlines())
-    assert set(parse(uncommented, "shipped").services) == {"login", "campanha"}
+    told = parse(uncommented, "shipped")
+    assert set(told.services) == {"login", "campanha"} and told.tends("login") is not None
 
 
 @pytest.mark.parametrize(
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from millgw.message import unconfirmed
 from millgw.standins.address import free_address
 from millgw.standins.cadastro import Cadastro, Capacity, Delays
 from millgw.standins.caller import Desk, ready
@@ -236,6 +237,62 @@
     run(test)
 
 
+def test_idle_times_may_be_random_and_connections_bounded_in_their_answers() -> None:
+    async def test() -> None:
+        bench = Bench(idle=400.0, idle_random=True, uses=2)
+        bench.endpoint.start(cold=False)
+        opened = [await bench.connect() for _ in range(20)]
+        await asyncio.sleep(0.2)
+        left = len(bench.endpoint.connections)
+        assert 0 < left < 20
+        for _, writer in opened:
+            writer.close()
+        reader, writer = await bench.connect()
+        for _ in range(2):
+            writer.write(bench.word())
+            assert (await read_message(reader)).status == 200
+        assert await reader.read() == b""
+        assert len(bench.ledger.handshakes) == 21
+
+    run(test)
+
+
+def test_a_forgotten_connection_takes_nothing_and_confirms_nothing() -> None:
+    async def test() -> None:
+        bench = Bench()
+        bench.endpoint.start(cold=False)
+        bench.endpoint.forgets_after = 50.0
+        reader, writer = await bench.connect()
+        writer.write(bench.word())
+        assert (await read_message(reader)).status == 200
+        assert not unconfirmed(writer.transport)  # type: ignore[arg-type]
+        await until(lambda: all(c.forgotten for c in bench.endpoint.connections))
+        writer.write(bench.word(trace="vanishes"))
+        await asyncio.sleep(0.1)
+        assert unconfirmed(writer.transport)  # type: ignore[arg-type]
+        assert [a.trace for a in bench.ledger.attempts] == ["t1"]
+        assert (await bench.ask(bench.word())).status == 200  # new ones are not harmed
+
+    run(test)
+
+
+def test_a_request_that_ends_within_its_head_is_booked_and_held_against_nothing() -> None:
+    async def test() -> None:
+        bench = Bench()
+        bench.endpoint.start(cold=False)
+        word = bench.word(trace="cut")
+        bench.ledger.book(Call("cut", "r", 0, "codigo", "", "", "n", 0.0))
+        _, writer = await bench.connect()
+        writer.write(word[:-1])
+        await asyncio.sleep(0.05)
+        writer.close()
+        await until(lambda: bool(bench.ledger.attempts))
+        (attempt,) = bench.ledger.attempts
+        assert attempt.trace == "cut" and attempt.last is None and not attempt.why
+
+    run(test)
+
+
 def test_a_listener_can_be_silenced_and_closed_over_and_over() -> None:
     async def test() -> None:
         listener = Listener(free_address(), asyncio.Protocol)
