--- a/tests/kinds.py
+++ b/tests/kinds.py
@@ -14,6 +14,6 @@
     bool(os.environ.get(compiled.PURE)), reason="touches nothing that is compiled: the other run has it"
 )
 aside = pytest.mark.skipif(
-    not os.environ.get(compiled.PURE), reason="touches nothing that is compiled: the run on the sources has it"
+    not os.environ.get(compiled.PURE), reason="touches nothing that is compiled: the sources' run has it"
 )
 patched = pytest.mark.skipif(COMPILED, reason="puts another method in place")
