No handshake stays on the books that was never begun; no try is sent that was given up

Cause: a task that is cancelled before its first step runs no finally, so an endpoint's count of handshakes under way stayed up; a connection refused for want of a descriptor was counted as one. In the load generator a try that waited for a connection, timed out and was made again stood in the queue twice.

--- a/millgw/connections/tended.py
+++ b/millgw/connections/tended.py
@@ -325,8 +325,8 @@
             opening = kept.keeper.may_open(now, self.sight.now(), self.opening, self._panic(), self._full())
             if opening is Opening.NOW:
                 self._leaves(kept, attempt)
-                self._open(kept)
-                self.upstream.connect(kept.host, attempt)
+                if self.upstream.connect(kept.host, attempt):
+                    self._open(kept)
             elif opening is Opening.UNREACHABLE:
                 self._leaves(kept, attempt)
                 self.counts.unreachable()
--- a/millgw/endpoints/attempt.py
+++ b/millgw/endpoints/attempt.py
@@ -52,7 +52,7 @@
         self.ended = ended
         self.repeat = repeat
         self.state = CONNECTING
-        self.connecting: asyncio.Task[None] | None = None
+        self.connecting: asyncio.Task[bool] | None = None
         self.carrier: Carrier | None = None
 
     @property
--- a/millgw/endpoints/upstream.py
+++ b/millgw/endpoints/upstream.py
@@ -6,6 +6,7 @@
 import math
 import time
 from collections.abc import Callable
+from functools import partial
 from logging import WARNING
 from typing import Protocol, cast
 
@@ -90,7 +91,7 @@
         self.held = 0  # bytes of answers that are coming in
         self.sends = 0
         self.held_back = 0  # sends whose last byte waited for a proof of their connection
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks: set[asyncio.Task[bool]] = set()
         self.sweeping = self.loop.call_later(SWEEP, self._sweep)
         self.tending: Tending | None = None
 
@@ -193,29 +194,38 @@
         else:
             self.connect(connection.host, attempt)
 
-    def connect(self, host: Host, attempt: Attempt) -> None:
-        """Make the attempt on a new connection."""
+    def connect(self, host: Host, attempt: Attempt) -> bool:
+        """Make the attempt on a new connection; tells whether one is being opened."""
         if not host.used:
             attempt.end(Outcome.CONNECT_FAILED, NOTHING)
-            return
+            return False
         if self.room.full() and not (self.give_way() or self.room.make()):
             tell(WARNING, "no-descriptor", endpoint=host.address)
             attempt.end(Outcome.NOT_SENT, NOTHING)
-            return
+            return False
         host.connecting.add(attempt)
         attempt.connecting = self._start(host, attempt)
+        return True
 
     def open_ahead(self, host: Host) -> None:
         """Open a connection that no attempt waits for."""
         self._start(host, None)
 
-    def _start(self, host: Host, attempt: Attempt | None) -> asyncio.Task[None]:
+    def _start(self, host: Host, attempt: Attempt | None) -> asyncio.Task[bool]:
         task = self.loop.create_task(self._connect(host, attempt))
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(partial(self._tried, host))
         return task
 
-    async def _connect(self, host: Host, attempt: Attempt | None) -> None:
+    def _tried(self, host: Host, task: asyncio.Task[bool]) -> None:
+        """A handshake is over: told here, as a task cancelled before its first step runs no `finally`."""
+        self.tasks.discard(task)
+        if self.tending is not None:
+            missed = not task.cancelled() and task.exception() is None and task.result()
+            self.tending.tried(host, missed)
+
+    async def _connect(self, host: Host, attempt: Attempt | None) -> bool:
+        """Tells whether the connection did not come up."""
         missed = False
         made = cast(asyncio.Protocol, Connection(self, host, attempt, self.most_body))
         try:
@@ -228,10 +238,9 @@
             if attempt is not None:
                 host.connecting.discard(attempt)
                 attempt.connecting = None  # guards against a cycle through the task's traceback
-            if self.tending is not None:
-                self.tending.tried(host, missed)
         if missed and attempt is not None:
             attempt.end(Outcome.CONNECT_FAILED, NOTHING)
+        return missed
 
     def came_up(self, connection: Connection) -> None:
         if self.tending is not None:
--- a/millgw/load/lines.py
+++ b/millgw/load/lines.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Protocol, cast
 
@@ -26,8 +25,6 @@
 class Job(Protocol):
     """A request that wants a connection."""
 
-    gone: bool  # it wants none any more
-
     def go(self, line: Line) -> None:
         """Write to this connection now, by `line.ask`."""
 
@@ -105,7 +102,7 @@
         self.idle: list[Line] = []
         self.lines: set[Line] = set()
         self.opening: set[asyncio.Task[None]] = set()
-        self.waiting: deque[Job] = deque()
+        self.waiting: dict[Job, None] = {}  # in the order in which they came
         self.handshakes = 0
         self.full = 0  # jobs that found all connections busy, and no more allowed
         self.closed = False
@@ -117,7 +114,7 @@
             if line.transport is not None and not line.transport.is_closing():
                 job.go(line)
                 return False
-        self.waiting.append(job)
+        self.waiting[job] = None
         if len(self.lines) + len(self.opening) < self.most:
             self.open()
             return False
@@ -147,29 +144,35 @@
             self.lines.add(line)
             self.free(line)
 
+    def drop(self, job: Job) -> None:
+        """It wants no connection any more."""
+        self.waiting.pop(job, None)
+
+    def _first(self) -> Job | None:
+        job = next(iter(self.waiting), None)
+        if job is not None:
+            del self.waiting[job]
+        return job
+
     def _not_up(self) -> None:
-        while self.waiting:
-            job = self.waiting.popleft()
-            if not job.gone:
-                job.not_taken()
-                return
+        job = self._first()
+        if job is not None:
+            job.not_taken()
 
     def free(self, line: Line) -> None:
         """A connection has nothing to do: the job that waits for longest has it."""
-        while self.waiting:
-            job = self.waiting.popleft()
-            if not job.gone:
-                job.go(line)
-                return
-        self.idle.append(line)
+        job = self._first()
+        if job is None:
+            self.idle.append(line)
+        else:
+            job.go(line)
 
     def lost(self, line: Line) -> None:
         self.lines.discard(line)
         if line in self.idle:
             self.idle.remove(line)
-        wanting = sum(not job.gone for job in self.waiting)
         room = not self.closed and len(self.lines) + len(self.opening) < self.most
-        if room and wanting > len(self.opening):
+        if room and len(self.waiting) > len(self.opening):
             self.open()
 
     def close(self) -> None:
--- a/millgw/load/sender.py
+++ b/millgw/load/sender.py
@@ -127,7 +127,7 @@
     """One client's request, with its further tries. A `Job` for `Lines`."""
 
     __slots__ = (
-        "arrival", "bound", "cls", "crossed", "due", "first_due", "gone", "leaving", "line", "number",
+        "arrival", "bound", "cls", "crossed", "due", "first_due", "leaving", "line", "number",
         "sender", "sent", "timer",
     )  # fmt: skip
 
@@ -140,7 +140,6 @@
         self.sent: float | None = None
         self.bound = False
         self.crossed = False
-        self.gone = False
         self.line: Line | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.leaving: asyncio.TimerHandle | None = None
@@ -157,13 +156,15 @@
 
     def _take(self) -> None:
         sender = self.sender
-        lines = sender.lines[self.arrival.number % len(sender.lines)]
         picked = sender.now()
-        self.bound = lines.take(self)
+        self.bound = self._lines().take(self)
         if self.number == 0 and not self.bound and not self.crossed:
             # Whatever a handshake takes is the target's; what came before it was this side's doing.
             sender.tally.sent(self.due, picked - self.due, sender.orders.late_bound)
 
+    def _lines(self) -> Lines:
+        return self.sender.lines[self.arrival.number % len(self.sender.lines)]
+
     def _until(self) -> float:
         """When this try is given up: by its own patience, and never past the class's deadline."""
         patience = self.due + self.arrival.patience
@@ -230,7 +231,7 @@
         if self.line is not None:
             self.line.leave()
             self.line = None
-        self.gone = True
+        self._lines().drop(self)
         now, tally, arrival = self.sender.now(), self.sender.tally, self.arrival
         latency = now - self.due
         service = now - self.sent if self.sent is not None else None
@@ -259,7 +260,7 @@
 
     def _next(self) -> None:
         self.number += 1
-        self.gone = self.crossed = self.bound = False
+        self.crossed = self.bound = False
         self.sent = None
         self.due = self.sender.now()
         self.begin()
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -352,3 +352,24 @@
     with pytest.raises(OperatorError) as caught:
         parse(text, "operator.toml")
     assert str(caught.value).startswith(says)
+
+
+def test_a_handshake_that_nobody_waits_for_any_more_is_off_the_books(tmp_path: Path) -> None:
+    """Callers that leave at once: some before the handshake has begun, some while it goes on."""
+
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e1")
+        await endpoint.start()
+        async with services(tmp_path, operator("at_once = 1\nahead = false", endpoint)) as rig:
+            for wait in (0.0, 0.0, 0.001, 0.002):
+                clients = [await rig.connect() for _ in range(5)]
+                for client in clients:
+                    client.writer.write(request("pay"))
+                await asyncio.sleep(wait)
+                for client in clients:
+                    client.writer.transport.abort()
+            await asyncio.sleep(0.2)
+            for _ in range(3):
+                assert (await rig.ask(request("pay"))).status == 200
+
+    run(test)
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -18,6 +18,7 @@
 
 import pytest
 
+from millgw.load.arrivals import Habits
 from millgw.load.plan import Class, Plan
 from millgw.load.result import Outcome, at_quantile
 from millgw.load.run import Bounds, Fleet, Run, play, tag
@@ -218,8 +219,6 @@
 
 
 def test_further_tries_are_as_clients_make_them_and_counted_apart() -> None:
-    from millgw.load.arrivals import Habits
-
     habits = Habits(retries=2, try_share=(0.4, 0.4), wait=(0.0, 0.0), honour=1.0)
     classes = (Class("login", 1.0, 1000.0, "fragile"),)
     for how, further in (("busy", 2), ("reset", 0)):  # what may have run is not asked again
@@ -300,3 +299,17 @@
     got = load("plan", "--rate", "10", "--seconds", "2", "--seed", "5", "--even")
     lines = [json.loads(line) for line in got.stdout.splitlines()]
     assert got.returncode == 0 and len(lines) == 20 and lines[0]["at_ms"] == 50.0
+
+
+def test_a_request_that_was_given_up_while_it_waited_is_not_sent_when_its_further_try_is() -> None:
+    """One connection that stands still: a try waits behind it, times out, and its client tries again."""
+    habits = Habits(retries=1, try_share=(0.2, 0.2), wait=(0.0, 0.0))
+    begin = time.monotonic() + 1.0
+    with target(stall=(begin, begin + 1.5)) as address:
+        run = sent(
+            address, "constant:rate=10", 1.0, senders=1, most=1, habits=habits,
+            classes=(Class("read", deadline=4000.0),),
+        )  # fmt: skip
+    tries = sum(run.tally.total().outcomes.values())
+    journeys = sum(sum(f.outcomes.values()) for f in run.tally.journeys.values())
+    assert tries == journeys == run.planned
