A store that survives crashes: log, mark, mirrors, compaction in steps, recovery

Need: what suppresses repeats of codigo-acesso, and soon billing records, must survive a crash, and what was marked as sent must never look unsent. Segments with checksums (CRC-32C), a mark of what was acknowledged apart from the log, two copies as an option, group commit in a thread of its own, compaction in steps; without a second copy a lost tail is noticed, and keys that are not known count as sent until their window has passed. Not used by the daemon yet.

Seen: every file cut at every byte, 1,200 seeded schedules of four power cuts on a disk that loses unsynced pages in any subset, 360 failed writes, syncs and renames, kill -9 over and over: nothing that was acknowledged is lost, and no key looks unsent.

--- /dev/null
+++ b/benchmarks/store.py
@@ -0,0 +1,157 @@
+"""Measures the store: appends beside SQLite on the same disk, compaction's effect on them, recovery.
+
+    python -m benchmarks.store appends [DIR]    # by way to sync and writers, and SQLite (WAL, FULL)
+    python -m benchmarks.store recovery [DIR]   # time and memory at 1e5 and 1e6 keys
+    python -m benchmarks.store compaction [DIR] # p99 of appends without and with a compaction going on
+
+Wants an idle machine.
+"""
+
+from __future__ import annotations
+
+import resource
+import shutil
+import sqlite3
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from millgw.rehearsal.lateness import quantile
+from millgw.store.files import RealFiles
+from millgw.store.store import Item, Options, Store
+from millgw.store.writer import Sync, Writer
+
+SECONDS = 2.0
+VALUE = b"v" * 16
+
+
+def opened(*folders: Path) -> Store:
+    return Store(
+        [RealFiles(f) for f in folders],
+        Options(),
+        lambda: time.time() * 1000,
+        lambda: time.monotonic() * 1000,
+    )
+
+
+def drive(writers: int, put: Callable[[bytes], None]) -> tuple[float, list[float]]:
+    """Appends a second, and each one's ms, by so many threads that wait for each of theirs."""
+    took: list[list[float]] = [[] for _ in range(writers)]
+    end = time.monotonic() + SECONDS
+
+    def work(number: int) -> None:
+        i = 0
+        while time.monotonic() < end:
+            begun = time.monotonic()
+            put(b"%04x-%08x" % (number, i))
+            took[number].append((time.monotonic() - begun) * 1000)
+            i += 1
+
+    threads = [threading.Thread(target=work, args=(n,)) for n in range(writers)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    all_of_them = [ms for of in took for ms in of]
+    return len(all_of_them) / SECONDS, all_of_them
+
+
+def appends(root: Path) -> None:
+    print("| store | writers | appends/s | p50 ms | p99 ms | p99.9 ms |")
+    print("| --- | --- | --- | --- | --- | --- |")
+
+    def row(name: str, writers: int, put: Callable[[bytes], None]) -> None:
+        rate, took = drive(writers, put)
+        cells = " | ".join(f"{quantile(took, q):.2f}" for q in (0.5, 0.99, 0.999))
+        print(f"| {name} | {writers} | {rate:.0f} | {cells} |", flush=True)
+
+    for writers in (1, 16, 64):
+        for sync in (Sync.EACH, Sync.GROUP):
+            writer = Writer(opened(root / f"{sync.value}{writers}"), sync)
+            row(sync.value, writers, lambda key, w=writer: (w.put(Item(key, VALUE)).result(), None)[1])  # type: ignore[misc]
+            writer.close()
+        writer = Writer(opened(root / f"a{writers}", root / f"b{writers}"))
+        row("group, mirrors", writers, lambda key, w=writer: (w.put(Item(key, VALUE)).result(), None)[1])  # type: ignore[misc]
+        writer.close()
+        path = root / f"sqlite{writers}.db"
+        local = threading.local()
+
+        def insert(key: bytes, path: Path = path, local: threading.local = local) -> None:
+            if not hasattr(local, "db"):
+                local.db = sqlite3.connect(path, timeout=30, isolation_level=None)
+                local.db.execute("PRAGMA journal_mode=WAL")
+                local.db.execute("PRAGMA synchronous=FULL")
+                local.db.execute("CREATE TABLE IF NOT EXISTS t (k BLOB PRIMARY KEY, v BLOB) WITHOUT ROWID")
+            local.db.execute("INSERT OR REPLACE INTO t VALUES (?, ?)", (key, VALUE))
+
+        row("SQLite", writers, insert)
+
+
+def recovery(root: Path) -> None:
+    print("| keys | log MB | written in s | opened in s | MB of memory at the most |")
+    print("| --- | --- | --- | --- | --- |")
+    for count in (100_000, 1_000_000):
+        folder = root / str(count)
+        store = opened(folder)
+        begun = time.monotonic()
+        for i in range(0, count, 1000):
+            store.append([Item(b"%016x" % (i + n), VALUE) for n in range(1000)])
+        wrote = time.monotonic() - begun
+        store.close()
+        size = sum(p.stat().st_size for p in folder.iterdir()) / 2**20
+        got = subprocess.run(
+            [sys.executable, "-m", "benchmarks.store", "open", str(folder)],
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        took, memory = got.stdout.split()
+        print(f"| {count} | {size:.0f} | {wrote:.1f} | {took} | {memory} |", flush=True)
+        shutil.rmtree(folder)
+
+
+def open_only(folder: Path) -> None:
+    begun = time.monotonic()
+    store = opened(folder)
+    took = time.monotonic() - begun
+    print(f"{took:.2f} {resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024:.0f}")
+    store.close()
+
+
+def compaction(root: Path) -> None:
+    print("| compaction | appends | p50 ms | p99 ms | most ms |")
+    print("| --- | --- | --- | --- | --- |")
+    store = opened(root / "c")
+    for i in range(0, 200_000, 1000):
+        store.append([Item(b"%016x" % ((i + n) % 120_000), VALUE) for n in range(1000)])
+    for going in (False, True):
+        took, number = [], 0
+        end = time.monotonic() + SECONDS
+        while time.monotonic() < end:
+            begun = time.monotonic()
+            if going:
+                store.compact()  # a step before each: the most that a writer's idle moments would do
+            store.append([Item(b"n%015x" % number, VALUE)])
+            took.append((time.monotonic() - begun) * 1000)
+            number += 1
+        print(
+            f"| {'a step before each' if going else 'none'} | {len(took)} | {quantile(took, 0.5):.2f}"
+            f" | {quantile(took, 0.99):.2f} | {max(took):.1f} |",
+            flush=True,
+        )
+    store.close()
+
+
+if __name__ == "__main__":
+    jobs = {"appends": appends, "recovery": recovery, "compaction": compaction, "open": open_only}
+    if len(sys.argv) not in (2, 3) or sys.argv[1] not in jobs:
+        raise SystemExit(__doc__)
+    if len(sys.argv) == 3:
+        jobs[sys.argv[1]](Path(sys.argv[2]))
+    else:
+        with tempfile.TemporaryDirectory() as made:
+            jobs[sys.argv[1]](Path(made))
--- a/millgw/__main__.py
+++ b/millgw/__main__.py
@@ -14,6 +14,7 @@
 FROM_TOOLS = (
     ("millgw.membership.command", "add_parsers", ("register", "members"), "requirements.txt"),
     ("millgw.operator.command", "add_parsers", ("check", "route"), "requirements-operator.txt"),
+    ("millgw.store.command", "add_parser", ("store",), "requirements-operator.txt"),
     ("millgw.standins.coordinator.command", "add_parser", ("coordinator",), "requirements-tools.txt"),
     ("millgw.load.command", "add_parser", ("load",), "requirements-tools.txt"),
     ("millgw.rehearsal.command", "add_parser", ("rehearse",), "requirements-tools.txt"),
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,436 @@
+"""The store through crashes: cut files, lost writes, failed syncs, damage, kill -9."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+import random
+import signal
+import subprocess
+import sys
+import time
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from millgw.store import mark as marks
+from millgw.store.faulty import Crash, FaultyFiles, Inode, mirrored
+from millgw.store.files import Locked, RealFiles
+from millgw.store.record import (
+    HEADER_SIZE,
+    PUT,
+    FormatError,
+    Header,
+    Record,
+    read_header,
+    scan,
+    word,
+    word_header,
+)
+from millgw.store.store import (
+    Item,
+    Options,
+    Standing,
+    Store,
+    StoreDamaged,
+    StoreError,
+    StoreFailed,
+    StoreFull,
+)
+from millgw.store.writer import Sync, Writer
+from tests.kinds import aside
+
+pytestmark = aside
+WALL = 1_800_000_000_000.0
+WINDOW = 60_000.0
+SMALL = Options(window=WINDOW, segment=300)
+
+
+class Time:
+    """A wall clock and a monotonic one, moved by hand."""
+
+    def __init__(self) -> None:
+        self.wall = WALL
+        self.tick = 0.0
+
+    def pass_(self, ms: float) -> None:
+        self.wall += ms
+        self.tick += ms
+
+
+def opened(
+    disks: list[FaultyFiles], at: Time | None = None, options: Options = SMALL, repair: bool = False
+) -> Store:
+    at = at or Time()
+    return Store(disks, options, lambda: at.wall, lambda: at.tick, repair, id=b"0123456789abcdef")
+
+
+def copied(disk: FaultyFiles, name: str = "", data: bytes = b"") -> FaultyFiles:
+    """The same files as they read now, one of them with other bytes."""
+    out = FaultyFiles(random.Random(1))
+    for known, inode in disk.now.items():
+        made = Inode(bytearray(data if known == name else inode.now))
+        made.sync()
+        out.now[known] = made
+    out.durable = dict(out.now)
+    return out
+
+
+def filled(count: int, mirrors: int = 1, compact: bool = True) -> tuple[list[FaultyFiles], set[bytes]]:
+    """Disks with a store of several segments, one of them compacted; the keys that stand."""
+    disks = mirrored(1, mirrors)
+    store = opened(disks)
+    for i in range(count):
+        store.append([Item(b"key-%03d" % i, b"v%d" % i)])
+        if i % 5 == 4:
+            store.append([Item(b"key-%03d" % i, None)])
+        if compact and i == count // 2:
+            while not store.compact(64):
+                store.append([Item(b"meanwhile-%d" % store.last)])
+    keys = set(store.index)
+    store.close()
+    return disks, keys
+
+
+def test_what_was_written_is_there_after_it_is_opened_again() -> None:
+    disks, keys = filled(20)
+    store = opened(disks)
+    assert set(store.index) == keys and not store.notes
+    assert store.get(b"key-000") is not None and store.standing(b"key-004") is Standing.UNSENT
+    assert [e.seq for _, e in store.entries()] == sorted(e.seq for e in store.index.values())
+
+
+@pytest.mark.parametrize("mirrors", [1, 2])
+def test_any_file_may_be_cut_at_any_byte(mirrors: int) -> None:
+    disks, keys = filled(14, mirrors)
+    cuts = 0
+    for number, disk in enumerate(disks):
+        for name in disk.names():
+            data = bytes(disk.now[name].now)
+            for size in range(len(data)):
+                some = [copied(d, name, data[:size]) if d is disk else copied(d) for d in disks]
+                store = opened(some)
+                standings = {store.standing(key) for key in keys}
+                assert Standing.UNSENT not in standings, (number, name, size, store.notes)
+                if mirrors == 2:
+                    assert standings == {Standing.SENT} and store.standing(b"never") is Standing.UNSENT
+                # And what was salvaged is a whole store again, that takes more.
+                store.append([Item(b"more")])
+                again = opened([copied(d) for d in some])
+                assert {again.standing(k) for k in (*keys, b"more")} <= {Standing.SENT, Standing.UNPROVEN}
+                cuts += 1
+    assert cuts > 900 * mirrors
+
+
+def test_a_lost_tail_is_noticed_and_unknown_keys_count_as_sent_until_their_window_has_passed() -> None:
+    disks, _ = filled(6, compact=False)
+    disk = disks[0]
+    name = max(n for n in disk.names() if n.startswith("seg-") and len(disk.now[n].now) > HEADER_SIZE + 20)
+    at = Time()
+    at.pass_(1000.0)
+    some = [copied(disk, name, bytes(disk.now[name].now)[:-3])]
+    store = opened(some, at)
+    assert store.notes and store.standing(b"key-005") is Standing.UNPROVEN
+    at.pass_(WINDOW / 2)
+    store = opened([copied(some[0])], at)  # that is remembered over another restart
+    assert store.standing(b"never") is Standing.UNPROVEN
+    at.pass_(WINDOW / 2 + 2)
+    assert store.standing(b"never") is Standing.UNSENT
+
+
+def act(store: Store, rng: random.Random, acked: set[bytes], steps: int) -> None:
+    """Appends and compaction by chance; what is acknowledged goes into `acked`."""
+    for _ in range(steps):
+        if rng.random() < 0.35:
+            store.compact(rng.choice([1, 100, 1000]))
+        else:
+            keys = [b"%08x" % rng.getrandbits(32) for _ in range(rng.randint(1, 4))]
+            store.append([Item(k, bytes(rng.randint(0, 40))) for k in keys])
+            acked |= set(keys)
+
+
+@pytest.mark.parametrize("mirrors", [1, 2])
+@pytest.mark.parametrize("block", range(4))
+def test_a_power_cut_at_any_step_loses_nothing_that_was_acknowledged(block: int, mirrors: int) -> None:
+    """Seeded: each schedule cuts the power up to four times, also while the store is opened."""
+    for seed in range(block * 150, block * 150 + 150):
+        rng = random.Random(f"crash {seed} {mirrors}")
+        disks, acked = mirrored(seed, mirrors), set[bytes]()
+        for _ in range(4):
+            at = rng.randint(1, 120)
+            for disk in disks:
+                disk.steps = 0
+                disk.fault = lambda _, step, at=at: Crash() if step >= at else None  # type: ignore[misc]
+            # All disks lose their power at the same moment.
+            with suppress(Crash):
+                act(opened(disks), rng, acked, 40)
+            disks = [disk.crash() for disk in disks]
+        store = opened(disks)
+        assert all(store.standing(key) is Standing.SENT for key in acked), seed
+        assert not store.notes, (seed, store.notes)
+        files = disks[0].names()
+        assert sum(n.startswith("seg-") for n in files) == len(store.segments), (seed, files)
+
+
+@pytest.mark.parametrize("code", [errno.EIO, errno.ENOSPC])
+@pytest.mark.parametrize("kind", ["write", "sync", "names"])
+def test_after_a_fault_nothing_more_is_acknowledged_and_nothing_that_was_is_lost(
+    kind: str, code: int
+) -> None:
+    for seed in range(60):
+        rng = random.Random(f"fault {seed} {kind} {code}")
+        disks, acked = mirrored(seed, 1), set[bytes]()
+        at, fired = rng.randint(5, 150), [False]
+
+        def once(what: str, step: int, at: int = at, fired: list[bool] = fired) -> OSError | None:
+            if what == kind and step >= at and not fired[0]:
+                fired[0] = True  # the next sync would say that all is well
+                return OSError(code, os.strerror(code))
+            return None
+
+        store = opened(disks)
+        disks[0].fault = once
+        try:
+            act(store, rng, acked, 60)
+        except StoreFailed:
+            with pytest.raises(StoreFailed):
+                store.append([Item(b"more")])
+            with pytest.raises(StoreFailed):
+                store.compact()
+        disks[0].fault = lambda *_: None
+        again = opened([disks[0].crash()])
+        assert all(again.standing(key) is Standing.SENT for key in acked), seed
+
+
+def test_a_file_that_can_not_be_read_is_made_good_from_the_other_copy() -> None:
+    disks, keys = filled(10, 2)
+    some = [copied(d) for d in disks]
+    some[0].fault = lambda kind, _: OSError(errno.EIO, "bad sector") if kind == "read" else None
+    store = opened(some)
+    assert {store.standing(k) for k in keys} == {Standing.SENT} and "can't be read" in store.notes[0]
+
+
+def test_damage_in_the_middle_is_refused_with_its_place_and_salvaged_on_order_only() -> None:
+    disks, keys = filled(12, compact=False)
+    disk = disks[0]
+    name = next(n for n in disk.names() if n.startswith("seg-") and len(disk.now[n].now) > 250)
+    data = bytearray(disk.now[name].now)
+    data[HEADER_SIZE + 30] ^= 1
+    broken = copied(disk, name, bytes(data))
+    with pytest.raises(StoreDamaged) as caught:
+        opened([broken])
+    assert f"{name}: byte {HEADER_SIZE}" in str(caught.value) and caught.value.good > 5
+    assert {n: bytes(i.now) for n, i in broken.now.items()} == {
+        n: bytes(data) if n == name else bytes(i.now) for n, i in disk.now.items()
+    }  # a refusal changes nothing
+    store = opened([broken], repair=True)
+    assert all(store.standing(k) is not Standing.UNSENT for k in keys)
+    assert sum(store.standing(k) is Standing.SENT for k in keys) >= len(keys) - 3
+    assert not opened([copied(broken)]).notes
+
+
+def test_a_missing_segment_is_noticed_and_one_of_the_future_refused() -> None:
+    disks, _ = filled(30, compact=False)
+    _, middle, _, *_ = sorted(n for n in disks[0].names() if n.startswith("seg-"))
+    less = copied(disks[0])
+    del less.now[middle]
+    with pytest.raises(StoreDamaged) as caught:
+        opened([less])
+    assert "missing" in str(caught.value)
+    header = bytearray(word_header(Header(b"0" * 16, 1, 1, 0, 1)))
+    from crc32c import crc32c
+
+    header[12:14] = (2).to_bytes(2, "little")
+    header[:4] = crc32c(bytes(header[4:])).to_bytes(4, "little")
+    with pytest.raises(FormatError):
+        read_header(bytes(header))
+    with pytest.raises(StoreError) as future:
+        opened([copied(disks[0], middle, bytes(header))])
+    assert "its format is 2" in str(future.value)
+
+
+def test_copies_of_different_stores_are_refused_and_an_empty_one_is_filled() -> None:
+    disks, keys = filled(8, 2)
+    store = opened([copied(disks[0]), FaultyFiles(random.Random(1))])
+    assert set(store.index) == keys
+    other = mirrored(5, 1)
+    Store(other, SMALL, lambda: WALL, lambda: 0.0, id=b"another store id").close()
+    with pytest.raises(StoreError):
+        opened([copied(disks[0]), other[0]])
+
+
+def test_a_clock_that_goes_back_over_a_restart_reopens_no_window() -> None:
+    disks, at = mirrored(1, 1), Time()
+    store = opened(disks, at)
+    store.append([Item(b"a", expires=int(WALL + 1000))])
+    at.pass_(5000.0)
+    store.append([Item(b"b", expires=int(WALL + 6000))])
+    assert store.standing(b"a") is Standing.UNSENT
+    at.wall -= 3_600_000.0
+    store = opened(disks, at)
+    assert store.standing(b"b") is Standing.SENT and store.now() >= WALL + 5000
+    at.pass_(1001.0)
+    assert store.standing(b"b") is Standing.UNSENT  # time goes on all the same
+
+
+def test_it_is_bounded_and_gives_room_back_as_windows_pass() -> None:
+    disks, at = mirrored(1, 1), Time()
+    store = opened(disks, at, Options(window=WINDOW, most=3))
+    store.append([Item(b"%d" % i, expires=int(WALL + 10 * (i + 1))) for i in range(3)])
+    with pytest.raises(StoreFull):
+        store.append([Item(b"more")])
+    at.pass_(15.0)
+    store.append([Item(b"more")])
+    assert set(store.index) == {b"1", b"2", b"more"}
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["put", "delete", "compact", "reopen", "wait"]), st.integers(0, 6)),
+        max_size=40,
+    )
+)
+@settings(deadline=None, max_examples=60)
+def test_it_is_a_dictionary_whose_entries_end(steps: list[tuple[str, int]]) -> None:
+    disks, at = mirrored(1, 2), Time()
+    store, model = opened(disks, at), dict[bytes, int]()
+    for what, n in steps:
+        key = b"%d" % n
+        if what == "put":
+            store.append([Item(key, b"x" * n, int(at.wall) + 500 * n)])
+            model[key] = int(at.wall) + 500 * n
+        elif what == "delete":
+            store.append([Item(key, None)])
+            model.pop(key, None)
+        elif what == "compact":
+            store.compact(1 + 40 * n)
+        elif what == "reopen":
+            store = opened(disks, at)
+        else:
+            at.pass_(300.0)
+        for k in (b"%d" % i for i in range(7)):
+            alive = k in model and at.wall < model[k]
+            assert (store.standing(k) is Standing.SENT) is alive
+
+
+@given(st.binary(max_size=400), st.integers(0, 400))
+def test_no_bytes_make_the_readers_fall_over(noise: bytes, at: int) -> None:
+    whole = word_header(Header(b"s" * 16, 1, 1, 0, 1)) + b"".join(
+        word(Record(i, PUT, b"k%d" % i)) for i in range(1, 6)
+    )
+    mixed = whole[:at] + noise + whole[at:]
+    read = scan(mixed)
+    assert 0 <= read.good <= read.size == len(mixed)
+    known = {Record(i, PUT, b"k%d" % i) for i in range(1, 6)}
+    assert all(r in known for r in (*read.records, *read.after) if len(noise) < 20)
+    marks.read(noise)
+
+
+# In service
+
+
+def test_many_callers_share_a_sync_and_one_key_is_claimed_once(tmp_path: Path) -> None:
+    async def test() -> None:
+        store = Store(
+            [RealFiles(tmp_path / "a")], SMALL, lambda: time.time() * 1000, lambda: time.monotonic() * 1000
+        )
+        writer = Writer(store)
+        claims = [writer.claim(Item(b"%d" % (i // 2))) for i in range(400)]
+        futures = [c for c in claims if isinstance(c, asyncio.Future)]
+        assert len(futures) == 200 and claims.count(Standing.SENT) == 200
+        await asyncio.gather(*futures)
+        assert writer.groups < 200 and writer.claim(Item(b"7")) is Standing.SENT
+        writer.close()
+        again = Store(
+            [RealFiles(tmp_path / "a")], SMALL, lambda: time.time() * 1000, lambda: time.monotonic() * 1000
+        )
+        assert len(again.index) == 200
+        again.close()
+
+    asyncio.run(test())
+
+
+@pytest.mark.parametrize("sync", list(Sync))
+def test_each_way_to_sync_writes_all_in_the_end(tmp_path: Path, sync: Sync) -> None:
+    store = Store([RealFiles(tmp_path)], SMALL, lambda: time.time() * 1000, lambda: time.monotonic() * 1000)
+    writer = Writer(store, sync, interval=0.01)
+    futures = [writer.put(Item(b"%d" % i)) for i in range(50)]
+    for future in futures:
+        future.result(10)
+    writer.close()
+    assert len(store.index) == 50
+
+
+def test_a_second_process_is_kept_out(tmp_path: Path) -> None:
+    def make() -> Store:
+        return Store([RealFiles(tmp_path)], SMALL, lambda: WALL, lambda: 0.0)
+
+    store = make()
+    with pytest.raises(Locked):
+        make()
+    store.close()
+    make().close()
+
+
+CHILD = """
+import sys, time
+from pathlib import Path
+from millgw.store.files import RealFiles
+from millgw.store.store import Item, Options, Store
+options = Options(window=60000.0, segment=4000)
+clocks = (lambda: time.time() * 1000, lambda: time.monotonic() * 1000)
+store = Store([RealFiles(Path(sys.argv[1]))], options, *clocks)
+number = int(sys.argv[2])
+while True:
+    store.append([Item(b"%d" % number)])
+    print(number, flush=True)
+    number += 1
+    if number % 7 == 0:
+        store.compact(500)
+"""
+
+
+def test_kill_9_over_and_over_loses_nothing_that_was_acknowledged(tmp_path: Path) -> None:
+    rng, acked = random.Random(1), set[int]()
+    for round_ in range(6):
+        child = subprocess.Popen(
+            [sys.executable, "-c", CHILD, str(tmp_path), str(round_ * 1_000_000)],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        assert child.stdout is not None
+        for _ in range(rng.randint(20, 120)):
+            acked.add(int(child.stdout.readline()))
+        os.kill(child.pid, signal.SIGKILL)
+        acked |= {int(line) for line in child.stdout.read().split("\n")[:-1]}
+        child.wait()
+    store = Store([RealFiles(tmp_path)], SMALL, lambda: time.time() * 1000, lambda: time.monotonic() * 1000)
+    assert len(acked) > 200 and all(store.standing(b"%d" % n) is Standing.SENT for n in acked)
+    store.close()
+
+
+def test_the_command_checks_dumps_compacts_and_repairs(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    from millgw.__main__ import main
+
+    store = Store([RealFiles(tmp_path)], SMALL, lambda: time.time() * 1000, lambda: time.monotonic() * 1000)
+    for i in range(30):
+        store.append([Item(b"%d" % i)])
+    store.close()
+    assert main(["store", "check", str(tmp_path)]) == 0 and "30 records" in capsys.readouterr().out
+    assert main(["store", "dump", str(tmp_path)]) == 0 and capsys.readouterr().out.count("\n") == 30
+    assert main(["store", "compact", str(tmp_path)]) == 0 and "30 keys" in capsys.readouterr().out
+    (name,) = [p for p in tmp_path.iterdir() if p.stat().st_size > 900]
+    data = bytearray(name.read_bytes())
+    data[500] ^= 1
+    name.write_bytes(data)
+    assert main(["store", "check", str(tmp_path)]) == 1 and "damaged" in capsys.readouterr().out
+    assert main(["store", "compact", str(tmp_path)]) == 1 and "byte" in capsys.readouterr().err
+    assert main(["store", "repair", str(tmp_path)]) == 1 and "29 keys" in capsys.readouterr().out
+    assert main(["store", "check", str(tmp_path)]) == 0
+    assert main(["store", "check", str(tmp_path / "none")]) == 2 and capsys.readouterr().err.count("\n") == 1
