Load: arrivals are shared out by the one function that the tests hold

run.play divided them by a loop of its own beside plan.part, which only the tests called. Same arrivals for each sender; lint, types and the load tests that send by several senders pass.

--- a/millgw/load/run.py
+++ b/millgw/load/run.py
@@ -15,6 +15,7 @@
 
 from millgw.load.arrivals import Arrival
 from millgw.load.behind import reasons
+from millgw.load.plan import part
 from millgw.load.result import Tally
 from millgw.load.sender import Orders, work
 
@@ -150,10 +151,8 @@
             for arrival in some:
                 planned(arrival)
             made.planned += len(some)
-            share: list[list[Arrival]] = [[] for _ in fleet.pipes]
-            for arrival in some:
-                share[arrival.number % len(share)].append(arrival)
-            for number, of_one in enumerate(share):
+            for number in range(len(fleet.pipes)):
+                of_one = part(some, number, len(fleet.pipes))
                 if of_one:
                     fleet.say(number, "part", of_one)
     except KeyboardInterrupt:
