Deaf to discovery, only endpoints that lately took a call are sent more

An endpoint that took a call and served it did not drain when the call came; a drain since then counts as told 6 s later at the earliest. So while no watch is on, an endpoint of which that can't be said any more is used only where there is no other (Discovery.unsure, Balancer._ready); one that turned a call away likewise.

--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -82,6 +82,8 @@
 ASK_SPREAD = 0.1  # of `ask_within`: instances that start together ask at different times
 ASK_RETRY = 0.03  # of `ask_within`: first wait after a failed call to discovery
 ASK_RETRY_MOST = 0.2  # of `ask_within`: longest wait after failed calls: a drain is to be heard in time
+TOLD_WITHIN = 6000.0  # ms after which what discovery has to tell counts as told, whether it came or not
+NOTICED_WITHIN = 3000.0  # ms in which a watch that has fallen silent is noticed
 ASK_AGAIN = 0.5  # of `ask_within`: longest silence of discovery before it is asked again
 
 
@@ -204,7 +206,7 @@
         self.allowed_at = now
         self.missed = 0
         self.back = 0.0
-        self.doubted = False  # turned a call away while discovery said nothing: it may drain
+        self.sure_at = now  # when it was last known not to drain; see `Discovery.unsure`
 
     def note(self, now: float, outcome: Outcome) -> None:
         """Take what an outcome tells of the machine: one that was out of reach may come back cold."""
@@ -483,6 +485,14 @@
         """Whether no watch is known to be on: what the list says may be over."""
         return self.due < math.inf
 
+    def unsure(self, now: float, server: Server) -> bool:
+        """Rule 3: whether a drain that discovery could not tell may count as told by now.
+
+        An endpoint that took a call, and served it, did not drain then: it is safe until a later drain would
+        count as told. One that turned a call away is not, as draining endpoints do so.
+        """
+        return self.due < math.inf and now > server.sure_at + TOLD_WITHIN
+
 
 class Balancer:
     """One sidecar's decisions: `handle` takes an event and returns the actions, in order."""
@@ -572,16 +582,14 @@
         if event.outcome is Outcome.OK:
             self.budget.earn()
             attempt.server.count_served(now)
+            attempt.server.sure_at = max(attempt.server.sure_at, attempt.sent)
             self._learn_times(attempt.cls, elapsed)
         else:
             elapsed = max(elapsed, aim)
         if event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
             attempt.server.note(now, event.outcome)
             if event.outcome is Outcome.REJECTED and self.discovery.deaf():
-                # Guards against a drain that discovery has no way to tell: an endpoint that drains turns
-                # calls away, and sends that go on there break rule 3 however late its word comes.
-                attempt.server.doubted = True
-                attempt.server.ejected_until = now + self.settings.ask_within
+                attempt.server.sure_at = -math.inf
             if attempt.server.missed >= LOST_AFTER:
                 # Tried once after each such time, and not at every chance: each try costs a call its wait.
                 attempt.server.ejected_until = now + EJECT_TIME * (EJECT_JITTER + self.rng.random())
@@ -729,13 +737,13 @@
         """The first `most` healthy endpoints, from this instance's place in the ring; else ill ones."""
         healthy: list[Server] = []
         ill: list[Server] = []
-        seen = 0
+        seen, deaf = 0, self.discovery.deaf()
         for server in self.ring:
             if server.info.id in without or not self.rules.may_go_to(request, server.info):
                 continue
             if not self.cold.admits(server, now):
                 continue
-            if now < server.ejected_until:
+            if now < server.ejected_until or (deaf and self.discovery.unsure(now, server)):
                 ill.append(server)
                 continue
             seen += 1
@@ -760,13 +768,15 @@
 
     def _list(self, now: float, event: EndpointList) -> None:
         if event.kind is ListKind.FAILED:
+            if not self.discovery.deaf():
+                for server in self.servers.values():
+                    server.sure_at = max(server.sure_at, now - NOTICED_WITHIN)
             self._set_timer(self.discovery.failed(now), None)
             return
         if event.kind is not ListKind.CACHED:
             self.discovery.heard()
             for server in self.servers.values():
-                if server.doubted:
-                    server.doubted, server.ejected_until = False, now
+                server.sure_at = now
         if event.kind is ListKind.DELTA and not event.endpoints:
             return
         if event.kind is not ListKind.DELTA:
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -526,34 +526,49 @@
     assert lost.missed == 0 and d.count(1) > before, "it never got another chance"
 
 
-def test_an_endpoint_that_turns_calls_away_while_discovery_is_deaf_is_left_alone_until_it_is_heard() -> None:
-    """It may drain, and discovery has no way to tell: each further send would break rule 3."""
-    d = drive(4, ask_within=10_000.0)
-    d.feed(EndpointList(ListKind.FAILED))
-    for _ in range(40):
+def rounds(d: Drive, calls: int, turned: frozenset[int] = frozenset(), pause: float = 200.0) -> list[int]:
+    """One call after another, each served unless its endpoint turns it away; returns where attempts went."""
+    before = len(d.log)
+    for _ in range(calls):
         request = d.arrive(SAFE)
         d.advance(d.now + 20)
-        for index, (endpoint, _, done) in enumerate(d.tries[request]):
+        while request in d.open:
+            index = len(d.tries[request]) - 1
+            endpoint, _, done = d.tries[request][index]
             if done is None:
-                d.outcome(request, index, Outcome.REJECTED if endpoint == 1 else Outcome.OK)
-        d.advance(d.now + 200)
-    sent = [e for tries in d.tries.values() for e, _, _ in tries]
-    assert sent.count(1) == 1, "it was sent more after it had turned one away"
+                d.outcome(request, index, Outcome.REJECTED if endpoint in turned else Outcome.OK)
+            d.advance(d.now + 20)
+        d.advance(d.now + pause)
+    return [a.endpoint for _, a in d.log[before:] if isinstance(a, Send)]
+
+
+def test_an_endpoint_that_turns_calls_away_while_discovery_is_deaf_is_left_alone_until_it_is_heard() -> None:
+    """It may drain, and discovery has no way to tell: each further send would break rule 3."""
+    d = drive(4)
+    d.feed(EndpointList(ListKind.FAILED))
+    d.advance(d.now + 4000.0)
+    assert rounds(d, 40, turned=frozenset({1})).count(1) == 1
     d.feed(EndpointList(ListKind.DELTA))
-    before = len(d.tries)
-    for _ in range(40):
-        request = d.arrive(SAFE)
-        d.advance(d.now + 20)
-        for index, (_, _, done) in enumerate(d.tries[request]):
-            if done is None:
-                d.outcome(request, index, Outcome.OK)
-    assert len(d.tries) > before and any(e == 1 for t in list(d.tries.values())[40:] for e, _, _ in t)
+    assert 1 in rounds(d, 40)
 
 
-def test_a_call_turned_away_while_the_list_is_heard_says_nothing_of_a_drain() -> None:
+def test_while_discovery_is_deaf_only_endpoints_that_lately_took_a_call_are_sent_more() -> None:
+    """A drain counts as told 6 s late at the latest: one of no call since then may be past it."""
     d = drive(4)
-    request = d.arrive(SAFE)
-    endpoint = d.tries[request][0][0]
-    d.outcome(request, 0, Outcome.REJECTED)
-    server = d.balancer.servers[endpoint]
-    assert not server.doubted and d.now >= server.ejected_until
+    d.advance(d.now + 20_000.0)
+    d.feed(EndpointList(ListKind.FAILED))
+    used = set(rounds(d, 1)) | set(rounds(d, 1))
+    d.advance(d.now + 3500.0)
+    known = {id for id, s in d.balancer.servers.items() if not d.balancer.discovery.unsure(d.now, s)}
+    assert known == used, "what was told 3 s before the watch failed is told no longer"
+    assert set(rounds(d, 30)) <= used
+    d.advance(d.now + 20_000.0)
+    assert rounds(d, 1), "where none is sure, one is used all the same"
+    d.feed(EndpointList(ListKind.DELTA))
+    assert len(set(rounds(d, 30))) > 2
+
+
+def test_where_lists_are_pushed_and_while_a_watch_is_on_nothing_is_doubted() -> None:
+    for d in (drive(4, ask_discovery=False), drive(4)):
+        d.advance(d.now + 60_000.0)
+        assert len(set(rounds(d, 60, turned=frozenset({1})))) == 4
