A crowd that discovery did not answer comes back spread over ten seconds, not two

Discovery takes more calls than it can answer in time and works for those that have failed too, so it stays full as long as they come back at the rate at which it could answer them.

Changed: after a call that was not answered the wait is 2.5 s to 10 s, by decorrelated jitter; after a watch that was on and ended, 0.3 s to 0.9 s, as one sidecar's loss says nothing of discovery's load.

--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -80,8 +80,8 @@
 SHARE_BURST = 1000.0  # ms of a tenant's rate that may come at once and still be within its share
 HOLD_PART = 0.1  # of the aim that a request waits for room: a refused client needs the rest for another try
 ASK_SPREAD = 0.1  # of `ask_within`: instances that start together ask at different times
-ASK_RETRY = 0.03  # of `ask_within`: first wait after a failed call to discovery
-ASK_RETRY_MOST = 0.2  # of `ask_within`: longest wait after failed calls: a drain is to be heard in time
+ASK_RETRY = 0.03  # of `ask_within`: least wait after a watch that was on has ended
+ASK_CROWDED = 0.25  # of `ask_within`: least wait after a call that was not answered; the most is all of it
 TOLD_WITHIN = 6000.0  # ms after which what discovery has to tell counts as told, whether it came or not
 NOTICED_WITHIN = 3000.0  # ms in which a watch that has fallen silent is noticed
 ASK_AGAIN = 0.5  # of `ask_within`: longest silence of discovery before it is asked again
@@ -472,8 +472,10 @@
         return self.due
 
     def failed(self, now: float) -> float:
-        base = ASK_RETRY * self.settings.ask_within
-        self.wait = self.backoff.next(self.wait, base, ASK_RETRY_MOST * self.settings.ask_within)
+        # Guards against a crowd that keeps discovery full: it works for calls that wait too long and fail,
+        # and answers none for as long as they come back at the rate at which it could answer them.
+        base = (ASK_CROWDED if self.deaf() else ASK_RETRY) * self.settings.ask_within
+        self.wait = self.backoff.next(self.wait, base, self.settings.ask_within)
         self.due = now + self.wait
         return self.due
 
