Load counts how slowly an endpoint answers, and the root of its size

Seen: while six in ten endpoints were being replaced, one of the warm ones held 26 calls of the seven front sidecars at 1.8 s each and others 3 to 5 at 0.5 s; each sidecar had 3 or 4 there, and saw a machine of weight 1.5 no fuller than one of 0.5. In flight was shared out by weight, but slots and queue don't grow with it: they are held while the tiers behind are waited for.

Changed (Balancer._load): own calls in flight, times slowness held to 0.5 to 3, over the root of size and warmth.

--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -66,6 +66,7 @@
 SLOW_WEIGHT = 0.1  # of one answer's time in it: times scatter more than failures, so the last ten decide
 SLOW_PEER = 0.25  # of the warm peers are quicker than the one that slowness is measured against
 HEALTH_MEMORY = 5000.0  # ms after which an endpoint's slowness is mostly forgotten
+SLOW_LEAST, SLOW_MOST = 0.5, 3.0  # between which slowness counts as load: own calls in flight decide first
 TIE_SLOWER = 1.05  # times as slow as the other: less does not decide a tie, or it would starve one
 OUTLIER_FAILING = 0.4  # share of calls failing from which an endpoint may be an outlier
 OUTLIER_MULTIPLE = 2.0  # times as bad as its peers: less is chance or the whole tier's trouble
@@ -762,9 +763,13 @@
         return len(server.out) >= self.admission.cap(self.cold.share(server, now))
 
     def _load(self, server: Server, now: float) -> float:
-        """Own calls in flight, against what the endpoint can do by size and warmth."""
-        weight = server.info.size * self.cold.share(server, now)
-        return (len(server.out) + 1) / max(weight, LEAST_RATIO)
+        """Own calls in flight and how slowly they are answered, against what the endpoint can do.
+
+        The root of its size: half of a call's time is waiting for others, in slots that don't grow with size.
+        """
+        slowness = min(SLOW_MOST, max(SLOW_LEAST, server.slowness(now)))
+        weight = math.sqrt(server.info.size) * self.cold.share(server, now)
+        return (len(server.out) + 1) * slowness / max(weight, LEAST_RATIO)
 
     # The list
 
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -572,3 +572,25 @@
     for d in (drive(4, ask_discovery=False), drive(4)):
         d.advance(d.now + 60_000.0)
         assert len(set(rounds(d, 60, turned=frozenset({1})))) == 4
+
+
+def share_of_flights(d: Drive, endpoint: int, calls: int) -> float:
+    """The part of calls that one endpoint holds when all of them stay in flight."""
+    for _ in range(calls):
+        d.arrive(patience=2900.0)
+    sent = [t[0][0] for t in d.tries.values() if t and t[0][2] is None]
+    return sent.count(endpoint) / len(sent)
+
+
+def test_an_endpoint_that_answers_slowly_holds_fewer_calls_and_not_none() -> None:
+    """Its slots are taken by calls that wait; what this sidecar has there itself is too few to show it."""
+    d = drive(2, stage=1)
+    d.balancer.servers[1].slow, d.balancer.servers[1].judged_at = 2.0, d.now
+    assert 0.2 < share_of_flights(d, 1, 60) < 0.4
+    assert abs(share_of_flights(drive(2, stage=1), 1, 60) - 0.5) < 0.05
+
+
+def test_an_endpoint_of_four_times_the_size_holds_twice_the_calls() -> None:
+    d = Drive(settings(stage=1))
+    d.show(Endpoint(1, size=4.0), Endpoint(2, size=1.0))
+    assert abs(share_of_flights(d, 1, 60) - 2 / 3) < 0.05
