--- a/benchmarks/parts.py
+++ b/benchmarks/parts.py
@@ -2,8 +2,8 @@
 
     python -m benchmarks.parts
 
-A sidecar with few calls draws from the first endpoints of its ring. Each new one there costs it a handshake and
-what it had learned of the one it leaves. Needed is what held the endpoint that went.
+A sidecar with few calls draws from the first endpoints of its ring. Each new one there costs it a handshake
+and what it had learned of the one it leaves. Needed is what held the endpoint that went.
 """
 
 from __future__ import annotations
