A cold endpoint's part follows the warm ones in use, over 4 s instead of 10

Seen: while six in ten endpoints were being replaced, the new ones took 3 to 5 calls a second at 0.3 s each and the warm ones that were left 15 at up to 2 s. What a cold one is sent rests on the rate of the warm ones (ColdStart.learn): over 10 s it follows too late when a third of the endpoints go at once, and the mean counted those that were ejected and served next to nothing.

Changed: SERVED_MEMORY of 4 s for rates alone, and only endpoints in use count.

--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -46,6 +46,7 @@
 BUFFER_TICKS = 4  # an answer needs a few ticks to be handed over, whatever the aim
 COLD_HEADROOM = 0.8  # of the told multiple: the rest is for chance and uneven requests
 RATE_MEMORY = 10_000.0  # ms over which what is usual is averaged: rates, calls in flight; longer than a burst
+SERVED_MEMORY = 4000.0  # ms over which an endpoint's rate is: when others go, those that stay soon serve more
 LOOK_AROUND = 1000.0  # ms between two passes over the list: what they tell changes slowly
 QUICK_RISE = 0.1  # of a rise taken into a class's quick time: it follows its quickest tenth or so
 UNDISTURBED_MOST = 0.4  # of the aim, that undisturbed answers are taken to need at the most
@@ -227,12 +228,12 @@
         return 1.0 + (self.slow - 1.0) * math.exp((self.judged_at - now) / HEALTH_MEMORY)
 
     def count_served(self, now: float) -> None:
-        self.served = self.served_rate(now) * RATE_MEMORY + 1
+        self.served = self.served_rate(now) * SERVED_MEMORY + 1
         self.served_at = now
 
     def served_rate(self, now: float) -> float:
         """Calls served per ms, averaged with a fading memory."""
-        return self.served * math.exp((self.served_at - now) / RATE_MEMORY) / RATE_MEMORY
+        return self.served * math.exp((self.served_at - now) / SERVED_MEMORY) / SERVED_MEMORY
 
 
 class Outliers:
@@ -298,8 +299,8 @@
         return s.cold_share + (1 - s.cold_share) * max(0.0, now - since) / s.cold_time
 
     def learn(self, servers: list[Server], now: float) -> None:
-        """Take the rate from warm endpoints only; with none left the last one seen holds."""
-        warm = [s for s in servers if self.share(s, now) >= 1.0]
+        """Take the rate from warm endpoints in use only; with none left the last one seen holds."""
+        warm = [s for s in servers if now >= s.ejected_until and self.share(s, now) >= 1.0]
         size = sum(s.info.size for s in warm)
         if size > 0:
             self.rate = sum(s.served_rate(now) for s in warm) / size
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -104,3 +104,27 @@
         broken = discovery.failed(0.0)
         unanswered = discovery.failed(0.0)
         assert broken <= 900.0 and unanswered >= 2500.0
+
+
+def test_what_an_endpoint_that_is_out_serves_does_not_lower_what_a_cold_one_is_sent() -> None:
+    """Six in ten replaced and some bad: the mean over the bad ones left half of its part unused."""
+    balancer = Balancer(settings(), 1)
+    balancer.handle(0.0, EndpointList(ListKind.FULL, tuple(Endpoint(i) for i in range(4))))
+    for at in range(0, 8000, 100):
+        for id in (0, 1):
+            balancer.servers[id].count_served(float(at))
+    balancer.cold.learn(balancer.ring, 8000.0)
+    mean = balancer.cold.rate
+    for id in (2, 3):
+        balancer.servers[id].ejected_until = 9000.0
+    balancer.cold.learn(balancer.ring, 8000.0)
+    assert balancer.cold.rate == pytest.approx(2 * mean)
+
+
+def test_the_rate_of_an_endpoint_follows_soon_when_others_have_gone() -> None:
+    server = decide.Server(Endpoint(1), 0.0)
+    for at in range(0, 30_000, 200):
+        server.count_served(float(at))
+    for at in range(30_000, 35_000, 100):
+        server.count_served(float(at))
+    assert server.served_rate(35_000.0) > 0.8 * 0.01
