--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -495,7 +495,7 @@
         An endpoint that took a call, and served it, did not drain then: it is safe until a later drain would
         count as told. One that turned a call away is not, as draining endpoints do so.
         """
-        return self.due < math.inf and now > server.sure_at + TOLD_WITHIN
+        return self.deaf() and now > server.sure_at + TOLD_WITHIN
 
 
 class Balancer:
@@ -741,13 +741,13 @@
         """The first `most` healthy endpoints, from this instance's place in the ring; else ill ones."""
         healthy: list[Server] = []
         ill: list[Server] = []
-        seen, deaf = 0, self.discovery.deaf()
+        seen = 0
         for server in self.ring:
             if server.info.id in without or not self.rules.may_go_to(request, server.info):
                 continue
             if not self.cold.admits(server, now):
                 continue
-            if now < server.ejected_until or (deaf and self.discovery.unsure(now, server)):
+            if now < server.ejected_until or self.discovery.unsure(now, server):
                 ill.append(server)
                 continue
             seen += 1
