A door for operators in a thread of its own: figures, draining, one machine for a process's life

millgw/control is a pure core, a table of calls and a thread that waits for the interpreter's lock only (a test blocks the loop for 1 s and is answered meanwhile, with 24 callers who finish nothing). millgw/life.py alone says whether /ready is yes, which answers end their connection and when idle ones are closed, for drains and for SIGTERM. millgw/figures.py counts answers where a connection hands them over; what is avoided is asked of the module (Balancer.avoided). A state machine test, figures held against stand-ins cell by cell under faults, drains with idle and open connections.

--- a/millgw/callers/connection.py
+++ b/millgw/callers/connection.py
@@ -51,11 +51,13 @@
     front: Front
     lanes: Lanes | None
     buffer: bytearray
-    stopping: bool
     connections: set[CallerConnection]
     fresh: dict[CallerConnection, None]
     kept: dict[CallerConnection, None]
 
+    @property
+    def stopping(self) -> bool: ...
+
     def busy(self, connection: CallerConnection) -> None: ...
 
     def left(self, connection: CallerConnection) -> None: ...
@@ -270,22 +272,27 @@
             try:
                 made = self.server.front.read(item, self._answer)
             except BadRequest as bad:
+                if item.pool is not None:
+                    item.pool.answered(item, bad.status)
                 item.release()
                 self._turn_away(bad)
                 continue
             self.bad = 0
+            self.serves = item
             if isinstance(made, Call):
-                self.current, self.serves = made, item
+                self.current = made
                 if item.pool is not None:
                     self.lane = item.pool.name
                 made.owner.take(made)
             else:
-                item.release()
                 self._answer(made)
         self.serving = False
 
     def _answer(self, answer: Answer) -> None:
         self.current = None
+        head = self.serves
+        if head is not None and head.pool is not None:
+            head.pool.answered(head, answer.status)
         self._served()
         self._write(answer)
         self._after()
--- a/millgw/callers/plain.py
+++ b/millgw/callers/plain.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from millgw.life import Life
 from millgw.message import REFUSED, Answer
 from millgw.pool.call import Call
 from millgw.pool.pool import Pool, read
@@ -11,14 +12,11 @@
 
 
 class PlainFront:
-    """`leaving` once the process is told to end: /ready then sends callers elsewhere."""
+    """`life` says whether callers should come here."""
 
-    def __init__(self, pool: Pool) -> None:
+    def __init__(self, pool: Pool, life: Life) -> None:
         self.pool = pool
-        self.leaving = False
-
-    def leave(self) -> None:
-        self.leaving = True
+        self.life = life
 
     def gate(self, head: Head) -> None:
         path = head.target.partition(b"?")[0]
@@ -34,4 +32,4 @@
         return read(head, answer, self._ready)
 
     def _ready(self, head: Head) -> Answer:
-        return Answer(200 if self.pool.driver.ready and not self.leaving else REFUSED)
+        return Answer(200 if self.pool.driver.ready and self.life.welcome() else REFUSED)
--- a/millgw/callers/server.py
+++ b/millgw/callers/server.py
@@ -9,11 +9,13 @@
 import asyncio
 import socket
 import time
+from contextlib import suppress
 from logging import WARNING
 from typing import cast
 
 from millgw.callers.connection import CallerConnection, Front, Lanes
 from millgw.events import tell
+from millgw.life import Life
 from millgw.platform.config import Address
 from millgw.platform.descriptors import Descriptors
 from millgw.request import BadRequest
@@ -36,6 +38,12 @@
     return connection
 
 
+def share_address(listener: socket.socket) -> None:
+    """Have another process of this user listen at the address too: the next one, at an upgrade."""
+    with suppress(OSError):  # where the system knows nothing of it there are no upgrades in service
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+
+
 class Server:
     """All callers' connections of one listener. `front` knows whose their requests are.
 
@@ -44,11 +52,12 @@
     """
 
     def __init__(
-        self, listen: Address, descriptors: Descriptors, front: Front, lanes: Lanes | None = None
+        self, listen: Address, descriptors: Descriptors, front: Front, life: Life, lanes: Lanes | None = None
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self.descriptors = descriptors
         self.front = front
+        self.life = life
         self.lanes = lanes
         self.parts: dict[str, float] = {}  # connections of each lane, where there are several
         self.connections: set[CallerConnection] = set()
@@ -56,15 +65,20 @@
         self.kept: dict[CallerConnection, None] = {}  # between requests, the one idle for longest first
         self.accepting: set[asyncio.Task[object]] = set()
         self.buffer = bytearray(READ_SIZE)  # one for all: each read is taken out before the next
-        self.stopping = False  # every answer is the last one on its connection
         self.paused: asyncio.TimerHandle | None = None
         self.closed = False
         family = socket.AF_INET6 if ":" in listen.host else socket.AF_INET
         self.socket = socket.socket(family, socket.SOCK_STREAM)
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        share_address(self.socket)
         self.socket.setblocking(False)
         self.socket.bind((listen.host, listen.port))
 
+    @property
+    def stopping(self) -> bool:
+        """Whether every answer is the last one on its connection."""
+        return self.closed or self.life.last
+
     def start(self) -> None:
         self.socket.listen(BACKLOG)
         self.loop.add_reader(self.socket, self._accept)
@@ -154,6 +168,8 @@
             connection.refuse(BadRequest(408, "the request did not come to its end"))
         for connections, most in ((self.fresh, SILENT_TIME), (self.kept, KEEP_TIME)):
             self._close_quiet(connections, most)
+        if self.life.closes_idle(now):
+            self.close_idle()
         self.loop.call_later(SWEEP, self._sweep)
 
     @staticmethod
@@ -166,7 +182,6 @@
 
     def stop(self) -> None:
         """Accept what has connected, then no more: a connection left in the backlog would be lost."""
-        self.stopping = True
         self._accept(BACKLOG)
         self.closed = True
         self.loop.remove_reader(self.socket)
--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -757,6 +757,10 @@
                 break
         return healthy or ill
 
+    def avoided(self, now: float) -> int:
+        """How many endpoints it sends nothing while it has others; changes nothing."""
+        return sum(now < s.ejected_until or self.discovery.unsure(now, s) for s in self.ring)
+
     def _full(self, server: Server, now: float) -> bool:
         """Guards against the whole limit meeting on the few endpoints that are ready."""
         if self.admission is None:
--- a/millgw/endpoints/connection.py
+++ b/millgw/endpoints/connection.py
@@ -61,6 +61,7 @@
     open: int
     held: int
     held_back: int
+    written: int
 
     def most_held(self) -> int:
         """Bytes of answers that may be coming in at once."""
@@ -144,6 +145,7 @@
         # With a high-water mark of 0 the transport keeps only what the kernel did not take at once.
         if self.attempt is not None and not self.transport.get_write_buffer_size():
             self.attempt.state = WRITTEN
+            self.home.written += 1
 
     def _complete(self) -> None:
         self.holding = None
@@ -236,6 +238,7 @@
         if not self.last_byte:
             if self.attempt is not None and self.attempt.state == WRITING:
                 self.attempt.state = WRITTEN
+                self.home.written += 1
         elif self.holding is None:
             self._complete()
 
--- a/millgw/endpoints/upstream.py
+++ b/millgw/endpoints/upstream.py
@@ -90,6 +90,7 @@
         self.bound = most_held
         self.held = 0  # bytes of answers that are coming in
         self.sends = 0
+        self.written = 0  # attempts whose last byte the kernel has taken
         self.held_back = 0  # sends whose last byte waited for a proof of their connection
         self.tasks: set[asyncio.Task[bool]] = set()
         self.sweeping = self.loop.call_later(SWEEP, self._sweep)
--- a/millgw/platform/config.py
+++ b/millgw/platform/config.py
@@ -36,6 +36,7 @@
 
     name: str
     listen: Address
+    control: Address | None
     discovery: Address
     filed_discovery: object
     seed: int
@@ -80,6 +81,7 @@
         return Config(
             name=environ.get(PREFIX + "NAME") or str(data.get("name", "")),
             listen=_address(environ, data, "listen"),
+            control=_control(environ, data),
             discovery=_address(environ, data, "discovery"),
             filed_discovery=filed,
             seed=_seed(data.get("seed")),
@@ -102,6 +104,13 @@
         raise ConfigError(f"{field}: {error}") from None
 
 
+def _control(environ: Mapping[str, str], data: dict[str, Any]) -> Address | None:
+    """Where operators call, if anywhere."""
+    if not environ.get(PREFIX + "CONTROL") and data.get("control") is None:
+        return None
+    return _address(environ, data, "control")
+
+
 def _seed(value: Any) -> int:
     try:
         return int(value, 16)
--- a/millgw/pool/driver.py
+++ b/millgw/pool/driver.py
@@ -77,6 +77,7 @@
         self.open: set[bytes] = set()  # their X-Trace-Ids
         self.last_id = 0
         self.ready: set[int] = set()
+        self.draining: set[int] = set()
         self.events: deque[Event] = deque()
         self.feeding = False
         self.due: Deadlines[Call | SetTimer] = Deadlines()
@@ -119,7 +120,11 @@
         gone |= {e.id for e in told} - named
         if kind in (ListKind.FULL, ListKind.CACHED):
             gone |= self.ready - named
+        drains = {e.id for e in told if e.condition is Condition.DRAINING}
+        ended = {e.id for e in told if e.condition is Condition.GONE}
+        before = set() if kind in (ListKind.FULL, ListKind.CACHED) else self.draining
         self.ready = (self.ready | named) - gone
+        self.draining = (before | drains) - named - ended
         seen = tuple(told) if self.curtain is None else self.curtain.listed(kind, told)
         self._feed(EndpointList(kind, seen))
         old += [self.upstream.forget(id) for id in gone]
@@ -149,6 +154,14 @@
                     lost.add(loser)
         return lost
 
+    def on_list(self) -> int:
+        """Endpoints that the list names now, those that drain among them."""
+        return len(self.ready) + len(self.draining)
+
+    def avoided(self) -> int:
+        """Those of them that are sent nothing now. Also asked from other threads: it changes nothing."""
+        return len(self.draining) + self.balancer.avoided(self.clock())
+
     def misses(self, endpoint: int) -> int:
         """How many attempts in a row found no connection to an endpoint."""
         server = self.balancer.servers.get(endpoint)
--- a/millgw/pool/pool.py
+++ b/millgw/pool/pool.py
@@ -13,6 +13,7 @@
 from millgw.endpoints.connection import Lanes
 from millgw.endpoints.upstream import Room, Upstream
 from millgw.events import tell
+from millgw.figures import Book
 from millgw.interface import ListKind
 from millgw.message import REFUSED, Answer
 from millgw.platform.config import Config
@@ -78,6 +79,7 @@
         self.source = source(self._heard, self)
         self.driver = Driver(Balancer(self.settings, seed), self.upstream, self.source.subscribe)
         self.terms = Terms(self.settings, self.driver)
+        self.book = Book([c.name for c in self.settings.classes])
 
     def seen(self, endpoint: int) -> tuple[float, float, float, float] | None:
         """What its connections to an endpoint tell (see `Upstream.seen`)."""
@@ -126,6 +128,30 @@
             raise BadRequest(REFUSED, "too much is being sent")
         self.bodies += more
 
+    # What is counted
+
+    def answered(self, head: Head, status: int) -> None:
+        """A caller was given the final answer to a request that had come whole."""
+        cls = self.terms.classes.get(head.values.get(b"x-qos", b""))
+        if cls is not None:
+            self.book.answered(cls, status)
+
+    def relayed(self) -> int:
+        """Attempts whose last byte the kernel has taken."""
+        return self.upstream.written
+
+    def open_requests(self) -> int:
+        """Calls taken and not answered."""
+        return len(self.driver.calls)
+
+    def listed(self) -> int:
+        """Endpoints in the list, those that drain among them."""
+        return self.driver.on_list()
+
+    def avoided(self) -> int:
+        """Those of them that are sent nothing now: as the module has it, and those that drain."""
+        return self.driver.avoided()
+
     # Bounds
 
     def held(self, kind: str) -> int:
--- a/millgw/request.py
+++ b/millgw/request.py
@@ -38,6 +38,9 @@
 
     name: str
 
+    def answered(self, head: Head, status: int) -> None:
+        """Its caller is given a final answer."""
+
     def hold(self, more: int) -> None:
         """Count bytes of bodies that come in, or are given back; a BadRequest tells that there is no room."""
 
--- a/millgw/services/front.py
+++ b/millgw/services/front.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Mapping
 from typing import Protocol
 
+from millgw.life import Life
 from millgw.message import REFUSED, Answer, Content
 from millgw.pool.call import Call
 from millgw.pool.pool import Pool, read
@@ -54,9 +55,9 @@
 class Services:
     """The pools by name, as a reload leaves them; shared by the fronts of all listeners."""
 
-    def __init__(self) -> None:
+    def __init__(self, life: Life) -> None:
         self.pools: Mapping[str, Pool] = {}
-        self.leaving = False
+        self.life = life
 
 
 class RoutedFront:
@@ -109,6 +110,6 @@
         if name and name not in pools:
             raise BadRequest(404, "no such service")
         asked = [pools[name]] if name else list(pools.values())
-        serves = any(pool.driver.ready for pool in asked) and not self.services.leaving
+        serves = any(pool.driver.ready for pool in asked) and self.services.life.welcome()
         text = "".join(f"{pool.status()}\n" for pool in asked)
         return Answer(200 if serves else REFUSED, Content(b"Content-Type: text/plain\r\n", text.encode()))
--- a/millgw/services/node.py
+++ b/millgw/services/node.py
@@ -15,6 +15,7 @@
 from millgw.callers.server import Server
 from millgw.endpoints.upstream import ANSWERS_PART
 from millgw.events import tell
+from millgw.life import Life
 from millgw.operator.file import KINDS, Limits, Operator, OperatorError, Service, load, table
 from millgw.operator.guarantees import parts
 from millgw.platform.config import Config, ConfigError, read_address, read_config
@@ -55,7 +56,8 @@
 class Node:
     """Everything of a sidecar with services that a reload may change."""
 
-    def __init__(self, config: Config, environ: Mapping[str, str], path: str) -> None:
+    def __init__(self, config: Config, environ: Mapping[str, str], path: str, life: Life) -> None:
+        self.life = life
         self.config = config
         self.environ = environ
         self.path = path
@@ -66,7 +68,7 @@
         self.shared = Descriptors(self.config.sockets)
         raw = _settings(self.environ)
         self.bounds = Bounds(self._allotments(self.operator), Clock())
-        self.services = Services()
+        self.services = Services(self.life)
         self.served: dict[str, Served] = {}
         self.turns = Spells()
         self.shared.endpoints = lambda: sum(p.upstream.holds() for p in self._all())
@@ -86,10 +88,6 @@
         self._status()
         return self._listening, self._all, self.reload
 
-    def leave(self) -> None:
-        """The process is told to end: /ready sends callers elsewhere."""
-        self.services.leaving = True
-
     def _publish(self) -> None:
         """Have routes and bounds go by the pools there are now."""
         self.bounds.pools = {name: served.pool for name, served in self.served.items()}
@@ -102,7 +100,7 @@
         """A callers' side: the one that routes, or one service's; an OSError tells that it can't be had."""
         listen = read_address(operator.services[name].listen) if name else self.config.listen
         front = RoutedFront(self.services, table(operator), name)
-        return Listener(Server(listen, self.shared, front, self.turns), front)
+        return Listener(Server(listen, self.shared, front, self.life, self.turns), front)
 
     def _share_callers(self, operator: Operator) -> None:
         """Each service's part of the callers' connections, past which its idle ones give way first."""
--- a/millgw/sidecar/__main__.py
+++ b/millgw/sidecar/__main__.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+import time
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from logging import ERROR, INFO, WARNING
@@ -15,9 +16,14 @@
 from millgw import compiled, events
 from millgw.callers.plain import PlainFront
 from millgw.callers.server import Server
+from millgw.control.calls import Calls, said
+from millgw.control.door import Door
 from millgw.endpoints.upstream import ANSWERS_PART
 from millgw.events import tell
-from millgw.platform.config import Config, ConfigError, read_config
+from millgw.figures import worded
+from millgw.life import Life
+from millgw.message import Answer, Content
+from millgw.platform.config import Address, Config, ConfigError, read_config
 from millgw.platform.descriptors import Descriptors
 from millgw.platform.discovery import Discovery
 from millgw.pool.pool import Pool
@@ -28,6 +34,9 @@
 SERVE_PART = 0.6  # of the time after SIGTERM, for which requests are taken: the rest is for answering them
 FLUSH = 0.2  # s that answers may take to be read before the process ends
 
+ABLE_EVERY = 0.02  # s between two looks whether calls can be served
+JSON = b"Content-Type: application/json\r\n"
+
 OPERATOR = "BALANCER_OPERATOR"  # names the operator's file
 LOG = "BALANCER_LOG"  # how events are told: text or json
 
@@ -37,31 +46,54 @@
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
-    parts = _several(config, environ) if environ.get(OPERATOR) else _one(config, environ)
+    life = Life()
+    parts = _several(config, environ, life) if environ.get(OPERATOR) else _one(config, environ, life)
+    door = _door(config.control, life, parts) if config.control is not None else None
     loop.add_signal_handler(signal.SIGHUP, parts.reload)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     for server in parts.servers():
         server.start()
     tell(INFO, "serving", name=config.name, listen=config.listen, modules=compiled.describe())
-    await stop.wait()
-    await leave(config, parts)
+    watching = asyncio.create_task(watch(life, parts))
+    if door is not None:
+        door.start()
+    try:
+        await stop.wait()
+        await leave(config, parts)
+    finally:
+        watching.cancel()
+        if door is not None:
+            door.stop()
+
+
+def _door(address: Address, life: Life, parts: Parts) -> Door:
+    calls = Calls()
+    calls.add("GET", "/-/ready", lambda _: said(life.ready(), "able to serve"))
+    calls.add("GET", "/-/metrics", lambda _: Answer(200, Content(JSON, worded(parts.pools()))))
+    calls.add("PUT", "/-/drain", lambda _: said(life.drain(time.monotonic()), "drained"))
+    calls.add("PUT", "/-/resume", lambda _: said(life.resume(), "serving"))
+    return Door(address, calls)
+
+
+async def watch(life: Life, parts: Parts) -> None:
+    """Keep `life.able` true to what the pools have."""
+    while True:
+        life.able = any(pool.driver.ready for pool in parts.pools())
+        await asyncio.sleep(ABLE_EVERY)
 
 
 @dataclass(slots=True, frozen=True)
 class Parts:
-    """The callers' sides (one for each listener), the pools whose calls they take, what a SIGHUP does.
-
-    `unready` has /ready send callers elsewhere.
-    """
+    """The callers' sides (one for each listener), the pools whose calls they take, what a SIGHUP does."""
 
     servers: Callable[[], Sequence[Server]]
     pools: Callable[[], Sequence[Pool]]
     reload: Callable[[], None]
-    unready: Callable[[], None]
+    life: Life
 
 
 def _one(
-    config: Config, environ: Mapping[str, str], tend: Callable[[Pool], object] | None = None
+    config: Config, environ: Mapping[str, str], life: Life, tend: Callable[[Pool], object] | None = None
 ) -> Parts:
     descriptors = Descriptors(config.sockets)
     whole = Whole(
@@ -79,14 +111,14 @@
     if tend is not None:
         tend(pool)
     assert isinstance(pool.source, Discovery)
-    front = PlainFront(pool)
-    server = Server(config.listen, descriptors, front)
+    front = PlainFront(pool, life)
+    server = Server(config.listen, descriptors, front, life)
     descriptors.callers, descriptors.close_caller = server.held, server.give_way
     pool.start(config.known)
-    return Parts(lambda: (server,), lambda: (pool,), Reload(environ, config, pool.source), front.leave)
+    return Parts(lambda: (server,), lambda: (pool,), Reload(environ, config, pool.source), life)
 
 
-def _several(config: Config, environ: Mapping[str, str]) -> Parts:
+def _several(config: Config, environ: Mapping[str, str], life: Life) -> Parts:
     # Only here: an operator's file that is not given must cost nothing.
     try:
         from millgw.services.node import Node
@@ -94,10 +126,11 @@
     except ModuleNotFoundError as missing:
         raise ConfigError(f"{OPERATOR}: needs {missing.name}: requirements-operator.txt") from None
 
-    node = Node(config, environ, environ[OPERATOR])
+    node = Node(config, environ, environ[OPERATOR], life)
     if not node.operator.services:
-        return _one(config, environ, lambda pool: attach(pool, node.operator.tends(), config, config.seed))
-    return Parts(*node.open(), node.leave)
+        tends = node.operator.tends()
+        return _one(config, environ, life, lambda pool: attach(pool, tends, config, config.seed))
+    return Parts(*node.open(), life)
 
 
 class Reload:
@@ -131,8 +164,11 @@
     """
     longest = max(c.deadline for c in config.settings.classes) / 1000
     left = min(longest, LONGEST) + ANSWER_WITHIN
-    parts.unready()
-    await asyncio.sleep(SERVE_PART * left)
+    life = parts.life
+    life.leave(time.monotonic(), succeeded=False)
+    if not life.ending:
+        await asyncio.sleep(SERVE_PART * left)
+        life.end(time.monotonic())
     servers = parts.servers()
     for server in servers:
         server.stop()
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -79,7 +79,8 @@
 
 def config(endpoints: list[ScriptedEndpoint], discovery: Address, **changes: Any) -> Config:
     values: dict[str, Any] = {
-        "name": "n1", "listen": free_address(), "discovery": discovery, "filed_discovery": None,
+        "name": "n1", "listen": free_address(), "control": None, "discovery": discovery,
+        "filed_discovery": None,
         "seed": 1, "sockets": 1024, "memory": 2.0**26,
         "known": {"index": 1, "snapshot": True, "endpoints": [e.entry() for e in endpoints]},
         "settings": to_settings(SETTINGS), "zones": ("a",), "connect_timeout": 5000.0, "idle": 60_000.0,
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,340 @@
+"""The door for operators: its calls, its figures, and draining."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from millgw.control.calls import Calls, said
+from millgw.control.core import Asked, CallCore
+from millgw.control.door import MOST_HELD, Door
+from millgw.events import log
+from millgw.life import DRAIN_IDLE_AFTER, Life
+from millgw.platform.config import Address, ConfigError, read_config
+from millgw.request import BadRequest
+from millgw.standins.address import free_address
+from millgw.standins.http import Message, ok, status
+from millgw.standins.scripted import STREAM, ScriptedEndpoint, chunk, line, read_message, silent
+from tests.rig import SETTINGS, Rig, request, run, sidecar, until
+
+READY = b"GET /ready HTTP/1.1\r\nHost: n1\r\n\r\n"
+
+
+async def call(door: Address, method: str, path: str) -> tuple[int, bytes]:
+    reader, writer = await asyncio.open_connection(door.host, door.port)
+    writer.write(f"{method} {path} HTTP/1.1\r\nHost: n1\r\n\r\n".encode())
+    answer = await reader.read()
+    writer.close()
+    head, _, body = answer.partition(b"\r\n\r\n")
+    assert b"connection: close" in head.lower()
+    return int(head.split()[1]), body
+
+
+async def figures(door: Address) -> dict[str, Any]:
+    code, body = await call(door, "GET", "/-/metrics")
+    assert code == 200
+    found = json.loads(body)
+    assert isinstance(found, dict)
+    return found
+
+
+def door_of(rig: Rig) -> Address:
+    assert rig.config.control is not None
+    return rig.config.control
+
+
+# The life of a process
+
+
+class Lives(RuleBasedStateMachine):
+    """Held against what was asked of it last, in words of its own."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.life = Life()
+        self.now = 0.0
+        self.drained_at: float | None = None
+        self.told_to_end: float | None = None
+        self.succeeded = False
+        self.over = False
+
+    @rule(by=st.floats(0.0, 2.0))
+    def pass_time(self, by: float) -> None:
+        self.now += by
+
+    @rule(able=st.booleans())
+    def become(self, able: bool) -> None:
+        self.life.able = able
+
+    @rule()
+    def drain(self) -> None:
+        assert self.life.drain(self.now) == (self.told_to_end is None)
+        if self.told_to_end is None and self.drained_at is None:
+            self.drained_at = self.now
+
+    @rule()
+    def resume(self) -> None:
+        assert self.life.resume() == (self.told_to_end is None)
+        if self.told_to_end is None:
+            self.drained_at = None
+
+    @rule(succeeded=st.booleans())
+    def leave(self, succeeded: bool) -> None:
+        self.life.leave(self.now, succeeded)
+        if self.told_to_end is None:
+            self.told_to_end, self.succeeded = self.now, succeeded
+            self.over = succeeded or self.drained_at is not None
+
+    @rule()
+    def end(self) -> None:
+        if self.told_to_end is not None:
+            self.life.end(self.now)
+            self.over = True
+
+    @invariant()
+    def answers_are_those_of_the_page(self) -> None:
+        life, leaving = self.life, self.told_to_end is not None
+        assert life.ready() == (life.able and not leaving)
+        assert life.welcome() == (self.drained_at is None and (not leaving or self.succeeded))
+        assert life.last == (self.drained_at is not None or self.over)
+        if not life.last:
+            assert not life.closes_idle(self.now), "connections are closed that nobody was told of"
+        if self.drained_at is not None and self.now > self.drained_at + 1.5:
+            assert life.closes_idle(self.now), "4 s are all there is"
+        if self.told_to_end is not None and self.over and self.now > self.told_to_end + 3.5:
+            assert life.closes_idle(max(self.now, self.told_to_end + 3.5))
+
+
+TestLives = Lives.TestCase
+
+
+# The core and the calls
+
+
+@given(st.sets(st.integers(1, 60)))
+def test_a_call_may_be_cut_anywhere(cuts: set[int]) -> None:
+    data = b"PUT /-/drain?x=1 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi"
+    core, at, got = CallCore(), 0, None
+    for end in [*sorted(c for c in cuts if c < len(data)), len(data)]:
+        assert got is None
+        got, at = core.feed(data[at:end]), end
+    assert isinstance(got, Asked)
+    assert (got.method, got.path, got.headers["host"]) == ("PUT", "/-/drain", "a")
+
+
+@pytest.mark.parametrize(
+    ("data", "code"),
+    [(b"hello\r\n\r\n", 400), (b"GET / HTTP/1.1\r\nA B: x\r\n\r\n", 400), (b"GET /" + b"x" * 9000, 431)],
+)
+def test_what_is_no_call_is_refused(data: bytes, code: int) -> None:
+    got = CallCore().feed(data)
+    assert isinstance(got, BadRequest) and got.status == code
+
+
+def test_another_path_is_404_and_another_method_405_with_allow() -> None:
+    calls = Calls()
+    calls.add("GET", "/a", lambda _: said(True, "fine"))
+    assert calls(Asked("GET", "/a", {})).content.body == b"fine\n"
+    assert calls(Asked("GET", "/b", {})).status == 404
+    wrong = calls(Asked("PUT", "/a", {}))
+    assert wrong.status == 405 and b"Allow: GET\r\n" in wrong.content.headers
+
+
+# The door
+
+
+def test_callers_who_finish_nothing_delay_nobody_and_a_busy_loop_does_not_either() -> None:
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e1")
+        async with sidecar(endpoint, control=free_address()) as rig:
+            door = door_of(rig)
+            stuck = [socket.create_connection((door.host, door.port)) for _ in range(3 * MOST_HELD)]
+            for each in stuck:
+                each.sendall(b"GET /-/rea")
+
+            def asks() -> bytes:
+                with socket.create_connection((door.host, door.port)) as asking:
+                    asking.sendall(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+                    return asking.recv(1000)
+
+            asked = asyncio.create_task(asyncio.to_thread(asks))
+            await asyncio.sleep(0)
+            time.sleep(1.0)  # the loop is in a long turn
+            begun = time.monotonic()
+            assert (await asked).startswith(b"HTTP/1.1 200")
+            assert time.monotonic() - begun < 0.5, "the door waited for the loop"
+            for each in stuck:
+                each.close()
+
+    run(test)
+
+
+def test_a_door_whose_call_fails_answers_the_next() -> None:
+    door_address = free_address()
+    answers = iter([RuntimeError("broken"), said(True, "fine")])
+
+    def answer(asked: Asked) -> Any:
+        made = next(answers)
+        if isinstance(made, Exception):
+            raise made
+        return made
+
+    door = Door(door_address, answer)
+    door.start()
+    try:
+        for want in (b"", b"HTTP/1.1 200"):
+            with socket.create_connection((door_address.host, door_address.port)) as asking:
+                asking.sendall(b"GET / HTTP/1.1\r\n\r\n")
+                assert asking.recv(1000).startswith(want)
+    finally:
+        door.stop()
+
+
+def test_an_address_that_cannot_be_used_names_the_field(tmp_path: Path) -> None:
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        with pytest.raises(ConfigError, match="control"):
+            Door(Address("127.0.0.1", taken.getsockname()[1]), lambda _: said(True, ""))
+    file = tmp_path / "config.json"
+    told = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1", "settings": SETTINGS}
+    file.write_text(json.dumps(told | {"control": "nowhere"}))
+    with pytest.raises(ConfigError, match="control"):
+        read_config({"BALANCER_CONFIG": str(file)})
+    over = read_config({"BALANCER_CONFIG": str(file), "BALANCER_CONTROL": "127.0.0.1:5"})
+    assert over.control == Address("127.0.0.1", 5), "the variable goes first"
+    file.write_text(json.dumps(told))
+    assert read_config({"BALANCER_CONFIG": str(file)}).control is None
+
+
+# Figures
+
+
+def test_figures_are_what_the_peers_counted() -> None:
+    """Calls under faults, of all classes, some refused: cell by cell."""
+
+    async def test() -> None:
+        turn = 0
+
+        async def mixed(message: Message, _: ScriptedEndpoint) -> bytes | None:
+            nonlocal turn
+            turn += 1
+            return {2: status(500), 5: status(503), 7: None}.get(turn % 9, ok())
+
+        spots = [ScriptedEndpoint(f"e{i}", mixed) for i in range(3)]
+        seen: Counter[tuple[str, str]] = Counter()
+        async with sidecar(*spots, control=free_address()) as rig:
+            door = door_of(rig)
+
+            async def client(offset: int) -> None:
+                mine = await rig.connect()
+                for n in range(100):
+                    cls = ("read", "write", "pay")[(n + offset) % 3]
+                    patience = "x" if n % 40 == 17 else 20_000
+                    code = (await mine.ask(request(cls, patience=patience))).status
+                    kind = {200: "fulfilled", 503: "throttled", 429: "throttled"}.get(code, "faulted")
+                    seen[kind, cls] += 1
+
+            log.setLevel("ERROR")
+            await asyncio.gather(*(client(i) for i in range(12)))
+            log.setLevel("INFO")
+            told = await figures(door)
+        for kind in ("fulfilled", "throttled", "faulted"):
+            assert told[kind] == {cls: seen[kind, cls] for cls in ("read", "write", "pay")}
+        assert seen["faulted", "pay"] and told["open_requests"] == 0
+        assert told["relayed"] == sum(len(spot.got) for spot in spots)
+
+    run(test)
+
+
+def test_open_requests_list_and_what_is_avoided() -> None:
+    async def test() -> None:
+        spots = [ScriptedEndpoint(f"e{i}", silent) for i in range(4)]
+        async with sidecar(*spots, control=free_address()) as rig:
+            door = door_of(rig)
+            clients = [await rig.connect() for _ in range(3)]
+            for client in clients:
+                client.writer.write(request())
+            await until(lambda: sum(len(spot.got) for spot in spots) == 3)
+            told = await figures(door)
+            assert (told["open_requests"], told["registry_entries"], told["out_of_rotation"]) == (3, 4, 0)
+            _, writer = await rig.discovery.calls.get()
+            writer.write(STREAM + chunk(line(2, [spots[0].entry("terminating")])))
+            while (told := await figures(door))["out_of_rotation"] != 1:
+                pass
+            assert told["registry_entries"] == 4, "one that drains is in the list"
+            writer.write(chunk(line(3, [spots[0].entry("terminated")])))
+            while (told := await figures(door))["out_of_rotation"] != 0:
+                pass
+            assert told["registry_entries"] == 3
+            for client in clients:
+                client.writer.close()
+            while (told := await figures(door))["open_requests"]:
+                pass
+
+    run(test)
+
+
+# Draining
+
+
+def test_a_drained_sidecar_sends_its_clients_away_and_comes_back() -> None:
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e1")
+        async with sidecar(endpoint, control=free_address()) as rig:
+            door = door_of(rig)
+            while (await call(door, "GET", "/-/ready"))[0] != 200:
+                pass
+            idle, used, silent_one = [await rig.connect() for _ in range(3)]
+            for client in (idle, used):
+                assert "connection" not in (await client.ask(request())).headers
+            assert (await call(door, "PUT", "/-/drain"))[0] == 200
+            begun = time.monotonic()
+            assert (await rig.ask(READY)).status == 503
+            assert (await call(door, "GET", "/-/ready"))[0] == 200, "it can serve, and does"
+            answer = await used.ask(request())
+            assert answer.status == 200 and answer.headers["connection"] == "close"
+            assert await used.reader.read() == b""
+            assert (await call(door, "PUT", "/-/drain"))[0] == 200, "again"
+            for client in (idle, silent_one):
+                assert await client.reader.read() == b"", "closed between requests"
+            assert DRAIN_IDLE_AFTER - 0.1 < time.monotonic() - begun < 4.0
+            assert (await call(door, "PUT", "/-/resume"))[0] == 200
+            assert (await rig.ask(READY)).status == 200
+            client = await rig.connect()
+            assert "connection" not in (await client.ask(request())).headers
+            client.writer.close()
+
+    run(test)
+
+
+def test_a_drain_waits_for_what_is_open() -> None:
+    async def test() -> None:
+        release = asyncio.Event()
+
+        async def slow(message: Message, _: ScriptedEndpoint) -> bytes:
+            await release.wait()
+            return ok()
+
+        async with sidecar(ScriptedEndpoint("e1", slow), control=free_address()) as rig:
+            client = await rig.connect()
+            client.writer.write(request())
+            while (await figures(door_of(rig)))["open_requests"] != 1:
+                pass
+            await call(door_of(rig), "PUT", "/-/drain")
+            await asyncio.sleep(DRAIN_IDLE_AFTER + 0.5)
+            release.set()
+            assert (await read_message(client.reader)).status == 200
+            assert await client.reader.read() == b""
+
+    run(test)
--- a/tests/test_cores.py
+++ b/tests/test_cores.py
@@ -31,6 +31,9 @@
             raise BadRequest(REFUSED, "too much is being sent")
         self.held += more
 
+    def answered(self, head: Head, status: int) -> None:
+        """Nothing is counted here."""
+
 
 def core(pool: Bodies | None = None, refused: Answer | None = None) -> RequestCore:
     def gate(head: Head) -> None:
