--- a/millgw/__main__.py
+++ b/millgw/__main__.py
@@ -68,8 +68,9 @@
 
 
 def _serve(args: argparse.Namespace) -> int:
-    from millgw.sidecar.__main__ import LOG, OPERATOR
+    from millgw.sidecar.__main__ import LOG
     from millgw.sidecar.__main__ import main as serve
+    from millgw.sidecar.parts import OPERATOR
 
     if args.operator is not None:
         os.environ[OPERATOR] = args.operator
--- a/millgw/callers/server.py
+++ b/millgw/callers/server.py
@@ -182,6 +182,8 @@
 
     def stop(self) -> None:
         """Accept what has connected, then no more: a connection left in the backlog would be lost."""
+        if self.closed:
+            return
         self._accept(BACKLOG)
         self.closed = True
         self.loop.remove_reader(self.socket)
--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -86,9 +86,21 @@
 ASK_CROWDED = 0.25  # of `ask_within`: least wait after a call that was not answered; the most is all of it
 TOLD_WITHIN = 6000.0  # ms after which what discovery has to tell counts as told, whether it came or not
 NOTICED_WITHIN = 3000.0  # ms in which a watch that has fallen silent is noticed
+PAIR_PART = 0.5  # of tokens and cold endpoints' allowances for each of two processes of one sidecar
 ASK_AGAIN = 0.5  # of `ask_within`: longest silence of discovery before it is asked again
 
 
+CARRIED = (
+    "failing", "slow", "judged_at", "ejected_until", "served", "served_at", "allowance", "allowed_at", "back",
+    "sure_at", "missed",
+)  # fmt: skip
+"""What is known of an endpoint that goes over to another process, the count last."""
+
+CARRIED_LIMIT = (
+    "each", "normal", "late", "steady", "noise", "undisturbed", "settled", "at", "answers",
+)  # fmt: skip
+
+
 def scatter(id: int, group: int) -> int:
     """Order ids as if by chance, each group in its own way, the same in every process."""
     mixed = id * (2 * group + 1) * ORDER_STEP % 2**32
@@ -290,6 +302,7 @@
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
         self.rate = 0.0
+        self.part = 1.0  # of this sidecar's allowances that are this process's
 
     def share(self, server: Server, now: float) -> float:
         """The part of its capacity that an endpoint is sure to have by now."""
@@ -313,7 +326,7 @@
             return True
         s = self.settings
         least = 1.0 / (s.siblings * s.fall_window) if s.fall_window > 0 else 0.0
-        rate = max(least, self.rate * server.info.size) * share * s.fall_multiple * COLD_HEADROOM
+        rate = max(least, self.rate * server.info.size) * share * s.fall_multiple * COLD_HEADROOM * self.part
         most = max(1.0, rate * s.fall_window * COLD_HEADROOM)
         server.allowance = min(most, server.allowance + rate * (now - server.allowed_at))
         server.allowed_at = now
@@ -463,9 +476,10 @@
         self.rng = rng
         self.wait = 0.0
         self.due = math.inf
+        self.crowd = ASK_SPREAD
 
     def start(self, now: float) -> float:
-        self.due = now + self.rng.random() * ASK_SPREAD * self.settings.ask_within
+        self.due = now + self.rng.random() * self.crowd * self.settings.ask_within
         return self.due
 
     def asked(self, now: float) -> float:
@@ -498,6 +512,16 @@
         return self.deaf() and now > server.sure_at + TOLD_WITHIN
 
 
+def _numbers(row: object, count: int) -> list[float]:
+    """So many finite numbers, or a ValueError or TypeError."""
+    if not isinstance(row, list) or len(row) != count:
+        raise ValueError("not so many numbers")
+    numbers = [float(value) for value in row]
+    if not all(math.isfinite(number) for number in numbers):
+        raise ValueError("not finite")
+    return numbers
+
+
 class Balancer:
     """One sidecar's decisions: `handle` takes an event and returns the actions, in order."""
 
@@ -545,6 +569,69 @@
             self._drop(event.request)
         return self.actions
 
+    # Two processes of one sidecar
+
+    def follow(self) -> None:
+        """Another process of this sidecar serves still. To be called before the first event.
+
+        Discovery is asked at once: a process that is replaced starts alone, in no crowd.
+        """
+        self.discovery.crowd = 0.0
+        self.pair(True)
+
+    def pair(self, both: bool) -> None:
+        """Whether cold endpoints' allowances are shared with another process of this sidecar."""
+        self.cold.part = PAIR_PART if both else 1.0
+
+    def export(self) -> dict[str, object]:
+        """What it has learned, as numbers; tokens and allowances are shared out, and half of them kept."""
+        self.budget.tokens *= PAIR_PART
+        for server in self.ring:
+            server.allowance *= PAIR_PART
+        limit = self.admission
+        return {
+            "servers": {
+                str(s.info.id): [max(-1.0, float(getattr(s, name))) for name in CARRIED] for s in self.ring
+            },
+            "limit": [] if limit is None else [float(getattr(limit, name)) for name in CARRIED_LIMIT],
+            "times": [[*row] for row in zip(self.quick, self.spent, self.answered, strict=True)],
+            "tokens": self.budget.tokens,
+            "cold_rate": self.cold.rate,
+            "shed": self.shedding.level,
+        }
+
+    def adopt(self, learned: dict[str, object]) -> None:
+        """Take over what another process exported, for endpoints that are listed here.
+
+        A ValueError tells that it can't be read; nothing is taken then.
+        """
+        try:
+            rows, limit, times = learned["servers"], learned["limit"], learned["times"]
+            assert isinstance(rows, dict) and isinstance(limit, list) and isinstance(times, list)
+            known = {int(id): _numbers(row, len(CARRIED)) for id, row in rows.items()}
+            limits = _numbers(limit, len(CARRIED_LIMIT)) if limit else []
+            quick = [_numbers(row, 3) for row in times]
+            tokens, rate, shed = _numbers([learned[k] for k in ("tokens", "cold_rate", "shed")], 3)
+            if len(quick) != len(self.quick):
+                raise ValueError("other classes")
+        except (AssertionError, LookupError, TypeError, ValueError) as error:
+            raise ValueError(f"what was learned can't be read: {error}") from None
+        for id, row in known.items():
+            server = self.servers.get(id)
+            if server is not None:
+                for name, value in zip(CARRIED[:-1], row, strict=False):
+                    setattr(server, name, value)
+                server.missed = int(row[-1])
+        if self.admission is not None and limits:
+            for name, value in zip(CARRIED_LIMIT[:-1], limits, strict=False):
+                setattr(self.admission, name, value)
+            self.admission.answers = int(limits[-1])
+        for cls, (least, mean, answered) in enumerate(quick):
+            self.quick[cls], self.spent[cls], self.answered[cls] = least, mean, int(answered)
+        self.budget.tokens = min(BUDGET_CAPACITY, max(0.0, tokens))
+        self.cold.rate = rate
+        self.shedding.level = min(SHED_MOST, max(0.0, shed))
+
     # Requests
 
     def _arrived(self, now: float, event: RequestArrived) -> None:
--- /dev/null
+++ b/millgw/handover/state.py
@@ -0,0 +1,105 @@
+"""What an old process tells the one that takes over, as bytes: versioned, checked, bounded. Pure.
+
+    otterslip-handover 1 DIGEST\\n
+    {"at": Unix ms, "name": ..., "index": ..., "endpoints": [...], "drained": ..., "held": ..., ...}
+
+What is torn, foreign, of another version or too old is refused as a whole: half a state is worse than none.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import Any
+
+from millgw.interface import Endpoint
+from millgw.platform.config import read_address
+from millgw.platform.discovery import Listed
+
+VERSION = 1
+MOST = 8 * 1024 * 1024  # bytes, far above what any fleet's state takes
+FRESH = 5000.0  # ms; older than that, starts and ejections in it may be over
+MAGIC = b"otterslip-handover"
+
+
+class BadState(ValueError):
+    """No state that can be used; the text says why."""
+
+
+@dataclass(frozen=True)
+class State:
+    """One process's knowledge. `learned` is the module's own (see `Balancer.export`)."""
+
+    at: float
+    name: str
+    index: int | None
+    endpoints: tuple[Listed, ...]
+    drained: bool
+    held: int  # descriptors
+    learned: Any
+
+
+def encode(state: State) -> bytes:
+    """As it goes over."""
+    rows = [
+        [e.endpoint.id, e.endpoint.size, e.endpoint.cell, e.endpoint.zone, e.endpoint.since, str(e.address)]
+        for e in state.endpoints
+    ]
+    body = json.dumps(
+        {
+            "at": state.at, "name": state.name, "index": state.index, "endpoints": rows,
+            "drained": state.drained, "held": state.held, "learned": state.learned,
+        }
+    ).encode()  # fmt: skip
+    return b"%b %d %b\n%b" % (MAGIC, VERSION, _digest(body), body)
+
+
+def decode(data: bytes, name: str, now: float) -> State:
+    """The state of the process `name` by what came at `now` (Unix ms); a BadState says what is wrong."""
+    if len(data) > MOST:
+        raise BadState("it is too large")
+    head, end, body = data.partition(b"\n")
+    words = head.split(b" ")
+    if not end or len(words) != 3 or words[0] != MAGIC:
+        raise BadState("it is no hand-over")
+    if words[1] != b"%d" % VERSION:
+        raise BadState(f"its version is {words[1].decode('latin-1')}, not {VERSION}")
+    if words[2] != _digest(body):
+        raise BadState("it is torn")
+    try:
+        raw = json.loads(body)
+        state = State(
+            at=_number(raw["at"]),
+            name=str(raw["name"]),
+            index=None if raw["index"] is None else int(raw["index"]),
+            endpoints=tuple(_listed(row) for row in raw["endpoints"]),
+            drained=raw["drained"] is True,
+            held=int(raw["held"]),
+            learned=raw["learned"],
+        )
+    except (ValueError, TypeError, LookupError) as error:
+        raise BadState(f"it can't be read: {error}") from None
+    if state.name != name:
+        raise BadState(f"it is {state.name!r}'s")
+    if not -FRESH <= now - state.at <= FRESH:
+        raise BadState("it is too old")
+    return state
+
+
+def _listed(row: Any) -> Listed:
+    id, size, cell, zone, since, address = row
+    made = Endpoint(int(id), size=_number(size), cell=int(cell), zone=int(zone), since=_number(since))
+    return Listed(made, read_address(address))
+
+
+def _number(value: Any) -> float:
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f"{value!r} is no number")
+    return number
+
+
+def _digest(body: bytes) -> bytes:
+    return blake2b(body, digest_size=16).hexdigest().encode()
--- a/millgw/platform/descriptors.py
+++ b/millgw/platform/descriptors.py
@@ -13,15 +13,23 @@
     """Counts what both sides hold; a call that was taken goes before callers that ask nothing."""
 
     def __init__(self, sockets: int) -> None:
-        self.most = max(8, sockets - RESERVED)
-        self.most_callers = int(CALLERS_PART * self.most)
-        self.most_calls = int(CALLS_PART * self.most)
+        self.whole = max(8, sockets - RESERVED)
+        self.grant(self.whole)
         self.endpoints: Callable[[], int] = int
         self.callers: Callable[[], int] = int
         self.close_caller: Callable[[], bool] = bool
 
+    def grant(self, most: int) -> None:
+        """Hold no more than so many from now on: two processes of one sidecar share what there is."""
+        self.most = most
+        self.most_callers = int(CALLERS_PART * most)
+        self.most_calls = int(CALLS_PART * most)
+
+    def held(self) -> int:
+        return self.callers() + self.endpoints()
+
     def full(self) -> bool:
-        return self.callers() + self.endpoints() >= self.most
+        return self.held() >= self.most
 
     def make(self) -> bool:
         """Have a caller that asks nothing give its descriptor back; tells whether there was one."""
--- a/millgw/platform/discovery.py
+++ b/millgw/platform/discovery.py
@@ -134,6 +134,11 @@
         self.index = listing.index
         self.heard(ListKind.CACHED, listing.entries)
 
+    def adopt(self, index: int | None, entries: tuple[Listed, ...]) -> None:
+        """Take the list as another process of this sidecar had it a moment ago, in place of `start`."""
+        self.index = index
+        self.heard(ListKind.CACHED, entries)
+
     def subscribe(self) -> None:
         """Watch from the version that is known; a watch that is on or asked for ends."""
         if self.asking is not None:
--- a/millgw/pool/driver.py
+++ b/millgw/pool/driver.py
@@ -162,6 +162,13 @@
         """Those of them that are sent nothing now. Also asked from other threads: it changes nothing."""
         return len(self.draining) + self.balancer.avoided(self.clock())
 
+    def entries(self) -> tuple[Listed, ...]:
+        """The list as it stands, for the process that takes over."""
+        servers, hosts = self.balancer.servers, self.upstream.hosts
+        return tuple(
+            Listed(servers[id].info, hosts[id].address) for id in self.ready if id in servers and id in hosts
+        )
+
     def misses(self, endpoint: int) -> int:
         """How many attempts in a row found no connection to an endpoint."""
         server = self.balancer.servers.get(endpoint)
--- /dev/null
+++ b/millgw/sidecar/operators.py
@@ -0,0 +1,131 @@
+"""What is there for operators only: the door with its calls, and upgrades. Loaded where a door is told."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Mapping
+from logging import INFO, WARNING
+
+from millgw.callers.steering import steer
+from millgw.control.calls import Calls, said
+from millgw.control.door import Door
+from millgw.events import tell
+from millgw.figures import worded
+from millgw.handover import predecessor, terms
+from millgw.handover.heir import Heir
+from millgw.handover.state import State, encode
+from millgw.message import Answer, Content
+from millgw.platform.config import Address, Config
+from millgw.platform.discovery import Discovery, Listed
+from millgw.sidecar.parts import Parts
+
+JSON = b"Content-Type: application/json\r\n"
+WAIT = 0.02  # s between two looks whether this process can take over
+PAIR = 0.2  # s between two looks whether the old process is still there
+
+
+class Operators:
+    """The door of one process, the process before it and the one after it."""
+
+    def __init__(
+        self, config: Config, control: Address, environ: Mapping[str, str], parts: Parts
+    ) -> None:
+        self.config = config
+        self.control = control
+        self.parts = parts
+        life = parts.life
+        self.heir = Heir(self._snapshot, self._took_over)
+        calls = Calls()
+        calls.add("GET", "/-/ready", lambda _: said(life.ready(), "able to serve"))
+        calls.add("GET", "/-/metrics", lambda _: Answer(200, Content(JSON, worded(parts.pools()))))
+        calls.add("PUT", "/-/drain", lambda _: said(life.drain(time.monotonic()), "drained"))
+        calls.add("PUT", "/-/resume", lambda _: said(life.resume(), "serving"))
+        self.heir.add_to(calls)
+        self.path = predecessor.place(environ)
+        self.before = None if self.path is None else predecessor.find(self.path, control)
+        self.pairing: asyncio.Task[None] | None = None
+        self.door = Door(control, calls)
+        self.door.start()
+
+    @property
+    def steered(self) -> bool:
+        """Whether the process that took over has all new connections."""
+        return self.heir.steered
+
+    async def begin(self, stop: asyncio.Event) -> None:
+        """Have the pools begin; where another process serves, only return when this one can take over."""
+        if self.before is None:
+            self.parts.begin(None)
+            return
+        begun = time.monotonic()
+        state = await asyncio.to_thread(self.before.state, self.config.name)
+        self._pair(True, None if state is None else state.held)
+        self.parts.begin(state)
+        if state is not None and state.drained:
+            self.parts.life.drain(time.monotonic())
+        while not stop.is_set():
+            pools = self.parts.pools()
+            knows = any(pool.driver.ready for pool in pools)
+            heard = all(not pool.driver.balancer.discovery.deaf() for pool in pools)
+            if terms.may_serve(knows, heard, time.monotonic() - begun):
+                return
+            await asyncio.sleep(WAIT)
+
+    def serving(self) -> None:
+        """This process listens: have all new connections, leave word for the next, tell the one before."""
+        steered = self.before is not None and all(steer(s.socket) for s in self.parts.servers())
+        if self.path is not None:
+            try:
+                self.heir.token = predecessor.leave_word(self.path, self.control)
+            except OSError as error:
+                tell(WARNING, "handover-unusable", cause=error)
+        if self.before is not None:
+            self.pairing = asyncio.create_task(self._beside(self.before, steered))
+
+    async def _beside(self, before: predecessor.Predecessor, steered: bool) -> None:
+        await asyncio.to_thread(before.succeed, self.control, steered)
+        while await asyncio.to_thread(before.runs):
+            await asyncio.sleep(PAIR)
+        self._pair(False, 0)
+        tell(INFO, "alone", control=before.control)
+
+    def _pair(self, both: bool, held: int | None) -> None:
+        """Share what the sidecar has with the process before, which holds so much, or have all of it."""
+        descriptors = self.parts.descriptors
+        whole = descriptors.whole
+        theirs = whole // 2 if held is None else held
+        descriptors.grant(terms.descriptors(whole, theirs)[1] if both else whole)
+        for pool in self.parts.pools():
+            pool.driver.balancer.pair(both)
+
+    # The process after
+
+    async def succeeded(self) -> bool:
+        return await asyncio.to_thread(self.heir.there)
+
+    def _took_over(self) -> None:
+        descriptors = self.parts.descriptors
+        descriptors.grant(terms.descriptors(descriptors.whole, descriptors.held())[0])
+        for pool in self.parts.pools():
+            pool.driver.balancer.pair(True)
+
+    def _snapshot(self) -> bytes:
+        index: int | None = None
+        endpoints: tuple[Listed, ...] = ()
+        learned: dict[str, object] = {}
+        pools = self.parts.pools()
+        if len(pools) == 1 and isinstance(pools[0].source, Discovery):
+            pool = pools[0]
+            assert isinstance(pool.source, Discovery)
+            index, endpoints = pool.source.index, pool.driver.entries()
+            learned = pool.driver.balancer.export()
+        life, held = self.parts.life, self.parts.descriptors.held()
+        return encode(
+            State(time.time() * 1000, self.config.name, index, endpoints, life.drained, held, learned)
+        )
+
+    def stop(self) -> None:
+        self.door.stop()
+        if self.pairing is not None:
+            self.pairing.cancel()
--- /dev/null
+++ b/millgw/sidecar/parts.py
@@ -0,0 +1,120 @@
+"""A sidecar put together: with one pool for all requests, or with the services of an operator's file."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from functools import partial
+from logging import ERROR, INFO, WARNING
+from typing import TYPE_CHECKING
+
+from millgw.callers.plain import PlainFront
+from millgw.callers.server import Server
+from millgw.endpoints.upstream import ANSWERS_PART
+from millgw.events import tell
+from millgw.life import Life
+from millgw.platform.config import Config, ConfigError, read_config
+from millgw.platform.descriptors import Descriptors
+from millgw.platform.discovery import Discovery
+from millgw.pool.pool import Pool
+from millgw.pool.share import ANSWERS, BODIES, BODIES_PART, CALLS, CONNECTIONS, Whole
+
+if TYPE_CHECKING:
+    from millgw.handover.state import State
+
+OPERATOR = "BALANCER_OPERATOR"  # names the operator's file
+
+
+@dataclass(slots=True, frozen=True)
+class Parts:
+    """The callers' sides (one for each listener), the pools whose calls they take, what a SIGHUP does.
+
+    `begin` is called once, before anybody listens; with what another process of this sidecar knew, if any.
+    """
+
+    servers: Callable[[], Sequence[Server]]
+    pools: Callable[[], Sequence[Pool]]
+    reload: Callable[[], None]
+    life: Life
+    descriptors: Descriptors
+    begin: Callable[[State | None], None]
+
+
+def one(
+    config: Config, environ: Mapping[str, str], life: Life, tend: Callable[[Pool], object] | None = None
+) -> Parts:
+    descriptors = Descriptors(config.sockets)
+    whole = Whole(
+        {
+            CALLS: descriptors.most_calls,
+            CONNECTIONS: descriptors.most,
+            BODIES: int(BODIES_PART * config.memory),
+            ANSWERS: int(ANSWERS_PART * config.memory),
+        }
+    )
+    pool = Pool(
+        "", config, config.seed, descriptors, whole,
+        lambda heard, _: Discovery(config.discovery, config.zones, heard),
+    )  # fmt: skip
+    if tend is not None:
+        tend(pool)
+    assert isinstance(pool.source, Discovery)
+    front = PlainFront(pool, life)
+    server = Server(config.listen, descriptors, front, life)
+    descriptors.callers, descriptors.close_caller = server.held, server.give_way
+    begin = partial(_begin, config, pool)
+    reload = Reload(environ, config, pool.source)
+    return Parts(lambda: (server,), lambda: (pool,), reload, life, descriptors, begin)
+
+
+def _begin(config: Config, pool: Pool, state: State | None) -> None:
+    if state is None:
+        pool.start(config.known)
+        return
+    balancer = pool.driver.balancer
+    balancer.follow()
+    assert isinstance(pool.source, Discovery)
+    pool.source.adopt(state.index, state.endpoints)
+    try:
+        balancer.adopt(state.learned)
+    except ValueError as error:
+        tell(WARNING, "handover-unusable", cause=error)
+
+
+def several(config: Config, environ: Mapping[str, str], life: Life) -> Parts:
+    # Only here: an operator's file that is not given must cost nothing.
+    try:
+        from millgw.services.node import Node
+        from millgw.services.parts import attach
+    except ModuleNotFoundError as missing:
+        raise ConfigError(f"{OPERATOR}: needs {missing.name}: requirements-operator.txt") from None
+
+    node = Node(config, environ, environ[OPERATOR], life)
+    if not node.operator.services:
+        tends = node.operator.tends()
+        return one(config, environ, life, lambda pool: attach(pool, tends, config, config.seed))
+    # Services start as any other process does: what their pools have learned does not go over yet.
+    return Parts(*node.open(), life, node.shared, lambda _: None)
+
+
+class Reload:
+    """Reads the configuration again at each SIGHUP and applies what may change in service: `discovery`."""
+
+    def __init__(self, environ: Mapping[str, str], config: Config, discovery: Discovery) -> None:
+        self.environ = environ
+        self.config = config
+        self.discovery = discovery
+
+    def __call__(self) -> None:
+        before = self.config
+        try:
+            self.config = read_config(self.environ, before)
+        except ConfigError as error:
+            # Guards against a file that is half written or wrong: the sidecar serves on with what it has.
+            tell(ERROR, "reload-refused", cause=error)
+            return
+        for name in ("name", "listen", "sockets", "settings"):
+            if getattr(self.config, name) != getattr(before, name):
+                tell(WARNING, "reload-takes-restart", field=name)
+        tell(INFO, "reloaded")
+        self.discovery.move(self.config.discovery)
