Tests of upgrades: four under load with no request hit, new processes that die, drains

Real second processes beside running ones under 20 clients that keep connections: every request answered 200, none sent twice. A new process that dies leaves the old one serving; a drain goes over. A torn, foreign, old or changed state is refused whole at every byte (property). Word of a predecessor no longer goes by process id, which may be this one's.

--- a/millgw/handover/predecessor.py
+++ b/millgw/handover/predecessor.py
@@ -117,8 +117,7 @@
     except (OSError, ValueError, LookupError, TypeError) as error:
         tell(WARNING, "handover-unusable", pid=0, cause=error)
         return None
-    # One at this process's own door has ended, whoever has its number now.
-    if found.pid == os.getpid() or found.control == own_control or not found.runs():
+    if found.control == own_control or not found.runs():  # one at this process's own door has ended
         return None
     tell(INFO, "predecessor", pid=found.pid, control=found.control)
     return found
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,382 @@
+"""Upgrades: what goes over, and real second processes beside running ones under load."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from millgw.callers.server import share_address
+from millgw.callers.steering import steer
+from millgw.handover import terms
+from millgw.handover.predecessor import FILE, find, leave_word
+from millgw.handover.state import FRESH, BadState, State, decode, encode
+from millgw.interface import Endpoint, Outcome
+from millgw.platform.config import Address
+from millgw.platform.discovery import Listed
+from millgw.standins.address import free_address
+from millgw.standins.scripted import STREAM, ScriptedCadastro, ScriptedEndpoint, chunk, line, read_message
+from tests.rig import SETTINGS, request, run, until
+from tests.support import drive
+from tests.test_control import call
+
+# The state
+
+LISTED = Listed(Endpoint(7, size=2.0, cell=1, zone=0, since=5.0), Address("127.0.0.1", 80))
+STATE = State(1000.0, "n1", 41, (LISTED,), True, 12, {"tokens": 3.5})
+
+
+def test_a_state_comes_over_as_it_was() -> None:
+    assert decode(encode(STATE), "n1", 1000.0) == STATE
+
+
+@given(st.data())
+def test_a_torn_or_changed_state_is_refused_whole(data: st.DataObject) -> None:
+    whole = encode(STATE)
+    if data.draw(st.booleans()):
+        bad = whole[: data.draw(st.integers(0, len(whole) - 1))]
+    else:
+        at = data.draw(st.integers(0, len(whole) - 1))
+        bad = whole[:at] + bytes([whole[at] ^ data.draw(st.integers(1, 255))]) + whole[at + 1 :]
+    with pytest.raises(BadState):
+        decode(bad, "n1", 1000.0)
+
+
+@pytest.mark.parametrize(
+    ("data", "name", "now", "says"),
+    [
+        (encode(STATE), "n2", 1000.0, "'n1'"),
+        (encode(STATE), "n1", 1001.0 + FRESH, "old"),
+        (encode(STATE).replace(b"handover 1", b"handover 2"), "n1", 1000.0, "version is 2"),
+        (encode(replace(STATE, endpoints=(replace(LISTED, address=None),))), "n1", 1000.0, "read"),
+    ],
+)
+def test_a_foreign_old_or_unreadable_state_is_refused(data: bytes, name: str, now: float, says: str) -> None:
+    with pytest.raises(BadState, match=says):
+        decode(data, name, now)
+
+
+def test_what_the_module_learned_goes_over_and_tokens_are_shared_out() -> None:
+    old, new = drive(6), drive(6)
+    for n in range(60):
+        number = old.arrive()
+        ill = old.sent_to(number)[0] == 3
+        old.advance(old.now + 20)
+        old.outcome(number, 0, Outcome.ERROR if ill and n < 40 else Outcome.OK)
+        old.advance(old.now + 500)
+    before = old.balancer.budget.tokens
+    learned = old.balancer.export()
+    new.now = old.now
+    new.balancer.adopt(json.loads(json.dumps(learned)))
+    assert old.balancer.budget.tokens + new.balancer.budget.tokens == pytest.approx(before)
+    for id, server in old.balancer.servers.items():
+        other = new.balancer.servers[id]
+        assert other.failing == server.failing and other.slow == server.slow
+        assert (old.now < other.ejected_until) == (old.now < server.ejected_until)
+    assert old.balancer.servers[3].failing > 0
+    assert new.balancer.quick == old.balancer.quick
+    assert new.balancer.admission is not None and old.balancer.admission is not None
+    assert new.balancer.admission.each == old.balancer.admission.each
+    assert new.balancer.avoided(new.now) == old.balancer.avoided(old.now)
+
+
+@pytest.mark.parametrize("field", ["servers", "limit", "times", "tokens"])
+def test_learned_words_that_cannot_be_read_change_nothing(field: str) -> None:
+    old, new = drive(3), drive(3)
+    learned = old.balancer.export()
+    tokens, times = new.balancer.budget.tokens, list(new.balancer.quick)
+    servers = {id: server.failing for id, server in new.balancer.servers.items()}
+    for bad in (None, [["x"]], {"1": [1]}, float("nan")):
+        with pytest.raises(ValueError, match="learned"):
+            new.balancer.adopt(learned | {field: bad})
+    assert new.balancer.budget.tokens == tokens and new.balancer.quick == times
+    assert {id: server.failing for id, server in new.balancer.servers.items()} == servers
+
+
+@given(most=st.integers(8, 5000), held=st.integers(0, 6000))
+def test_two_processes_never_hold_more_descriptors_than_one(most: int, held: int) -> None:
+    old, new = terms.descriptors(most, held)
+    assert old + new <= most and old >= min(held, most) and new >= 0
+
+
+@given(st.booleans(), st.booleans(), st.floats(0, 10))
+def test_yes_is_said_when_it_can_serve_and_knows_what_changed(knows: bool, heard: bool, since: float) -> None:
+    yes = terms.may_serve(knows, heard, since)
+    assert not yes or knows
+    assert yes or not (knows and heard)
+    assert yes or not (knows and since > 2.5), "a silent discovery must not keep it from serving"
+
+
+def test_a_pair_sends_a_cold_endpoint_no_more_than_one() -> None:
+    """Both allowances together grow as one does alone."""
+    alone, one, other = drive(6), drive(6), drive(6)
+    for each in (one, other):
+        each.balancer.pair(True)
+    for each in (alone, one, other):
+        each.balancer.cold.rate = 0.05
+        each.show(*[replace(e.info, since=each.now - 1) for e in each.balancer.servers.values()])
+        for server in each.balancer.servers.values():
+            server.allowance, server.allowed_at = 0.0, each.now
+
+    def grown(d: object) -> float:
+        balancer = d.balancer  # type: ignore[attr-defined]
+        server = balancer.servers[1]
+        balancer.cold.admits(server, d.now + 30.0)  # type: ignore[attr-defined]
+        return float(server.allowance)
+
+    assert grown(one) + grown(other) == pytest.approx(grown(alone)) and grown(alone) > 0
+
+
+# The place where they meet
+
+
+def test_word_of_a_process_that_ended_or_that_is_unreadable_is_no_predecessor(tmp_path: Path) -> None:
+    path, mine = tmp_path / FILE, free_address()
+    assert find(path, mine) is None
+    leave_word(path, free_address())
+    assert find(path, mine) is None, "nobody listens there"
+    with socket.socket() as door:
+        door.bind(("127.0.0.1", 0))
+        door.listen()
+        address = Address("127.0.0.1", door.getsockname()[1])
+        token = leave_word(path, address)
+        found = find(path, mine)
+        assert found is not None and found.token == token
+        assert path.stat().st_mode & 0o077 == 0, "others can read the token"
+        assert find(path, address) is None, "its own door"
+        path.write_bytes(path.read_bytes()[:20])
+        assert find(path, mine) is None
+
+
+def test_the_kernel_gives_new_connections_to_the_last_listener_and_back() -> None:
+    def listen(port: int) -> socket.socket:
+        made = socket.socket()
+        share_address(made)
+        made.bind(("127.0.0.1", port))
+        made.listen(100)
+        made.setblocking(False)
+        return made
+
+    def accepted(listener: socket.socket) -> int:
+        count = 0
+        while True:
+            try:
+                listener.accept()[0].close()
+            except BlockingIOError:
+                return count
+            count += 1
+
+    old = listen(0)
+    port = old.getsockname()[1]
+    new = listen(port)
+    if not steer(new):
+        pytest.skip("this kernel does not steer")
+    clients = [socket.create_connection(("127.0.0.1", port)) for _ in range(40)]
+    assert (accepted(old), accepted(new)) == (0, 40)
+    new.close()
+    clients += [socket.create_connection(("127.0.0.1", port)) for _ in range(10)]
+    assert accepted(old) == 10, "the old one serves on if the new one dies"
+    third = listen(port)
+    clients += [socket.create_connection(("127.0.0.1", port)) for _ in range(10)]
+    assert (accepted(old), accepted(third)) == (0, 10)
+    for each in (*clients, old, third):
+        each.close()
+
+
+# Processes
+
+
+class Platform:
+    """Starts processes of one sidecar, with a discovery and endpoints round them."""
+
+    def __init__(self, folder: Path, endpoints: list[ScriptedEndpoint], discovery: ScriptedCadastro) -> None:
+        self.folder = folder
+        self.listen = free_address()
+        self.endpoints = endpoints
+        self.discovery = discovery
+        self.running: list[subprocess.Popen[bytes]] = []
+        deadlines = [c | {"deadline": 3000.0} for c in SETTINGS["classes"]]
+        told = {
+            "name": "n1", "listen": str(self.listen), "discovery": str(discovery.address), "seed": "1",
+            "known": {"index": 1, "snapshot": True, "endpoints": [e.entry() for e in endpoints]},
+            "limits": {"sockets": 384, "memory_mb": 80}, "settings": SETTINGS | {"classes": deadlines},
+        }  # fmt: skip
+        (folder / "config.json").write_text(json.dumps(told))
+
+    async def start(self) -> tuple[subprocess.Popen[bytes], Address]:
+        """A further process, once its door says yes."""
+        door = free_address()
+        environ = os.environ | {
+            "BALANCER_CONFIG": str(self.folder / "config.json"), "BALANCER_CONTROL": str(door),
+            "TMPDIR": str(self.folder),
+        }  # fmt: skip
+        with (self.folder / "log").open("ab") as log:
+            process = subprocess.Popen([sys.executable, "-m", "millgw.sidecar"], env=environ, stderr=log)
+        self.running.append(process)
+        while True:
+            assert process.poll() is None, (self.folder / "log").read_text()
+            try:
+                if (await call(door, "GET", "/-/ready"))[0] == 200:
+                    return process, door
+            except OSError:
+                pass
+            await asyncio.sleep(0.02)
+
+    async def ended(self, process: subprocess.Popen[bytes]) -> float:
+        """Tell it to end; the seconds until it has."""
+        begun = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        assert await asyncio.to_thread(process.wait) == 0
+        return time.monotonic() - begun
+
+
+@asynccontextmanager
+async def platform(folder: Path, endpoints: int = 3) -> AsyncIterator[Platform]:
+    discovery = ScriptedCadastro()
+    await discovery.start()
+    spots = [ScriptedEndpoint(f"e{i}") for i in range(endpoints)]
+    for spot in spots:
+        await spot.start()
+    made = Platform(folder, spots, discovery)
+
+    async def watched() -> None:
+        while True:
+            _, writer = await discovery.calls.get()
+            writer.write(STREAM + chunk(line(2, [])))
+
+    watching = asyncio.create_task(watched())
+    try:
+        yield made
+    finally:
+        watching.cancel()
+        for process in made.running:
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+
+
+class Crowd:
+    """Clients that keep connections, and count what becomes of each request."""
+
+    def __init__(self, listen: Address) -> None:
+        self.listen = listen
+        self.seen: Counter[str] = Counter()
+        self.sent = 0
+
+    async def client(self, pause: float) -> None:
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection(self.listen.host, self.listen.port)
+            except OSError:
+                self.seen["refused"] += 1
+                continue
+            again = True
+            while again:
+                self.sent += 1
+                try:
+                    writer.write(request("pay"))
+                    answer = await read_message(reader)
+                    self.seen[str(answer.status)] += 1
+                    again = answer.headers.get("connection") != "close"
+                except (OSError, asyncio.IncompleteReadError, ValueError):
+                    self.seen["broken"] += 1
+                    again = False
+                except asyncio.CancelledError:
+                    writer.close()
+                    raise
+                await asyncio.sleep(pause)
+            writer.close()
+
+
+def test_upgrades_under_load_hit_no_request_and_double_none(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with platform(tmp_path) as fleet:
+            process, _ = await fleet.start()
+            crowd = Crowd(fleet.listen)
+            clients = [asyncio.create_task(crowd.client(0.002 * (n % 10))) for n in range(20)]
+            for _ in range(4):
+                after, _ = await fleet.start()
+                await asyncio.sleep(0.2)
+                assert await fleet.ended(process) < 3.5
+                process = after
+            for each in clients:
+                each.cancel()
+            await asyncio.gather(*clients, return_exceptions=True)
+            assert set(crowd.seen) == {"200"}, crowd.seen
+            assert crowd.seen["200"] > 200
+            traces = Counter(m.headers["x-trace-id"] for spot in fleet.endpoints for m in spot.got)
+            assert max(traces.values()) == 1, "an unsafe request was sent twice"
+            log = (tmp_path / "log").read_text()
+            assert log.count("successor") == 4 and "handover-unusable" not in log
+            assert log.count("steered=1") in (0, 4)
+
+    run(test)
+
+
+def test_a_new_process_that_dies_leaves_the_old_one_serving(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with platform(tmp_path) as fleet:
+            old, door = await fleet.start()
+            new, _ = await fleet.start()
+            new.kill()
+            new.wait()
+            reader, writer = await asyncio.open_connection(fleet.listen.host, fleet.listen.port)
+            for _ in range(2):
+                writer.write(request("pay"))
+                assert (await read_message(reader)).status == 200
+            writer.close()
+            assert (await call(door, "GET", "/-/ready"))[0] == 200
+            third, _ = await fleet.start()
+            assert await fleet.ended(old) < 3.5
+            assert third.poll() is None
+
+    run(test)
+
+
+def test_an_upgrade_while_drained_stays_drained_and_open_calls_are_answered(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with platform(tmp_path) as fleet:
+            go = asyncio.Event()
+
+            async def slow(message: object, _: object) -> bytes:
+                await go.wait()
+                return b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+
+            old, door = await fleet.start()
+            for spot in fleet.endpoints:
+                spot.script = slow
+            reader, writer = await asyncio.open_connection(fleet.listen.host, fleet.listen.port)
+            writer.write(request("pay", patience=3000))
+            await until(lambda: sum(len(spot.got) for spot in fleet.endpoints) == 1)
+            assert (await call(door, "PUT", "/-/drain"))[0] == 200
+            _, second = await fleet.start()
+            asked, writing = await asyncio.open_connection(fleet.listen.host, fleet.listen.port)
+            writing.write(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert (await read_message(asked)).status == 503, "the new one does not know of the drain"
+            old.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.2)
+            for path in ("/-/drain", "/-/resume"):
+                assert (await call(door, "PUT", path))[0] == 503, "it is leaving"
+            go.set()
+            assert (await read_message(reader)).status == 200, "taken by the old one, and answered there"
+            assert await asyncio.to_thread(old.wait) == 0
+            assert (await call(second, "PUT", "/-/resume"))[0] == 200
+            asked, writing = await asyncio.open_connection(fleet.listen.host, fleet.listen.port)
+            writing.write(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert (await read_message(asked)).status == 200
+
+    run(test)
