Long answers are passed on as they come, in little room, in every form of framing

An answer longer than 64 KiB, or of unknown length and still coming after 0.3 s, begins with what has come and goes on with back-pressure on both connections; its window follows the memory and the number of streams (millgw/streams/room.py). The module hears that it ended when it begins. Up to 64 KiB all stays as it was, but that an answer must go on within 1 s in place of being whole then. A client that closes is waited for as long as it reads. Endpoint connections read into one buffer.

--- a/millgw/callers/connection.py
+++ b/millgw/callers/connection.py
@@ -12,15 +12,17 @@
 from logging import INFO
 from typing import Protocol
 
-from millgw.callers.core import RequestCore, word_answer
+from millgw.callers.core import RequestCore, word_answer, word_begin
 from millgw.events import tell
-from millgw.message import Answer, Content, unread, watcher
+from millgw.message import FAILED, SERVED, Answer, Content, unread, watcher
 from millgw.pool.call import Call
 from millgw.request import BadRequest, Head
+from millgw.streams.flow import Flow
 
 SLICE = 1024  # bytes that are parsed before a request in them is served: what is behind it stays unparsed
 LINGER = 0.5  # s that a connection stays open after a last 4xx, so that a client still sending can read it
-STUCK_TIME = 3.0  # s that a closing connection waits for its client to read the last answer
+STUCK_TIME = 3.0  # s in which the client of a closing connection must read more of the last answer
+STREAM_STALL = 15.0  # s in which a client must read more of an answer that is passed on to it
 MAX_DISCARD = 256 * 1024  # bytes read and thrown away in that time
 BAD_PAUSE = 0.1  # s that a connection rests after a bad request, twice as long after each further one
 MAX_BAD = 4  # bad requests in a row, after which it ends
@@ -81,6 +83,10 @@
         self.waits = False
         self.current: Call | None = None
         self.serves: Head | None = None  # the request that `current` is of
+        self.flow: Flow | None = None  # the answer that is being passed on
+        self.chunked = False  # it goes out in chunks
+        self.left_to_read = 0  # bytes of answers that were not taken when last looked
+        self.moved = 0.0  # s, when the client last took some
         self.bad = 0
         self.discarded = 0
         self.resting: asyncio.TimerHandle | None = None
@@ -93,7 +99,8 @@
 
     @property
     def busy(self) -> bool:
-        return self.current is not None or self.resting is not None or bool(self.core.queue)
+        open = self.current is not None or self.flow is not None
+        return open or self.resting is not None or bool(self.core.queue)
 
     @property
     def reading(self) -> bool:
@@ -124,8 +131,26 @@
             return
         transport.close()
         if transport.get_write_buffer_size():
-            # Guards against a client that does not read its last answer, and would hold it for ever.
-            self.lingering = self.server.loop.call_later(STUCK_TIME, transport.abort)
+            self.left_to_read = transport.get_write_buffer_size()
+            self.lingering = self.server.loop.call_later(STUCK_TIME, self._linger)
+
+    def _linger(self) -> None:
+        """Guards against a client that does not read its last answer, and would hold it for ever."""
+        self.lingering = None
+        transport = self.transport
+        if transport is None:
+            return
+        left = transport.get_write_buffer_size()
+        if left >= self.left_to_read:
+            transport.abort()
+        else:
+            self.left_to_read = left
+            self.lingering = self.server.loop.call_later(STUCK_TIME, self._linger)
+
+    def abort(self) -> None:
+        """End it at once: its client takes nothing."""
+        if self.transport is not None:
+            self.transport.abort()
 
     def _release(self) -> None:
         """Give back what bodies take that are not being served."""
@@ -215,10 +240,14 @@
     def pause_writing(self) -> None:
         """Guards against a client that asks and never reads its answers."""
         self.unread_answers = True
+        if self.flow is not None:
+            self.flow.hold()
         self._read()
 
     def resume_writing(self) -> None:
         self.unread_answers = False
+        if self.flow is not None:
+            self.flow.go_on()
         self._go_on()
 
     def eof_received(self) -> None:
@@ -236,9 +265,13 @@
         self.core.queue.clear()
         self.core.head = None
         call, self.current = self.current, None
+        flow, self.flow = self.flow, None
         if call is not None:
             self._served()
             call.owner.left(call)
+        if flow is not None:
+            self._served()
+            flow.cancel()
 
     def _served(self) -> None:
         head, self.serves = self.serves, None
@@ -263,7 +296,9 @@
             return
         self.serving = True
         queue = self.core.queue
-        while queue and self.current is None and self.resting is None and not self.unread_answers:
+        while queue and not self.unread_answers:
+            if self.current is not None or self.flow is not None or self.resting is not None:
+                break
             item = queue.popleft()
             if isinstance(item, BadRequest):
                 self._end_badly(item)
@@ -290,6 +325,9 @@
 
     def _answer(self, answer: Answer) -> None:
         self.current = None
+        if answer.flow is not None:
+            self._pass_on(answer, answer.flow)
+            return
         head = self.serves
         if head is not None and head.pool is not None:
             head.pool.answered(head, answer.status)
@@ -299,6 +337,63 @@
         if not self.serving:
             self._go_on()
 
+    # An answer that is passed on as it comes
+
+    def _pass_on(self, answer: Answer, flow: Flow) -> None:
+        transport, head = self.transport, self.serves
+        if transport is None or transport.is_closing() or head is None:
+            flow.cancel()
+            return
+        head.release()
+        self.flow = flow
+        self.chunked = flow.length is None and head.version == "1.1"
+        if flow.length is None and not self.chunked:
+            self.keep = False  # its end is the connection's
+        transport.set_write_buffer_limits(high=flow.window)
+        self.moved = time.monotonic()
+        transport.write(word_begin(answer, flow.length, self.chunked, not self.keep or self.server.stopping))
+        flow.sink = self
+
+    def pass_on(self, data: bytes) -> None:
+        if data and self.transport is not None:
+            self.transport.write(b"%x\r\n%b\r\n" % (len(data), data) if self.chunked else data)
+
+    def finished(self) -> None:
+        if self.chunked and self.transport is not None:
+            self.transport.write(b"0\r\n\r\n")
+        self._passed(SERVED)
+        self._after()
+        if not self.serving:
+            self._go_on()
+
+    def broken_off(self) -> None:
+        """The rest won't come: the connection ends in its midst, which the client can tell."""
+        until_close = self.flow is not None and self.flow.length is None and not self.chunked
+        self._passed(FAILED)
+        if until_close and self.transport is not None:
+            self.transport.abort()
+        self.close()
+        self.core.queue.clear()
+
+    def _passed(self, status: int) -> None:
+        """Its answer has ended."""
+        self.flow = None
+        head = self.serves
+        if head is not None and head.pool is not None:
+            head.pool.answered(head, status)
+        self._served()
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.set_write_buffer_limits()
+
+    def stuck(self, now: float) -> bool:
+        """Whether its client takes nothing of an answer that is passed on, for too long."""
+        if self.flow is None or self.transport is None:
+            return False
+        left = self.transport.get_write_buffer_size()
+        if left != self.left_to_read or not left:
+            self.left_to_read, self.moved = left, now
+        return now > self.moved + STREAM_STALL
+
     def _rested(self) -> None:
         self.resting = None
         self._go_on()
--- a/millgw/callers/core.py
+++ b/millgw/callers/core.py
@@ -46,6 +46,18 @@
     )
 
 
+def word_begin(answer: Answer, length: int | None, chunked: bool, close: bool) -> bytes:
+    """The head of an answer whose body follows as it comes: of this length, in chunks, or until the end."""
+    headers = answer.content.headers
+    if length is not None:
+        headers += b"Content-Length: %d\r\n" % length
+    elif chunked:
+        headers += b"Transfer-Encoding: chunked\r\n"
+    if close:
+        headers += b"Connection: close\r\n"
+    return b"HTTP/1.1 %d %b\r\n%b\r\n" % (answer.status, REASONS[answer.status], headers)
+
+
 class RequestCore:
     """One connection's requests. `gate` is asked whose a request is once its headers have ended.
 
--- a/millgw/callers/server.py
+++ b/millgw/callers/server.py
@@ -166,6 +166,8 @@
         now = time.monotonic()
         for connection in [c for c in self.connections if c.reading and c.since + READ_TIME < now]:
             connection.refuse(BadRequest(408, "the request did not come to its end"))
+        for connection in [c for c in self.connections if c.stuck(now)]:
+            connection.abort()
         for connections, most in ((self.fresh, SILENT_TIME), (self.kept, KEEP_TIME)):
             self._close_quiet(connections, most)
         if self.life.closes_idle(now):
--- a/millgw/endpoints/attempt.py
+++ b/millgw/endpoints/attempt.py
@@ -21,6 +21,7 @@
 
 from millgw.interface import Outcome, Repeat
 from millgw.message import Content
+from millgw.streams.flow import Flow
 
 CONNECTING: Final = 0
 HELD: Final = 1
@@ -29,6 +30,7 @@
 ENDED: Final = 4
 
 Ended = Callable[[Outcome, Content], None]
+Began = Callable[[Flow], bool]
 
 
 class Carrier(Protocol):
@@ -42,14 +44,22 @@
     """One attempt: connecting, then on its connection, until it has ended or is given up.
 
     `payload` is called when it is written, as it tells the time that is left by then. `ended` is called once,
-    unless the attempt is given up before.
+    unless the attempt is given up before. A long answer that begins to be passed on ends it as well: `began`
+    is called in place of `ended`, and tells whether anybody waits for the answer.
     """
 
-    __slots__ = ("carrier", "connecting", "ended", "payload", "repeat", "state")
+    __slots__ = ("began", "carrier", "connecting", "ended", "payload", "repeat", "state")
 
-    def __init__(self, payload: Callable[[], bytes], ended: Ended, repeat: Repeat = Repeat.UNSAFE) -> None:
+    def __init__(
+        self,
+        payload: Callable[[], bytes],
+        ended: Ended,
+        repeat: Repeat = Repeat.UNSAFE,
+        began: Began | None = None,
+    ) -> None:
         self.payload = payload
         self.ended = ended
+        self.began = began
         self.repeat = repeat
         self.state = CONNECTING
         self.connecting: asyncio.Task[bool] | None = None
@@ -66,6 +76,14 @@
             self.carrier = None
             self.ended(outcome, content)
 
+    def begin(self, flow: Flow) -> bool:
+        """Its answer is passed on from now on; tells whether anybody waits for it."""
+        if self.state == ENDED or self.began is None:
+            return False
+        self.state = ENDED
+        self.carrier = None
+        return self.began(flow)
+
     def give_up(self) -> bool:
         """Stop waiting, without a call to `ended`; tells whether the attempt may have run, or may yet."""
         written = self.state == WRITTEN
--- a/millgw/endpoints/connection.py
+++ b/millgw/endpoints/connection.py
@@ -21,8 +21,13 @@
 from millgw.interface import Outcome
 from millgw.message import NOTHING, unconfirmed, unread, watcher
 from millgw.platform.config import Address
+from millgw.streams.flow import Flow
+from millgw.streams.room import StreamRoom
 
-ANSWER_TIME = 1.0  # s from an answer's first byte to its last: it is small and comes at once
+ANSWER_TIME = 1.0  # s in which more of an answer must come: one that has stopped half-way is tried elsewhere
+OPEN_TIME = 0.3  # s after which an answer of unknown length is passed on, as it may become a long one
+STILL_COMES = 0.2  # s since its last bytes, up to which it has not stopped half-way
+STREAM_STALL = 15.0  # s in which an answer that is passed on must go on, unless its caller takes none of it
 
 
 class Host:
@@ -62,6 +67,8 @@
     held: int
     held_back: int
     written: int
+    buffer: bytearray
+    streams: StreamRoom
 
     def most_held(self) -> int:
         """Bytes of answers that may be coming in at once."""
@@ -100,6 +107,9 @@
         self.idle_since = 0.0  # ms
         self.opened = 0.0  # ms
         self.stalled: asyncio.TimerHandle | None = None
+        self.flow: Flow | None = None  # its answer, while it is passed on
+        self.arrived = 0.0  # s, of the last bytes of an answer that was not whole
+        self.held = False  # nothing is read: the caller does not take it
         self.waits = False  # its answer is whole and waits for its lane's turn
 
     def abort(self) -> None:
@@ -242,8 +252,17 @@
         elif self.holding is None:
             self._complete()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        return self.home.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self._received(bytes(memoryview(self.home.buffer)[:nbytes]))
+
+    def _received(self, data: bytes) -> None:
         attempt, core = self.attempt, self.core
+        if self.flow is not None and core is not None:
+            self._goes_on(core, data)
+            return
         if attempt is None or core is None:
             # Guards against a late answer that would be taken for the next request's.
             after = time.monotonic() * 1000 - self.idle_since
@@ -255,7 +274,7 @@
             return
         if self.waits:
             self.turn()  # guards against bytes behind an answer that would be read as a part of it
-            self.data_received(data)
+            self._received(data)
             return
         read = core.feed(data)
         grown = len(core.body) - self.counted
@@ -276,8 +295,112 @@
             self._spoilt("too much is being answered")
         elif not core.reading:
             self._stop_timers()  # a 1xx answer has ended: the next may take its time
-        elif self.stalled is None:
-            self.stalled = self.home.loop.call_later(ANSWER_TIME, self._spoilt, "it stopped half-way")
+        elif core.long and attempt.state == WRITTEN:
+            self._begin_flow()
+        else:
+            # What comes in one read is whole mostly: only what does not needs a timer.
+            self.arrived = time.monotonic()
+            if self.stalled is None:
+                within = OPEN_TIME if core.open_ended else ANSWER_TIME
+                self.stalled = self.home.loop.call_later(within, self._look)
+
+    def _look(self) -> None:
+        """An answer is not whole yet: it has stopped half-way, or it goes on and may be a long one."""
+        self.stalled = None
+        if self.attempt is None or self.core is None or not self.core.reading:
+            return
+        quiet = time.monotonic() - self.arrived
+        if self.core.open_ended and quiet <= STILL_COMES and self.attempt.state == WRITTEN:
+            self._begin_flow()
+        elif quiet < ANSWER_TIME - 0.001:
+            within = OPEN_TIME if self.core.open_ended else ANSWER_TIME - quiet
+            self.stalled = self.home.loop.call_later(within, self._look)
+        else:
+            self._spoilt("it stopped half-way")
+
+    # An answer that is passed on as it comes
+
+    def _begin_flow(self) -> None:
+        attempt, core, home = self.attempt, self.core, self.home
+        assert attempt is not None and core is not None
+        if home.streams.full():
+            self._spoilt("too many long answers are being passed on")
+            return
+        self._stop_timers()
+        first = bytes(core.body)
+        core.body.clear()
+        home.held -= self.counted
+        self.counted = 0
+        flow = Flow(self, core.headers, None if core.length < 0 else core.length, home.streams.enter())
+        flow.over_calls.append(self._flow_over)
+        core.sink = flow.data
+        self.flow = flow
+        self.attempt = attempt.carrier = None
+        self.arrived = time.monotonic()
+        if attempt.begin(flow):
+            flow.data(first)
+            if not flow.over:
+                self.stalled = home.loop.call_later(STREAM_STALL, self._look_at_flow)
+        else:
+            flow.cancel()
+
+    def _flow_over(self, flow: Flow) -> None:
+        self.flow = None
+        self.go_on()  # guards against a kept connection that is never read again
+        self.home.streams.leave()
+        self._stop_timers()
+
+    def _goes_on(self, core: AnswerCore, data: bytes) -> None:
+        self.arrived = time.monotonic()
+        flow = self.flow
+        read = core.feed(data)
+        if flow is None or flow.over:
+            return  # its caller left at these bytes
+        if read == WHOLE:
+            # Kept only once its answer is out, and on the books as idle before what its end causes.
+            if core.reusable:
+                self.idle_since = time.monotonic() * 1000
+                self.reused = True
+                self.home.keep(self)
+            else:
+                self.abort()
+            flow.end()
+        elif read == SPOILT:
+            self._break_flow(core.why)
+
+    def _break_flow(self, why: str) -> None:
+        flow = self.flow
+        tell(WARNING, "answer-broken-off", endpoint=self.host.address, cause=why)
+        self.abort()
+        if flow is not None:
+            flow.break_off()
+
+    def _look_at_flow(self) -> None:
+        self.stalled = None
+        quiet = time.monotonic() - self.arrived
+        if self.held:
+            self.stalled = self.home.loop.call_later(STREAM_STALL, self._look_at_flow)
+        elif quiet < STREAM_STALL - 0.001:
+            self.stalled = self.home.loop.call_later(STREAM_STALL - quiet, self._look_at_flow)
+        else:
+            self._break_flow("it stopped half-way")
+
+    def hold(self) -> None:
+        """The caller takes no more for now."""
+        if not self.held and self.transport is not None and not self.transport.is_closing():
+            self.held = True
+            self.transport.pause_reading()
+
+    def go_on(self) -> None:
+        if self.held and self.transport is not None:
+            self.held = False
+            self.arrived = time.monotonic()
+            if not self.transport.is_closing():
+                self.transport.resume_reading()
+
+    def abandon(self) -> None:
+        """Nobody waits for the rest of the answer."""
+        self.abort()
 
     def turn(self) -> None:
         """Its lane's turn has come: what its answer causes happens now."""
@@ -304,10 +427,21 @@
 
     def eof_received(self) -> None:
         self.host.broken = time.monotonic() * 1000
+        core, attempt, flow = self.core, self.attempt, self.flow
+        if core is not None and not self.waits and core.reading and core.finish():
+            self.abort()
+            if flow is not None:
+                flow.end()
+            elif attempt is not None:
+                self._stop_timers()
+                self._finish(core.outcome())
+            return
         self.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.turn()  # guards against a whole answer that would be told as a reset
+        if self.flow is not None:
+            self._break_flow("its connection broke")
         if self.core is not None:
             self.core.close()
         self.home.lost(self)
--- a/millgw/endpoints/core.py
+++ b/millgw/endpoints/core.py
@@ -2,21 +2,27 @@
 
 What comes is not believed: the first whole answer counts and nothing behind it, 1xx answers are passed over
 with their headers, and what can't be read or is too large is spoilt: an attempt that failed and may have run.
+
+A body is held until it is whole, or goes to `sink` as it comes once there is one. One that ends with its
+connection is whole at the connection's end, if its head said that the connection would end.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Final
 
 import httptools
 
 from millgw.interface import Outcome
 from millgw.message import FRAMING_PART, MAX_HEAD, OWN_HEADERS, Content
+from millgw.streams.room import LONG
 
 MORE: Final = 0  # the answer is not whole yet
 WHOLE: Final = 1
 SPOILT: Final = 2
 
+MOST: Final = 64 * 1024 * 1024  # bytes of an answer: a length beyond it is a fault and not a long answer
 BUSY: Final = frozenset({408, 425, 429})  # the 4xx that speak of the endpoint, not of the request
 
 
@@ -24,8 +30,8 @@
     """One connection's answers, one after another; `begin` before each."""
 
     __slots__ = (
-        "body", "framing", "headers", "in_head", "most_body", "never_ran", "parser", "reading", "reusable",
-        "status", "whole", "why",
+        "body", "closes", "framing", "headers", "in_head", "length", "most_body", "never_ran", "parser",
+        "reading", "reusable", "sink", "sized", "status", "taken", "whole", "why",
     )  # fmt: skip
 
     def __init__(self, most_body: int) -> None:
@@ -38,6 +44,8 @@
         """Nothing of this answer has come yet."""
         self._begin_message()
         self.body.clear()
+        self.sink: Callable[[bytes], None] | None = None
+        self.taken = 0  # bytes of its body so far
         self.framing = 0  # bytes of this answer so far, without its body
         self.whole = False
         self.reusable = True
@@ -46,6 +54,9 @@
     def _begin_message(self) -> None:
         self.headers = b""
         self.status = 0
+        self.length = -1  # of its body, as its head tells; -1 where it does not
+        self.sized = False  # whether its end shows: by a length or by chunks
+        self.closes = False  # whether its end is that of its connection
         self.never_ran = False
         self.in_head = True
         self.reading = False
@@ -56,13 +67,13 @@
 
     def feed(self, data: bytes) -> int:
         """Read on: MORE, WHOLE, or SPOILT with `why`. `reusable` tells whether another may follow."""
-        before = len(self.body)
+        before = self.taken
         wrong = self._parse(data)
-        self.framing += len(data) - (len(self.body) - before)
+        self.framing += len(data) - (self.taken - before)
         if self.whole:
             self.reusable = self.reusable and not wrong
             return WHOLE  # what is wrong behind it does not make it wrong
-        if not wrong and self.framing > MAX_HEAD + (0 if self.in_head else FRAMING_PART * len(self.body)):
+        if not wrong and self.framing > MAX_HEAD + (0 if self.in_head else FRAMING_PART * self.taken):
             wrong = "its head or framing is too large"
         if wrong:
             self.why = wrong
@@ -82,6 +93,22 @@
             return str(error)
         return ""
 
+    def finish(self) -> bool:
+        """The connection has ended; tells whether that makes the answer whole."""
+        if self.closes and not self.in_head and not self.whole:
+            self.whole, self.reading, self.reusable = True, False, False
+        return self.whole
+
+    @property
+    def long(self) -> bool:
+        """Whether it is one to be passed on as it comes: larger than what is held, and its body has begun."""
+        return self.status == 200 and self.taken > 0 and max(self.length, self.taken) > LONG
+
+    @property
+    def open_ended(self) -> bool:
+        """Whether it is one of which nobody knows how long it will be."""
+        return self.status == 200 and self.taken > 0 and self.length < 0
+
     def content(self) -> Content:
         """What is passed on of the answer."""
         return Content(self.headers, bytes(self.body))
@@ -111,17 +138,30 @@
         if lower == b"x-never-ran":
             self.never_ran = value == b"1"
         elif lower == b"content-length":
-            if int(value) > self.most_body:
-                raise ValueError(f"its length is {value.decode()}")  # guards against reading what is no use
+            self.length = int(value)
+            self.sized = True
+        elif lower == b"transfer-encoding":
+            self.sized = True
         elif lower not in OWN_HEADERS:
             self.headers += b"%b: %b\r\n" % (name, value)
 
     def on_headers_complete(self) -> None:
         assert self.parser is not None
-        self.in_head = self.parser.get_status_code() < 200  # 1xx count with the head behind
+        if self.whole:
+            return
+        self.status = self.parser.get_status_code()
+        self.in_head = self.status < 200  # 1xx count with the head behind
+        if self.length > (MOST if self.status == 200 else self.most_body):
+            raise ValueError(f"its length is {self.length}")  # guards against reading what is no use
+        self.closes = not self.sized and not self.parser.should_keep_alive()
 
     def on_body(self, body: bytes) -> None:
-        if not self.whole:
+        if self.whole:
+            return
+        self.taken += len(body)
+        if self.sink is not None:
+            self.sink(body)
+        else:
             self.body += body
             if len(self.body) > self.most_body:
                 raise ValueError(f"its body is over {self.most_body} bytes")
--- a/millgw/endpoints/upstream.py
+++ b/millgw/endpoints/upstream.py
@@ -16,6 +16,7 @@
 from millgw.interface import Outcome
 from millgw.message import NOTHING
 from millgw.platform.config import Address
+from millgw.streams.room import READ, StreamRoom
 
 ANSWER_PART = 1 / 32  # of the memory, for one answer's body: endpoints are seen to answer with up to 400 kB
 ANSWERS_PART = 1 / 8  # of the memory, for all answers that are coming in
@@ -84,6 +85,8 @@
         self.connect_timeout = connect_timeout / 1000
         self.idle_for = IDLE_PART * idle  # ms
         self.hosts: dict[int, Host] = {}
+        self.buffer = bytearray(READ)  # one for all: each read is taken out before the next
+        self.streams = StreamRoom(memory)
         self.open = 0
         self.most_body = int(ANSWER_PART * memory)
         self.whole = int(ANSWERS_PART * memory)
--- a/millgw/message.py
+++ b/millgw/message.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from millgw.streams.flow import Flow
+
 MAX_HEAD = 16 * 1024  # bytes of a message's line and headers
 MAX_BODY = 64 * 1024  # bytes of a request's body; the protocol's bound
 FRAMING_PART = 8  # times its body that a message's framing may be: a chunk may be small, not endless
@@ -60,6 +62,7 @@
     status: int
     content: Content = NOTHING
     retry_after: float = 0.0
+    flow: Flow | None = None  # its body, where that is passed on as it comes
 
 
 def watcher(transport: asyncio.Transport) -> select.poll:
--- a/millgw/pool/driver.py
+++ b/millgw/pool/driver.py
@@ -39,6 +39,7 @@
 from millgw.platform.discovery import Listed
 from millgw.pool.call import Call, Flight
 from millgw.pool.deadlines import Deadlines
+from millgw.streams.flow import Flow
 
 ANSWER_MARGIN = 30.0  # ms before the client's deadline at which an attempt times out: room for a busy loop
 
@@ -75,6 +76,7 @@
         self.subscribe = subscribe
         self.calls: dict[int, Call] = {}
         self.open: set[bytes] = set()  # their X-Trace-Ids
+        self.flows: set[Flow] = set()  # answers that are being passed on
         self.last_id = 0
         self.ready: set[int] = set()
         self.draining: set[int] = set()
@@ -179,6 +181,9 @@
         for call in list(self.calls.values()):
             self.left(call)
             call.answer(Answer(FAILED))
+        for flow in list(self.flows):
+            flow.source.abandon()
+            flow.break_off()
 
     def _ended(self, call: Call, number: int, outcome: Outcome, content: Content) -> None:
         flight = call.out.pop(number)
@@ -194,6 +199,23 @@
         if not owed:
             self._give_up(call, concluded=True)
 
+    def _began(self, call: Call, number: int, flow: Flow) -> bool:
+        """A long answer begins to be passed on; tells whether it is owed. The module hears that it ended.
+
+        Guards against callers who read for a minute, and would fill the limit on calls in flight: what comes
+        now is transport, no work.
+        """
+        flight = call.out.pop(number)
+        elapsed = self.clock() - flight.sent
+        if not self._close(call):
+            return False
+        self.flows.add(flow)
+        flow.over_calls.append(self.flows.discard)
+        call.answer(Answer(SERVED, Content(flow.headers), flow=flow))
+        self._feed(AttemptEnded(call.id, flight.endpoint, number, Outcome.OK, elapsed, True))
+        self._give_up(call, concluded=True)
+        return True
+
     def _expire(self, call: Call) -> None:
         """The deadline: what is still out has timed out, and the balancer words the answer."""
         self._give_up(call, concluded=False)
@@ -296,7 +318,8 @@
     def _send(self, call: Call, endpoint: int) -> None:
         now, number = self.clock(), call.sends
         call.sends += 1
-        attempt = Attempt(partial(self._payload, call), partial(self._ended, call, number), call.repeat)
+        ended, began = partial(self._ended, call, number), partial(self._began, call, number)
+        attempt = Attempt(partial(self._payload, call), ended, call.repeat, began)
         call.out[number] = Flight(endpoint, now, attempt)
         self.upstream.send(endpoint, attempt)
 
--- a/millgw/pool/pool.py
+++ b/millgw/pool/pool.py
@@ -141,8 +141,8 @@
         return self.upstream.written
 
     def open_requests(self) -> int:
-        """Calls taken and not answered."""
-        return len(self.driver.calls)
+        """Calls taken and not answered to the end."""
+        return len(self.driver.calls) + len(self.driver.flows)
 
     def listed(self) -> int:
         """Endpoints in the list, those that drain among them."""
--- a/millgw/request.py
+++ b/millgw/request.py
@@ -54,7 +54,7 @@
 
     __slots__ = (
         "body", "ended", "forward", "keep", "length", "method", "pool", "refused", "target", "values",
-        "wrong",
+        "version", "wrong",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -65,6 +65,7 @@
         self.body = b""
         self.length = 0  # bytes of the body so far
         self.keep = False
+        self.version = ""
         self.ended = 0.0  # s, on the clock of who feeds it
         self.pool: Taker | None = None
         self.wrong: BadRequest | None = None
@@ -80,7 +81,7 @@
 
     def complete(self, method: bytes, version: str, keep: bool) -> None:
         """The headers have ended: refuse what its length and framing already tell of."""
-        self.method, self.keep = method, keep
+        self.method, self.version, self.keep = method, version, keep
         if len(self.target) + len(self.forward) > MAX_HEAD:
             raise BadRequest(431, "the headers are too large")
         coding, length = self.values.get(b"transfer-encoding"), self.values.get(b"content-length", b"0")
