Long request bodies are passed on as they come; time limits go by progress

Need: bodies of up to 32 MB, which were refused with 413 past 64 KiB. A body longer than that goes to its endpoint while it comes, after the connection has stood 2 ms with the head on it. The module hears of it (RequestArrived.partial, RequestWhole, BodyGone): it counts as no call in flight until it is whole, and is refused, not tried again, once part of it was passed on. A head has 2.4 s from its first byte, a body 32 kB/s on average. Tests in every form, breaks on either side, back-pressure.

--- a/millgw/callers/connection.py
+++ b/millgw/callers/connection.py
@@ -18,17 +18,27 @@
 from millgw.pool.call import Call
 from millgw.request import BadRequest, Head
 from millgw.streams.flow import Flow
+from millgw.streams.upload import Upload
 
 SLICE = 1024  # bytes that are parsed before a request in them is served: what is behind it stays unparsed
 LINGER = 0.5  # s that a connection stays open after a last 4xx, so that a client still sending can read it
 STUCK_TIME = 3.0  # s in which the client of a closing connection must read more of the last answer
 STREAM_STALL = 15.0  # s in which a client must read more of an answer that is passed on to it
 MAX_DISCARD = 256 * 1024  # bytes read and thrown away in that time
+MAX_REST = 64 * 1024 * 1024  # bytes of a body's rest read and thrown away, for as long as it comes
+REST_TIME = 2.0  # s in which more of that must come
+READ_TIME = 2.4  # s for a request's head, and as much again for pauses in its body
+LEAST_RATE = 32 * 1024  # bytes a second of its body, half of what a slow client sends
 BAD_PAUSE = 0.1  # s that a connection rests after a bad request, twice as long after each further one
 MAX_BAD = 4  # bad requests in a row, after which it ends
 NEW = ""  # the lane of connections that no request has come on yet
 
 
+def told(bad: BadRequest) -> Answer:
+    """The answer to a request that can't be taken."""
+    return Answer(bad.status, Content(b"Content-Type: text/plain\r\n", f"{bad}\n".encode()))
+
+
 class Front(Protocol):
     """Whose a request is, and what becomes of it."""
 
@@ -89,6 +99,10 @@
         self.moved = 0.0  # s, when the client last took some
         self.bad = 0
         self.discarded = 0
+        self.most_discarded = MAX_DISCARD
+        self.upload: Upload | None = None  # the body that is being passed on, until it is whole
+        self.paused_at = 0.0  # s
+        self.stopped = 0.0  # s for which this side did not read the request that is coming in
         self.resting: asyncio.TimerHandle | None = None
         self.lingering: asyncio.TimerHandle | None = None
         self.serving = False
@@ -102,11 +116,6 @@
         open = self.current is not None or self.flow is not None
         return open or self.resting is not None or bool(self.core.queue)
 
-    @property
-    def reading(self) -> bool:
-        """In the middle of a request that has not come to its end."""
-        return self.core.head is not None and not self.busy and not self.ended
-
     def quiet(self, least: float) -> bool:
         """Whether it has been between requests for so long, and has none waiting to be read.
 
@@ -174,7 +183,7 @@
     def buffer_updated(self, nbytes: int) -> None:
         if self.ended:
             self.discarded += nbytes
-            if self.discarded > MAX_DISCARD and self.transport is not None:
+            if self.discarded > self.most_discarded and self.transport is not None:
                 self.transport.pause_reading()  # guards against reading on what nobody needs
             return
         self.arrived = time.monotonic()
@@ -200,8 +209,12 @@
         Guards against floods: what is behind it costs no work and no memory but its bytes, one read at most.
         """
         core = self.core
-        while self.rest and not self.busy and not self.ended:
-            part, self.rest = self.rest[:SLICE], self.rest[SLICE:]
+        while self.rest and not self.ended:
+            upload = self.upload
+            if self.busy if upload is None else upload.full:
+                break
+            size = SLICE if upload is None else len(self.rest)
+            part, self.rest = self.rest[:size], self.rest[size:]
             begun = core.begun
             wrong = core.feed(part, self.arrived)
             if core.begun != begun:
@@ -214,6 +227,10 @@
             if core.expects and not self.busy and self.transport is not None:
                 core.expects = False
                 self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            if self.upload is not None:
+                self._goes_on(self.upload)
+            elif core.head is not None and core.head.long and not self.busy:
+                self._begin_upload(core.head)
             self._serve()
         transport = self.transport
         if transport is None or self.ended or transport.is_closing():
@@ -223,6 +240,7 @@
         else:
             if self.paused:
                 self.paused = False
+                self.stopped += time.monotonic() - self.paused_at
                 transport.resume_reading()
             if core.begun and core.head is None and not self.busy:
                 self.server.kept[self] = None
@@ -230,12 +248,96 @@
     def _pause(self) -> None:
         if not self.paused and self.transport is not None:
             self.paused = True
+            self.paused_at = time.monotonic()
             self.transport.pause_reading()
 
     def _begun(self, before: int) -> None:
         self.server.busy(self)
-        if before:  # the first one's time counts from connecting
-            self.since = time.monotonic()
+        self.since = time.monotonic()
+        self.stopped = 0.0
+
+    # A body that is passed on as it comes
+
+    def _begin_upload(self, head: Head) -> None:
+        """A request's body is longer than what is held whole: its call begins before it has come."""
+        self.keep = head.keep
+        try:
+            made = self.server.front.read(head, self._answer)
+        except BadRequest as bad:
+            head.release()
+            self._end_early(told(bad))
+            return
+        if not isinstance(made, Call) or head.pool is None:
+            head.release()
+            if isinstance(made, Answer):
+                self._end_early(made)
+            return
+        upload = Upload(None if head.told < 0 else head.told, head.pool.enter(), self._room)
+        upload.put(head.body)
+        head.release()
+        head.upload = made.upload = upload
+        self.bad = 0
+        self.current, self.serves, self.upload = made, head, upload
+        made.owner.take(made)
+
+    def _goes_on(self, upload: Upload) -> None:
+        call = self.current
+        if upload.whole:
+            self.upload = None
+            if call is not None:
+                call.owner.whole(call)
+        upload.wake()
+
+    def _room(self) -> None:
+        self.server.loop.call_soon(self._read)
+
+    def _drop_call(self) -> None:
+        """The request that is coming in will not come to its end."""
+        call, self.current, self.upload = self.current, None, None
+        self._served()
+        if call is not None:
+            call.owner.left(call)
+
+    def lags(self, now: float) -> bool:
+        """Whether a request that has begun comes in too slowly: its head, or its body's mean rate."""
+        if self.ended or (self.upload is None and (self.busy or self.core.head is None)):
+            return False
+        stopped = self.stopped + (now - self.paused_at if self.paused else 0.0)
+        allowed = READ_TIME
+        head = self.core.head
+        if head is not None and self.core.in_body:
+            allowed += READ_TIME + head.length / LEAST_RATE
+        return now > self.since + stopped + allowed
+
+    def _end_early(self, answer: Answer) -> None:
+        """Answer a request whose body still comes. Its rest is read and dropped, for as long as it comes.
+
+        Guards against an answer that is lost: a connection that is closed while its client still sends is
+        reset, and what the client has not read by then is gone.
+        """
+        self.upload = None
+        self._served()
+        self.ended = True
+        self.keep = False
+        self.rest = b""
+        self.core.queue.clear()
+        self._write(answer)
+        if self.transport is not None and not self.transport.is_closing():
+            self.server.busy(self)
+            self.most_discarded = MAX_REST
+            if self.paused:
+                self.paused = False
+                self.transport.resume_reading()
+            self.left_to_read = -1
+            self._drop_more()
+
+    def _drop_more(self) -> None:
+        """Close once no more comes of the rest."""
+        if self.discarded == self.left_to_read or self.discarded > self.most_discarded:
+            self.close()
+            return
+        self.left_to_read = self.discarded
+        self.resting = self.server.loop.call_later(REST_TIME, self._drop_more)
 
     def pause_writing(self) -> None:
         """Guards against a client that asks and never reads its answers."""
@@ -277,6 +379,8 @@
         head, self.serves = self.serves, None
         if head is not None:
             head.release()
+            if head.upload is not None and head.pool is not None:
+                head.pool.leave()
 
     # Answers
 
@@ -284,6 +388,8 @@
         """Answer what can't be read once all before it is answered; nothing is read after it."""
         self.ended = True
         self.rest = b""
+        if self.upload is not None:
+            self._drop_call()
         if self.core.head is not None:
             self.core.head.release()
             self.core.head = None
@@ -331,6 +437,9 @@
         head = self.serves
         if head is not None and head.pool is not None:
             head.pool.answered(head, answer.status)
+        if self.upload is not None:
+            self._end_early(answer)
+            return
         self._served()
         self._write(answer)
         self._after()
@@ -347,8 +456,8 @@
         head.release()
         self.flow = flow
         self.chunked = flow.length is None and head.version == "1.1"
-        if flow.length is None and not self.chunked:
-            self.keep = False  # its end is the connection's
+        if (flow.length is None and not self.chunked) or self.upload is not None:
+            self.keep = False  # its end is the connection's, or the request's body still comes
         transport.set_write_buffer_limits(high=flow.window)
         self.moved = time.monotonic()
         transport.write(word_begin(answer, flow.length, self.chunked, not self.keep or self.server.stopping))
@@ -438,7 +547,7 @@
 
     def _say(self, bad: BadRequest) -> None:
         tell(INFO, "request-turned-away", status=bad.status, cause=bad)
-        self._write(Answer(bad.status, Content(b"Content-Type: text/plain\r\n", f"{bad}\n".encode())))
+        self._write(told(bad))
 
     def _write(self, answer: Answer) -> None:
         if self.transport is not None and not self.transport.is_closing():
--- a/millgw/callers/core.py
+++ b/millgw/callers/core.py
@@ -150,6 +150,10 @@
     def on_message_complete(self) -> None:
         assert self.head is not None
         self.head.ended = self.arrived
-        self.queue.append(self.head)
+        if self.head.upload is not None:
+            self.head.upload.end()  # its request is on its way since its body began
+        else:
+            self.head.long = False  # it has come whole before it was passed on
+            self.queue.append(self.head)
         self.head = None
         self.expects = False
--- a/millgw/callers/server.py
+++ b/millgw/callers/server.py
@@ -20,7 +20,6 @@
 from millgw.platform.descriptors import Descriptors
 from millgw.request import BadRequest
 
-READ_TIME = 2.4  # s to send a request that was begun (the first one: from connecting): callers are near
 SILENT_TIME = 2.2  # s after connecting in which a first request must begin
 KEEP_TIME = 10.0  # s that a connection is kept between requests
 BACKLOG = 2048
@@ -164,7 +163,7 @@
     def _sweep(self) -> None:
         """Guards against clients that hold a descriptor and ask nothing, or never end what they ask."""
         now = time.monotonic()
-        for connection in [c for c in self.connections if c.reading and c.since + READ_TIME < now]:
+        for connection in [c for c in self.connections if c.lags(now)]:
             connection.refuse(BadRequest(408, "the request did not come to its end"))
         for connection in [c for c in self.connections if c.stuck(now)]:
             connection.abort()
--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -17,6 +17,7 @@
     NEVER_RAN,
     Action,
     AttemptEnded,
+    BodyGone,
     Condition,
     Endpoint,
     EndpointList,
@@ -29,6 +30,7 @@
     RequestAborted,
     RequestArrived,
     RequestClass,
+    RequestWhole,
     ResponseStarted,
     Scope,
     Send,
@@ -135,6 +137,8 @@
         self.timers: list[int] = []
         self.wait = 0.0
         self.within_share = True
+        self.partial = event.partial
+        self.body_gone = False
         self.value = cls.worth  # for each ms of its class's quick answers
 
 
@@ -148,7 +152,7 @@
 
     def may_try(self, request: Request, now: float) -> bool:
         """Whether any endpoint could be sent this request now."""
-        if len(request.attempts) >= self.max_attempts or now >= request.end:
+        if len(request.attempts) >= self.max_attempts or now >= request.end or request.body_gone:
             return False
         if not self.concurrent and any(a.out for a in request.attempts):
             return False
@@ -539,6 +543,7 @@
         self.ring: list[Server] = []
         self.requests: dict[int, Request] = {}
         self.flights: dict[tuple[int, int], Attempt] = {}
+        self.coming: dict[tuple[int, int], Attempt] = {}  # the same, of requests that are partial
         self.admission = Admission() if settings.stage == 0 else None
         self.shedding = Shedding(self.rng)
         self.shares = TenantShares(settings) if settings.stage == 0 else None
@@ -561,6 +566,11 @@
             self._arrived(now, event)
         elif isinstance(event, AttemptEnded):
             self._attempt_ended(now, event)
+        elif isinstance(event, RequestWhole):
+            self._whole(event)
+        elif isinstance(event, BodyGone):
+            if event.request in self.requests:
+                self.requests[event.request].body_gone = True
         elif isinstance(event, TimerFired):
             self._timer(now, event.timer)
         elif isinstance(event, EndpointList):
@@ -638,8 +648,7 @@
         if event.request in self.requests:
             return
         cls = self.settings.classes[event.cls]
-        buffer = max(BUFFER * cls.aim, BUFFER_TICKS * self.settings.tick)
-        request = Request(event, cls, now, event.deadline - buffer)
+        request = Request(event, cls, now, event.deadline - self._buffer(cls))
         self.requests[event.request] = request
         if self.shares is not None:
             request.within_share = self.shares.take(now, event.tenant)
@@ -651,8 +660,23 @@
                 return
         self._start(now, request)
 
+    def _buffer(self, cls: RequestClass) -> float:
+        return max(BUFFER * cls.aim, BUFFER_TICKS * self.settings.tick)
+
+    def _whole(self, event: RequestWhole) -> None:
+        """What was partial becomes work, and has a deadline from now on."""
+        request = self.requests.get(event.request)
+        if request is None:
+            return
+        request.partial = False
+        request.end = event.deadline - self._buffer(request.cls)
+        for number, attempt in enumerate(request.attempts):
+            if self.coming.pop((request.id, number), None) is not None:
+                self.flights[(request.id, number)] = attempt
+
     def _attempt_ended(self, now: float, event: AttemptEnded) -> None:
-        attempt = self.flights.pop((event.request, event.attempt), None)
+        key = (event.request, event.attempt)
+        attempt = self.flights.pop(key, None) or self.coming.pop(key, None)
         if attempt is None:
             return
         attempt.out = False
@@ -746,7 +770,9 @@
     def _send(self, now: float, request: Request, server: Server) -> None:
         self.held.pop(request.id, None)
         attempt = Attempt(server, request.index, now)
-        self.flights[(request.id, len(request.attempts))] = attempt
+        # Guards against a body that takes a minute, and would fill the limit on calls in flight.
+        flights = self.coming if request.partial else self.flights
+        flights[(request.id, len(request.attempts))] = attempt
         request.attempts.append(attempt)
         server.out[attempt] = None
         server.allowance -= 1
--- a/millgw/endpoints/attempt.py
+++ b/millgw/endpoints/attempt.py
@@ -22,6 +22,7 @@
 from millgw.interface import Outcome, Repeat
 from millgw.message import Content
 from millgw.streams.flow import Flow
+from millgw.streams.upload import Upload
 
 CONNECTING: Final = 0
 HELD: Final = 1
@@ -48,7 +49,7 @@
     is called in place of `ended`, and tells whether anybody waits for the answer.
     """
 
-    __slots__ = ("began", "carrier", "connecting", "ended", "payload", "repeat", "state")
+    __slots__ = ("began", "carrier", "connecting", "ended", "payload", "repeat", "state", "upload")
 
     def __init__(
         self,
@@ -56,10 +57,12 @@
         ended: Ended,
         repeat: Repeat = Repeat.UNSAFE,
         began: Began | None = None,
+        upload: Upload | None = None,
     ) -> None:
         self.payload = payload
         self.ended = ended
         self.began = began
+        self.upload = upload  # the body that follows the payload, where that is passed on as it comes
         self.repeat = repeat
         self.state = CONNECTING
         self.connecting: asyncio.Task[bool] | None = None
--- a/millgw/endpoints/connection.py
+++ b/millgw/endpoints/connection.py
@@ -23,6 +23,7 @@
 from millgw.platform.config import Address
 from millgw.streams.flow import Flow
 from millgw.streams.room import StreamRoom
+from millgw.streams.upload import Upload
 
 ANSWER_TIME = 1.0  # s in which more of an answer must come: one that has stopped half-way is tried elsewhere
 OPEN_TIME = 0.3  # s after which an answer of unknown length is passed on, as it may become a long one
@@ -107,6 +108,10 @@
         self.idle_since = 0.0  # ms
         self.opened = 0.0  # ms
         self.stalled: asyncio.TimerHandle | None = None
+        self.upload: Upload | None = None  # the body of its attempt, while that is passed on
+        self.full = False  # the transport has enough for now
+        self.poured = 0  # bytes of bodies that were passed on
+        self.seen = (0, 0)  # of those, and those left in the transport, when last looked
         self.flow: Flow | None = None  # its answer, while it is passed on
         self.arrived = 0.0  # s, of the last bytes of an answer that was not whole
         self.held = False  # nothing is read: the caller does not take it
@@ -136,6 +141,9 @@
         self.core.begin()
         self.attempt, attempt.carrier = attempt, self
         payload = attempt.payload()
+        if attempt.upload is not None:
+            self._send_head(attempt, attempt.upload, payload)
+            return
         hold = self.host.proof.hold(now, attempt.repeat, self.reused, self.idle_since)
         if prove > 0:
             hold, self.prove_until = HOLD_BACK, now + prove
@@ -150,6 +158,70 @@
             self.transport.write(payload)
             self._written()
 
+    # A body that is passed on as it comes
+
+    def _send_head(self, attempt: Attempt, upload: Upload, head: bytes) -> None:
+        """Write the head, and the body's first piece once the connection has stood that.
+
+        Guards against a dead connection: the first piece would be lost there, and the request with it.
+        """
+        assert self.transport is not None
+        attempt.state = HELD
+        self.upload = upload
+        self.home.held_back += 1
+        self.transport.set_write_buffer_limits(high=upload.window)
+        self.transport.write(head)
+        self.holding = self.home.loop.call_later(HOLD_BACK / 1000, self._pour_first)
+
+    def _pour_first(self) -> None:
+        self.holding = None
+        upload, attempt = self.upload, self.attempt
+        if upload is None or attempt is None:
+            return
+        if unread(self.transport, self.poll) if self.transport is not None else True:
+            self._broken()
+            return
+        attempt.state = WRITING
+        self.stalled = self.home.loop.call_later(STREAM_STALL, self._look_at_upload)
+        upload.taker = self
+        self.more()
+
+    def more(self) -> None:
+        """Write on what has come of the body, as far as the endpoint takes it."""
+        upload, attempt, transport = self.upload, self.attempt, self.transport
+        if upload is None or attempt is None or transport is None or self.full or transport.is_closing():
+            return
+        data = upload.take()
+        if upload.length is None:
+            data = b"%x\r\n%b\r\n" % (len(data), data) if data else b""
+            if upload.whole:
+                data += b"0\r\n\r\n"
+        if upload.whole:
+            self.upload = upload.taker = None
+            self._stop_timers()
+            # From here on the transport tells when the kernel has taken the last byte.
+            transport.set_write_buffer_limits(high=0)
+        if data:
+            self.poured += len(data)
+            transport.write(data)
+        if upload.whole:
+            self._written()
+
+    def _look_at_upload(self) -> None:
+        """Guards against an endpoint that stops reading, and a caller that would wait for it for ever."""
+        self.stalled = None
+        left = 0 if self.transport is None else self.transport.get_write_buffer_size()
+        if self.full and (self.poured, left) == self.seen:
+            self._give_up_upload("it takes no more of a body")
+            return
+        self.seen = (self.poured, left)
+        self.stalled = self.home.loop.call_later(STREAM_STALL, self._look_at_upload)
+
+    def _give_up_upload(self, why: str) -> None:
+        tell(WARNING, "answer-spoilt", endpoint=self.host.address, cause=why)
+        self.abort()
+        self._finish(Outcome.CONNECT_FAILED)  # its last byte was never written
+
     def _written(self) -> None:
         assert self.transport is not None
         # With a high-water mark of 0 the transport keeps only what the kernel did not take at once.
@@ -186,6 +258,7 @@
             return
         self._stop_timers()
         self.last_byte = b""
+        self._let_go_of_upload()
         self.attempt = attempt.carrier = None
         attempt.state = CONNECTING
         self.home.again(self, attempt)
@@ -193,8 +266,15 @@
     def leave(self) -> None:
         """The attempt is given up."""
         self.attempt = None
+        self._let_go_of_upload()
+        self._stop_timers()
         self.abort()
 
+    def _let_go_of_upload(self) -> None:
+        if self.upload is not None:
+            self.upload.taker = None
+            self.upload = None
+
     def _stop_timers(self) -> None:
         if self.stalled is not None:
             self.stalled.cancel()
@@ -205,6 +285,7 @@
 
     def _finish(self, outcome: Outcome) -> None:
         self._stop_timers()
+        self._let_go_of_upload()
         self.last_byte = b""
         self.home.held -= self.counted
         self.counted = 0
@@ -243,8 +324,14 @@
 
     def pause_writing(self) -> None:
         """The kernel did not take all: `resume_writing` tells when it has."""
+        self.full = True
 
     def resume_writing(self) -> None:
+        self.full = False
+        if self.upload is not None:
+            if self.upload.taker is self:
+                self.more()
+            return
         if not self.last_byte:
             if self.attempt is not None and self.attempt.state == WRITING:
                 self.attempt.state = WRITTEN
@@ -269,7 +356,7 @@
             tell(WARNING, "bytes-after-answer", endpoint=self.host.address, after_ms=round(after, 1))
             self.abort()
             return
-        if self.last_byte:
+        if self.last_byte or attempt.state == HELD:
             self._broken()  # guards against bytes that can't be this request's answer
             return
         if self.waits:
@@ -447,7 +534,7 @@
         self.home.lost(self)
         if exc is not None:
             self.host.broken = time.monotonic() * 1000
-        if self.last_byte:
+        if self.last_byte or (self.attempt is not None and self.attempt.state == HELD):
             self._broken()
         elif self.attempt is not None and self.attempt.state == WRITTEN:
             self.host.proof.broke(time.monotonic() * 1000)
--- a/millgw/interface.py
+++ b/millgw/interface.py
@@ -175,13 +175,30 @@
     """A request; one final answer is owed before `deadline` (a point in time).
 
     `cls` and `tenant` are positions in the settings; an unknown tenant has no share, an unknown class is an
-    IndexError.
+    IndexError. The body of a `partial` one still comes: it is no work for an endpoint yet, and its deadline
+    is told with `RequestWhole`.
     """
 
     request: int
     cls: int
     deadline: float
     tenant: int = 0
+    partial: bool = False
+
+
+@dataclass(slots=True)
+class RequestWhole:
+    """The last byte of a request that was partial has come; its deadline from now on."""
+
+    request: int
+    deadline: float
+
+
+@dataclass(slots=True)
+class BodyGone:
+    """Part of a request's body was passed on and is not held any more: it can't be tried again."""
+
+    request: int
 
 
 @dataclass(slots=True)
@@ -220,7 +237,10 @@
     timer: int
 
 
-Event = EndpointList | RequestArrived | AttemptEnded | ResponseStarted | RequestAborted | TimerFired
+Event = (
+    EndpointList | RequestArrived | RequestWhole | BodyGone | AttemptEnded | ResponseStarted | RequestAborted
+    | TimerFired
+)  # fmt: skip
 
 
 # Actions
--- a/millgw/message.py
+++ b/millgw/message.py
@@ -16,7 +16,7 @@
 from millgw.streams.flow import Flow
 
 MAX_HEAD = 16 * 1024  # bytes of a message's line and headers
-MAX_BODY = 64 * 1024  # bytes of a request's body; the protocol's bound
+MAX_BODY = 64 * 1024 * 1024  # bytes of a request's body
 FRAMING_PART = 8  # times its body that a message's framing may be: a chunk may be small, not endless
 
 OWN_HEADERS: Final = frozenset(
--- a/millgw/pool/call.py
+++ b/millgw/pool/call.py
@@ -9,6 +9,7 @@
 from millgw.interface import Repeat, SetTimer
 from millgw.message import Answer
 from millgw.pool.deadlines import Due
+from millgw.streams.upload import Upload
 
 
 class Flight:
@@ -29,13 +30,16 @@
 
     def left(self, call: Call) -> None: ...
 
+    def whole(self, call: Call) -> None:
+        """The last byte of a body that was passed on as it came has come."""
+
 
 class Call:
     """A caller's request that is owed one answer. `payload` words an attempt, given the time left in ms."""
 
     __slots__ = (
         "answer", "cls", "deadline", "id", "out", "owner", "patience", "payload", "repeat", "sends", "tenant",
-        "timers", "trace",
+        "timers", "trace", "upload",
     )  # fmt: skip
 
     def __init__(
@@ -57,6 +61,7 @@
         self.trace = trace
         self.repeat = repeat
         self.owner = owner
+        self.upload: Upload | None = None  # its body, where that is passed on as it comes
         self.id = 0
         self.deadline = 0.0
         self.sends = 0
--- a/millgw/pool/driver.py
+++ b/millgw/pool/driver.py
@@ -21,6 +21,7 @@
 from millgw.interface import (
     Action,
     AttemptEnded,
+    BodyGone,
     Condition,
     Endpoint,
     EndpointList,
@@ -31,6 +32,7 @@
     Refuse,
     RequestAborted,
     RequestArrived,
+    RequestWhole,
     Send,
     SetTimer,
     TimerFired,
@@ -41,6 +43,7 @@
 from millgw.pool.deadlines import Deadlines
 from millgw.streams.flow import Flow
 
+UPLOAD_MOST = 3_600_000.0  # ms that a body may take to come in: far over what 64 kB/s need
 ANSWER_MARGIN = 30.0  # ms before the client's deadline at which an attempt times out: room for a busy loop
 
 
@@ -76,6 +79,7 @@
         self.subscribe = subscribe
         self.calls: dict[int, Call] = {}
         self.open: set[bytes] = set()  # their X-Trace-Ids
+        self.partial: set[int] = set()  # calls whose bodies still come
         self.flows: set[Flow] = set()  # answers that are being passed on
         self.last_id = 0
         self.ready: set[int] = set()
@@ -94,11 +98,32 @@
         now = self.clock()
         self.last_id += 1
         call.id = self.last_id
-        call.deadline = now + call.patience - ANSWER_MARGIN
         self.calls[call.id] = call
         self.open.add(call.trace)
+        upload = call.upload
+        if upload is None:
+            call.deadline = now + call.patience - ANSWER_MARGIN
+            call.timers.append(self.due.add(call.deadline, call))
+            self._feed(RequestArrived(call.id, call.cls, call.deadline, call.tenant))
+            self._arm()
+            return
+        # Its time counts from its last byte; who sends none in time is ended by the callers' side.
+        call.deadline = now + UPLOAD_MOST
+        upload.gone = partial(self._feed, BodyGone(call.id))
+        self.partial.add(call.id)
+        self._feed(RequestArrived(call.id, call.cls, call.deadline, call.tenant, partial=True))
+
+    def whole(self, call: Call) -> None:
+        """A body that is passed on as it came is whole: the call is taken, and its time begins."""
+        if call.id not in self.calls:
+            return
+        self.partial.discard(call.id)
+        now = self.clock()
+        call.deadline = now + call.patience - ANSWER_MARGIN
         call.timers.append(self.due.add(call.deadline, call))
-        self._feed(RequestArrived(call.id, call.cls, call.deadline, call.tenant))
+        for flight in call.out.values():
+            flight.sent = now  # what came before tells nothing of the endpoint
+        self._feed(RequestWhole(call.id, call.deadline))
         self._arm()
 
     def left(self, call: Call) -> None:
@@ -319,11 +344,13 @@
         now, number = self.clock(), call.sends
         call.sends += 1
         ended, began = partial(self._ended, call, number), partial(self._began, call, number)
-        attempt = Attempt(partial(self._payload, call), ended, call.repeat, began)
+        attempt = Attempt(partial(self._payload, call), ended, call.repeat, began, call.upload)
         call.out[number] = Flight(endpoint, now, attempt)
         self.upstream.send(endpoint, attempt)
 
     def _payload(self, call: Call) -> bytes:
+        if call.id in self.partial:
+            return call.payload(max(1, int(call.patience)))
         return call.payload(max(1, int(call.deadline - self.clock())))
 
     def _close(self, call: Call) -> bool:
@@ -331,5 +358,8 @@
         for due in call.timers:
             self.due.cancel(due)  # guards against timers, and what they hold, that outlive their call
         call.timers.clear()
+        self.partial.discard(call.id)
+        if call.upload is not None:
+            call.upload.drop()
         self.open.discard(call.trace)
         return self.calls.pop(call.id, None) is not None
--- a/millgw/pool/pool.py
+++ b/millgw/pool/pool.py
@@ -115,6 +115,8 @@
         busy = self.busy()
         if busy is not None:
             return busy
+        if head.long and self.upstream.streams.full():
+            return Answer(REFUSED, retry_after=min(COME_BACK, self.settings.retry_after_most))
         call = self.terms.call(head, answer)
         call.patience = self.share.patience(call.patience)
         if call.trace in self.driver.open:
@@ -122,6 +124,14 @@
             raise BadRequest(409, "X-Trace-Id is that of an open request")
         return call
 
+    def enter(self) -> int:
+        """One more body is passed on; the bytes of its window."""
+        return self.upstream.streams.enter()
+
+    def leave(self) -> None:
+        """One has come to its end."""
+        self.upstream.streams.leave()
+
     def hold(self, more: int) -> None:
         """Guards against memory that fills with the bodies of many clients, each within its bound."""
         if more > 0 and self.bodies + more > self.most(BODIES):
@@ -142,7 +152,7 @@
 
     def open_requests(self) -> int:
         """Calls taken and not answered to the end."""
-        return len(self.driver.calls) + len(self.driver.flows)
+        return len(self.driver.calls) - len(self.driver.partial) + len(self.driver.flows)
 
     def listed(self) -> int:
         """Endpoints in the list, those that drain among them."""
--- a/millgw/pool/terms.py
+++ b/millgw/pool/terms.py
@@ -42,6 +42,8 @@
         if not given.isdigit() or len(given) > MAX_PATIENCE_DIGITS or int(given) == 0:
             raise BadRequest(400, "X-Expires-In-Ms is missing or not whole milliseconds")
         # Guards against a wait far over the class's deadline: timers and books would live that long.
-        patience = min(float(given), cls.deadline) - (time.monotonic() - head.ended) * 1000
+        patience = min(float(given), cls.deadline)
+        if not head.long:  # else its time counts from its last byte, which is yet to come
+            patience -= (time.monotonic() - head.ended) * 1000
         tenant = self.tenants.get(values.get(b"x-customer", b""), len(self.tenants))
         return Call(index, tenant, patience, partial(word, head), answer, trace, cls.repeat, self.owner)
--- a/millgw/request.py
+++ b/millgw/request.py
@@ -9,6 +9,8 @@
 from typing import Final, Protocol
 
 from millgw.message import MAX_BODY, MAX_HEAD, OWN_HEADERS, Answer
+from millgw.streams.room import LONG
+from millgw.streams.upload import Upload
 
 ONCE: Final = frozenset(
     {
@@ -41,6 +43,10 @@
     def answered(self, head: Head, status: int) -> None:
         """Its caller is given a final answer."""
 
+    def enter(self) -> int: ...
+
+    def leave(self) -> None: ...
+
     def hold(self, more: int) -> None:
         """Count bytes of bodies that come in, or are given back; a BadRequest tells that there is no room."""
 
@@ -53,8 +59,8 @@
     """
 
     __slots__ = (
-        "body", "ended", "forward", "keep", "length", "method", "pool", "refused", "target", "values",
-        "version", "wrong",
+        "body", "ended", "forward", "keep", "length", "long", "method", "pool", "refused", "target", "told",
+        "upload", "values", "version", "wrong",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -64,6 +70,9 @@
         self.forward = b""
         self.body = b""
         self.length = 0  # bytes of the body so far
+        self.told = -1  # its length as the headers tell; -1 where it comes in chunks
+        self.long = False  # more than is held whole: it is to be passed on as it comes
+        self.upload: Upload | None = None  # where its body goes, once it is passed on
         self.keep = False
         self.version = ""
         self.ended = 0.0  # s, on the clock of who feeds it
@@ -93,11 +102,18 @@
             raise BadRequest(400, "Content-Length is not a number")
         if len(length) > len(str(MAX_BODY)) or int(length) > MAX_BODY:
             raise BadRequest(413, "the body is too large")
+        if coding is None:
+            self.told = int(length)
+            self.long = self.told > LONG
 
     def extend(self, body: bytes) -> None:
         self.length += len(body)
         if self.length > MAX_BODY:
             raise BadRequest(413, "the body is too large")
+        if self.upload is not None:
+            self.upload.put(body)
+            return
+        self.long = self.long or self.length > LONG
         if self.pool is not None and self.refused is None:
             self.pool.hold(len(body))
             self.body += body
@@ -109,8 +125,22 @@
             self.body = b""
 
 
+def word_head(head: Head, left: int) -> bytes:
+    """The same without a body, which follows as it comes: of the length told, or in chunks."""
+    framing = b"Content-Length: %d" % head.told if head.told >= 0 else b"Transfer-Encoding: chunked"
+    return b"%b %b HTTP/1.1\r\n%bX-Expires-In-Ms: %d\r\n%b\r\n\r\n" % (
+        head.method,
+        head.target,
+        head.forward,
+        left,
+        framing,
+    )
+
+
 def word(head: Head, left: int) -> bytes:
     """The request as an attempt sends it, with the time left in place of the connection's own headers."""
+    if head.upload is not None:
+        return word_head(head, left)
     return b"%b %b HTTP/1.1\r\n%bX-Expires-In-Ms: %d\r\nContent-Length: %d\r\n\r\n%b" % (
         head.method,
         head.target,
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -11,9 +11,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from millgw.callers import connection as callers_connection
 from millgw.endpoints import connection as endpoints_connection
 from millgw.endpoints.core import MORE, WHOLE, AnswerCore
 from millgw.message import Content
+from millgw.platform.config import Address
 from millgw.standins.address import free_address
 from millgw.standins.scripted import ScriptedEndpoint
 from millgw.streams.room import NARROWEST, READ, WIDEST, StreamRoom
@@ -352,3 +354,250 @@
             assert await mine.reader.read() == b""
 
     run(test)
+
+
+# Bodies
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+
+
+def chunks(body: bytes, size: int) -> bytes:
+    parts = (body[at : at + size] for at in range(0, len(body), size))
+    return b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts) + b"0\r\n\r\n"
+
+
+@pytest.mark.parametrize("form", ["length", "chunks"])
+@pytest.mark.parametrize("cls", ["pay", "write"])
+def test_a_long_body_goes_on_as_it_comes_unchanged_and_the_connection_serves_on(form: str, cls: str) -> None:
+    body = block(2_000_000)
+
+    async def test() -> None:
+        got: list[tuple[dict[str, str], bytes]] = []
+        begun = asyncio.Event()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                _, headers = await head_of(reader)
+                begun.set()
+                got.append((headers, await body_of(reader, headers)))
+                writer.write(ANSWER)
+
+        async with serving(serve) as rig:
+            mine = await rig.connect()
+            for round in range(2):
+                begun.clear()
+                if form == "length":
+                    asked = request(cls, Content_Length=str(len(body)))
+                    data = body
+                else:
+                    asked = request(cls, Content_Length="", Transfer_Encoding="chunked")
+                    data = chunks(body, 997)
+                mine.writer.write(asked + data[:100_000])
+                await begun.wait()  # it goes on before it is whole
+                told = await figures(control(rig))
+                assert told["open_requests"] == 0, "what is not whole is not taken"
+                mine.writer.write(data[100_000:])
+                first, headers = await head_of(mine.reader)
+                assert first == "HTTP/1.1 200 OK" and await body_of(mine.reader, headers) == b"hi"
+                assert got[round][1] == body and "x-trace-id" in got[round][0]
+            first, headers = await ask(mine.reader, mine.writer)
+            assert first == "HTTP/1.1 200 OK" and await body_of(mine.reader, headers) == b"hi"
+            told = await settled(rig)
+            assert told["relayed"] == 3 and told["faulted"] == {"read": 0, "write": 0, "pay": 0}
+
+    run(test)
+
+
+def control(rig: Rig) -> Address:
+    assert rig.config.control is not None
+    return rig.config.control
+
+
+def test_an_attempt_that_breaks_under_a_body_never_ran_and_is_refused_at_once() -> None:
+    async def test() -> None:
+        asked = 0
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal asked
+            await head_of(reader)
+            asked += 1
+            await reader.readexactly(100_000)
+            writer.transport.abort()
+
+        async with serving(serve) as rig:
+            mine = await rig.connect()
+            mine.writer.write(request("pay", Content_Length=str(LONG)) + block(200_000))
+            first, headers = await head_of(mine.reader)
+            assert first.startswith("HTTP/1.1 503") and headers["connection"] == "close"
+            mine.writer.write(block(100_000))  # it may still be sending
+            await body_of(mine.reader, headers)
+            assert asked == 1, "what was passed on is gone"
+
+    run(test)
+
+
+def test_a_body_that_nothing_was_passed_on_of_is_tried_elsewhere() -> None:
+    async def test() -> None:
+        tried = 0
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal tried
+            tried += 1
+            _, headers = await head_of(reader)
+            if tried == 1:
+                writer.transport.abort()
+                return
+            assert await body_of(reader, headers) == block(LONG)
+            writer.write(ANSWER)
+            await reader.read()
+
+        async with serving(serve) as rig:
+            mine = await rig.connect()
+            mine.writer.write(request("pay", Content_Length=str(LONG)) + block(LONG))
+            first, _ = await head_of(mine.reader)
+            assert tried == 2 and first == "HTTP/1.1 200 OK"
+
+    run(test)
+
+
+def test_an_answer_before_the_body_has_gone_is_passed_on_at_once() -> None:
+    async def test() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await head_of(reader)
+            writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            await reader.readexactly(70_000)
+            writer.write(b"HTTP/1.1 503 X\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")
+            await reader.read()
+
+        async with serving(serve) as rig:
+            mine = await rig.connect()
+            mine.writer.write(request("pay", Content_Length=str(LONG)) + block(100_000))
+            first, _ = await head_of(mine.reader)
+            assert first.startswith("HTTP/1.1 503")
+            assert (await settled(rig))["throttled"] == {"read": 0, "write": 0, "pay": 1}
+
+    run(test)
+
+
+def test_an_endpoint_that_takes_its_time_holds_the_caller_back() -> None:
+    async def test() -> None:
+        go = asyncio.Event()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            _, headers = await head_of(reader)
+            await go.wait()
+            assert len(await body_of(reader, headers)) == 16 * 2**20
+            writer.write(ANSWER)
+            await reader.read()
+
+        async with serving(serve) as rig:
+            mine = await rig.connect()
+            mine.writer.write(request("pay", Content_Length=str(16 * 2**20)))
+            sent = 0
+
+            async def send() -> None:
+                nonlocal sent
+                while sent < 16 * 2**20:
+                    mine.writer.write(bytes(1 << 16))
+                    sent += 1 << 16
+                    await mine.writer.drain()
+
+            sending = asyncio.create_task(send())
+            before = -1
+            while before != sent:
+                before = sent
+                await asyncio.sleep(0.3)
+            assert sent < 16 * 2**20, "nobody was held back"
+            go.set()
+            await sending
+            assert (await head_of(mine.reader))[0] == "HTTP/1.1 200 OK"
+
+    run(test)
+
+
+def test_a_client_that_leaves_under_its_body_ends_the_attempt() -> None:
+    async def test() -> None:
+        lost = asyncio.Event()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await head_of(reader)
+            try:
+                await reader.read(-1)
+            finally:
+                lost.set()
+
+        async with serving(serve) as rig:
+            mine = await rig.connect()
+            mine.writer.write(request("pay", Content_Length=str(LONG)) + block(100_000))
+            while not (await figures(control(rig)))["registry_entries"]:
+                pass
+            await asyncio.sleep(0.1)
+            mine.writer.transport.abort()
+            await lost.wait()
+            told = await settled(rig)
+            assert told["relayed"] == 0
+
+    run(test)
+
+
+def test_a_body_that_stops_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(callers_connection, "READ_TIME", 0.2)
+
+    async def test() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await head_of(reader)
+            await reader.read(-1)
+
+        async with serving(serve) as rig:
+            mine = await rig.connect()
+            mine.writer.write(request("pay", Content_Length=str(LONG)) + block(70_000))
+            assert (await head_of(mine.reader))[0].startswith("HTTP/1.1 408")
+
+    run(test)
+
+
+def test_small_calls_are_served_beside_many_long_bodies_and_answers_in_little_memory() -> None:
+    size = 2 * 2**20
+
+    async def test() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                first, headers = await head_of(reader)
+                body = await body_of(reader, headers) if "content-length" in headers else b""
+                if "k=long" in first:
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+                    for at in range(0, size, 1 << 16):
+                        writer.write(bytes(1 << 16))
+                        await writer.drain()
+                        assert at >= 0
+                else:
+                    assert len(body) in (0, size)
+                    writer.write(ANSWER)
+                await writer.drain()
+
+        async with serving(serve, memory=2.0**25) as rig:
+
+            async def down() -> int:
+                mine = await rig.connect()
+                mine.writer.write(request(target="/api?k=long"))
+                first, _ = await head_of(mine.reader)
+                got = 0
+                while got < size:
+                    got += len(await mine.reader.read(1 << 14))
+                return int(first.split()[1])
+
+            async def up() -> int:
+                mine = await rig.connect()
+                mine.writer.write(request("pay", Content_Length=str(size)))
+                for _ in range(0, size, 1 << 15):
+                    mine.writer.write(bytes(1 << 15))
+                    await mine.writer.drain()
+                return int((await head_of(mine.reader))[0].split()[1])
+
+            async def small() -> int:
+                return (await rig.ask(request())).status
+
+            work = [f() for _ in range(10) for f in (down, up, small)]
+            assert set(await asyncio.gather(*work)) == {200}
+
+    run(test)
