--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -338,3 +338,24 @@
             assert await client.reader.read() == b""
 
     run(test)
+
+
+def test_a_full_sidecar_answers_at_its_door_and_can_be_drained() -> None:
+    async def test() -> None:
+        spots = [ScriptedEndpoint(f"e{i}", silent) for i in range(4)]
+        async with sidecar(*spots, sockets=32 + 13, control=free_address()) as rig:  # 8 callers, 6 calls
+            door = door_of(rig)
+            callers = [await rig.connect() for _ in range(30)]
+            for client in callers:
+                client.writer.write(request("pay"))
+            await until(lambda: sum(len(spot.got) for spot in spots) >= 4)
+            assert (await figures(door))["open_requests"] >= 4
+            assert (await call(door, "PUT", "/-/drain"))[0] == 200
+            for client in callers:
+                client.writer.close()
+            while (await figures(door))["open_requests"]:
+                await asyncio.sleep(0.01)
+            while (await rig.ask(READY)).status != 503:
+                pass
+
+    run(test)
