One wording of a bad request, one count of an answer, one way to give a connection back

Read once more: the plain-text answer to a bad request stood in the callers' connection and in the door (BadRequest.answer now), the count of a final answer three times in one file, the end of a served connection twice, the refusal for want of room twice. Gone: Flow.passed, which nobody read, and a parameter of _begun. Figures go by the statuses of millgw/message.py. Three tests share the beginning of a long answer.

--- a/millgw/callers/connection.py
+++ b/millgw/callers/connection.py
@@ -14,7 +14,7 @@
 
 from millgw.callers.core import RequestCore, word_answer, word_begin
 from millgw.events import tell
-from millgw.message import FAILED, SERVED, Answer, Content, unread, watcher
+from millgw.message import FAILED, SERVED, Answer, unread, watcher
 from millgw.pool.call import Call
 from millgw.request import BadRequest, Head
 from millgw.streams.flow import Flow
@@ -34,11 +34,6 @@
 NEW = ""  # the lane of connections that no request has come on yet
 
 
-def told(bad: BadRequest) -> Answer:
-    """The answer to a request that can't be taken."""
-    return Answer(bad.status, Content(b"Content-Type: text/plain\r\n", f"{bad}\n".encode()))
-
-
 class Front(Protocol):
     """Whose a request is, and what becomes of it."""
 
@@ -139,8 +134,8 @@
         if transport is None or transport.is_closing():
             return
         transport.close()
-        if transport.get_write_buffer_size():
-            self.left_to_read = transport.get_write_buffer_size()
+        self.left_to_read = transport.get_write_buffer_size()
+        if self.left_to_read:
             self.lingering = self.server.loop.call_later(STUCK_TIME, self._linger)
 
     def _linger(self) -> None:
@@ -218,7 +213,7 @@
             begun = core.begun
             wrong = core.feed(part, self.arrived)
             if core.begun != begun:
-                self._begun(begun)
+                self._begun()
             if wrong is not None:
                 self.refuse(wrong)
                 break
@@ -251,7 +246,7 @@
             self.paused_at = time.monotonic()
             self.transport.pause_reading()
 
-    def _begun(self, before: int) -> None:
+    def _begun(self) -> None:
         self.server.busy(self)
         self.since = time.monotonic()
         self.stopped = 0.0
@@ -265,7 +260,7 @@
             made = self.server.front.read(head, self._answer)
         except BadRequest as bad:
             head.release()
-            self._end_early(told(bad))
+            self._end_early(bad.answer())
             return
         if not isinstance(made, Call) or head.pool is None:
             head.release()
@@ -413,8 +408,7 @@
             try:
                 made = self.server.front.read(item, self._answer)
             except BadRequest as bad:
-                if item.pool is not None:
-                    item.pool.answered(item, bad.status)
+                self._count(item, bad.status)
                 item.release()
                 self._turn_away(bad)
                 continue
@@ -429,14 +423,18 @@
                 self._answer(made)
         self.serving = False
 
+    @staticmethod
+    def _count(head: Head | None, status: int) -> None:
+        """A request has its final answer."""
+        if head is not None and head.pool is not None:
+            head.pool.answered(head, status)
+
     def _answer(self, answer: Answer) -> None:
         self.current = None
         if answer.flow is not None:
             self._pass_on(answer, answer.flow)
             return
-        head = self.serves
-        if head is not None and head.pool is not None:
-            head.pool.answered(head, answer.status)
+        self._count(self.serves, answer.status)
         if self.upload is not None:
             self._end_early(answer)
             return
@@ -487,9 +485,7 @@
     def _passed(self, status: int) -> None:
         """Its answer has ended."""
         self.flow = None
-        head = self.serves
-        if head is not None and head.pool is not None:
-            head.pool.answered(head, status)
+        self._count(self.serves, status)
         self._served()
         if self.transport is not None and not self.transport.is_closing():
             self.transport.set_write_buffer_limits()
@@ -547,7 +543,7 @@
 
     def _say(self, bad: BadRequest) -> None:
         tell(INFO, "request-turned-away", status=bad.status, cause=bad)
-        self._write(told(bad))
+        self._write(bad.answer())
 
     def _write(self, answer: Answer) -> None:
         if self.transport is not None and not self.transport.is_closing():
--- a/millgw/control/door.py
+++ b/millgw/control/door.py
@@ -15,7 +15,7 @@
 from millgw.callers.core import word_answer
 from millgw.control.core import Asked, CallCore
 from millgw.events import tell
-from millgw.message import Answer, Content
+from millgw.message import Answer
 from millgw.platform.config import Address, ConfigError
 from millgw.request import BadRequest
 
@@ -124,8 +124,7 @@
         elif not caller.answered:  # else it is what nobody needs
             asked = caller.core.feed(data)
             if isinstance(asked, BadRequest):
-                text = Content(b"Content-Type: text/plain\r\n", f"{asked}\n".encode())
-                self._say(caller, Answer(asked.status, text))
+                self._say(caller, asked.answer())
             elif asked is not None:
                 self._say(caller, self.answer(asked))
 
--- a/millgw/endpoints/connection.py
+++ b/millgw/endpoints/connection.py
@@ -444,13 +444,7 @@
         if flow is None or flow.over:
             return  # its caller left at these bytes
         if read == WHOLE:
-            # Kept only once its answer is out, and on the books as idle before what its end causes.
-            if core.reusable:
-                self.idle_since = time.monotonic() * 1000
-                self.reused = True
-                self.home.keep(self)
-            else:
-                self.abort()
+            self._give_back(core.reusable)
             flow.end()
         elif read == SPOILT:
             self._break_flow(core.why)
@@ -498,14 +492,17 @@
 
     def _whole(self, attempt: Attempt, core: AnswerCore) -> None:
         outcome = core.outcome()
-        if core.reusable and attempt.state == WRITTEN:
-            # Kept only once its answer is out: what the answer causes may be sent on it at once.
+        self._give_back(core.reusable and attempt.state == WRITTEN)
+        self._finish(outcome)
+
+    def _give_back(self, reusable: bool) -> None:
+        """Its answer is out. Before what that causes, which may be sent on it at once."""
+        if reusable:
             self.idle_since = time.monotonic() * 1000
             self.reused = True
             self.home.keep(self)
         else:
             self.abort()
-        self._finish(outcome)
 
     def _spoilt(self, why: str) -> None:
         tell(WARNING, "answer-spoilt", endpoint=self.host.address, cause=why)
--- a/millgw/figures.py
+++ b/millgw/figures.py
@@ -10,7 +10,9 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-SERVED, TURNED_AWAY = 200, (429, 503)
+from millgw.message import REFUSED, SERVED
+
+TURNED_AWAY = (429, REFUSED)
 
 
 class Book:
--- a/millgw/pool/pool.py
+++ b/millgw/pool/pool.py
@@ -107,16 +107,19 @@
         Guards against a flood: its calls would take the room of other pools, or find no descriptor.
         """
         if self.retired or len(self.driver.calls) >= self.most(CALLS):
-            return Answer(REFUSED, retry_after=min(COME_BACK, self.settings.retry_after_most))
+            return self._no_room()
         return None
 
+    def _no_room(self) -> Answer:
+        return Answer(REFUSED, retry_after=min(COME_BACK, self.settings.retry_after_most))
+
     def call(self, head: Head, answer: Callable[[Answer], None]) -> Call | Answer:
         """The call that a request makes, or the answer to one that there is no room for."""
         busy = self.busy()
         if busy is not None:
             return busy
         if head.long and self.upstream.streams.full():
-            return Answer(REFUSED, retry_after=min(COME_BACK, self.settings.retry_after_most))
+            return self._no_room()
         call = self.terms.call(head, answer)
         call.patience = self.share.patience(call.patience)
         if call.trace in self.driver.open:
--- a/millgw/request.py
+++ b/millgw/request.py
@@ -8,7 +8,7 @@
 
 from typing import Final, Protocol
 
-from millgw.message import MAX_BODY, MAX_HEAD, OWN_HEADERS, Answer
+from millgw.message import MAX_BODY, MAX_HEAD, OWN_HEADERS, Answer, Content
 from millgw.streams.room import LONG
 from millgw.streams.upload import Upload
 
@@ -34,6 +34,10 @@
         super().__init__(why)
         self.status = status
 
+    def answer(self) -> Answer:
+        """How it is told, in plain text."""
+        return Answer(self.status, Content(b"Content-Type: text/plain\r\n", f"{self}\n".encode()))
+
 
 class Taker(Protocol):
     """The pool that a request is for, as far as its body goes."""
--- a/millgw/sidecar/operators.py
+++ b/millgw/sidecar/operators.py
@@ -115,11 +115,10 @@
         endpoints: tuple[Listed, ...] = ()
         learned: dict[str, object] = {}
         pools = self.parts.pools()
-        if len(pools) == 1 and isinstance(pools[0].source, Discovery):
-            pool = pools[0]
-            assert isinstance(pool.source, Discovery)
-            index, endpoints = pool.source.index, pool.driver.entries()
-            learned = pool.driver.balancer.export()
+        source, driver = pools[0].source, pools[0].driver
+        if len(pools) == 1 and isinstance(source, Discovery):
+            index, endpoints = source.index, driver.entries()
+            learned = driver.balancer.export()
         life, held = self.parts.life, self.parts.descriptors.held()
         return encode(
             State(time.time() * 1000, self.config.name, index, endpoints, life.drained, held, learned)
--- a/millgw/streams/flow.py
+++ b/millgw/streams/flow.py
@@ -37,7 +37,7 @@
 class Flow:
     """`headers` and `length` (None: not known ahead) are the answer's, `window` the bytes to be held."""
 
-    __slots__ = ("headers", "length", "over", "over_calls", "passed", "sink", "source", "window")
+    __slots__ = ("headers", "length", "over", "over_calls", "sink", "source", "window")
 
     def __init__(self, source: Source, headers: bytes, length: int | None, window: int) -> None:
         self.source = source
@@ -45,7 +45,6 @@
         self.length = length
         self.window = window
         self.sink: Sink | None = None
-        self.passed = 0
         self.over = False
         self.over_calls: list[Callable[[Flow], None]] = []
 
@@ -53,7 +52,6 @@
 
     def data(self, data: bytes) -> None:
         if not self.over and self.sink is not None:
-            self.passed += len(data)
             self.sink.pass_on(data)
 
     def end(self) -> None:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -49,6 +49,12 @@
     return body
 
 
+async def begin_long(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Answer a request with the first bytes of `LONG`."""
+    await head_of(reader)
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LONG + bytes(100))
+
+
 @asynccontextmanager
 async def serving(serve: Serve, **changes: object) -> AsyncIterator[Rig]:
     """A sidecar with one endpoint that does as `serve` says with each connection."""
@@ -299,8 +305,7 @@
         lost = asyncio.Event()
 
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await head_of(reader)
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LONG + bytes(100))
+            await begin_long(reader, writer)
             await reader.read()
             lost.set()
 
@@ -319,8 +324,7 @@
 
     async def test() -> None:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await head_of(reader)
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LONG + bytes(100))
+            await begin_long(reader, writer)
             await reader.read()
 
         async with serving(serve) as rig:
@@ -337,8 +341,7 @@
         rest = asyncio.Event()
 
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await head_of(reader)
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LONG + bytes(100))
+            await begin_long(reader, writer)
             await rest.wait()
             writer.write(bytes(LONG - 100))
             await reader.read()
