A process whose successor dies takes descriptors, allowances and its word back

Seen: after a new process died before SIGTERM, the old one served on with half of its descriptors and of cold endpoints' allowances, and its word in $TMPDIR stayed the dead one's, so that the next process found nobody and started cold. Lines: Operators._took_over shared out and nothing ever took back. Now the old one looks at its successor's door as the new one looks at the old one's, and after two looks without an answer it is alone again (log: successor-gone). Upgrades that overlap: all is taken back only when no other process is beside.

--- a/millgw/handover/heir.py
+++ b/millgw/handover/heir.py
@@ -42,6 +42,11 @@
         """Whether a process has taken over and still answers."""
         return self.door is not None and answers(self.door)
 
+    def gone(self) -> None:
+        """The process that had taken over has died: nobody has."""
+        self.door = None
+        self.steered = False
+
     def _known(self, asked: Asked) -> bool:
         return bool(self.token) and hmac.compare_digest(asked.headers.get(TOKEN, ""), self.token)
 
--- a/millgw/sidecar/operators.py
+++ b/millgw/sidecar/operators.py
@@ -22,7 +22,8 @@
 
 JSON = b"Content-Type: application/json\r\n"
 WAIT = 0.02  # s between two looks whether this process can take over
-PAIR = 0.2  # s between two looks whether the old process is still there
+PAIR = 0.2  # s between two looks whether the other process is still there
+GONE_AFTER = 2  # looks in a row that the process after does not answer: one may meet a full queue at its door
 
 
 class Operators:
@@ -44,7 +45,8 @@
         self.heir.add_to(calls)
         self.path = predecessor.place(environ)
         self.before = None if self.path is None else predecessor.find(self.path, control)
-        self.pairing: asyncio.Task[None] | None = None
+        self.pairing: asyncio.Task[None] | None = None  # while the process before runs
+        self.succeeding: asyncio.Task[None] | None = None  # while the process after runs
         self.door = Door(control, calls)
         self.door.start()
 
@@ -75,19 +77,24 @@
     def serving(self) -> None:
         """This process listens: have all new connections, leave word for the next, tell the one before."""
         steered = self.before is not None and all(steer(s.socket) for s in self.parts.servers())
+        self._leave_word()
+        if self.before is not None:
+            self.pairing = asyncio.create_task(self._beside(self.before, steered))
+
+    def _leave_word(self) -> None:
+        """Have the next process find this one."""
         if self.path is not None:
             try:
                 self.heir.token = predecessor.leave_word(self.path, self.control)
             except OSError as error:
                 tell(WARNING, "handover-unusable", cause=error)
-        if self.before is not None:
-            self.pairing = asyncio.create_task(self._beside(self.before, steered))
 
     async def _beside(self, before: predecessor.Predecessor, steered: bool) -> None:
         await asyncio.to_thread(before.succeed, self.control, steered)
         while await asyncio.to_thread(before.runs):
             await asyncio.sleep(PAIR)
-        self._pair(False, 0)
+        self.pairing = None
+        self._alone()
         tell(INFO, "alone", control=before.control)
 
     def _pair(self, both: bool, held: int | None) -> None:
@@ -109,6 +116,26 @@
         descriptors.grant(terms.descriptors(descriptors.whole, descriptors.held())[0])
         for pool in self.parts.pools():
             pool.driver.balancer.pair(True)
+        if self.succeeding is not None:
+            self.succeeding.cancel()
+        self.succeeding = asyncio.create_task(self._followed())
+
+    async def _followed(self) -> None:
+        """Take everything back if the process after dies before this one has left."""
+        missed = 0
+        while missed < GONE_AFTER:
+            await asyncio.sleep(PAIR)
+            missed = 0 if await self.succeeded() else missed + 1
+        tell(WARNING, "successor-gone", control=self.heir.door)
+        self.heir.gone()
+        self.succeeding = None
+        self._alone()
+        self._leave_word()
+
+    def _alone(self) -> None:
+        """Have all there is, unless one more process of this sidecar runs beside: upgrades may overlap."""
+        if self.pairing is None and self.succeeding is None:
+            self._pair(False, None)
 
     def _snapshot(self) -> bytes:
         index: int | None = None
@@ -126,5 +153,6 @@
 
     def stop(self) -> None:
         self.door.stop()
-        if self.pairing is not None:
-            self.pairing.cancel()
+        for task in (self.pairing, self.succeeding):
+            if task is not None:
+                task.cancel()
