--- a/millgw/rehearsal/front.py
+++ b/millgw/rehearsal/front.py
@@ -5,16 +5,19 @@
 import asyncio
 import random
 from collections.abc import Callable, Mapping, Sequence
+from functools import partial
 
 from millgw.load.arrivals import Arrival
 from millgw.rehearsal.scenario import Class
 from millgw.rehearsal.sidecars import Sidecar
-from millgw.standins.caller import Desk
+from millgw.standins.caller import Desk, ready
 from millgw.standins.http import Clock
-from millgw.standins.ledger import Call, End, Ledger
+from millgw.standins.ledger import Call, End, Ledger, SentAway
 
 NOTICE = (1.2, 3.7)  # s after which the front notices that a sidecar has died
 LEAVING = (0.2, 0.4)  # s after SIGTERM for which new connections go on coming
+LOOK_EVERY = 0.1  # s between two looks at /ready of a sidecar that was told to send clients away
+HEEDED = 0.2  # s after a no until no new connections come
 LEAST = 20.0  # ms that must be left for a try to be made
 PAUSE = 50.0  # ms before a client that found no connection tries again
 
@@ -35,16 +38,36 @@
         self.leaving.append(sidecar.desk)
         self._later(LEAVING, lambda: self._drop(sidecar.desk))
 
+    async def watch(self, sidecar: Sidecar, seen: SentAway, clock: Clock) -> None:
+        """Look at /ready of a sidecar that sends clients away until it takes them again.
+
+        Clients go on using the connections that they have.
+        """
+        while seen.until is None or seen.yes_at is None:
+            said = await ready(sidecar.listen)
+            if not said and seen.no_at is None:
+                seen.no_at = clock()
+                self.leaving.append(sidecar.desk)
+                self._later((HEEDED, HEEDED), partial(self._heed, sidecar.desk, seen))
+            if said and seen.until is not None:
+                seen.yes_at = clock()
+                self.back(sidecar)
+            await asyncio.sleep(LOOK_EVERY)
+
+    def _heed(self, desk: Desk, seen: SentAway) -> None:
+        if seen.yes_at is None:
+            self._drop(desk)
+
+    def _drop(self, desk: Desk) -> None:
+        if desk in self.taking:
+            self.taking.remove(desk)
+
     def back(self, sidecar: Sidecar) -> None:
         if sidecar.desk in self.leaving:
             self.leaving.remove(sidecar.desk)
         if sidecar.desk not in self.taking:
             self.taking.append(sidecar.desk)
 
-    def _drop(self, desk: Desk) -> None:
-        if desk in self.taking:
-            self.taking.remove(desk)
-
     def _later(self, after: tuple[float, float], do: Callable[[], None]) -> None:
         asyncio.get_running_loop().call_later(self.rng.uniform(*after), do)
 
@@ -108,6 +131,8 @@
                 method="GET" if cls.repeat == "retryable" else "POST",
                 number=number,
                 host=self.hosts.get(arrival.cls, "app.svc"),
+                body=int(cls.body_kb * 1024),
+                pace=cls.pace_kb_s * 1024,
             )
             call = await self._ask(call, arrival.leaves)
             if call.status == 200 or not again(call, cls):
@@ -146,6 +171,7 @@
     again = Call(
         call.trace, call.root, call.stage, call.cls, call.tenant, call.key, call.sidecar, call.due,
         patience=call.patience, method=call.method, number=call.number, host=call.host,
+        body=call.body, pace=call.pace,
     )  # fmt: skip
     ledger.book(again)
     await desk.ask(again, fresh=True)
--- a/millgw/rehearsal/report.py
+++ b/millgw/rehearsal/report.py
@@ -14,7 +14,7 @@
 from millgw.rehearsal.scenario import Scenario, to_toml
 from millgw.rehearsal.stage import Facts, terms
 from millgw.rehearsal.summary import Summary, Worth, summarize
-from millgw.standins.ledger import Ledger, Strike
+from millgw.standins.ledger import Ledger, SentAway, Strike, Upgrade
 
 COLOURS = {Verdict.HELD: "green", Verdict.BROKEN: "bold red", Verdict.NOT_EXERCISED: "dim"}
 LEAST_WIDTH = 118  # columns of a table that goes to a file
@@ -32,6 +32,8 @@
     summary: Summary
     audit: Audit
     strikes: tuple[Strike, ...]
+    upgrades: tuple[Upgrade, ...] = ()
+    sent_away: tuple[SentAway, ...] = ()
 
     @property
     def conclusion(self) -> str:
@@ -47,8 +49,9 @@
     worths = {c.name: Worth(c.aim_ms, c.deadline_ms, c.worth, c.late_worth) for c in scenario.classes}
     verdict = audit(ledger, terms(scenario))
     return Day(
-        name, scenario.about, scenario, facts, summarize(ledger, worths), verdict, tuple(ledger.strikes)
-    )
+        name, scenario.about, scenario, facts, summarize(ledger, worths), verdict, tuple(ledger.strikes),
+        tuple(ledger.upgrades), tuple(ledger.sent_away),
+    )  # fmt: skip
 
 
 def show(days: Sequence[Day]) -> None:
@@ -103,10 +106,29 @@
             f" {day.summary.cold_handshakes} in a second at the most",
             markup=False,
         )
+    if day.upgrades:
+        console.print(
+            f"{day.name}: {day.summary.hit_by_upgrades} requests hit by {len(day.upgrades)} upgrades",
+            markup=False,
+        )
+    for away in day.sent_away:
+        console.print(f"{day.name}: {_worded(away)}", markup=False)
+    if day.facts.sidecar_memory > day.scenario.limits.memory_mb * 1024:
+        console.print(
+            f"[bold red]{day.name}: a sidecar held {day.facts.sidecar_memory / 1024:.0f} MB"
+            f" of {day.scenario.limits.memory_mb:.0f}"
+        )
     for reason in day.audit.reasons:
         console.print(f"{day.name}: the rig can't vouch for this day: {reason}", markup=False)
 
 
+def _worded(away: SentAway) -> str:
+    """How long a sidecar took to say no, and to say yes again."""
+    no = "never" if away.no_at is None else f"after {away.no_at - away.at:.0f} ms"
+    yes = "never" if away.yes_at is None or away.until is None else f"after {away.yes_at - away.until:.0f} ms"
+    return f"{away.sidecar} was told to send clients away: no {no}, yes again {yes}"
+
+
 def to_json(days: Sequence[Day]) -> dict[str, Any]:
     """All of it, for other programs. `exit` is what the command ends with."""
     return {"exit": exit_code(days), "days": [_day(day) for day in days]}
@@ -148,6 +170,9 @@
             }
             for t in s.seconds
         ],
+        "hit_by_upgrades": s.hit_by_upgrades,
+        "upgrades": [asdict(upgrade) for upgrade in day.upgrades],
+        "sent_away": [asdict(away) for away in day.sent_away],
         "faults": [asdict(strike) for strike in day.strikes],
         "rules": [
             {
--- a/millgw/rehearsal/summary.py
+++ b/millgw/rehearsal/summary.py
@@ -77,6 +77,7 @@
     unusable: dict[str, int] = field(default_factory=dict)  # attempts answered 400, by cause
     handshakes: int = 0  # at all endpoints, over the day
     cold_handshakes: int = 0  # at the most at one endpoint, within one second while it was cold
+    hit_by_upgrades: int = 0  # requests; see the function of that name
 
 
 WORST_SPAN = 5
@@ -128,6 +129,7 @@
     _attempts(ledger, summary)
     summary.handshakes = sum(h.at >= 0 for h in ledger.handshakes)
     summary.cold_handshakes = most_while_cold(ledger)
+    summary.hit_by_upgrades = hit_by_upgrades(ledger)
     if sum(offered) > 0:
         summary.service = sum(earned) / sum(offered)
     spans = range(max(1, len(seconds) - WORST_SPAN + 1))
@@ -159,6 +161,23 @@
     return most
 
 
+def hit_by_upgrades(ledger: Ledger) -> int:
+    """Requests that met a refused, reset or unread connection while two processes of a sidecar ran.
+
+    A caller who left by itself is not hit.
+    """
+    spans: dict[str, list[tuple[float, float]]] = {}
+    for upgrade in ledger.upgrades:
+        until = math.inf if upgrade.ended is None else upgrade.ended
+        spans.setdefault(upgrade.sidecar, []).append((upgrade.at, until))
+    hit = 0
+    for call in ledger.calls:
+        if call.end in (End.NOT_TAKEN, End.CROSSED, End.BROKEN, End.LOST):
+            at = call.due if call.sent is None else call.sent
+            hit += any(since <= at <= until for since, until in spans.get(call.sidecar, ()))
+    return hit
+
+
 def _attempts(ledger: Ledger, summary: Summary) -> None:
     tiers = {life.endpoint: life.tier for life in ledger.lives}
     for attempt in ledger.attempts:
--- a/millgw/standins/caller.py
+++ b/millgw/standins/caller.py
@@ -7,19 +7,24 @@
 
 from millgw.platform.config import Address
 from millgw.standins import http
-from millgw.standins.endpoint import token
+from millgw.standins.endpoint import stuff, token
 from millgw.standins.http import AnswerReader, Clock
 from millgw.standins.ledger import Call, End
 
 PAST = 0.4  # s past its patience for which a caller listens, to tell a late answer from none
 CONNECT_TIME = 2.0  # s for a connection to a sidecar to come up
+PIECE = 1 << 14  # bytes of a long body that are written at once
+STALLED = 2.0  # s in which more of an answer that has begun must come, or of a body be taken
+DOOR_READY = "/-/ready"  # where a sidecar's door says that it can serve
+LONG = 1 << 16  # bytes beyond which an answer's first bytes are timed, and not its last
 
 
 def word(call: Call, patience: int) -> bytes:
     """A request as the protocol page has it."""
     return http.ask(
-        call.method, call.target, call.host, call.trace, call.cls, call.tenant, call.key, patience, b""
-    )
+        call.method, call.target, call.host, call.trace, call.cls, call.tenant, call.key, patience,
+        stuff(call.trace, call.body),
+    )  # fmt: skip
 
 
 class Line(asyncio.Protocol):
@@ -35,6 +40,9 @@
         self.asked = 0
         self.any_bytes = False
         self.closed = False
+        self.came = 0.0  # when the first bytes of the answer came
+        self.moved = 0.0  # when bytes went or came last
+        self.slowing: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -46,10 +54,52 @@
         self.any_bytes = False
         self.asked += 1
         self.done = asyncio.get_running_loop().create_future()
+        if call.body and call.pace:
+            call.began = self.desk.clock()
+            asyncio.get_running_loop().create_task(self._write(call, data))
+            return self.done
         self.transport.write(data)
         call.sent = self.desk.clock()
         return self.done
 
+    async def _write(self, call: Call, data: bytes) -> None:
+        """Write piece by piece at the caller's pace; an answer that comes meanwhile ends it."""
+        assert self.transport is not None
+        for at in range(0, len(data), PIECE):
+            while self.transport.get_write_buffer_size() > PIECE and self.call is call:
+                await asyncio.sleep(PIECE / call.pace)
+            if self.call is not call:
+                return
+            self.transport.write(data[at : at + PIECE])
+            self.moved = self.desk.clock()
+            await asyncio.sleep(PIECE / call.pace)
+        call.sent = self.desk.clock()
+
+    @property
+    def long(self) -> bool:
+        """Whether what has come of an answer tells that it is a long one, whose first bytes are timed."""
+        if self.reader is None or not self.any_bytes:
+            return False
+        told = self.reader.headers.get(b"content-length", b"0")
+        return max(len(self.reader.body), int(told)) > LONG
+
+    def stalled(self, now: float) -> bool:
+        """Whether neither a byte went nor one came for too long."""
+        return now > self.moved + STALLED * 1000
+
+    def _slow(self, count: int, pace: float) -> None:
+        """Read no more for as long as so many bytes take."""
+        assert self.transport is not None
+        if self.slowing is None:
+            self.transport.pause_reading()
+            self.slowing = asyncio.get_running_loop().call_later(count / pace, self._read_on)
+
+    def _read_on(self) -> None:
+        self.slowing = None
+        self.moved = self.desk.clock()
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
     def data_received(self, data: bytes) -> None:
         if self.call is None:
             # Bytes that nobody asked for: a second answer to the last request, as far as can be told.
@@ -57,10 +107,18 @@
                 self.last.extra += 1
             self.abort()
             return
-        self.any_bytes = True
+        self.moved = self.desk.clock()
+        if not self.any_bytes:
+            self.any_bytes = True
+            self.came = self.moved
+        call = self.call
         if self.reader is None or not self.reader.feed(data):
             self._end(End.BROKEN)
             self.abort()
+        elif self.call is call and len(self.reader.body) > LONG:
+            call.begun = self.came
+            if call.pace:
+                self._slow(len(data), call.pace)
 
     def _whole(self, code: int, headers: dict[bytes, bytes], body: bytes) -> None:
         call = self.call
@@ -68,7 +126,13 @@
             if self.last is not None:
                 self.last.extra += 1
             return
-        call.answered, call.status, call.token = self.desk.clock(), code, token(body)
+        call.answered = self.desk.clock() if call.begun is None else call.begun
+        call.status, call.token = code, token(body)
+        if call.sent is None:
+            call.sent = call.answered  # answered before all of its body had gone
+            self._end(End.ANSWERED)
+            self.abort()
+            return
         if b"retry-after" in headers:
             call.retry_after = float(headers[b"retry-after"]) * 1000
         keep = self.reader is not None and self.reader.keep
@@ -130,14 +194,48 @@
             return
         done = line.ask(call, word(call, max(1, int(call.patience))))
         try:
-            async with asyncio.timeout(call.patience / 1000 + PAST):
-                await done
+            if call.sent is None:
+                await self._stream(line, call, done)
+            else:
+                await self._patiently(call, done)
         except TimeoutError:
-            line.leave(End.LOST)
+            if line.long:
+                await self._rest(line, done)
+            else:
+                line.leave(End.LOST)
         except asyncio.CancelledError:
             line.leave(End.LEFT)
             raise
 
+    async def _stream(self, line: Line, call: Call, done: asyncio.Future[None]) -> None:
+        """Wait for a call whose body goes out by and by; its patience counts from the last byte."""
+        while call.sent is None and not done.done():
+            await asyncio.wait([done], timeout=PAST)
+            if line.stalled(self.clock()):
+                call.sent = self.clock()  # all that will ever go: it is the sidecar that takes no more
+                raise TimeoutError
+        await self._patiently(call, done)
+
+    @staticmethod
+    async def _patiently(call: Call, done: asyncio.Future[None]) -> None:
+        # Shielded: a time-out that ended the future itself would let no rest of an answer be waited for.
+        async with asyncio.timeout(call.patience / 1000 + PAST):
+            await asyncio.shield(done)
+
+    async def _rest(self, line: Line, done: asyncio.Future[None]) -> None:
+        """Wait for the rest of an answer that has begun, as long as more of it comes."""
+        while not done.done():
+            await asyncio.wait([done], timeout=PAST)
+            if not done.done() and line.slowing is None and line.stalled(self.clock()):
+                line.leave(End.BROKEN)
+
+    def lately(self, within: float) -> tuple[int, int]:
+        """How many connections have nothing open, and a request of the last so many ms."""
+        since = self.clock() - within
+        idle = [line for line in self.lines if line.call is None]
+        calls = [line.call for line in self.lines if line.call is not None]
+        return len(idle), sum(call.sent is not None and call.sent > since for call in calls)
+
     def _idle(self) -> Line | None:
         while self.idle:
             line = self.idle.pop()
@@ -166,13 +264,18 @@
             line.abort()
 
 
-async def ready(address: Address) -> bool:
-    """Whether a sidecar answers GET /ready with 200."""
+async def ready(address: Address, path: str = "/ready") -> bool:
+    """Whether a sidecar answers GET /ready, or that of its door, with 200."""
+    return await says_yes(address, "GET", path)
+
+
+async def says_yes(address: Address, method: str, path: str) -> bool:
+    """Whether a call without a body is answered 200."""
     try:
         async with asyncio.timeout(CONNECT_TIME):
             reader, writer = await asyncio.open_connection(address.host, address.port)
             try:
-                writer.write(b"GET /ready HTTP/1.1\r\nHost: rig\r\nConnection: close\r\n\r\n")
+                writer.write(f"{method} {path} HTTP/1.1\r\nHost: rig\r\nConnection: close\r\n\r\n".encode())
                 return (await reader.readline()).split()[1:2] == [b"200"]
             finally:
                 writer.close()
--- a/millgw/standins/endpoint.py
+++ b/millgw/standins/endpoint.py
@@ -24,6 +24,8 @@
 SWEEP = 0.1  # s between two looks for connections that have been idle too long
 SPOILT_STALL = 3.0  # s after which a stalled answer's connection is reset
 SPOILS = ("short", "garbled", "doubled", "stalled")
+PIECE = 1 << 16  # bytes of a long answer that are written at once
+LATER = 0.005  # s until the next piece where the reader is slower than that
 
 
 @dataclass(slots=True, frozen=True)
@@ -37,6 +39,8 @@
     keyed: bool = False
     window: float = 0.0
     calls: float = 0.0  # calls to the next tier for each request, on average
+    answer: int = 0  # bytes of its answers' bodies; 0: a few hundred
+    pace: float = 0.0  # bytes a second at which such an answer is written; 0: as fast as it is taken
 
 
 @dataclass(slots=True, frozen=True)
@@ -118,9 +122,16 @@
         return f"the target is not the client's: {_shape(target)} for {_shape(asked.target)}"
     if message.headers.get("idempotency-key", "") != asked.key:
         return "Idempotency-Key is not the client's"
+    if message.body != stuff(asked.trace, asked.body):
+        return "the body is not the client's"
     return ""
 
 
+def stuff(trace: str, size: int) -> bytes:
+    """So many bytes that tell whose they are wherever one looks."""
+    return (trace.encode() * (size // max(1, len(trace)) + 1))[:size]
+
+
 def _shape(target: str) -> str:
     """A target without its query's values: the same for all requests that are wrong in the same way."""
     path, question, query = target.partition("?")
@@ -380,6 +391,8 @@
             self._tell(connection, attempt, Told.ERROR, status(500))
         elif rng.random() < self.ills.spoiling:
             await self._spoil(connection, attempt, body, rng.choice(SPOILS))
+        elif task.answer:
+            await self._pour(connection, attempt, body + stuff(attempt.trace, task.answer), task.pace)
         else:
             attempt.token = token(body)
             self._tell(connection, attempt, Told.OK, ok(body))
@@ -465,7 +478,7 @@
         if self.attempts.pop(connection, None) is None:
             return  # the sidecar has gone
         attempt.told, attempt.told_at = told, self.clock()
-        if not data:
+        if told is Told.RESET:
             connection.reset()
             return
         connection.write(data)
@@ -473,6 +486,20 @@
         if self.build.uses and connection.requests >= self.build.uses:
             connection.close()
 
+    async def _pour(self, connection: ServerConnection, attempt: Attempt, body: bytes, pace: float) -> None:
+        """Answer piece by piece, as fast as the reader takes it and no faster than the pace."""
+        attempt.token = token(body)
+        data = ok(body)
+        for at in range(0, len(data), PIECE):
+            while connection.unsent > PIECE:
+                await asyncio.sleep(LATER)
+            if self.attempts.get(connection) is not attempt:
+                return  # the sidecar has gone
+            connection.write(data[at : at + PIECE])
+            if pace:
+                await asyncio.sleep(PIECE / pace)
+        self._tell(connection, attempt, Told.OK, b"")
+
     async def _spoil(self, connection: ServerConnection, attempt: Attempt, body: bytes, how: str) -> None:
         whole = ok(body)
         if how == "doubled":
--- a/millgw/standins/http.py
+++ b/millgw/standins/http.py
@@ -181,6 +181,11 @@
         if self.transport is not None and not self.closed:
             self.transport.write(data)
 
+    @property
+    def unsent(self) -> int:
+        """Bytes written that the kernel has not taken yet; none where there is nobody to take them."""
+        return 0 if self.transport is None or self.closed else self.transport.get_write_buffer_size()
+
     def reset(self) -> None:
         """End the connection with a RST: without this option it would be a plain end."""
         if self.transport is not None and not self.closed:
--- a/millgw/standins/ledger.py
+++ b/millgw/standins/ledger.py
@@ -86,6 +86,10 @@
     method: str = "POST"  # GET for a class that is safe to repeat
     number: int = 0  # 0 for a first try, then the caller's own retries
     host: str = "app.svc"
+    began: float | None = None  # when its first byte was written, where its last one came later
+    body: int = 0  # bytes of its body
+    begun: float | None = None  # when the first bytes of a long answer came
+    pace: float = 0.0  # bytes a second that its caller writes and reads; 0: at once
 
     @property
     def target(self) -> str:
@@ -176,6 +180,37 @@
     kill: float | None = None
     ended: float | None = None
     code: int | None = None
+    beside: bool = False  # started beside a running process, to take over from it
+
+
+@dataclass(slots=True)
+class SentAway:
+    """A sidecar told at its door to send clients away, and what its front and clients saw of that.
+
+    `no_at`, `yes_at`: its first no at /ready after the call, its first yes after the resume. `idle` and
+    `lately`: connections that it still held 4 s after the call with nothing open, and with a request of the
+    last 2 s.
+    """
+
+    sidecar: str
+    at: float
+    no_at: float | None = None
+    until: float | None = None
+    yes_at: float | None = None
+    judged: float | None = None
+    idle: int = 0
+    lately: int = 0
+
+
+@dataclass(slots=True)
+class Upgrade:
+    """A second process of a sidecar beside the first: its start, its yes, SIGTERM and the old one's end."""
+
+    sidecar: str
+    at: float
+    yes_at: float | None = None
+    term: float | None = None
+    ended: float | None = None
 
 
 @dataclass(slots=True)
@@ -214,6 +249,8 @@
     sidecars: list[SidecarLife] = field(default_factory=list)
     samples: list[Sample] = field(default_factory=list)
     strikes: list[Strike] = field(default_factory=list)
+    sent_away: list[SentAway] = field(default_factory=list)
+    upgrades: list[Upgrade] = field(default_factory=list)
     late: list[tuple[float, float]] = field(default_factory=list)  # arrivals: when due, ms sent late
     asked_for: dict[str, Call] = field(default_factory=dict)  # the last call booked under each trace
 
@@ -225,7 +262,7 @@
 
 TIMES: dict[type, tuple[str, ...]] = {
     Attempt: ("first", "last", "began", "ended", "told_at"),
-    Call: ("due", "sent", "answered", "closed"),
+    Call: ("due", "began", "sent", "begun", "answered", "closed"),
     Word: ("at",),
     Change: ("at",),
     Asked: ("at", "until"),
@@ -235,6 +272,8 @@
     SidecarLife: ("start", "ready", "term", "kill", "ended"),
     Sample: ("at",),
     Strike: ("at", "until"),
+    SentAway: ("at", "no_at", "until", "yes_at", "judged"),
+    Upgrade: ("at", "yes_at", "term", "ended"),
 }
 """The fields of each record that are times."""
 
@@ -244,6 +283,7 @@
     for records in (
         ledger.attempts, ledger.calls, ledger.words, ledger.changes, ledger.asked, ledger.outages,
         ledger.lives, ledger.handshakes, ledger.sidecars, ledger.samples, ledger.strikes,
+        ledger.sent_away, ledger.upgrades,
     ):  # fmt: skip
         for record in records:
             for name in TIMES[type(record)]:
--- a/tests/test_rehearsal_auditor.py
+++ b/tests/test_rehearsal_auditor.py
@@ -22,6 +22,7 @@
     Life,
     Outage,
     Sample,
+    SentAway,
     SidecarLife,
     Told,
     Word,
@@ -276,6 +277,37 @@
     close(made, call)
 
 
+def never_says_no(made: Books) -> None:
+    made.ledger.sent_away.append(SentAway("n0", made.now, None, made.now + 8000.0, judged=made.now + 4000.0))
+
+
+def keeps_idle_clients(made: Books) -> None:
+    now = made.now
+    made.ledger.sent_away.append(SentAway("n0", now, now + 5.0, None, judged=now + 4000.0, idle=1))
+
+
+def still_takes_requests(made: Books) -> None:
+    now = made.now
+    made.ledger.sent_away.append(SentAway("n0", now, now + 5.0, None, judged=now + 4000.0, lately=2))
+
+
+def long_answer_cut_off_by_the_sidecar(made: Books) -> None:
+    call = plain(made, "status")
+    made.attempt(call, "a", Told.NOTHING, answered=False)
+    call.begun, call.closed = made.now, made.now + 100.0
+    call.status, call.end, call.answered = 0, End.BROKEN, None
+
+
+def after_a_drain_that_the_process_before_was_told(made: Books) -> None:
+    made.ledger.words.append(Word("n0", "a", 1, "terminating", made.now))
+    made.now += 400.0
+    made.ledger.sidecars.append(SidecarLife("n0", 0, made.now, made.now + 100.0, beside=True))
+    made.now += 200.0
+    call = plain(made, "status")
+    made.attempt(call, "a", Told.ERROR)
+    close(made, call)
+
+
 def pushed_over(made: Books) -> None:
     life = Life("e", 1, 1, 0, made.now, 1.0, 0.1, 10_000.0)
     made.ledger.lives.append(life)
@@ -297,6 +329,8 @@
     sent_afterwards: 1, crashed: 1, fragile_again: 2, fragile_again_after_silence: 2,
     turned_away_only_later: 2, keyed_elsewhere: 2, keyed_too_late: 2, refused_what_may_have_run: 2,
     too_many: 2, after_a_drain: 3, drain_never_asked_for: 3, pushed_over: 4,
+    never_says_no: 1, keeps_idle_clients: 1, still_takes_requests: 1, long_answer_cut_off_by_the_sidecar: 1,
+    after_a_drain_that_the_process_before_was_told: 3,
 }  # fmt: skip
 
 
@@ -332,6 +366,17 @@
         assert (broken(made.ledger) == {1}) is blamed, (term, kill)
 
 
+def test_a_long_answer_that_its_endpoint_broke_off_is_not_held_against_the_sidecar() -> None:
+    made = books(3, 5)
+    made.now += 1000.0
+    long_answer_cut_off_by_the_sidecar(made)
+    (life,) = (x for x in made.ledger.lives if x.endpoint == "a")
+    life.until = (made.ledger.calls[-1].closed or 0.0) - 10.0
+    assert broken(made.ledger) == set()
+    life.until = (made.ledger.calls[-1].closed or 0.0) + 500.0
+    assert broken(made.ledger) == {1}
+
+
 def test_a_crossed_close_is_the_callers_to_mend_unless_the_sidecar_had_read_the_request() -> None:
     for read, after, blamed in ((False, 5.0, False), (True, 5.0, True), (False, 500.0, True)):
         made = Books(random.Random(1))
--- a/tests/test_rehearsal_wrong.py
+++ b/tests/test_rehearsal_wrong.py
@@ -70,6 +70,7 @@
     "zk-both-sources",
 )  # fmt: skip
 TENDED = ("stale-pools", "cold-handshake-storm", "silent-middlebox")
+DAILY = ("upgrade", "drain-and-resume", "long-bodies")
 SHIPPED_SECONDS = 9.0
 
 
@@ -123,6 +124,13 @@
     return asyncio_days({name: (short(name), DEFAULT_RUN) for name in TENDED})
 
 
+@cache
+def daily_days() -> dict[str, Day]:
+    days = {name: (short(name), DEFAULT_RUN) for name in DAILY[:2]}
+    days["long-bodies"] = (changed(load("long-bodies")[1], seconds=SHIPPED_SECONDS), DEFAULT_RUN)
+    return asyncio_days(days)
+
+
 def asyncio_days(days: dict[str, tuple[Scenario, str]]) -> dict[str, Day]:
     async def play() -> list[Day]:
         async def one(name: str, scenario: Scenario, run: str) -> Day:
@@ -212,3 +220,31 @@
     if name == "cold-handshake-storm":
         assert day.scenario.connections is not None
         assert day.summary.cold_handshakes <= day.scenario.connections.cold_per_s
+
+
+@once
+def test_upgrades_hit_no_request_and_break_no_rule() -> None:
+    day = daily_days()["upgrade"]
+    assert not broken(day), broken(day)
+    assert len(day.upgrades) >= 2 and all(u.ended is not None for u in day.upgrades)
+    assert day.summary.hit_by_upgrades == 0 and day.summary.served > 0.9 * day.summary.asked
+
+
+@once
+def test_clients_are_sent_away_and_taken_again() -> None:
+    day = daily_days()["drain-and-resume"]
+    assert not broken(day), broken(day)
+    assert day.sent_away and all(a.judged is not None and a.yes_at is not None for a in day.sent_away)
+    assert day.summary.served > 0.9 * day.summary.asked
+
+
+@once
+def test_long_bodies_and_answers_come_whole_within_the_memory() -> None:
+    day = daily_days()["long-bodies"]
+    assert not broken(day), broken(day)
+    assert day.facts.sidecar_memory < day.scenario.limits.memory_mb * 1024
+    for name in ("relatorio", "carga"):
+        figures = day.summary.classes[name]
+        assert figures.asked > 10 and figures.in_time + figures.late > 0.9 * figures.asked
+    login = day.summary.classes["codigo-acesso"]
+    assert login.in_time + login.late == login.asked, "long streams cost a login code"
