An upgrade's yes waits until the old process knows of it; no test can spin for ever

Cause: the new process's door said yes before its word had reached the old one, so SIGTERM found a process that knew of no successor: it said no at /ready and served on for 2 s. Operators.serving tells the old one first now, and the yes comes after; the test holds the old one's answer back and fails without it. Ruled out: connections that were still in use (the others had them too).

A long body that is refused from its head is counted (throttled, or faulted) as any other final answer is: _begin_upload gave the answer without the count.

A test of long streams read on for ever after a refusal, in a loop that a time limit can't end, and held a run up for 40 minutes: refused calls come again now, and a test that never lets the loop turn ends the run with its traceback. Cause of the refusals: thirty calls at once against a limit that has learned nothing, which the module may refuse.

--- a/millgw/callers/connection.py
+++ b/millgw/callers/connection.py
@@ -259,12 +259,14 @@
         try:
             made = self.server.front.read(head, self._answer)
         except BadRequest as bad:
+            self._count(head, bad.status)
             head.release()
             self._end_early(bad.answer())
             return
         if not isinstance(made, Call) or head.pool is None:
             head.release()
             if isinstance(made, Answer):
+                self._count(head, made.status)
                 self._end_early(made)
             return
         upload = Upload(None if head.told < 0 else head.told, head.pool.enter(), self._room)
--- a/millgw/sidecar/__main__.py
+++ b/millgw/sidecar/__main__.py
@@ -55,9 +55,9 @@
             await operators.begin(stop)
         for server in parts.servers():
             server.start()
-        watching = asyncio.create_task(watch(parts))
         if operators is not None:
-            operators.serving()
+            await operators.serving()
+        watching = asyncio.create_task(watch(parts))
         tell(INFO, "serving", name=config.name, listen=config.listen, modules=compiled.describe())
         await stop.wait()
         await leave(config, parts, operators)
--- a/millgw/sidecar/operators.py
+++ b/millgw/sidecar/operators.py
@@ -74,12 +74,17 @@
                 return
             await asyncio.sleep(WAIT)
 
-    def serving(self) -> None:
-        """This process listens: have all new connections, leave word for the next, tell the one before."""
+    async def serving(self) -> None:
+        """This process listens: have all new connections, leave word for the next, tell the one before.
+
+        Returns when that one has heard, or can't be told: SIGTERM may reach it as soon as this one says yes,
+        and it must know by then that nobody needs it any more.
+        """
         steered = self.before is not None and all(steer(s.socket) for s in self.parts.servers())
         self._leave_word()
         if self.before is not None:
-            self.pairing = asyncio.create_task(self._beside(self.before, steered))
+            await asyncio.to_thread(self.before.succeed, self.control, steered)
+            self.pairing = asyncio.create_task(self._beside(self.before))
 
     def _leave_word(self) -> None:
         """Have the next process find this one."""
@@ -89,8 +94,7 @@
             except OSError as error:
                 tell(WARNING, "handover-unusable", cause=error)
 
-    async def _beside(self, before: predecessor.Predecessor, steered: bool) -> None:
-        await asyncio.to_thread(before.succeed, self.control, steered)
+    async def _beside(self, before: predecessor.Predecessor) -> None:
         while await asyncio.to_thread(before.runs):
             await asyncio.sleep(PAIR)
         self.pairing = None
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import faulthandler
 import itertools
 import json
 import os
@@ -23,6 +24,7 @@
 from millgw.standins.scripted import ScriptedCadastro, ScriptedEndpoint, read_message
 
 LIMIT = 30.0  # s that a test may wait for anything: far over what it takes on a busy machine
+STUCK = 3 * LIMIT  # s after which a test that never lets the loop turn ends the whole run, with its traceback
 PATIENCE = 20_000  # ms of a request that is not about time
 numbers = itertools.count(1)
 
@@ -47,7 +49,11 @@
         async with asyncio.timeout(LIMIT):
             await test()
 
-    uvloop.run(limited())
+    faulthandler.dump_traceback_later(STUCK, exit=True)
+    try:
+        uvloop.run(limited())
+    finally:
+        faulthandler.cancel_dump_traceback_later()
 
 
 async def until(holds: Callable[[], bool]) -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -29,6 +29,7 @@
 from millgw.platform.config import Address
 from millgw.platform.discovery import Listed
 from millgw.standins.address import free_address
+from millgw.standins.http import ok
 from millgw.standins.scripted import STREAM, ScriptedCadastro, ScriptedEndpoint, chunk, line, read_message
 from tests.rig import SETTINGS, request, run, until
 from tests.support import drive
@@ -277,7 +278,7 @@
         self.seen: Counter[str] = Counter()
         self.sent = 0
 
-    async def client(self, pause: float) -> None:
+    async def client(self, pause: float, kept: bool = True) -> None:
         while True:
             try:
                 reader, writer = await asyncio.open_connection(self.listen.host, self.listen.port)
@@ -288,7 +289,7 @@
             while again:
                 self.sent += 1
                 try:
-                    writer.write(request("pay"))
+                    writer.write(request("pay", Connection="" if kept else "close"))
                     answer = await read_message(reader)
                     self.seen[str(answer.status)] += 1
                     again = answer.headers.get("connection") != "close"
@@ -327,6 +328,52 @@
     run(test)
 
 
+def test_an_upgrade_under_a_flood_of_new_connections_hits_none(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with platform(tmp_path) as fleet:
+            process, _ = await fleet.start()
+            crowd = Crowd(fleet.listen)
+            clients = [asyncio.create_task(crowd.client(0.0, kept=False)) for _ in range(30)]
+            await until(lambda: crowd.sent > 100)
+            after, _ = await fleet.start()
+            before = crowd.sent
+            assert await fleet.ended(process) < 3.5
+            await until(lambda: crowd.sent > before + 300)
+            assert after.poll() is None
+            for each in clients:
+                each.cancel()
+            await asyncio.gather(*clients, return_exceptions=True)
+            assert set(crowd.seen) == {"200"}, crowd.seen
+            traces = Counter(m.headers["x-trace-id"] for spot in fleet.endpoints for m in spot.got)
+            assert max(traces.values()) == 1, "an unsafe request was sent twice"
+
+    run(test)
+
+
+def test_a_reload_in_the_midst_of_a_long_answer_costs_nothing(tmp_path: Path) -> None:
+    body = os.urandom(1 << 20) * 8
+
+    async def long(_: object, __: object) -> bytes:
+        return ok(body)
+
+    async def test() -> None:
+        async with platform(tmp_path, endpoints=1) as fleet:
+            process, _ = await fleet.start()
+            fleet.endpoints[0].script = long
+            reader, writer = await asyncio.open_connection(fleet.listen.host, fleet.listen.port)
+            writer.write(request())
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert b" 200 " in head
+            got = await reader.readexactly(100_000)
+            process.send_signal(signal.SIGHUP)
+            await until(lambda: "reloaded" in (tmp_path / "log").read_text())
+            got += await reader.readexactly(len(body) - len(got))
+            assert got == body
+            writer.close()
+
+    run(test)
+
+
 def test_a_new_process_that_dies_leaves_the_old_one_serving_with_all_it_had(tmp_path: Path) -> None:
     async def test() -> None:
         async with platform(tmp_path) as fleet:
@@ -354,6 +401,36 @@
     run(test)
 
 
+def test_a_new_process_says_yes_only_when_the_old_one_knows_of_it(tmp_path: Path) -> None:
+    """SIGTERM follows the yes at once: an old one that knew of no successor would serve on for 2 s."""
+
+    async def test() -> None:
+        async with platform(tmp_path) as fleet:
+            told, go, yes = asyncio.Event(), asyncio.Event(), asyncio.Event()
+
+            async def old(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                head = await reader.read(1000)
+                if head.startswith(b"PUT"):
+                    told.set()
+                    await go.wait()
+                writer.write(b"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n")
+                writer.close()
+
+            door = free_address()
+            listening = await asyncio.start_server(old, door.host, door.port)
+            leave_word(tmp_path / FILE, door)
+            starting = asyncio.create_task(fleet.start())
+            starting.add_done_callback(lambda _: yes.set())
+            await told.wait()
+            await asyncio.sleep(0.3)
+            assert not yes.is_set()
+            go.set()
+            await yes.wait()
+            listening.close()
+
+    run(test)
+
+
 def test_an_upgrade_while_drained_stays_drained_and_open_calls_are_answered(tmp_path: Path) -> None:
     async def test() -> None:
         async with platform(tmp_path) as fleet:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -20,7 +20,7 @@
 from millgw.standins.scripted import ScriptedEndpoint
 from millgw.streams.room import NARROWEST, READ, WIDEST, StreamRoom
 from tests.rig import Rig, request, run, sidecar
-from tests.test_control import call, figures
+from tests.test_control import call, door_of, figures
 
 LONG = 300_000
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -100,6 +100,30 @@
     assert room.open == 0 and not room.full()
 
 
+def test_a_long_body_that_there_is_no_room_for_is_refused_at_once_and_counted() -> None:
+    async def test() -> None:
+        began = asyncio.Event()
+
+        async def serve(reader: asyncio.StreamReader, _: asyncio.StreamWriter) -> None:
+            await head_of(reader)
+            began.set()
+            await reader.read()
+
+        async with serving(serve, memory=4 * (NARROWEST + READ)) as rig:  # room for one
+            first = await rig.connect()
+            first.writer.write(request("pay", bytes(LONG), X_Trace_Id="0" * 16)[:-1])
+            await began.wait()
+            second = await rig.connect()
+            second.writer.write(request("pay", bytes(LONG))[:-1])
+            line, _ = await head_of(second.reader)
+            assert line.startswith("HTTP/1.1 503")
+            told = await figures(door_of(rig))
+            assert told["throttled"] == {"read": 0, "write": 0, "pay": 1}
+            first.writer.close()
+
+    run(test)
+
+
 # Answers, the core
 
 
@@ -584,9 +608,12 @@
                 mine = await rig.connect()
                 mine.writer.write(request(target="/api?k=long"))
                 first, _ = await head_of(mine.reader)
+                if " 503 " in first:
+                    return 503
                 got = 0
-                while got < size:
-                    got += len(await mine.reader.read(1 << 14))
+                while got < size and (data := await mine.reader.read(1 << 14)):
+                    got += len(data)
+                assert got == size, f"{first}: {got} of {size} bytes came"
                 return int(first.split()[1])
 
             async def up() -> int:
@@ -600,7 +627,11 @@
             async def small() -> int:
                 return (await rig.ask(request())).status
 
-            work = [f() for _ in range(10) for f in (down, up, small)]
-            assert set(await asyncio.gather(*work)) == {200}
+            async def served(ask: Callable[[], Awaitable[int]]) -> None:
+                """Calls that come at once may be refused, and come again."""
+                while (status := await ask()) != 200:
+                    assert status == 503
+
+            await asyncio.gather(*(served(ask) for _ in range(10) for ask in (down, up, small)))
 
     run(test)
