Learning from a peer begun: list of peers by SWIM, beliefs that only add care, sealed messages

Pure parts after docs/design/peers.md, and a datagram network in virtual time for them to run on (millgw/standins/network.py). The daemon loads none of it. Tests: fleets of 15 to 80 nodes with loss, pauses, a split, restarts of all, 60 joining at once; lying peers; echoes; keys changed in service; replays. Seen on the way: gossip alone leaves a newcomer without most of the list (compared whole with another now, often at first), and at 20 % loss a contradicted suspicion killed at one node that had missed the contradiction (suspects are asked again each round).

--- /dev/null
+++ b/benchmarks/peers.py
@@ -0,0 +1,94 @@
+"""What keeping the list of peers costs, and how soon a death or a join is known, in virtual time.
+
+    python -m benchmarks.peers [--nodes 60,400] [--loss 0,0.05,0.2] [--seeds 3] [--rest 60]
+
+Each run: all nodes know of one and come to know all; then nothing happens for `rest` periods of 1 s (who is
+held to be dead now is a false death); then one node dies. Bytes are those of sealed messages as msgpack words
+them. `played` is what it took this machine.
+Rows are medians over the seeds.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import statistics
+import sys
+import time
+
+import msgspec
+
+from millgw.peers.sealed import HEAD
+from millgw.peers.swim import Message, Status, Swim, Terms, agree
+from millgw.standins.network import Network
+
+AROUND = 40  # bytes of a sealed message's sender, start and number
+MOST = 400  # periods after which a run is given up
+
+
+def size(message: Message) -> int:
+    return HEAD + AROUND + len(msgspec.msgpack.encode(message))
+
+
+def run(count: int, loss: float, seed: int, rest: int) -> list[float]:
+    """Periods until all are known, bytes a node and second at rest, false suspicions and deaths a node and
+    minute, periods until one, and all, hold the dead one to be dead; seconds that it took to play."""
+    begun = time.perf_counter()
+    rng, terms = random.Random(seed), Terms()
+    network: Network[Message] = Network(seed, loss=loss, size=size)
+    nodes = [Swim(f"n{i}", 1, rng.getrandbits(32)) for i in range(count)]
+    for node in nodes:
+        node.join(0.0, ["n0"] if node is not nodes[0] else [])
+        network.add(node, rng.uniform(0.0, terms.period))
+
+    def periods(holds: object) -> float:
+        assert callable(holds)
+        since = network.now
+        while not holds() and network.now < since + MOST * terms.period:
+            network.run(network.now + terms.period / 4)
+        return (network.now - since) / terms.period
+
+    known = periods(lambda: agree(nodes, {n.name for n in nodes}))
+    before, wrong = network.bytes, {Status.SUSPECT: 0, Status.DEAD: 0}
+    held = set[tuple[str, str, Status]]()
+    for _ in range(rest):
+        network.run(network.now + terms.period)
+        now: set[tuple[str, str, Status]] = {
+            (node.name, name, m.news.status)
+            for node in nodes
+            for name, m in node.members.items()
+            if m.news.status is not Status.ALIVE
+        }
+        for *_, status in now - held:
+            wrong[status] += 1
+        held = now
+    cost = (network.bytes - before) / count / rest
+    network.kill(nodes.pop().name)
+    dead = f"n{count - 1}"
+    first = periods(lambda: any(n.status(dead) is Status.DEAD for n in nodes))
+    every = first + periods(lambda: all(n.status(dead) is Status.DEAD for n in nodes))
+    a_minute = 60 / rest / count
+    took = time.perf_counter() - begun
+    return [known, cost, wrong[Status.SUSPECT] * a_minute, wrong[Status.DEAD] * a_minute, first, every, took]
+
+
+def main() -> int:
+    words = argparse.RawDescriptionHelpFormatter
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=words)
+    parser.add_argument("--nodes", default="60,400")
+    parser.add_argument("--loss", default="0,0.05,0.2")
+    parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument("--rest", type=int, default=60)
+    args = parser.parse_args()
+    print("| nodes | loss | all known s | bytes/s | suspicions | false deaths | first s | all s | played |")
+    print("| --- " * 9 + "|")
+    for count in map(int, args.nodes.split(",")):
+        for loss in map(float, args.loss.split(",")):
+            runs = [run(count, loss, seed, args.rest) for seed in range(args.seeds)]
+            cells = [f"{statistics.median(figures):.2f}" for figures in zip(*runs, strict=True)]
+            print(f"| {count} | {loss:g} | {' | '.join(cells)} |", flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/millgw/peers/beliefs.py
@@ -0,0 +1,156 @@
+"""What peers tell of endpoints, weighed: priors that can add care and never take any away. Pure.
+
+An observation carries who made it and its age; whoever passes it on adds the time that it lay there. Ages are
+ms by each one's own monotonic clock, so clocks need not agree. All endpoints are named by their identity.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+from statistics import median
+
+HALF_LIFE = 5000.0  # ms after which an observation counts half: as long as a sidecar remembers its own
+GONE = 60_000.0  # ms after which it is forgotten
+MOST_CALLS = 5.0  # own calls that a prior weighs at the most: the last five decide of an endpoint
+ILL = 0.4  # share of calls failing from which hearsay calls an endpoint ill
+ILL_MOST = 1 / 3  # of all endpoints: when more are called ill, the trouble is not theirs
+DRAINS_MOST = 1 / 2  # of all endpoints that a minority's word alone may take out
+MIDDLE_OF = 3  # origins from which on the middle one counts
+MOST_ORIGINS = 16  # of which observations of one endpoint are kept
+
+
+@dataclass(slots=True, frozen=True)
+class Observation:
+    """What `origin` saw of an endpoint, `age` ms ago. `up` is ms since the endpoint's start, None: unknown.
+
+    `failing` is a share of calls, `slow` times the usual, of so many `calls`.
+    """
+
+    endpoint: str
+    origin: str
+    age: float
+    failing: float = 0.0
+    slow: float = 1.0
+    calls: int = 0
+    up: float | None = None
+    draining: bool = False
+
+    @property
+    def usable(self) -> bool:
+        """Whether its figures can be: a peer may tell anything."""
+        return (
+            0 <= self.age < GONE
+            and 0 <= self.failing <= 1
+            and 0 < self.slow < 1e6
+            and 0 <= self.calls < 1e9
+            and (self.up is None or 0 <= self.up < 1e13)
+        )
+
+
+@dataclass(slots=True, frozen=True)
+class Prior:
+    """What to hold of an endpoint before own calls tell. `calls` is what the share weighs in own calls.
+
+    `up`: ms since its start at the most, None where nobody saw it start lately. `slow` is 1 or more.
+    """
+
+    failing: float = 0.0
+    slow: float = 1.0
+    calls: float = 0.0
+    up: float | None = None
+    draining: bool = False
+
+    def failing_with(self, failing: float, calls: float) -> float:
+        """The share of calls failing, where own ones are known: they outvote hearsay by their number."""
+        whole = self.calls + calls
+        return (self.failing * self.calls + failing * calls) / whole if whole > 0 else 0.0
+
+
+def weight(age: float) -> float:
+    """What an observation of this age counts, of 1."""
+    return 0.0 if age >= GONE else 0.5 ** (age / HALF_LIFE)
+
+
+class Beliefs:
+    """Observations by endpoint and origin, the newest of each."""
+
+    def __init__(self) -> None:
+        self.known: dict[str, dict[str, tuple[float, Observation]]] = {}
+
+    def take(self, now: float, told: Iterable[Observation]) -> None:
+        """Take what one peer told; what is older than what is known of the same origin is not taken."""
+        for observation in told:
+            if not observation.usable:
+                continue
+            seen_at = now - observation.age
+            origins = self.known.setdefault(observation.endpoint, {})
+            known = origins.get(observation.origin)
+            if known is not None and known[0] >= seen_at:
+                continue
+            if known is None and len(origins) >= MOST_ORIGINS:
+                oldest = min(origins, key=lambda o: origins[o][0])
+                if origins[oldest][0] >= seen_at:
+                    continue
+                del origins[oldest]
+            origins[observation.origin] = (seen_at, observation)
+
+    def tell(self, now: float) -> list[Observation]:
+        """All that is known, as it is to be passed on: each as old as it is."""
+        self._forget(now)
+        return [self._aged(now, *pair) for origins in self.known.values() for pair in origins.values()]
+
+    def priors(self, now: float, listed: Iterable[str]) -> dict[str, Prior]:
+        """What to hold of the endpoints of a list."""
+        self._forget(now)
+        names = list(listed)
+        told = {n: [self._aged(now, *p) for p in self.known.get(n, {}).values()] for n in names}
+        found = {name: self._prior(observations) for name, observations in told.items() if observations}
+        ill = sum(p.failing * min(1.0, p.calls) >= ILL for p in found.values())
+        if ill > ILL_MOST * len(names):
+            found = {name: replace(p, failing=0.0, slow=1.0, calls=0.0) for name, p in found.items()}
+        return self._drains(names, told, found)
+
+    @staticmethod
+    def _drains(
+        names: list[str], told: Mapping[str, list[Observation]], found: dict[str, Prior]
+    ) -> dict[str, Prior]:
+        """Guards against a few who say that everything drains: a majority may, they may not."""
+        origins = {o.origin for observations in told.values() for o in observations}
+        few = [
+            name
+            for name, prior in found.items()
+            if prior.draining and 2 * sum(o.draining for o in told[name]) < len(origins)
+        ]
+        if len(few) >= DRAINS_MOST * len(names):
+            found |= {name: replace(found[name], draining=False) for name in few}
+        return found
+
+    @staticmethod
+    def _prior(observations: list[Observation]) -> Prior:
+        weighed = [(o, weight(o.age)) for o in observations]
+        ups = [o.up for o in observations if o.up is not None]
+        return Prior(
+            failing=_careful([o.failing for o in observations]),
+            slow=_careful([1 + (max(1.0, o.slow) - 1) * w for o, w in weighed]),
+            calls=_careful([min(MOST_CALLS, o.calls) * w for o, w in weighed]),
+            up=None if not ups else -_careful([-up for up in ups]),
+            draining=any(o.draining for o in observations),
+        )
+
+    @staticmethod
+    def _aged(now: float, seen_at: float, o: Observation) -> Observation:
+        age = max(o.age, now - seen_at)
+        return replace(o, age=age, up=None if o.up is None else o.up + age - o.age)
+
+    def _forget(self, now: float) -> None:
+        for name, origins in list(self.known.items()):
+            for origin in [o for o, (seen_at, _) in origins.items() if now - seen_at >= GONE]:
+                del origins[origin]
+            if not origins:
+                del self.known[name]
+
+
+def _careful(values: list[float]) -> float:
+    """The middle one of several, the largest of few."""
+    return float(median(values)) if len(values) >= MIDDLE_OF else max(values)
--- /dev/null
+++ b/millgw/standins/network.py
@@ -0,0 +1,116 @@
+"""A datagram network in virtual time, from a seed: delay, loss, groups that can't reach each other, pauses.
+
+Runs machines that take the time and messages and give messages back, by the thousand in one process.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Sequence
+from typing import Generic, Protocol, TypeVar
+
+M = TypeVar("M")
+
+
+class Node(Protocol[M]):
+    name: str
+
+    def due(self) -> float: ...
+
+    def tick(self, now: float) -> list[tuple[str, M]]: ...
+
+    def receive(self, now: float, sender: str, message: M) -> list[tuple[str, M]]: ...
+
+
+class Network(Generic[M]):
+    """`delay` is ms, least and most; `loss` the share of datagrams that never come; `size` weighs one."""
+
+    def __init__(
+        self,
+        seed: int,
+        delay: tuple[float, float] = (0.2, 5.0),
+        loss: float = 0.0,
+        size: Callable[[M], int] = lambda _: 0,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.delay = delay
+        self.loss = loss
+        self.size = size
+        self.now = 0.0
+        self.nodes: dict[str, Node[M]] = {}
+        self.queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.numbers = itertools.count()
+        self.paused: dict[str, list[tuple[str, M]]] = {}
+        self.ticks: dict[str, int] = {}  # the number of each node's next tick: others have been overtaken
+        self.groups: list[set[str]] = []
+        self.datagrams = 0
+        self.bytes = 0
+
+    def add(self, node: Node[M], at: float = 0.0) -> None:
+        """A node begins to run; its first tick is then."""
+        self.nodes[node.name] = node
+        self._later(node, at)
+
+    def kill(self, name: str) -> None:
+        self.nodes.pop(name, None)
+        self.paused.pop(name, None)
+
+    def pause(self, name: str) -> None:
+        """It does nothing; what comes for it waits."""
+        self.paused[name] = []
+
+    def go_on(self, name: str) -> None:
+        node, waiting = self.nodes[name], self.paused.pop(name)
+        for sender, message in waiting:
+            self._send(name, node.receive(self.now, sender, message))
+        self._tick(node)
+
+    def split(self, *groups: Sequence[str]) -> None:
+        """Only those of one group reach each other; none: all do."""
+        self.groups = [set(group) for group in groups]
+
+    def at(self, at: float, do: Callable[[], None]) -> None:
+        heapq.heappush(self.queue, (max(at, self.now), next(self.numbers), do))
+
+    def run(self, until: float) -> None:
+        """Let time pass until then."""
+        while self.queue and self.queue[0][0] <= until:
+            self.now, _, do = heapq.heappop(self.queue)
+            do()
+        self.now = until
+
+    def _later(self, node: Node[M], at: float) -> None:
+        number = self.ticks[node.name] = next(self.numbers)
+
+        def tick() -> None:
+            if self.ticks[node.name] == number and self.nodes.get(node.name) is node:
+                self._tick(node)
+
+        self.at(at, tick)
+
+    def _tick(self, node: Node[M]) -> None:
+        if node.name not in self.paused:
+            self._send(node.name, node.tick(self.now))
+            self._later(node, node.due())
+
+    def _send(self, sender: str, messages: list[tuple[str, M]]) -> None:
+        for name, message in messages:
+            self.datagrams += 1
+            self.bytes += self.size(message)
+            apart = any((sender in group) != (name in group) for group in self.groups)
+            if not apart and self.rng.random() >= self.loss:
+                self._post(sender, name, message)
+
+    def _post(self, sender: str, name: str, message: M) -> None:
+        def arrive() -> None:
+            node = self.nodes.get(name)
+            if node is None:
+                return
+            if name in self.paused:
+                self.paused[name].append((sender, message))
+            else:
+                self._send(name, node.receive(self.now, sender, message))
+
+        self.at(self.now + self.rng.uniform(*self.delay), arrive)
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,305 @@
+"""Learning from a peer, the pure parts: the list of peers under failures, beliefs, whose word it is."""
+
+from __future__ import annotations
+
+import random
+from statistics import median
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from millgw.peers.beliefs import GONE, ILL, Beliefs, Observation, weight
+from millgw.peers.sealed import WINDOW, Opener, Refused, Seal
+from millgw.peers.swim import Kind, Message, News, Status, Swim, Terms, agree
+from millgw.standins.network import Network
+from tests.kinds import once
+
+pytestmark = once
+
+PERIOD = Terms().period
+
+
+class Fleet:
+    """So many nodes, each of which knows of the first one only."""
+
+    def __init__(self, count: int, seed: int, loss: float = 0.0) -> None:
+        self.network: Network[Message] = Network(seed, loss=loss)
+        self.rng = random.Random(seed)
+        self.nodes: dict[str, Swim] = {}
+        for i in range(count):
+            self.start(f"n{i}", 1)
+
+    def start(self, name: str, start: int) -> Swim:
+        node = self.nodes[name] = Swim(name, start, self.rng.getrandbits(32))
+        node.join(self.network.now, [n for n in ("n0", "n1") if n != name])
+        self.network.add(node, self.network.now + self.rng.uniform(0.0, PERIOD))
+        return node
+
+    def kill(self, name: str) -> None:
+        del self.nodes[name]
+        self.network.kill(name)
+
+    def agreed(self, within: float) -> float:
+        """The periods until all hold just the running ones to be there; within so many at the most."""
+        begun = self.network.now
+        while not agree(list(self.nodes.values()), set(self.nodes)):
+            assert self.network.now < begun + within * PERIOD, "they do not agree"
+            self.network.run(self.network.now + PERIOD)
+        return (self.network.now - begun) / PERIOD
+
+    def holding(self, name: str, *status: Status) -> int:
+        return sum(n.status(name) in status for n in self.nodes.values())
+
+
+# The list of peers
+
+
+def test_all_who_know_one_come_to_know_all_and_a_death_reaches_everyone() -> None:
+    fleet = Fleet(60, 1)
+    fleet.agreed(25)
+    fleet.kill("n7")
+    fleet.agreed(40)
+    assert fleet.holding("n7", Status.DEAD) == 59
+
+
+@pytest.mark.parametrize("loss", [0.05, 0.2])
+def test_with_datagrams_lost_nobody_who_runs_is_held_to_be_dead(loss: float) -> None:
+    fleet = Fleet(40, 2, loss)
+    fleet.agreed(80)
+    for _ in range(60):
+        fleet.network.run(fleet.network.now + PERIOD)
+        for name in fleet.nodes:
+            assert not fleet.holding(name, Status.DEAD)
+    fleet.kill("n3")
+    for _ in range(60):
+        fleet.network.run(fleet.network.now + PERIOD)
+    assert fleet.holding("n3", Status.DEAD) == 39
+
+
+def test_a_node_that_was_paused_comes_back_and_condemns_nobody() -> None:
+    fleet = Fleet(30, 3)
+    fleet.agreed(30)
+    fleet.network.pause("n5")
+    fleet.network.run(fleet.network.now + 30 * PERIOD)
+    assert fleet.holding("n5", Status.DEAD) == 29
+    fleet.network.go_on("n5")
+    mine = fleet.nodes["n5"]
+    for _ in range(20):
+        fleet.network.run(fleet.network.now + PERIOD / 4)
+        assert len(mine.alive()) == 29, "it holds others to be dead whom it did not hear"
+    fleet.agreed(30)
+
+
+def test_two_groups_that_did_not_reach_each_other_find_together_again() -> None:
+    fleet = Fleet(24, 4)
+    fleet.agreed(30)
+    names = sorted(fleet.nodes)
+    fleet.network.split(names[:10], names[10:])
+    fleet.network.run(fleet.network.now + 40 * PERIOD)
+    assert all(set(fleet.nodes[n].alive()) <= set(names[:10]) for n in names[:10])
+    fleet.network.split()
+    fleet.agreed(80)
+
+
+def test_all_restart_at_once_and_a_name_that_is_used_again_is_the_new_process() -> None:
+    fleet = Fleet(20, 5)
+    fleet.agreed(30)
+    for name in list(fleet.nodes):
+        fleet.kill(name)
+    for name in [f"n{i}" for i in range(20)]:
+        fleet.start(name, 2)
+    fleet.agreed(30)
+    fleet.kill("n4")
+    fleet.network.run(fleet.network.now + 30 * PERIOD)
+    fleet.start("n4", 3)
+    fleet.agreed(30)
+
+
+def test_sixty_who_join_in_one_second_are_known_soon() -> None:
+    fleet = Fleet(20, 6)
+    fleet.agreed(30)
+    for i in range(60):
+        fleet.start(f"new{i}", 1)
+    fleet.agreed(40)
+
+
+def test_the_same_seed_gives_the_same_run() -> None:
+    def run() -> tuple[int, list[list[str]]]:
+        fleet = Fleet(15, 7, loss=0.1)
+        fleet.network.run(20 * PERIOD)
+        return fleet.network.datagrams, [sorted(n.alive()) for n in fleet.nodes.values()]
+
+    assert run() == run()
+
+
+@given(st.data())
+@settings(max_examples=200, deadline=None)
+def test_whatever_others_say_a_node_holds_itself_alive_and_its_memory_bounded(data: st.DataObject) -> None:
+    names = st.sampled_from(["me", "a", "b", "c", ""])
+    news = st.builds(News, names, st.integers(0, 5), st.sampled_from(Status))
+    messages = st.builds(
+        Message, st.sampled_from(Kind), st.integers(0, 9), names, st.lists(news, max_size=12).map(tuple)
+    )
+    node, now = Swim("me", 1, 1), 0.0
+    highest = 1
+    for _ in range(data.draw(st.integers(0, 25))):
+        now += data.draw(st.floats(0.0, 1500.0))
+        if data.draw(st.booleans()):
+            node.receive(now, data.draw(names), data.draw(messages))
+        elif now >= node.due():
+            node.tick(now)
+        assert node.own.status is Status.ALIVE and node.own.incarnation >= highest
+        highest = node.own.incarnation
+        assert "me" not in node.members and len(node.members) <= 4
+        assert set(node.left) <= {"me", *node.members}
+
+
+# What is believed
+
+
+def seen(origin: str, endpoint: str = "e", **what: object) -> Observation:
+    return Observation(endpoint, origin, **{"age": 0.0, "calls": 20} | what)  # type: ignore[arg-type]
+
+
+def believed(*told: Observation, of: int = 6) -> dict[str, object]:
+    beliefs = Beliefs()
+    beliefs.take(0.0, told)
+    return dict(beliefs.priors(0.0, ["e", *(f"x{i}" for i in range(of - 1))]))
+
+
+def test_one_who_lies_among_three_changes_no_verdict() -> None:
+    honest = [seen("a", failing=0.9), seen("b", failing=0.9)]
+    prior = believed(*honest, seen("liar", failing=0.0, up=1e9))["e"]
+    assert prior.failing == 0.9  # type: ignore[attr-defined]
+    good = [seen("a"), seen("b")]
+    prior = believed(*good, seen("liar", failing=1.0, slow=99.0, calls=10**8))["e"]
+    assert (prior.failing, prior.slow) == (0.0, 1.0)  # type: ignore[attr-defined]
+    cold = [seen("a", up=200.0), seen("b", up=300.0)]
+    assert believed(*cold, seen("liar", up=1e9))["e"].up == 300.0  # type: ignore[attr-defined]
+
+
+def test_of_one_or_two_the_most_careful_is_believed() -> None:
+    prior = believed(seen("a", failing=0.1, up=9000.0), seen("b", failing=0.8, up=100.0))["e"]
+    assert (prior.failing, prior.up) == (0.8, 100.0)  # type: ignore[attr-defined]
+
+
+def test_where_all_are_called_ill_none_is_believed_to_be_and_what_is_cold_stays_cold() -> None:
+    beliefs = Beliefs()
+    names = [f"e{i}" for i in range(9)]
+    beliefs.take(0.0, [seen("a", name, failing=1.0, up=50.0) for name in names])
+    assert all(p.failing < ILL and p.up == 50.0 for p in beliefs.priors(0.0, names).values())
+    few = Beliefs()
+    few.take(0.0, [seen("a", name, failing=1.0) for name in names[:3]])
+    assert all(p.failing == 1.0 for p in few.priors(0.0, names).values())
+
+
+def test_a_drain_that_one_heard_counts_but_not_a_few_who_say_that_all_drain() -> None:
+    names = [f"e{i}" for i in range(6)]
+    beliefs = Beliefs()
+    beliefs.take(0.0, [seen("a", "e0", draining=True), seen("b", "e0"), seen("c", "e0")])
+    assert beliefs.priors(0.0, names)["e0"].draining
+    beliefs.take(0.0, [seen("liar", name, draining=True) for name in names])
+    assert [n for n, p in beliefs.priors(0.0, names).items() if p.draining] == ["e0"], "a heard it too"
+    for origin in "abc":
+        beliefs.take(1.0, [seen(origin, name, draining=True) for name in names])
+    assert all(p.draining for p in beliefs.priors(1.0, names).values()), "most say so: it is a release"
+
+
+def test_what_is_passed_on_becomes_no_younger_and_no_echo_comes_back_as_news() -> None:
+    first, second, third = Beliefs(), Beliefs(), Beliefs()
+    first.take(0.0, [seen("a", age=1000.0, up=5000.0)])
+    second.take(70.0, first.tell(4000.0))  # clocks of their own
+    (told,) = second.tell(2070.0)
+    assert (told.origin, told.age, told.up) == ("a", 7000.0, 11_000.0)
+    third.take(0.0, second.tell(2070.0))
+    first.take(6000.0, third.tell(0.0))
+    (again,) = first.tell(6000.0)
+    assert again.age == 7000.0
+    assert not second.tell(70.0 + GONE)
+
+
+ROWS = st.tuples(st.sampled_from("abcd"), st.floats(0, 70_000), st.floats(0, 1), st.floats(0.1, 50))
+
+
+@given(st.lists(ROWS))
+def test_a_prior_only_adds_care_and_is_outvoted(rows: list[tuple[str, float, float, float]]) -> None:
+    told = [seen(o, age=age, failing=failing, slow=slow) for o, age, failing, slow in rows]
+    for prior in believed(*told).values():
+        assert prior.slow >= 1.0 and 0 <= prior.calls <= 5.0  # type: ignore[attr-defined]
+        assert prior.failing_with(0.0, 50.0) < 0.1  # type: ignore[attr-defined]
+        ages = [min(o.age for o in told if o.origin == origin) for origin in {o.origin for o in told}]
+        assert prior.calls <= 5.0 * max(weight(age) for age in ages)  # type: ignore[attr-defined]
+
+
+@given(st.floats(allow_nan=True), st.floats(allow_nan=True), st.integers(), st.floats(allow_nan=True))
+def test_figures_that_can_t_be_are_not_taken(age: float, failing: float, calls: int, up: float) -> None:
+    beliefs = Beliefs()
+    beliefs.take(0.0, [Observation("e", "a", age, failing, 1.0, calls, up)])
+    for prior in beliefs.priors(0.0, ["e"]).values():
+        assert 0 <= prior.failing <= 1 and prior.up is not None and prior.up >= 0
+
+
+def test_the_middle_is_that_of_origins_and_not_of_how_often_one_says_it() -> None:
+    beliefs = Beliefs()
+    for at in range(50):
+        beliefs.take(float(at), [seen("liar", failing=1.0)])
+    beliefs.take(50.0, [seen("a", failing=0.1), seen("b", failing=0.2)])
+    assert beliefs.priors(50.0, list("efghij"))["e"].failing == median([1.0, 0.1, 0.2])
+
+
+# Whose word it is
+
+OLD, NEW, OTHER = b"o" * 16, b"n" * 16, b"x" * 16
+
+
+def test_a_key_is_changed_in_service_one_after_another() -> None:
+    seal, opener = Seal("a", 1, [OLD]), Opener([OLD], 1200)
+    assert opener.open(seal.seal(b"1")) == ("a", b"1")
+    opener.change([OLD, NEW])
+    assert opener.open(seal.seal(b"2")) == ("a", b"2")
+    seal.change([NEW, OLD])
+    assert opener.open(seal.seal(b"3")) == ("a", b"3")
+    opener.change([NEW])
+    assert opener.open(seal.seal(b"4")) == ("a", b"4")
+    with pytest.raises(Refused, match="key"):
+        opener.open(Seal("a", 1, [OLD]).seal(b"5"))
+    for keys in ([], [b"short"], [OLD, NEW, OTHER]):
+        with pytest.raises(ValueError):
+            opener.change(keys)
+
+
+@given(st.data())
+def test_what_was_changed_cut_or_made_by_a_stranger_is_refused(data: st.DataObject) -> None:
+    whole = Seal("a", 1, [OLD]).seal(b"body")
+    if data.draw(st.booleans()):
+        bad = whole[: data.draw(st.integers(0, len(whole) - 1))]
+    else:
+        at = data.draw(st.integers(0, len(whole) - 1))
+        bad = whole[:at] + bytes([whole[at] ^ data.draw(st.integers(1, 255))]) + whole[at + 1 :]
+    opener = Opener([OLD, NEW], 1200)
+    for refused in (bad, Seal("a", 1, [OTHER]).seal(b"body"), data.draw(st.binary(max_size=200)), whole * 20):
+        with pytest.raises(Refused):
+            opener.open(refused)
+    assert not opener.seen
+
+
+@given(st.lists(st.integers(0, 400), min_size=1, max_size=60))
+def test_each_message_is_taken_once_in_any_order_within_the_window(order: list[int]) -> None:
+    seal, opener = Seal("a", 1, [OLD]), Opener([OLD], 1200)
+    sealed = [seal.seal(b"%d" % n) for n in range(401)]
+    taken: list[int] = []
+    for n in order:
+        try:
+            opener.open(sealed[n])
+        except Refused:
+            assert n in taken or n <= max(taken) - WINDOW
+        else:
+            assert n not in taken
+            taken.append(n)
+    with pytest.raises(Refused, match="before"):
+        opener.open(sealed[taken[-1]])
+    later = Seal("a", 2, [OLD]).seal(b"again")
+    assert opener.open(later) == ("a", b"again")
+    with pytest.raises(Refused, match="before"):
+        opener.open(sealed[400])
