--- a/millgw/peers/swim.py
+++ b/millgw/peers/swim.py
@@ -90,7 +90,6 @@
 
     target: str
     number: int
-    asked: bool = False
     answered: bool = False
 
 
@@ -262,9 +261,8 @@
 
     def _ask_helpers(self) -> list[Sent]:
         probe = self.probe
-        if probe is None or probe.answered or probe.asked:
+        if probe is None or probe.answered:
             return []
-        probe.asked = True
         others = [n for n in self.alive() if n != probe.target]
         helpers = self.rng.sample(others, min(self.terms.helpers, len(others)))
         return [(h, self._message(Kind.ASK, probe.number, probe.target, to=h)) for h in helpers]
--- a/millgw/rehearsal/sidecars.py
+++ b/millgw/rehearsal/sidecars.py
@@ -270,8 +270,9 @@
 
     @property
     def pid(self) -> int | None:
-        running = self.current is not None and not self.current.ended.is_set()
-        return self.current.process.pid if running and self.current is not None else None
+        if self.current is None or self.current.ended.is_set():
+            return None
+        return self.current.process.pid
 
     def waited(self) -> float:
         """ms that its process has waited for a core so far; 0 where that can't be known."""
