Hearsay: the module takes what siblings tell as care only; gossip and words of peers

Need: a new sidecar must learn from a running one, and no lie may cost a rule. Way taken: the module gets an event of its own, kept apart from each endpoint's own record, so that nothing heard is told on as seen; drains count as told, later starts make cold, failing ones are left alone within the same third as outliers. Way not taken: writing hearsay into the record (it would echo). Gossip tells what is out of the ordinary, contradicts, keeps quiet where three say the same; bounded by node and second. Not yet loaded by a daemon that is not told peers.

--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -23,6 +23,7 @@
     EndpointList,
     Event,
     Fail,
+    Hearsay,
     ListKind,
     Outcome,
     Refuse,
@@ -38,6 +39,7 @@
     Settings,
     Subscribe,
     TimerFired,
+    Told,
 )
 
 BUDGET_CAPACITY = 100.0  # tokens; the source's figure
@@ -66,6 +68,7 @@
 LEAST_RATIO = 0.001  # keeps medians off zero, where no step leaves, and zeros in settings out of quotients
 LIMIT_USED = 0.8  # of the limit in use before it may grow: an unused one proves nothing
 HEALTH_WEIGHT = 0.2  # of one outcome in an endpoint's record: the last five decide
+JUDGED_BY = 5.0  # calls that an ejected endpoint was judged by
 SLOW_WEIGHT = 0.1  # of one answer's time in it: times scatter more than failures, so the last ten decide
 SLOW_PEER = 0.25  # of the warm peers are quicker than the one that slowness is measured against
 HEALTH_MEMORY = 5000.0  # ms after which an endpoint's slowness is mostly forgotten
@@ -225,6 +228,12 @@
         self.missed = 0
         self.back = 0.0
         self.sure_at = now  # when it was last known not to drain; see `Discovery.unsure`
+        # What siblings tell stands apart from its own record: else it would be told on as seen.
+        self.drains_until = -math.inf
+        self.doubted = -math.inf  # the start for which siblings told last that it is cold
+        self.heard_slow = 1.0
+        self.heard_at = now
+        self.hearsay = False  # whether it is ejected for what siblings told
 
     def note(self, now: float, outcome: Outcome) -> None:
         """Take what an outcome tells of the machine: one that was out of reach may come back cold."""
@@ -241,6 +250,13 @@
 
     def slowness(self, now: float) -> float:
         """The recent time of its calls against the usual; what is old fades to 'usual'."""
+        own = self.seen_slowness(now)
+        if self.heard_slow <= 1.0:
+            return own
+        return max(own, 1.0 + (self.heard_slow - 1.0) * math.exp((self.heard_at - now) / HEALTH_MEMORY))
+
+    def seen_slowness(self, now: float) -> float:
+        """The same by its own calls alone."""
         return 1.0 + (self.slow - 1.0) * math.exp((self.judged_at - now) / HEALTH_MEMORY)
 
     def count_served(self, now: float) -> None:
@@ -288,9 +304,19 @@
             quicker > int(SLOW_PEER * len(warm))
         ):
             server.ejected_until = now + EJECT_TIME * (EJECT_JITTER + self.rng.random())
+            server.hearsay = False
             server.failing = OUTLIER_FAILING / 2
             server.slow = OUTLIER_MULTIPLE / 2
 
+    def heed(self, now: float, server: Server, failing: float, ring: list[Server], jitter: float) -> None:
+        """Eject on siblings' word: as for own calls, but its own record stays what it is."""
+        peers = [s for s in ring if s is not server and now >= s.ejected_until]
+        if now < server.ejected_until or not peers or len(ring) - len(peers) >= EJECT_SHARE * len(ring):
+            return
+        if failing > max(OUTLIER_FAILING, OUTLIER_MULTIPLE * sum(s.failing for s in peers) / len(peers)):
+            server.ejected_until = now + EJECT_TIME * (EJECT_JITTER + jitter)
+            server.hearsay = True
+
 
 class ColdStart:
     """Rule 4: an instance sends a cold endpoint its fair part and no more.
@@ -305,6 +331,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
+        self.siblings = settings.siblings
         self.rate = 0.0
         self.part = 1.0  # of this sidecar's allowances that are this process's
 
@@ -329,7 +356,7 @@
             server.allowance, server.allowed_at = 1.0, now
             return True
         s = self.settings
-        least = 1.0 / (s.siblings * s.fall_window) if s.fall_window > 0 else 0.0
+        least = 1.0 / (self.siblings * s.fall_window) if s.fall_window > 0 else 0.0
         rate = max(least, self.rate * server.info.size) * share * s.fall_multiple * COLD_HEADROOM * self.part
         most = max(1.0, rate * s.fall_window * COLD_HEADROOM)
         server.allowance = min(most, server.allowance + rate * (now - server.allowed_at))
@@ -536,6 +563,7 @@
         self.budget = RetryBudget()
         self.backoff = Backoff(self.rng)
         self.advice = Backoff(random.Random(seed + 1))  # its own: advice must not change what is picked
+        self.doubts = random.Random(seed + 2)
         self.cold = ColdStart(settings)
         self.outliers = Outliers(self.rng, self.cold)
         self.discovery = Discovery(settings, self.rng)
@@ -575,6 +603,8 @@
             self._timer(now, event.timer)
         elif isinstance(event, EndpointList):
             self._list(now, event)
+        elif isinstance(event, Hearsay):
+            self._hear(now, event)
         elif isinstance(event, RequestAborted | ResponseStarted):
             self._drop(event.request)
         return self.actions
@@ -710,6 +740,7 @@
             if attempt.server.missed >= LOST_AFTER:
                 # Tried once after each such time, and not at every chance: each try costs a call its wait.
                 attempt.server.ejected_until = now + EJECT_TIME * (EJECT_JITTER + self.rng.random())
+                attempt.server.hearsay = False
             failed = event.outcome is not Outcome.OK
             slowness = event.elapsed / max(self.spent[attempt.cls], 1.0)
             slowness *= self.cold.share(attempt.server, now)
@@ -864,6 +895,8 @@
         for server in self.ring:
             if server.info.id in without or not self.rules.may_go_to(request, server.info):
                 continue
+            if now < server.drains_until:
+                continue
             if not self.cold.admits(server, now):
                 continue
             if now < server.ejected_until or self.discovery.unsure(now, server):
@@ -878,7 +911,9 @@
 
     def avoided(self, now: float) -> int:
         """How many endpoints it sends nothing while it has others; changes nothing."""
-        return sum(now < s.ejected_until or self.discovery.unsure(now, s) for s in self.ring)
+        return sum(
+            now < max(s.ejected_until, s.drains_until) or self.discovery.unsure(now, s) for s in self.ring
+        )
 
     def _full(self, server: Server, now: float) -> bool:
         """Guards against the whole limit meeting on the few endpoints that are ready."""
@@ -937,6 +972,47 @@
         else:
             known.info = info
 
+    # Siblings
+
+    def evidence(self, now: float) -> list[Told]:
+        """What it holds of each endpoint by its own calls, for siblings; changes nothing.
+
+        One that it ejected counts as failing: what it was judged by is over, and its record halfway back.
+        """
+        told: list[Told] = []
+        for server in self.ring:
+            ill = server.missed >= LOST_AFTER or (now < server.ejected_until and not server.hearsay)
+            calls = max(server.served_rate(now) * SERVED_MEMORY, JUDGED_BY if ill else 0.0)
+            failing, started = 1.0 if ill else server.failing, max(server.info.since, server.back)
+            told.append(Told(server.info.id, failing, server.seen_slowness(now), calls, started))
+        return told
+
+    def _hear(self, now: float, event: Hearsay) -> None:
+        """Take siblings' word, as far as it asks for more care than is taken already."""
+        self.cold.siblings = max(self.settings.siblings, event.siblings)
+        if self.admission is not None and self.admission.answers == 0:
+            self.admission.each = max(1.0, min(self.admission.each, event.each))
+        for told in event.endpoints:
+            server = self.servers.get(told.id)
+            if server is not None:
+                self._doubt(now, server, told)
+
+    def _doubt(self, now: float, server: Server, told: Told) -> None:
+        server.drains_until = max(server.drains_until, now + told.drains_for)
+        server.back = max(server.back, min(now, told.started))
+        again = told.started > server.doubted + self.settings.cold_time
+        if told.started > 0 and again and self.cold.share(server, now) < 1.0:
+            # Guards against a crowd that has just learned of it, and sends it a whole call each at once.
+            server.doubted = told.started
+            server.allowance = min(server.allowance, self.doubts.random())
+        # Own calls outvote it; without any it weighs less the older it is, as its `calls` fade.
+        heed = told.calls / (told.calls + 1.0 + server.served_rate(now) * SERVED_MEMORY)
+        slow = 1.0 + (told.slow - 1.0) * heed
+        if slow > server.slowness(now):
+            server.heard_slow, server.heard_at = slow, now
+        if told.failing * heed > OUTLIER_FAILING:
+            self.outliers.heed(now, server, told.failing * heed, self.ring, self.doubts.random())
+
     # Timers
 
     def _set_timer(self, at: float, request: int | None) -> None:
--- a/millgw/interface.py
+++ b/millgw/interface.py
@@ -170,6 +170,35 @@
     endpoints: tuple[Endpoint, ...] = ()
 
 
+@dataclass(slots=True, frozen=True)
+class Told:
+    """What others hold of an endpoint, or what this balancer does (`Balancer.evidence`).
+
+    `failing` is a share of its calls, `slow` times the usual, both of so many recent `calls`; `started` a
+    point in time, 0 for unknown; `drains_for` the ms for which a drain heard of counts.
+    """
+
+    id: int
+    failing: float = 0.0
+    slow: float = 1.0
+    calls: float = 0.0
+    started: float = 0.0
+    drains_for: float = 0.0
+
+
+@dataclass(slots=True)
+class Hearsay:
+    """What siblings tell of endpoints, weighed already. It can make the balancer more careful, never less.
+
+    `siblings` is how many are known to share the load. A limit on calls in flight for each endpoint (`each`)
+    counts until the first own answer.
+    """
+
+    endpoints: tuple[Told, ...] = ()
+    siblings: int = 1
+    each: float = math.inf
+
+
 @dataclass(slots=True)
 class RequestArrived:
     """A request; one final answer is owed before `deadline` (a point in time).
@@ -238,8 +267,8 @@
 
 
 Event = (
-    EndpointList | RequestArrived | RequestWhole | BodyGone | AttemptEnded | ResponseStarted | RequestAborted
-    | TimerFired
+    EndpointList | Hearsay | RequestArrived | RequestWhole | BodyGone | AttemptEnded | ResponseStarted
+    | RequestAborted | TimerFired
 )  # fmt: skip
 
 
--- a/millgw/operator/file.py
+++ b/millgw/operator/file.py
@@ -127,6 +127,19 @@
     connections: Connections | None = None
 
 
+class Peers(Table, frozen=True, kw_only=True):
+    """Learning from other sidecars (docs/peers.md); a table that is there switches it on.
+
+    `listen` (UDP and TCP) is where they find this one, and its name among them. `join` are some of them,
+    `keys` the files of one or two shared keys, the first of which is used; a start waits for `within_ms`.
+    """
+
+    listen: str
+    join: Annotated[tuple[str, ...], Meta(max_length=1000)] = ()
+    keys: Annotated[tuple[str, ...], Meta(min_length=1, max_length=2)]
+    within_ms: Annotated[float, Meta(ge=0, le=5000)] = 300.0
+
+
 class RouteEntry(Table, frozen=True, kw_only=True, rename={"cls": "class"}):
     """One route; what it leaves out may be anything."""
 
@@ -144,6 +157,7 @@
     services: dict[Name, Service] = field(default_factory=dict)
     routes: tuple[RouteEntry, ...] = ()
     connections: Connections | None = None
+    peers: Peers | None = None
 
     def tends(self, name: str = "") -> Terms | None:
         """How a service's connections are tended, or those of the one pool; None for the plain way."""
@@ -158,6 +172,12 @@
 def check(operator: Operator) -> Operator:
     """What no single field can tell."""
     _check_connections("connections", operator.connections)
+    if operator.peers is not None:
+        _address("peers.listen", operator.peers.listen)
+        if read_address(operator.peers.listen).anywhere:
+            raise ValueError("peers.listen: is no address at which others find this sidecar")
+        for i, peer in enumerate(operator.peers.join):
+            _address(f"peers.join[{i}]", peer)
     for name, service in operator.services.items():
         path = f"services.{name}"
         _check_connections(f"{path}.connections", service.connections)
--- a/millgw/peers/beliefs.py
+++ b/millgw/peers/beliefs.py
@@ -1,12 +1,14 @@
 """What peers tell of endpoints, weighed: priors that can add care and never take any away. Pure.
 
-An observation carries who made it and its age; whoever passes it on adds the time that it lay there. Ages are
-ms by each one's own monotonic clock, so clocks need not agree. All endpoints are named by their identity.
+An observation carries who made it, its number there and its age; whoever passes it on adds the time that it
+lay there, so what comes back is never fresher than it was. Ages are ms by each one's own monotonic clock, so
+clocks need not agree; the time on the way is not counted. Endpoints are named by their identity; `since` is
+their start as discovery tells it to all, by which two processes of one name are told apart.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 from statistics import median
 
@@ -18,18 +20,22 @@
 DRAINS_MOST = 1 / 2  # of all endpoints that a minority's word alone may take out
 MIDDLE_OF = 3  # origins from which on the middle one counts
 MOST_ORIGINS = 16  # of which observations of one endpoint are kept
+MOST_ENDPOINTS = 8192  # guards against memory that fills with endpoints that somebody makes up
 
 
 @dataclass(slots=True, frozen=True)
 class Observation:
     """What `origin` saw of an endpoint, `age` ms ago. `up` is ms since the endpoint's start, None: unknown.
 
-    `failing` is a share of calls, `slow` times the usual, of so many `calls`.
+    `failing` is a share of calls, `slow` times the usual, of so many `calls`. An origin's later observations
+    have higher numbers, over its restarts too.
     """
 
     endpoint: str
     origin: str
     age: float
+    number: int = 0
+    since: float = 0.0
     failing: float = 0.0
     slow: float = 1.0
     calls: int = 0
@@ -41,6 +47,8 @@
         """Whether its figures can be: a peer may tell anything."""
         return (
             0 <= self.age < GONE
+            and 0 <= self.number < 1 << 63
+            and 0 <= self.since < 1e15
             and 0 <= self.failing <= 1
             and 0 < self.slow < 1e6
             and 0 <= self.calls < 1e9
@@ -78,53 +86,84 @@
     def __init__(self) -> None:
         self.known: dict[str, dict[str, tuple[float, Observation]]] = {}
 
-    def take(self, now: float, told: Iterable[Observation]) -> None:
-        """Take what one peer told; what is older than what is known of the same origin is not taken."""
-        for observation in told:
-            if not observation.usable:
-                continue
-            seen_at = now - observation.age
-            origins = self.known.setdefault(observation.endpoint, {})
-            known = origins.get(observation.origin)
-            if known is not None and known[0] >= seen_at:
-                continue
-            if known is None and len(origins) >= MOST_ORIGINS:
-                oldest = min(origins, key=lambda o: origins[o][0])
-                if origins[oldest][0] >= seen_at:
-                    continue
-                del origins[oldest]
-            origins[observation.origin] = (seen_at, observation)
+    def take(self, now: float, told: Iterable[Observation]) -> list[Observation]:
+        """Take what one peer told; what is older than what is known of the same origin is not taken.
+
+        Returns what was new.
+        """
+        return [observation for observation in told if observation.usable and self._take(now, observation)]
+
+    def _take(self, now: float, observation: Observation) -> bool:
+        seen_at = now - observation.age
+        origins = self.known.get(observation.endpoint, {})
+        known = origins.get(observation.origin)
+        if known is not None:
+            if known[1].number == observation.number and seen_at < known[0]:
+                origins[observation.origin] = (seen_at, known[1])  # it came by a longer way first
+            if known[1].number >= observation.number:
+                return False
+        elif len(origins) >= MOST_ORIGINS:
+            oldest = min(origins, key=lambda o: origins[o][0])
+            if origins[oldest][0] >= seen_at:
+                return False
+            del origins[oldest]
+        elif not origins and len(self.known) >= MOST_ENDPOINTS:
+            return False
+        self.known.setdefault(observation.endpoint, {})[observation.origin] = (seen_at, observation)
+        return True
 
     def tell(self, now: float) -> list[Observation]:
         """All that is known, as it is to be passed on: each as old as it is."""
         self._forget(now)
         return [self._aged(now, *pair) for origins in self.known.values() for pair in origins.values()]
 
-    def priors(self, now: float, listed: Iterable[str]) -> dict[str, Prior]:
-        """What to hold of the endpoints of a list."""
+    def of(self, now: float, endpoint: str, origin: str) -> Observation | None:
+        """An origin's last word on an endpoint, as old as it is."""
+        known = self.known.get(endpoint, {}).get(origin)
+        if known is None or now - known[0] >= GONE:
+            return None
+        return self._aged(now, *known)
+
+    def told(self, now: float, name: str, since: float, within: float = GONE) -> list[Observation]:
+        """What is known of an endpoint's process, and of a later one, from within so many ms."""
+        known = self.known.get(name, {}).values()
+        return [
+            self._aged(now, seen_at, o)
+            for seen_at, o in known
+            if o.since >= since and now - seen_at < within
+        ]
+
+    def priors(
+        self, now: float, listed: Mapping[str, float], young: float, without: str = ""
+    ) -> dict[str, Prior]:
+        """What to hold of the endpoints of a list, by name the start that it tells of each.
+
+        One that has been up for less than `young` ms is cold. `without` names an origin that does not count.
+        """
         self._forget(now)
-        names = list(listed)
-        told = {n: [self._aged(now, *p) for p in self.known.get(n, {}).values()] for n in names}
+        told = {
+            name: [o for o in self.told(now, name, since) if o.origin != without]
+            for name, since in listed.items()
+        }
         found = {name: self._prior(observations) for name, observations in told.items() if observations}
         ill = sum(p.failing * min(1.0, p.calls) >= ILL for p in found.values())
-        if ill > ILL_MOST * len(names):
+        if ill > ILL_MOST * len(listed):
             found = {name: replace(p, failing=0.0, slow=1.0, calls=0.0) for name, p in found.items()}
-        return self._drains(names, told, found)
+        for name in self._few(told, DRAINS_MOST, lambda o: o.draining):
+            found[name] = replace(found[name], draining=False)
+        for name in self._few(told, ILL_MOST, lambda o: o.up is not None and o.up < young):
+            found[name] = replace(found[name], up=None)
+        return found
 
     @staticmethod
-    def _drains(
-        names: list[str], told: Mapping[str, list[Observation]], found: dict[str, Prior]
-    ) -> dict[str, Prior]:
-        """Guards against a few who say that everything drains: a majority may, they may not."""
+    def _few(
+        told: Mapping[str, list[Observation]], most: float, says: Callable[[Observation], bool]
+    ) -> list[str]:
+        """Guards against a few who say it of everything: a majority may, they may not."""
         origins = {o.origin for observations in told.values() for o in observations}
-        few = [
-            name
-            for name, prior in found.items()
-            if prior.draining and 2 * sum(o.draining for o in told[name]) < len(origins)
-        ]
-        if len(few) >= DRAINS_MOST * len(names):
-            found |= {name: replace(found[name], draining=False) for name in few}
-        return found
+        counts = {name: sum(map(says, observations)) for name, observations in told.items()}
+        few = [name for name, count in counts.items() if 0 < 2 * count < len(origins)]
+        return few if len(few) >= most * len(told) else []
 
     @staticmethod
     def _prior(observations: list[Observation]) -> Prior:
@@ -132,7 +171,7 @@
         ups = [o.up for o in observations if o.up is not None]
         return Prior(
             failing=_careful([o.failing for o in observations]),
-            slow=_careful([1 + (max(1.0, o.slow) - 1) * w for o, w in weighed]),
+            slow=_careful([max(1.0, o.slow) for o in observations]),
             calls=_careful([min(MOST_CALLS, o.calls) * w for o, w in weighed]),
             up=None if not ups else -_careful([-up for up in ups]),
             draining=any(o.draining for o in observations),
--- /dev/null
+++ b/millgw/peers/node.py
@@ -0,0 +1,274 @@
+"""This sidecar among its peers: sockets, timers, and what goes between them and the pools' modules."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine, Sequence
+from dataclasses import dataclass
+from logging import INFO, WARNING
+from typing import Any, cast
+
+from millgw.events import tell
+from millgw.peers import gossip, seen, wire
+from millgw.peers.dialog import Dialog
+from millgw.peers.gossip import Digest, Gossip
+from millgw.peers.keys import Keys
+from millgw.peers.links import MOST_TAKEN, Links
+from millgw.peers.sealed import Opener, Refused, Seal
+from millgw.peers.swim import Kind, Message, Swim
+from millgw.platform.config import Address, read_address
+from millgw.pool.pool import Pool
+
+MOST_ASKED = 3  # peers that a new sidecar asks for what they know
+LOOK = 500.0  # ms between two looks at the modules, both ways
+KEYS_EVERY = 5000.0  # ms between two looks at the key files
+LISTEN_AGAIN = 0.5  # s until an address that another process of this sidecar has is tried again
+DESCRIPTORS = MOST_TAKEN + MOST_ASKED + 4  # that all of it takes at the most
+
+
+@dataclass(slots=True, frozen=True)
+class Terms:
+    """`listen` is where peers find it, and its name among them; `within` the ms that its start waits."""
+
+    listen: Address
+    join: tuple[Address, ...]
+    keys: tuple[str, ...]
+    within: float
+
+
+def _clock() -> float:
+    return time.monotonic() * 1000
+
+
+class Peers(asyncio.DatagramProtocol):
+    """Membership, gossip and snapshots of one process; an OSError or ValueError tells of keys without use."""
+
+    def __init__(self, terms: Terms, pools: Callable[[], Sequence[Pool]], seed: int) -> None:
+        self.terms = terms
+        self.pools = pools
+        self.name = str(terms.listen)
+        start = int(time.time() * 1000)
+        self.keys = Keys(terms.keys)
+        held = self.keys.read()
+        self.seal, self.opener = Seal(self.name, start, held), Opener(held, wire.MOST_FRAME)
+        self.swim = Swim(self.name, start, seed)
+        self.gossip = Gossip(self.name, start, seed + 1)
+        self.links = Links(lambda: Dialog(self.seal, self.opener), self._asked)
+        self.limits: dict[str, list[float]] = {}  # learned from peers, until the modules have been told
+        self.transport: asyncio.DatagramTransport | None = None
+        self.looks = self.rereads = 0.0
+        self.timer: asyncio.TimerHandle | None = None
+        self.tasks: set[asyncio.Task[object]] = set()
+        self.stopped = False
+        self.refused = 0
+        self.snapshots = 0
+        self.swim.join(_clock(), [str(a) for a in terms.join if a != terms.listen])
+
+    # Beginning and end
+
+    async def begin(self) -> None:
+        """Learn from peers, within `terms.within` ms, tell the modules, and be a peer from now on."""
+        for pool in self.pools():
+            self.gossip.serve(pool.name)
+        asking = [
+            self._task(self._learn(address))
+            for address in self.swim.rng.sample(self.terms.join, len(self.terms.join))
+            if address != self.terms.listen
+        ][:MOST_ASKED]
+        if asking:
+            await asyncio.wait(asking, timeout=self.terms.within / 1000)
+        tell(INFO, "peers-learned", asked=len(asking), snapshots=self.snapshots)
+        self._tell_modules()
+        self._task(self._listen())
+
+    async def _learn(self, address: Address) -> None:
+        await self.links.ask(address, wire.Ask())
+
+    async def _listen(self) -> None:
+        """Listen; where a process before this one still has the address, as soon as it has gone."""
+        loop, listen = asyncio.get_running_loop(), self.terms.listen
+        while not self.stopped:
+            try:
+                if self.links.server is None:
+                    await self.links.listen(listen)
+                await loop.create_datagram_endpoint(lambda: self, local_addr=(listen.host, listen.port))
+            except OSError as error:
+                tell(WARNING, "peers-not-listening", listen=listen, cause=error)
+                await asyncio.sleep(LISTEN_AGAIN)
+            else:
+                self._wake()
+                return
+
+    def stop(self) -> None:
+        """Be gone, and say so."""
+        if self.stopped:
+            return
+        self.stopped = True
+        if self.transport is not None:
+            for name, message in self.swim.leave():
+                self._send(name, wire.probe(message))
+            self.transport.close()
+        if self.timer is not None:
+            self.timer.cancel()
+        for task in self.tasks:
+            task.cancel()
+        self.links.close()
+
+    def _task(self, work: Coroutine[Any, Any, object]) -> asyncio.Task[object]:
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    # Time
+
+    def _wake(self) -> None:
+        now = _clock()
+        if now >= self.rereads + KEYS_EVERY:
+            self.rereads = now
+            self._reread()
+        if now >= self.looks + LOOK:
+            self.looks = now
+            self._look(now)
+        if now >= self.swim.due():
+            for name, message in self.swim.tick(now):
+                self._pass(name, message)
+        if now >= self.gossip.due():
+            for name, said in self.gossip.tick(now, self.swim.alive()):
+                self._say(name, said)
+        at = min(self.swim.due(), self.gossip.due(), self.looks + LOOK)
+        self.timer = asyncio.get_running_loop().call_later(max(0.0, at - _clock()) / 1000 + 0.001, self._wake)
+
+    def _reread(self) -> None:
+        keys = self.keys.changed()
+        if keys is not None:
+            try:
+                self.seal.change(keys)
+                self.opener.change(keys)
+            except ValueError as error:
+                tell(WARNING, "peer-keys-unusable", cause=error)
+
+    # The modules
+
+    def _look(self, now: float) -> None:
+        """Take what the modules have seen, and tell them what peers have."""
+        pools = {pool.name for pool in self.pools()}
+        for gone in self.gossip.pools.keys() - pools:
+            self.gossip.drop(gone)
+        for pool in self.pools():
+            driver = pool.driver
+            balancer, at = driver.balancer, driver.clock()
+            since = seen.listed(s.info for s in balancer.ring)
+            told = seen.observations(at, balancer.evidence(at), since, driver.draining)
+            self.gossip.see(now, pool.name, balancer.settings.cold_time, told)
+        self._tell_modules()
+
+    def _tell_modules(self) -> None:
+        siblings = len(self.swim.alive()) + 1
+        for pool in self.pools():
+            driver = pool.driver
+            settings = driver.balancer.settings
+            known = seen.listed(s.info for s in driver.balancer.servers.values())
+            priors = self.gossip.priors(_clock(), pool.name, known, settings.cold_time)
+            limits = self.limits.pop(pool.name, [])
+            event = seen.hearsay(driver.clock(), priors, settings.cold_time, siblings, limits)
+            if event.endpoints or limits or siblings > settings.siblings:
+                driver.hear(event)
+
+    # Connections
+
+    def _asked(self, sender: str, body: wire.Body) -> list[wire.Body]:
+        """Take what came on a connection; what to answer."""
+        if isinstance(body, wire.Ask):
+            return [wire.snapshot(self.gossip.snapshot(_clock()), self._own_limits())]
+        if isinstance(body, wire.Snapshot):
+            rows = {pool: map(wire.observation, told) for pool, told in body.pools.items()}
+            self.gossip.learn(_clock(), rows)
+            for pool, limit in body.limits.items():
+                self.limits.setdefault(pool, []).append(limit)
+            self.snapshots += 1
+            return []
+        if isinstance(body, wire.Probe):
+            message = wire.message(body)
+            if message.kind in (Kind.SYNC, Kind.STATE):
+                answers = self.swim.receive(_clock(), sender, message)
+                return [wire.probe(answer) for name, answer in answers if name == sender]
+        raise Refused("not for a connection")
+
+    def _own_limits(self) -> dict[str, float]:
+        limits = {pool.name: pool.driver.balancer.admission for pool in self.pools()}
+        return {name: limit.each for name, limit in limits.items() if limit is not None and limit.answers}
+
+    # Datagrams
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
+        now = _clock()
+        try:
+            if len(data) > wire.MOST_DATAGRAM:
+                raise Refused("too long")
+            sender, body = self.opener.open(data)
+            self._take(now, sender, wire.decode(body))
+        except Refused as error:
+            self.refused += 1
+            tell(INFO, "peer-refused", peer=address, cause=error, refused=self.refused)
+
+    def _take(self, now: float, sender: str, body: wire.Body) -> None:
+        if isinstance(body, wire.Rumours):
+            self.gossip.hear(now, [(r.pool, wire.observation(r.row)) for r in body.rumours])
+        elif isinstance(body, wire.Sum):
+            for name, said in self.gossip.compare(now, sender, Digest(body.digest, body.differs)):
+                self._say(name, said)
+        elif isinstance(body, wire.Probe) and body.kind not in (Kind.SYNC, Kind.STATE):
+            for name, message in self.swim.receive(now, sender, wire.message(body)):
+                self._pass(name, message)
+        else:
+            raise Refused("not for a datagram")
+
+    def _pass(self, name: str, message: Message) -> None:
+        """Send a message of the list's machine, by a connection if it is long."""
+        if message.kind is Kind.SYNC:
+            address = self._address(name)
+            if address is not None:
+                self._task(self.links.ask(address, wire.probe(message)))
+        else:
+            self._send(name, wire.probe(message))
+
+    def _say(self, name: str, said: gossip.Said) -> None:
+        if isinstance(said, Digest):
+            self._send(name, wire.Sum(said.number, said.differs))
+        elif not self._send(name, wire.rumours(said)) and len(said) > 1:
+            # Pools' names may be long.
+            self._say(name, said[: len(said) // 2])
+            self._say(name, said[len(said) // 2 :])
+
+    def _send(self, name: str, body: wire.Body) -> bool:
+        """Send a datagram; whether it is one."""
+        sealed = self.seal.seal(wire.encode(body))
+        if len(sealed) > wire.MOST_DATAGRAM:
+            return False
+        address = self._address(name)
+        if address is not None and self.transport is not None:
+            self.transport.sendto(sealed, (address.host, address.port))
+        return True
+
+    @staticmethod
+    def _address(name: str) -> Address | None:
+        """Where a peer is found; names that are none come from peers, who may say anything."""
+        try:
+            return read_address(name)
+        except ValueError:
+            return None
+
+    # For people
+
+    def figures(self) -> dict[str, object]:
+        """For the log: peers alive, rumours held, what was refused."""
+        held = sum(len(beliefs.known) for beliefs in self.gossip.pools.values())
+        return {
+            "alive": len(self.swim.alive()), "known": len(self.swim.members), "told_of": held,
+            "snapshots": self.snapshots, "refused": self.refused,
+        }  # fmt: skip
--- a/millgw/peers/sealed.py
+++ b/millgw/peers/sealed.py
@@ -73,7 +73,17 @@
         self.keys = _checked(keys)
 
     def open(self, data: bytes) -> tuple[str, bytes]:
-        """Sender and body; a Refused tells why it is not taken."""
+        """Sender and body of a message that was not taken before; a Refused tells why it is not taken."""
+        told = self._read(data)
+        self._once(told)
+        return told.sender, told.body
+
+    def read(self, data: bytes) -> tuple[str, bytes]:
+        """The same where something in the body proves that it is not said again."""
+        told = self._read(data)
+        return told.sender, told.body
+
+    def _read(self, data: bytes) -> _Inner:
         if len(data) > self.most:
             raise Refused("too long")
         if len(data) < HEAD or data[0] != VERSION:
@@ -86,11 +96,9 @@
         ):
             raise Refused("not sealed by a key that is held")
         try:
-            told = msgspec.msgpack.decode(inner, type=_Inner)
+            return msgspec.msgpack.decode(inner, type=_Inner)
         except msgspec.DecodeError as error:
             raise Refused(f"can't be read: {error}") from None
-        self._once(told)
-        return told.sender, told.body
 
     def _once(self, told: _Inner) -> None:
         seen = self.seen.get(told.sender)
--- a/millgw/peers/swim.py
+++ b/millgw/peers/swim.py
@@ -126,6 +126,13 @@
 
     # What comes in
 
+    def leave(self) -> list[Sent]:
+        """This process ends: tell a few, who tell the others, so that nobody waits for it."""
+        gone = News(self.name, self.own.incarnation, Status.DEAD)
+        others = self.alive()
+        some = self.rng.sample(others, min(self.terms.helpers, len(others)))
+        return [(name, Message(Kind.ACK, self._number(), "", (gone,))) for name in some]
+
     def join(self, now: float, names: Iterable[str]) -> None:
         """Know of peers by name only, from a list or a coordinator; what is known of them already stays."""
         for name in names:
--- a/millgw/platform/config.py
+++ b/millgw/platform/config.py
@@ -26,6 +26,11 @@
     host: str
     port: int
 
+    @property
+    def anywhere(self) -> bool:
+        """Whether it is all addresses of the machine: one to listen at, and none to connect to."""
+        return ipaddress.ip_address(self.host).is_unspecified
+
     def __str__(self) -> str:
         return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
 
--- a/millgw/platform/descriptors.py
+++ b/millgw/platform/descriptors.py
@@ -19,6 +19,11 @@
         self.callers: Callable[[], int] = int
         self.close_caller: Callable[[], bool] = bool
 
+    def reserve(self, count: int) -> None:
+        """Keep so many more for the process itself."""
+        self.whole = max(8, self.whole - count)
+        self.grant(self.whole)
+
     def grant(self, most: int) -> None:
         """Hold no more than so many from now on: two processes of one sidecar share what there is."""
         self.most = most
--- a/millgw/pool/driver.py
+++ b/millgw/pool/driver.py
@@ -27,6 +27,7 @@
     EndpointList,
     Event,
     Fail,
+    Hearsay,
     ListKind,
     Outcome,
     Refuse,
@@ -159,6 +160,10 @@
             if host is not None:
                 self.upstream.close(host)
 
+    def hear(self, event: Hearsay) -> None:
+        """Tell the module what siblings hold."""
+        self._feed(event)
+
     def show(self, endpoints: tuple[Endpoint, ...]) -> None:
         """Tell the module the whole list as it should have it: no word of discovery's, which may be down."""
         self._feed(EndpointList(ListKind.CACHED, endpoints))
--- a/millgw/services/parts.py
+++ b/millgw/services/parts.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
 from hashlib import blake2b
 from typing import TYPE_CHECKING, Any
 
 from millgw.interface import ListKind
 from millgw.membership.servers import read_connect
-from millgw.operator.file import Coordinator, Service
+from millgw.operator.file import Coordinator, Operator, Service
 from millgw.platform.config import Config, ConfigError, read_address
+from millgw.platform.descriptors import Descriptors
 from millgw.platform.discovery import Discovery, Heard, Listed, read_listing
 from millgw.pool.pool import Pool, Source, Witness
 from millgw.settings import to_settings
@@ -19,6 +20,7 @@
 if TYPE_CHECKING:
     from millgw.connections.tended import Tended
     from millgw.connections.terms import Terms
+    from millgw.peers.node import Peers
 
 
 class StaticList:
@@ -121,6 +123,24 @@
     return tend(pool, terms, config, seed)
 
 
+def peers(
+    operator: Operator, config: Config, pools: Callable[[], Sequence[Pool]], descriptors: Descriptors
+) -> Peers | None:
+    """The sidecar's part among its peers, where the operator's file has one."""
+    told = operator.peers
+    if told is None:
+        return None
+    # Only here: without peers nothing of it is loaded.
+    from millgw.peers.node import DESCRIPTORS, Peers, Terms
+
+    descriptors.reserve(DESCRIPTORS)
+    terms = Terms(read_address(told.listen), tuple(map(read_address, told.join)), told.keys, told.within_ms)
+    try:
+        return Peers(terms, pools, pool_seed(config.seed, "peers"))
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"peers.keys: {error}") from None
+
+
 def static_list(service: Service, config: Config) -> tuple[Listed, ...]:
     """The endpoints that an operator's file names for a service."""
     entries = [
--- a/millgw/sidecar/__main__.py
+++ b/millgw/sidecar/__main__.py
@@ -53,6 +53,8 @@
             parts.begin(None)
         else:
             await operators.begin(stop)
+        if parts.peers is not None:
+            await parts.peers.begin()
         for server in parts.servers():
             server.start()
         if operators is not None:
@@ -64,6 +66,8 @@
     finally:
         if watching is not None:
             watching.cancel()
+        if parts.peers is not None:
+            parts.peers.stop()
         if operators is not None:
             operators.stop()
 
@@ -82,6 +86,8 @@
     clients that hold a connection it is the only one there is. /ready tells the front to go elsewhere. Where
     another process has taken over, or clients were sent away before, nobody needs it.
     """
+    if parts.peers is not None:
+        parts.peers.stop()
     longest = max(c.deadline for c in config.settings.classes) / 1000
     left = min(longest, LONGEST) + ANSWER_WITHIN
     life, servers = parts.life, parts.servers()
--- a/millgw/sidecar/parts.py
+++ b/millgw/sidecar/parts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from logging import ERROR, INFO, WARNING
 from typing import TYPE_CHECKING
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     from millgw.handover.state import State
+    from millgw.peers.node import Peers
 
 OPERATOR = "BALANCER_OPERATOR"  # names the operator's file
 
@@ -38,6 +39,7 @@
     life: Life
     descriptors: Descriptors
     begin: Callable[[State | None], None]
+    peers: Peers | None = None  # what goes between this sidecar and others, where it does
 
 
 def one(
@@ -85,16 +87,18 @@
     # Only here: an operator's file that is not given must cost nothing.
     try:
         from millgw.services.node import Node
-        from millgw.services.parts import attach
+        from millgw.services.parts import attach, peers
     except ModuleNotFoundError as missing:
         raise ConfigError(f"{OPERATOR}: needs {missing.name}: requirements-operator.txt") from None
 
     node = Node(config, environ, environ[OPERATOR], life)
     if not node.operator.services:
         tends = node.operator.tends()
-        return one(config, environ, life, lambda pool: attach(pool, tends, config, config.seed))
-    # Services start as any other process does: what their pools have learned does not go over yet.
-    return Parts(*node.open(), life, node.shared, lambda _: None)
+        parts = one(config, environ, life, lambda pool: attach(pool, tends, config, config.seed))
+    else:
+        # Services start as any other process does: what their pools have learned does not go over yet.
+        parts = Parts(*node.open(), life, node.shared, lambda _: None)
+    return replace(parts, peers=peers(node.operator, config, parts.pools, parts.descriptors))
 
 
 class Reload:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -162,10 +162,17 @@
     return Observation(endpoint, origin, **{"age": 0.0, "calls": 20} | what)  # type: ignore[arg-type]
 
 
+YOUNG = 10_000.0
+
+
+def listed(*names: str) -> dict[str, float]:
+    return dict.fromkeys(names, 0.0)
+
+
 def believed(*told: Observation, of: int = 6) -> dict[str, object]:
     beliefs = Beliefs()
     beliefs.take(0.0, told)
-    return dict(beliefs.priors(0.0, ["e", *(f"x{i}" for i in range(of - 1))]))
+    return dict(beliefs.priors(0.0, listed("e", *(f"x{i}" for i in range(of - 1))), YOUNG))
 
 
 def test_one_who_lies_among_three_changes_no_verdict() -> None:
@@ -188,22 +195,24 @@
     beliefs = Beliefs()
     names = [f"e{i}" for i in range(9)]
     beliefs.take(0.0, [seen("a", name, failing=1.0, up=50.0) for name in names])
-    assert all(p.failing < ILL and p.up == 50.0 for p in beliefs.priors(0.0, names).values())
+    assert all(p.failing < ILL and p.up == 50.0 for p in beliefs.priors(0.0, listed(*names), YOUNG).values())
     few = Beliefs()
     few.take(0.0, [seen("a", name, failing=1.0) for name in names[:3]])
-    assert all(p.failing == 1.0 for p in few.priors(0.0, names).values())
+    assert all(p.failing == 1.0 for p in few.priors(0.0, listed(*names), YOUNG).values())
 
 
 def test_a_drain_that_one_heard_counts_but_not_a_few_who_say_that_all_drain() -> None:
     names = [f"e{i}" for i in range(6)]
     beliefs = Beliefs()
     beliefs.take(0.0, [seen("a", "e0", draining=True), seen("b", "e0"), seen("c", "e0")])
-    assert beliefs.priors(0.0, names)["e0"].draining
+    assert beliefs.priors(0.0, listed(*names), YOUNG)["e0"].draining
     beliefs.take(0.0, [seen("liar", name, draining=True) for name in names])
-    assert [n for n, p in beliefs.priors(0.0, names).items() if p.draining] == ["e0"], "a heard it too"
+    priors = beliefs.priors(0.0, listed(*names), YOUNG)
+    assert [n for n, p in priors.items() if p.draining] == ["e0"], "a heard it too"
     for origin in "abc":
-        beliefs.take(1.0, [seen(origin, name, draining=True) for name in names])
-    assert all(p.draining for p in beliefs.priors(1.0, names).values()), "most say so: it is a release"
+        beliefs.take(1.0, [seen(origin, name, draining=True, number=1) for name in names])
+    priors = beliefs.priors(1.0, listed(*names), YOUNG)
+    assert all(p.draining for p in priors.values()), "most say so: it is a release"
 
 
 def test_what_is_passed_on_becomes_no_younger_and_no_echo_comes_back_as_news() -> None:
@@ -235,17 +244,17 @@
 @given(st.floats(allow_nan=True), st.floats(allow_nan=True), st.integers(), st.floats(allow_nan=True))
 def test_figures_that_can_t_be_are_not_taken(age: float, failing: float, calls: int, up: float) -> None:
     beliefs = Beliefs()
-    beliefs.take(0.0, [Observation("e", "a", age, failing, 1.0, calls, up)])
-    for prior in beliefs.priors(0.0, ["e"]).values():
+    beliefs.take(0.0, [Observation("e", "a", age, 0, 0.0, failing, 1.0, calls, up)])
+    for prior in beliefs.priors(0.0, listed("e"), YOUNG).values():
         assert 0 <= prior.failing <= 1 and prior.up is not None and prior.up >= 0
 
 
 def test_the_middle_is_that_of_origins_and_not_of_how_often_one_says_it() -> None:
     beliefs = Beliefs()
     for at in range(50):
-        beliefs.take(float(at), [seen("liar", failing=1.0)])
+        beliefs.take(float(at), [seen("liar", failing=1.0, number=int(at))])
     beliefs.take(50.0, [seen("a", failing=0.1), seen("b", failing=0.2)])
-    assert beliefs.priors(50.0, list("efghij"))["e"].failing == median([1.0, 0.1, 0.2])
+    assert beliefs.priors(50.0, listed(*"efghij"), YOUNG)["e"].failing == median([1.0, 0.1, 0.2])
 
 
 # Whose word it is
