--- a/millgw/peers/node.py
+++ b/millgw/peers/node.py
@@ -55,6 +55,7 @@
         self.swim = Swim(self.name, start, seed)
         self.gossip = Gossip(self.name, start, seed + 1)
         self.links = Links(lambda: Dialog(self.seal, self.opener), self._asked)
+        self.since: dict[str, dict[str, float]] = {}  # by pool and endpoint, starts as discovery tells them
         self.limits: dict[str, list[float]] = {}  # learned from peers, until the modules have been told
         self.transport: asyncio.DatagramTransport | None = None
         self.looks = self.rereads = 0.0
@@ -156,10 +157,14 @@
         pools = {pool.name for pool in self.pools()}
         for gone in self.gossip.pools.keys() - pools:
             self.gossip.drop(gone)
+            self.since.pop(gone, None)
         for pool in self.pools():
             driver = pool.driver
             balancer, at = driver.balancer, driver.clock()
-            since = seen.listed(s.info for s in balancer.ring)
+            before, since = self.since.get(pool.name, {}), seen.listed(s.info for s in balancer.ring)
+            # The module has forgotten those that drain; their starts tell them from what follows them.
+            since |= {key: before[key] for key in map(seen.key, driver.draining) if key in before}
+            self.since[pool.name] = since
             told = seen.observations(at, balancer.evidence(at), since, driver.draining)
             self.gossip.see(now, pool.name, balancer.settings.cold_time, told)
         self._tell_modules()
--- a/millgw/peers/seen.py
+++ b/millgw/peers/seen.py
@@ -36,7 +36,8 @@
         )
         for t in evidence
     ]  # fmt: skip
-    return seen + [Observation(key(id), "", 0.0, draining=True) for id in draining]
+    drains = [Observation(key(id), "", 0.0, since=since.get(key(id), 0.0), draining=True) for id in draining]
+    return [o for o in seen if o.endpoint not in {d.endpoint for d in drains}] + drains
 
 
 def hearsay(
--- a/millgw/rehearsal/scenario.py
+++ b/millgw/rehearsal/scenario.py
@@ -178,6 +178,16 @@
     membership: Literal["alone", "union", "intersection", "coordinator", "discovery"] = "alone"
 
 
+class Peers(Table, frozen=True, kw_only=True):
+    """Sidecars of one stage learn from each other (docs/peers.md); so many `liars` hold the key as well.
+
+    `within_ms` is what a start waits to learn.
+    """
+
+    within_ms: NotNegative = 300.0
+    liars: Annotated[int, Meta(ge=0, le=100)] = 0
+
+
 class Limits(Table, frozen=True, kw_only=True):
     """What each sidecar is given."""
 
@@ -276,6 +286,7 @@
     services: tuple[Service, ...] = ()
     coordinator: Coordinator | None = None
     connections: Connections | None = None
+    peers: Peers | None = None
     faults: tuple[Fault, ...] = ()
 
 
--- a/millgw/rehearsal/stage.py
+++ b/millgw/rehearsal/stage.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import json
 import os
 import random
 import shutil
@@ -13,8 +14,12 @@
 from functools import partial
 from pathlib import Path
 
+from millgw.interface import Endpoint as Listing
 from millgw.load import arrivals
+from millgw.peers.node import Peers as LyingPeer
+from millgw.peers.node import Terms as PeerTerms
 from millgw.platform.config import Address
+from millgw.platform.discovery import endpoint_id
 from millgw.rehearsal.auditor import ClassTerms, Repeats, Terms
 from millgw.rehearsal.blows import Blows
 from millgw.rehearsal.coordination import Coordination
@@ -24,17 +29,20 @@
 from millgw.rehearsal.sampler import Sampler, own_memory
 from millgw.rehearsal.scenario import AT_THE_DOOR, Scenario, connections_toml
 from millgw.rehearsal.sidecars import DEFAULT_RUN, NotReady, Sidecar, settings
+from millgw.settings import to_settings
 from millgw.standins.address import free_address
 from millgw.standins.cadastro import Cadastro, Capacity, Delays
 from millgw.standins.endpoint import Build, ColdRule, Endpoint, Group, NextTier, Task
 from millgw.standins.http import Clock, Message
 from millgw.standins.ledger import Attempt, Call, End, Ledger, shift
+from millgw.standins.liar import liar
 from millgw.standins.register import Entry
 
 DOMAIN = "rehearsal.example"  # of the services' hosts
 STARTS_AT_ONCE = 2  # sidecars started at the same time for each core: more only wait for each other
 SETTLE = 1.0  # s between the last sidecar's start and the day's first request
 FLOOD_NUMBERS = 1 << 24  # requests of one schedule at the most: the next one's numbers begin there
+JOIN = 3  # sidecars of its stage that each is told to learn from
 TAIL = 1.0  # s more than the longest deadline for which calls that are out are waited for
 
 
@@ -134,6 +142,8 @@
             )  # fmt: skip
         self.endpoints: dict[str, Endpoint] = {}
         self.sidecars: dict[str, Sidecar] = {}
+        self.peers: dict[int, dict[str, Address]] = {}  # where sidecars find each other, by stage
+        self.liars: list[LyingPeer] = []
         self.own: dict[str, Sidecar] = {}  # endpoints' own, by the endpoint's name
         self.front: Front
         self.clients: Clients
@@ -175,6 +185,9 @@
 
     def _build(self, folder: Path, keeper: Keeper) -> None:
         scenario, fleet = self.scenario, self.scenario.fleet
+        self.key = folder / "peers.key"
+        if scenario.peers is not None:
+            self.key.write_text(random.Random(f"key {scenario.seed}").randbytes(16).hex())
         # Services are tiers beside each other: no endpoint calls another's.
         sizes = tuple(s.endpoints for s in scenario.services) or fleet.tier_sizes()
         self.tiers = [self._tier(i + 1, size) for i, size in enumerate(sizes)]
@@ -191,10 +204,13 @@
                 if self.listen is not None and not self.sidecars:
                     sidecar.listen_at(self.listen)
                 self.sidecars[name] = sidecar
-                if self.coordination is None:
-                    sidecar.operator = self.operator(name)
+                if scenario.peers is not None:
+                    self.peers.setdefault(stage, {})[name] = free_address()
                 if stage:
                     self.own[self.tiers[stage - 1][index].build.name] = sidecar
+        if self.coordination is None:
+            for name, sidecar in self.sidecars.items():
+                sidecar.operator = self.operator(name)
         self.front = Front([self.sidecars[f"n0-{i}"] for i in range(front)], scenario.seed)
         hosts = {cls: f"{s.name}.{DOMAIN}" for s in scenario.services for cls in s.classes}
         self.clients = Clients(self.front, scenario.classes, self.ledger, self.clock, scenario.seed, hosts)
@@ -286,7 +302,7 @@
 
     def operator(self, sidecar: str, without: str = "") -> str:
         """The operator's file of a sidecar: services at the front, how connections are tended."""
-        lines = [connections_toml(self.scenario)]
+        lines = [connections_toml(self.scenario), self._peers_toml(sidecar)]
         for tier, service in enumerate(self.scenario.services, 1):
             if service.name != without:
                 address = self.cadastro.window(sidecar, tier)
@@ -295,6 +311,44 @@
                 lines += ["[[routes]]", f'to = "{service.name}"', f'host = "{service.name}.{DOMAIN}"']
         return "\n".join(lines)
 
+    def _peers_toml(self, sidecar: str) -> str:
+        """How a sidecar learns from those of its stage, as a table of the operator's file."""
+        told = self.scenario.peers
+        if told is None:
+            return ""
+        stage = self.sidecars[sidecar].stage
+        some = [str(address) for address in list(self.peers[stage].values())[:JOIN]]
+        return "\n".join(
+            [
+                "[peers]", f'listen = "{self.peers[stage][sidecar]}"', f"join = {json.dumps(some)}",
+                f"keys = {json.dumps([str(self.key)])}", f"within_ms = {told.within_ms:g}",
+            ]
+        )  # fmt: skip
+
+    async def _lie(self) -> None:
+        """Let the day's liars join the sidecars at the front."""
+        told = self.scenario.peers
+        if told is None:
+            return
+        front = len(self.peers[0])
+        for number in range(told.liars):
+            made = to_settings(settings(self.scenario, 0, 0, front))
+            join = tuple(list(self.peers[0].values())[:JOIN])
+            terms = PeerTerms(free_address(), join, (str(self.key),), 0.0)
+            self.liars.append(liar(terms, made, self._as_seen, self.scenario.seed + number))
+            await self.liars[-1].begin()
+
+    def _as_seen(self) -> list[tuple[Listing, bool]]:
+        """The first tier's endpoints, and which of them are cold."""
+        seen = []
+        for endpoint in self.endpoints.values():
+            if endpoint.build.tier == 1 and endpoint.up:
+                life = endpoint.ledger_life()
+                since = float(self.entry(endpoint, "in_service").since_ms)
+                cold = life.cold_ms > 0 and self.clock() < life.start + life.cold_ms
+                seen.append((Listing(endpoint_id(endpoint.build.name), since=since), cold))
+        return seen
+
     # Its parts, for the blows
 
     @property
@@ -381,7 +435,8 @@
             await self.coordination.start(list(self.sidecars), len(self.tiers))
             for sidecar in self.sidecars.values():
                 own = self.coordination.operator(sidecar.name, sidecar.stage + 1)
-                sidecar.operator = f"{connections_toml(self.scenario)}\n{own}"
+                sidecar.operator = f"{self.operator(sidecar.name)}\n{own}"
+        await self._lie()
         for tier in self.tiers:
             for endpoint in tier:
                 endpoint.start(cold=False)
@@ -449,6 +504,8 @@
         )
 
     async def _down(self) -> None:
+        for lying in self.liars:
+            lying.stop()
         for sidecar in self.sidecars.values():
             sidecar.kill()
             sidecar.desk.close()
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -194,8 +194,8 @@
 
 ROWS = st.builds(
     Observation,
-    st.sampled_from(["e0", "e1"]), st.sampled_from(["a", "b", "me"]), st.floats(0, GONE / 2), st.integers(0, 9),
-    st.just(0.0), st.floats(0, 1), st.floats(0.1, 9), st.integers(0, 99),
+    st.sampled_from(["e0", "e1"]), st.sampled_from(["a", "b", "me"]), st.floats(0, GONE / 2),
+    st.integers(0, 9), st.just(0.0), st.floats(0, 1), st.floats(0.1, 9), st.integers(0, 99),
 )  # fmt: skip
 
 
--- /dev/null
+++ b/tests/test_peer_node.py
@@ -0,0 +1,301 @@
+"""Peers on sockets: learning at the start, strangers, slow and vanishing peers, changed keys, upgrades."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
+from pathlib import Path
+from typing import Any, cast
+
+import pytest
+
+from millgw.decide import Balancer
+from millgw.interface import Endpoint, EndpointList, Hearsay, ListKind, Repeat, RequestClass, Settings
+from millgw.peers import links, node, wire
+from millgw.peers.beliefs import Observation
+from millgw.peers.dialog import NONCE, Dialog
+from millgw.peers.links import MOST_TAKEN
+from millgw.peers.node import Peers, Terms
+from millgw.peers.sealed import Opener, Seal
+from millgw.peers.swim import Status
+from millgw.platform.config import Address
+from millgw.pool.pool import Pool
+from millgw.standins.address import free_address
+from tests.kinds import once
+from tests.rig import run, until
+
+pytestmark = once
+KEY, OTHER = b"0123456789abcdef", b"fedcba9876543210"
+SETTINGS = Settings(
+    (RequestClass("read", 5000.0, Repeat.SAFE, 1000.0),), 0.2, 10_000.0, 2.5, 1000.0, ask_discovery=False
+)
+
+
+class Served:
+    """A pool with six endpoints, warm all of them as far as it knows."""
+
+    name = ""
+
+    def __init__(self) -> None:
+        self.driver = self
+        self.balancer = Balancer(SETTINGS, 1)
+        self.draining: set[int] = set()
+        self.heard: list[Hearsay] = []
+        endpoints = tuple(Endpoint(i, since=1.0) for i in range(1, 7))
+        self.balancer.handle(self.clock(), EndpointList(ListKind.FULL, endpoints))
+
+    def clock(self) -> float:
+        return time.time() * 1000
+
+    def hear(self, event: Hearsay) -> None:
+        self.heard.append(event)
+        self.balancer.handle(self.clock(), event)
+
+    def cold(self, id: int) -> bool:
+        now = self.clock()
+        return self.balancer.cold.share(self.balancer.servers[id], now) < 1.0
+
+
+class Fleet:
+    """Peers in one process, with a key file."""
+
+    def __init__(self, folder: Path) -> None:
+        self.keys = folder / "keys"
+        self.keys.write_bytes(KEY + b"\n")
+        self.running: list[Peers] = []
+
+    def make(
+        self, *join: Address, listen: Address | None = None, within: float = 5000.0
+    ) -> tuple[Peers, Served]:
+        served = Served()
+        terms = Terms(listen or free_address(), join, (str(self.keys),), within)
+        peers = Peers(terms, lambda: [cast(Pool, served)], 7)
+        self.running.append(peers)
+        return peers, served
+
+    async def start(self, *join: Address, **more: Any) -> tuple[Peers, Served]:
+        peers, served = self.make(*join, **more)
+        await peers.begin()
+        if "listen" not in more:
+            await until(lambda: peers.transport is not None)
+        return peers, served
+
+
+@asynccontextmanager
+async def fleet(folder: Path) -> AsyncIterator[Fleet]:
+    made = Fleet(folder)
+    try:
+        yield made
+    finally:
+        for peers in made.running:
+            peers.stop()
+        await asyncio.sleep(0)
+
+
+@contextmanager
+def quick() -> Iterator[None]:
+    """Look at key files at every look, end connections sooner."""
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(node, "KEYS_EVERY", 0.0)
+        patch.setattr(links, "LIVES", 0.3)
+        yield
+
+
+def test_a_new_sidecar_learns_before_it_serves_and_the_list_of_peers_is_known_to_all(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path) as some:
+            first, served = await some.start()
+            served.balancer.servers[2].back = served.clock()  # seen to come back: discovery did not tell
+            served.draining = {3}
+            await until(lambda: bool(first.gossip.own.get("")))
+            await until(lambda: (first.gossip.own[""][f"{2:016x}"].up or 0.0) < SETTINGS.cold_time)
+            fresh, learned = await some.start(first.terms.listen)
+            assert fresh.snapshots == 1
+            assert learned.cold(2) and not learned.cold(1)
+            now = learned.clock()
+            assert [s.info.id for s in learned.balancer.ring if s.drains_until > now] == [3]
+            third, _ = await some.start(fresh.terms.listen)
+            await until(lambda: all(len(p.swim.alive()) == 2 for p in (first, fresh, third)))
+            await until(lambda: bool(served.heard) and served.heard[-1].siblings == 3)
+
+    run(test)
+
+
+def test_what_one_hears_in_service_reaches_the_others_modules(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path) as some:
+            first, served = await some.start()
+            _, other = await some.start(first.terms.listen)
+            _, third = await some.start(first.terms.listen)
+            served.balancer.servers[4].missed = 2  # out of reach, as its own calls found
+            for peer in (other, third):
+                await until(lambda at=peer: at.balancer.avoided(at.clock()) == 1)  # type: ignore[misc]
+                assert peer.balancer.servers[4].hearsay
+
+    run(test)
+
+
+async def talk(address: Address, *said: bytes) -> bytes:
+    """What a stranger hears who says this and then waits for the end."""
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    for part in said:
+        writer.write(part)
+    heard = await reader.read()
+    writer.close()
+    return heard
+
+
+def test_a_stranger_learns_nothing_and_changes_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path) as some:
+            peers, _ = await some.start()
+            at = peers.terms.listen
+            stranger = Dialog(Seal("x", 1, [OTHER]), Opener([OTHER], 9999))
+            reader, writer = await asyncio.open_connection(at.host, at.port)
+            hello = await reader.readexactly(NONCE)
+            stranger.receive(hello)
+            writer.write(stranger.hello() + stranger.say(wire.Ask()))
+            assert await reader.read() == b"", "not a byte more"
+            writer.close()
+            assert len(await talk(at, b"GET / HTTP/1.1\r\nHost: x\r\n\r\n" * 3)) == NONCE
+            sent = asyncio.DatagramProtocol
+            transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+                sent, remote_addr=(at.host, at.port)
+            )
+            true = Seal("127.0.0.1:1", 1, [KEY])
+            told = Observation(f"{1:016x}", "127.0.0.1:1", 0.0, 5, failing=1.0, calls=9)
+            rumour = wire.rumours([("", told)])
+            good = true.seal(wire.encode(rumour))
+            for bad in (b"x", b"x" * 40, Seal("x", 1, [OTHER]).seal(wire.encode(rumour)), good + b"x" * 2000):
+                transport.sendto(bad)
+            await until(lambda: peers.refused == 4)
+            assert not peers.gossip.pools[""].known
+            transport.sendto(good)
+            transport.sendto(good)  # said again by somebody who heard it
+            await until(lambda: peers.refused == 5)
+            assert len(peers.gossip.pools[""].known) == 1
+            transport.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("how", ["silent", "drips", "vanishes", "endless"])
+def test_a_start_waits_for_no_peer_longer_than_it_is_told_to(tmp_path: Path, how: str) -> None:
+    async def bad(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if how == "silent":
+            await reader.read()
+            return
+        dialog = Dialog(Seal("127.0.0.1:1", 1, [KEY]), Opener([KEY], wire.MOST_FRAME))
+        writer.write(dialog.hello())
+        dialog.receive(await reader.read(NONCE))
+        frame = dialog.say(wire.snapshot({"": [Observation(f"{1:016x}", "a", 0.0, 1, up=1.0)]}, {}))
+        if how == "vanishes":
+            writer.write(frame[: len(frame) // 2])
+            writer.close()
+        elif how == "endless":
+            writer.write((wire.MOST_FRAME).to_bytes(4, "big") + b"x" * 100_000)
+            await reader.read()
+        else:
+            for byte in frame:
+                writer.write(bytes([byte]))
+                await asyncio.sleep(0.05)
+
+    async def test() -> None:
+        server = await asyncio.start_server(bad, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        async with fleet(tmp_path) as some:
+            peers, served = some.make(Address(host, port), within=50.0)
+            await peers.begin()
+            if how != "vanishes":
+                assert peers.links.made, "it goes on, and the start does not wait"
+            assert not served.cold(1)
+            await until(lambda: not peers.links.made)  # bounded as well
+            assert not peers.snapshots
+        server.close()
+
+    with quick():
+        run(test)
+
+
+def test_where_nobody_is_to_learn_from_a_start_waits_for_nobody(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path) as some:
+            # Far more than a test may take: it does not wait so long, as they refuse at once.
+            peers, _ = some.make(free_address(), free_address(), within=60_000.0)
+            await peers.begin()
+            assert peers.snapshots == 0
+
+    run(test)
+
+
+def test_keys_are_changed_in_service_and_a_file_that_can_t_be_read_changes_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path) as some:
+            first, _ = await some.start()
+            some.keys.write_bytes(b"short")
+            await until(lambda: first.keys.marks == first.keys._now())
+            assert first.opener.keys[0][1] == KEY
+            some.keys.unlink()
+            await asyncio.sleep(0.6)
+            some.keys.write_bytes(OTHER)
+            await until(lambda: first.opener.keys[0][1] == OTHER)
+            fresh, _ = await some.start(first.terms.listen)
+            assert fresh.snapshots == 1
+
+    with quick():
+        run(test)
+
+
+def test_a_process_that_follows_another_at_its_address_is_a_peer_once_that_has_gone(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path) as some:
+            old, _ = await some.start()
+            other, _ = await some.start(old.terms.listen)
+            await until(lambda: other.swim.alive() == [old.name])
+            fresh, _ = await some.start(other.terms.listen, listen=old.terms.listen)
+            assert fresh.snapshots == 1 and fresh.transport is None
+            old.stop()
+            await until(lambda: fresh.transport is not None)
+            at = other.swim.members[old.name]
+            await until(lambda: at.news.incarnation >= fresh.swim.own.incarnation)
+            assert at.news.status is Status.ALIVE
+
+    run(test)
+
+
+def test_who_leaves_says_so(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path) as some:
+            first, _ = await some.start()
+            second, _ = await some.start(first.terms.listen)
+            third, _ = await some.start(first.terms.listen)
+            await until(lambda: all(len(p.swim.alive()) == 2 for p in (first, second, third)))
+            third.stop()
+            await until(lambda: first.swim.status(third.name) is Status.DEAD)
+            await until(lambda: second.swim.status(third.name) is Status.DEAD)
+
+    run(test)
+
+
+def test_strangers_that_hold_connections_keep_no_peer_out(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path) as some:
+            first, _ = await some.start()
+            at = first.terms.listen
+            held = [await asyncio.open_connection(at.host, at.port) for _ in range(3 * MOST_TAKEN)]
+            await until(lambda: len(first.links.taken) == MOST_TAKEN)
+            fresh, _ = await some.start(at)
+            assert fresh.snapshots == 1
+            for _, writer in held:
+                writer.close()
+
+    run(test)
+
+
+def test_keys_that_can_t_be_had_end_the_start(tmp_path: Path) -> None:
+    for paths in ((str(tmp_path / "none"),), (str(tmp_path / "short"),)):
+        (tmp_path / "short").write_bytes(b"short")
+        with pytest.raises((OSError, ValueError)):
+            Peers(Terms(free_address(), (), paths, 0.0), lambda: [], 1)
