--- a/millgw/operator/command.py
+++ b/millgw/operator/command.py
@@ -13,6 +13,7 @@
 from millgw.routing.target import BadTarget, read_target
 
 HELD, NO_ROUTE, BAD_INPUT = 0, 1, 2
+WITHOUT = "the daemon is what it is without this file"
 TENDED = "connections to endpoints are tended"
 
 
@@ -51,11 +52,15 @@
         return BAD_INPUT
     services = {name: _service(operator, name) for name in operator.services}
     if args.json:
-        print(json.dumps({"services": services}, indent=1))
+        peers = None if operator.peers is None else operator.peers.listen
+        print(json.dumps({"services": services, "peers": peers}, indent=1))
         return HELD
     if not services:
         tended = operator.tends() is not None
-        print("no services: " + (TENDED if tended else "the daemon is what it is without this file"))
+        plain = operator.peers is None
+        print("no services: " + (TENDED if tended else WITHOUT if plain else "one pool for all requests"))
+    if operator.peers is not None:
+        print(f"learns from peers, who find it at {operator.peers.listen}")
     for name, told in services.items():
         print(f"{name}: {told['source']}; classes {', '.join(told['classes']) or 'all'}")
         for kind, share in told["guaranteed"].items():
--- a/millgw/operator/file.py
+++ b/millgw/operator/file.py
@@ -127,6 +127,14 @@
     connections: Connections | None = None
 
 
+class Meeting(Table, frozen=True, kw_only=True):
+    """A directory of a ZooKeeper-style coordinator in which each sidecar has an ephemeral node."""
+
+    connect: str
+    path: str
+    session_s: Annotated[float, Meta(ge=0.2, le=600)] = 10.0
+
+
 class Peers(Table, frozen=True, kw_only=True):
     """Learning from other sidecars (docs/peers.md); a table that is there switches it on.
 
@@ -138,6 +146,7 @@
     join: Annotated[tuple[str, ...], Meta(max_length=1000)] = ()
     keys: Annotated[tuple[str, ...], Meta(min_length=1, max_length=2)]
     within_ms: Annotated[float, Meta(ge=0, le=5000)] = 300.0
+    coordinator: Meeting | None = None
 
 
 class RouteEntry(Table, frozen=True, kw_only=True, rename={"cls": "class"}):
@@ -173,11 +182,7 @@
     """What no single field can tell."""
     _check_connections("connections", operator.connections)
     if operator.peers is not None:
-        _address("peers.listen", operator.peers.listen)
-        if read_address(operator.peers.listen).anywhere:
-            raise ValueError("peers.listen: is no address at which others find this sidecar")
-        for i, peer in enumerate(operator.peers.join):
-            _address(f"peers.join[{i}]", peer)
+        _check_peers(operator.peers)
     for name, service in operator.services.items():
         path = f"services.{name}"
         _check_connections(f"{path}.connections", service.connections)
@@ -229,6 +234,24 @@
         raise ValueError(f"{path}.{field}: {what}") from None
 
 
+def _check_peers(told: Peers) -> None:
+    _address("peers.listen", told.listen)
+    if read_address(told.listen).anywhere:
+        raise ValueError("peers.listen: is no address at which others find this sidecar")
+    for i, peer in enumerate(told.join):
+        _address(f"peers.join[{i}]", peer)
+    if told.coordinator is not None:
+        _check_place("peers.coordinator", told.coordinator.connect, told.coordinator.path)
+
+
+def _check_place(path: str, connect: str, directory: str) -> None:
+    for key, reads, value in (("connect", read_connect, connect), ("path", check_path, directory)):
+        try:
+            reads(value)
+        except ValueError as error:
+            raise ValueError(f"{path}.{key}: {error}") from None
+
+
 def _check_coordinator(path: str, service: Service) -> None:
     told = service.coordinator
     if told is None:
@@ -239,14 +262,7 @@
         raise ValueError(f"{path}.endpoints: stand beside a coordinator; a service has one of the two")
     if service.discovery is not None and service.membership is None:
         raise ValueError(f"{path}.membership: is needed beside a discovery and a coordinator")
-    for key, reads, value in (
-        ("connect", read_connect, told.connect),
-        ("path", check_path, told.path),
-    ):
-        try:
-            reads(value)
-        except ValueError as error:
-            raise ValueError(f"{path}.coordinator.{key}: {error}") from None
+    _check_place(f"{path}.coordinator", told.connect, told.path)
     if told.hold_most_s < told.hold_s:
         raise ValueError(f"{path}.coordinator.hold_most_s: is under the hold_s of {told.hold_s:g}")
 
--- a/millgw/peers/node.py
+++ b/millgw/peers/node.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Iterable, Sequence
+from contextlib import suppress
 from dataclasses import dataclass
 from logging import INFO, WARNING
-from typing import Any, cast
+from typing import TYPE_CHECKING, Any, cast
 
 from millgw.events import tell
 from millgw.peers import gossip, seen, wire
@@ -20,21 +21,38 @@
 from millgw.platform.config import Address, read_address
 from millgw.pool.pool import Pool
 
+if TYPE_CHECKING:
+    from millgw.peers.finding import ByCoordinator
+
 MOST_ASKED = 3  # peers that a new sidecar asks for what they know
 LOOK = 500.0  # ms between two looks at the modules, both ways
 KEYS_EVERY = 5000.0  # ms between two looks at the key files
+TELL_EVERY = 60_000.0  # ms between two lines on peers in the log
 LISTEN_AGAIN = 0.5  # s until an address that another process of this sidecar has is tried again
-DESCRIPTORS = MOST_TAKEN + MOST_ASKED + 4  # that all of it takes at the most
+DESCRIPTORS = MOST_TAKEN + MOST_ASKED + 6  # that all of it takes at the most
 
 
 @dataclass(slots=True, frozen=True)
 class Terms:
-    """`listen` is where peers find it, and its name among them; `within` the ms that its start waits."""
+    """`listen` is where peers find it, and its name among them; `within` the ms that its start waits.
+
+    The first peers are `join`, and those that a coordinator's directory names, where one is told.
+    """
 
     listen: Address
     join: tuple[Address, ...]
     keys: tuple[str, ...]
     within: float
+    coordinator: Coordinator | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Coordinator:
+    """Its servers, the path below which peers have their nodes, and a session's ms."""
+
+    servers: tuple[Address, ...]
+    path: str
+    timeout: float
 
 
 def _clock() -> float:
@@ -58,13 +76,24 @@
         self.since: dict[str, dict[str, float]] = {}  # by pool and endpoint, starts as discovery tells them
         self.limits: dict[str, list[float]] = {}  # learned from peers, until the modules have been told
         self.transport: asyncio.DatagramTransport | None = None
-        self.looks = self.rereads = 0.0
+        self.looks = self.rereads = self.tells = 0.0
         self.timer: asyncio.TimerHandle | None = None
         self.tasks: set[asyncio.Task[object]] = set()
         self.stopped = False
         self.refused = 0
         self.snapshots = 0
-        self.swim.join(_clock(), [str(a) for a in terms.join if a != terms.listen])
+        self.found(str(address) for address in terms.join)
+        self.finding: ByCoordinator | None = None
+        told = terms.coordinator
+        if told is not None:
+            # Only here: a coordinator that is not told must cost nothing.
+            from millgw.peers.finding import ByCoordinator
+
+            self.finding = ByCoordinator(told.servers, told.path, told.timeout, self.name, seed, self.found)
+
+    def found(self, names: Iterable[str]) -> None:
+        """There may be peers of these names."""
+        self.swim.join(_clock(), [name for name in names if name != self.name])
 
     # Beginning and end
 
@@ -72,19 +101,24 @@
         """Learn from peers, within `terms.within` ms, tell the modules, and be a peer from now on."""
         for pool in self.pools():
             self.gossip.serve(pool.name)
-        asking = [
-            self._task(self._learn(address))
-            for address in self.swim.rng.sample(self.terms.join, len(self.terms.join))
-            if address != self.terms.listen
-        ][:MOST_ASKED]
+        until = _clock() + self.terms.within
+        if self.finding is not None:
+            self.finding.start()
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self.finding.known.wait(), self.terms.within / 1000)
+        names = self.swim.alive()
+        some = self.swim.rng.sample(names, min(MOST_ASKED, len(names)))
+        asking = [self._task(self._learn(name)) for name in some]
         if asking:
-            await asyncio.wait(asking, timeout=self.terms.within / 1000)
+            await asyncio.wait(asking, timeout=max(0.0, until - _clock()) / 1000)
         tell(INFO, "peers-learned", asked=len(asking), snapshots=self.snapshots)
         self._tell_modules()
         self._task(self._listen())
 
-    async def _learn(self, address: Address) -> None:
-        await self.links.ask(address, wire.Ask())
+    async def _learn(self, name: str) -> None:
+        address = self._address(name)
+        if address is not None:
+            await self.links.ask(address, wire.Ask())
 
     async def _listen(self) -> None:
         """Listen; where a process before this one still has the address, as soon as it has gone."""
@@ -98,6 +132,8 @@
                 tell(WARNING, "peers-not-listening", listen=listen, cause=error)
                 await asyncio.sleep(LISTEN_AGAIN)
             else:
+                if self.finding is not None:
+                    self.finding.register()
                 self._wake()
                 return
 
@@ -115,6 +151,8 @@
         for task in self.tasks:
             task.cancel()
         self.links.close()
+        if self.finding is not None:
+            self._task(self.finding.leave())
 
     def _task(self, work: Coroutine[Any, Any, object]) -> asyncio.Task[object]:
         task = asyncio.get_running_loop().create_task(work)
@@ -129,6 +167,9 @@
         if now >= self.rereads + KEYS_EVERY:
             self.rereads = now
             self._reread()
+        if now >= self.tells + TELL_EVERY:
+            self.tells = now
+            tell(INFO, "peers", **self.figures())
         if now >= self.looks + LOOK:
             self.looks = now
             self._look(now)
--- a/millgw/rehearsal/auditor.py
+++ b/millgw/rehearsal/auditor.py
@@ -84,7 +84,10 @@
 
 @dataclass(slots=True)
 class Finding:
-    """The verdict on one rule. `checked` counts what it was judged by; `excused` what lateness explains."""
+    """The verdict on one rule. `checked` counts what it was judged by; `excused` what lateness explains.
+
+    `nearest` is how much of a rule's bound was used up at the most, of 1, where it has one.
+    """
 
     rule: int
     title: str
@@ -94,6 +97,7 @@
     evidence: list[Evidence] = field(default_factory=list)
     kinds: Counter[str] = field(default_factory=Counter)
     note: str = ""
+    nearest: float = 0.0
 
     @property
     def verdict(self) -> Verdict:
@@ -466,6 +470,7 @@
                     life, at, self.terms.fall_multiple, self.terms.fall_window,
                     self.terms.heaviest.get(life.tier, 0.0),
                 )  # fmt: skip
+                finding.nearest = max(finding.nearest, total / bound)
                 if total > bound:
                     what = "work sent to a cold endpoint within a window (core-ms)"
                     finding.add(Evidence(what, at, attempt.trace, life.endpoint, "", total, bound))
--- a/millgw/rehearsal/report.py
+++ b/millgw/rehearsal/report.py
@@ -178,6 +178,7 @@
             {
                 "rule": f.rule, "title": f.title, "verdict": f.verdict.value, "checked": f.checked,
                 "broken": f.broken, "excused": f.excused, "kinds": dict(f.kinds),
+                "nearest": round(f.nearest, 3),
                 "evidence": [asdict(e) for e in f.evidence],
             }
             for f in day.audit.findings
--- a/millgw/services/node.py
+++ b/millgw/services/node.py
@@ -6,7 +6,7 @@
 import dataclasses
 import json
 from collections.abc import Callable, Mapping, Sequence
-from logging import ERROR, INFO
+from logging import ERROR, INFO, WARNING
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -181,6 +181,8 @@
             for listener in opened.values():
                 listener.server.stop()
             return
+        if operator.peers != self.operator.peers:
+            tell(WARNING, "reload-takes-restart", field="peers")
         old = [served.pool for name, served in self.served.items() if made.get(name) is not served]
         self.bounds.allotments = allotments
         self.bounds.retired = [pool for pool in self.bounds.retired if pool.driver.calls] + old
--- a/millgw/services/parts.py
+++ b/millgw/services/parts.py
@@ -131,10 +131,16 @@
     if told is None:
         return None
     # Only here: without peers nothing of it is loaded.
-    from millgw.peers.node import DESCRIPTORS, Peers, Terms
+    from millgw.peers.node import DESCRIPTORS, Coordinator, Peers, Terms
 
     descriptors.reserve(DESCRIPTORS)
-    terms = Terms(read_address(told.listen), tuple(map(read_address, told.join)), told.keys, told.within_ms)
+    meeting = None
+    if told.coordinator is not None:
+        servers, root = read_connect(told.coordinator.connect)
+        path, timeout = root + told.coordinator.path, told.coordinator.session_s * 1000
+        meeting = Coordinator(servers, path, timeout)
+    join = tuple(map(read_address, told.join))
+    terms = Terms(read_address(told.listen), join, told.keys, told.within_ms, meeting)
     try:
         return Peers(terms, pools, pool_seed(config.seed, "peers"))
     except (OSError, ValueError) as error:
--- a/tests/test_peer_node.py
+++ b/tests/test_peer_node.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import subprocess
+import sys
 import time
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager
@@ -11,13 +13,15 @@
 
 import pytest
 
+from millgw.__main__ import main
 from millgw.decide import Balancer
 from millgw.interface import Endpoint, EndpointList, Hearsay, ListKind, Repeat, RequestClass, Settings
+from millgw.membership.servers import read_connect
 from millgw.peers import links, node, wire
 from millgw.peers.beliefs import Observation
 from millgw.peers.dialog import NONCE, Dialog
 from millgw.peers.links import MOST_TAKEN
-from millgw.peers.node import Peers, Terms
+from millgw.peers.node import Coordinator, Peers, Terms
 from millgw.peers.sealed import Opener, Seal
 from millgw.peers.swim import Status
 from millgw.platform.config import Address
@@ -25,6 +29,7 @@
 from millgw.standins.address import free_address
 from tests.kinds import once
 from tests.rig import run, until
+from tests.test_membership import ensemble
 
 pytestmark = once
 KEY, OTHER = b"0123456789abcdef", b"fedcba9876543210"
@@ -67,10 +72,14 @@
         self.running: list[Peers] = []
 
     def make(
-        self, *join: Address, listen: Address | None = None, within: float = 5000.0
+        self,
+        *join: Address,
+        listen: Address | None = None,
+        within: float = 5000.0,
+        coordinator: Coordinator | None = None,
     ) -> tuple[Peers, Served]:
         served = Served()
-        terms = Terms(listen or free_address(), join, (str(self.keys),), within)
+        terms = Terms(listen or free_address(), join, (str(self.keys),), within, coordinator)
         peers = Peers(terms, lambda: [cast(Pool, served)], 7)
         self.running.append(peers)
         return peers, served
@@ -299,3 +308,66 @@
         (tmp_path / "short").write_bytes(b"short")
         with pytest.raises((OSError, ValueError)):
             Peers(Terms(free_address(), (), paths, 0.0), lambda: [], 1)
+
+
+def test_peers_that_know_only_a_coordinator_find_each_other_and_leave_no_node(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with ensemble() as zk, fleet(tmp_path) as some:
+            servers, _ = read_connect(zk.connect_string)
+            told = Coordinator(servers, "/sidecars", 4000.0)
+            first, _ = await some.start(coordinator=told)
+            assert first.finding is not None
+            await first.finding.registrar.registered.wait()
+            second, _ = await some.start(coordinator=told)
+            assert second.snapshots == 1
+            await until(lambda: first.swim.alive() == [second.name])
+            assert second.finding is not None
+            await second.finding.registrar.registered.wait()
+            second.stop()
+            await second.finding.registrar.left.wait()
+
+    run(test)
+
+
+def test_a_coordinator_that_says_nothing_holds_no_start_up(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path) as some:
+            told = Coordinator((free_address(),), "/sidecars", 4000.0)
+            peers, _ = some.make(within=50.0, coordinator=told)
+            await peers.begin()
+            assert peers.snapshots == 0
+
+    run(test)
+
+
+def test_off_costs_nothing() -> None:
+    code = "import sys, millgw.sidecar.__main__; print([m for m in sys.modules if 'millgw.peers' in m])"
+    got = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert got.stdout.strip() == "[]"
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ('listen = "0.0.0.0:7400"', "o.toml:3: peers.listen: is no address at which others find"),
+        ('listen = "here"', "o.toml:3: peers.listen: 'here' is not IP:port"),
+        ('listen = "127.0.0.1:1"\njoin = ["x"]', "o.toml:4: peers.join[0]: 'x' is not IP:port"),
+        ('listen = "127.0.0.1:1"\nwithin_ms = 9000', "o.toml:4: peers.within_ms: Expected"),
+        ('listen = "127.0.0.1:1"\ncoordinator = {connect = "zk", path = "/p"}', "peers.coordinator"),
+        ("", "peers"),
+    ],
+)
+def test_a_table_that_can_t_be_used_is_named(
+    tmp_path: Path, text: str, says: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "o.toml"
+    path.write_text(f'[peers]\nkeys = ["k"]\n{text}\n')
+    assert main(["check", str(path)]) == 2
+    assert says in capsys.readouterr().err
+
+
+def test_what_a_table_means_is_said(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    path = tmp_path / "o.toml"
+    path.write_text('[peers]\nkeys = ["k"]\nlisten = "127.0.0.1:7400"\n')
+    assert main(["check", str(path)]) == 0
+    assert "learns from peers, who find it at 127.0.0.1:7400" in capsys.readouterr().out
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -201,6 +201,17 @@
     assert all(p.failing == 1.0 for p in few.priors(0.0, listed(*names), YOUNG).values())
 
 
+def test_one_of_three_who_says_that_all_have_just_started_is_not_believed() -> None:
+    names = [f"e{i}" for i in range(6)]
+    beliefs = Beliefs()
+    beliefs.take(0.0, [seen(o, name) for o in "ab" for name in names])  # who know of no start
+    beliefs.take(0.0, [seen("liar", name, up=50.0) for name in names])
+    assert all(p.up is None for p in beliefs.priors(0.0, listed(*names), YOUNG).values())
+    alone = Beliefs()
+    alone.take(0.0, [seen("a", name, up=1e8) for name in names] + [seen("b", "e1", up=50.0)])
+    assert alone.priors(0.0, listed(*names), YOUNG)["e1"].up == 50.0, "of one endpoint it may be so"
+
+
 def test_a_drain_that_one_heard_counts_but_not_a_few_who_say_that_all_drain() -> None:
     names = [f"e{i}" for i in range(6)]
     beliefs = Beliefs()
--- a/tests/test_rehearsal_pure.py
+++ b/tests/test_rehearsal_pure.py
@@ -84,6 +84,7 @@
         "reload-under-flood", "cold-unheard", "zk-mass-expiry", "zk-lingering", "zk-lagging-face",
         "zk-restart-empty", "zk-reconnect-storm", "zk-both-sources", "stale-pools",
         "cold-handshake-storm", "silent-middlebox", "upgrade", "drain-and-resume", "long-bodies",
+        "join-during-cold-start", "peer-lies", "peer-vanishes", "all-restart",
     }  # fmt: skip
     for name in shipped():
         scenario = load(name)[1]
--- a/tests/test_rehearsal_wrong.py
+++ b/tests/test_rehearsal_wrong.py
@@ -70,6 +70,7 @@
     "zk-both-sources",
 )  # fmt: skip
 TENDED = ("stale-pools", "cold-handshake-storm", "silent-middlebox")
+PEERED = ("join-during-cold-start", "peer-lies", "peer-vanishes", "all-restart")
 DAILY = ("upgrade", "drain-and-resume", "long-bodies")
 SHIPPED_SECONDS = 9.0
 
@@ -124,6 +125,15 @@
     return asyncio_days({name: (short(name), DEFAULT_RUN) for name in TENDED})
 
 
+@cache
+def peered_days() -> dict[str, Day]:
+    days = {}
+    for name in PEERED:
+        made = changed(load(name)[1], seconds=SHIPPED_SECONDS, rate=40.0, sidecars=6, endpoints=5)
+        days[name] = (made, DEFAULT_RUN)
+    return asyncio_days(days)
+
+
 @cache
 def daily_days() -> dict[str, Day]:
     days = {name: (short(name), DEFAULT_RUN) for name in DAILY[:2]}
@@ -222,6 +232,16 @@
         assert day.summary.cold_handshakes <= day.scenario.connections.cold_per_s
 
 
+@aside
+@pytest.mark.parametrize("name", PEERED)
+def test_sidecars_that_learn_from_each_other_break_no_rule_whoever_lies_or_vanishes(name: str) -> None:
+    day = peered_days()[name]
+    assert not broken(day), broken(day)
+    cold = {f.rule: f for f in day.audit.findings}[4]
+    assert cold.checked and 0.0 < cold.nearest <= 1.0
+    assert day.summary.asked > 100 and day.summary.served > 0.5 * day.summary.asked
+
+
 @once
 def test_upgrades_hit_no_request_and_break_no_rule() -> None:
     day = daily_days()["upgrade"]
