Unsafe calls are marked durably before their last byte leaves; a restart sends none again

Way taken: the mark is written while the last byte is held back anyway, in the store's group commit, and the byte waits for it; what ended and can't have run is taken out again. Way not taken: a mark at the taking of a call, which costs its whole latency and marks what is never sent. The store's index stands in the order of its log, so a compaction begins with one copy and no sort.

--- a/millgw/endpoints/attempt.py
+++ b/millgw/endpoints/attempt.py
@@ -30,6 +30,22 @@
 WRITTEN: Final = 3
 ENDED: Final = 4
 
+class Intent(Protocol):
+    """What must be durable before the last byte of a call that may not run twice may leave."""
+
+    def begin(self) -> None:
+        """Have that written; nothing, if it is or was before."""
+
+    def durable(self) -> bool | None:
+        """Whether it is; None while that is not known yet."""
+
+    def wait(self, then: Callable[[], None]) -> None:
+        """Call this once it is known."""
+
+    def leaves(self, token: object) -> None:
+        """The attempt's last byte leaves."""
+
+
 Ended = Callable[[Outcome, Content], None]
 Began = Callable[[Flow], bool]
 
@@ -49,7 +65,7 @@
     is called in place of `ended`, and tells whether anybody waits for the answer.
     """
 
-    __slots__ = ("began", "carrier", "connecting", "ended", "payload", "repeat", "state", "upload")
+    __slots__ = ("began", "carrier", "connecting", "ended", "intent", "payload", "repeat", "state", "upload")
 
     def __init__(
         self,
@@ -58,7 +74,9 @@
         repeat: Repeat = Repeat.UNSAFE,
         began: Began | None = None,
         upload: Upload | None = None,
+        intent: Intent | None = None,
     ) -> None:
+        self.intent = intent
         self.payload = payload
         self.ended = ended
         self.began = began
--- a/millgw/endpoints/connection.py
+++ b/millgw/endpoints/connection.py
@@ -14,7 +14,7 @@
 from logging import WARNING
 from typing import Protocol
 
-from millgw.endpoints.attempt import CONNECTING, HELD, WRITING, WRITTEN, Attempt
+from millgw.endpoints.attempt import CONNECTING, HELD, WRITING, WRITTEN, Attempt, Intent
 from millgw.endpoints.core import SPOILT, WHOLE, AnswerCore
 from millgw.endpoints.proof import HOLD_BACK, Proof
 from millgw.events import tell
@@ -151,6 +151,8 @@
             attempt.state = HELD
             self.last_byte = payload[-1:]
             self.home.held_back += 1
+            if attempt.intent is not None:
+                attempt.intent.begin()
             self.transport.write(payload[:-1])
             self.holding = self.home.loop.call_later(hold / 1000, self._complete)
         else:
@@ -167,6 +169,8 @@
         """
         assert self.transport is not None
         attempt.state = HELD
+        if attempt.intent is not None:
+            attempt.intent.begin()
         self.upload = upload
         self.home.held_back += 1
         self.transport.set_write_buffer_limits(high=upload.window)
@@ -181,6 +185,8 @@
         if unread(self.transport, self.poll) if self.transport is not None else True:
             self._broken()
             return
+        if attempt.intent is not None and not self._may_leave(attempt, attempt.intent):
+            return
         attempt.state = WRITING
         self.stalled = self.home.loop.call_later(STREAM_STALL, self._look_at_upload)
         upload.taker = self
@@ -241,13 +247,38 @@
             else:
                 self._broken()
         elif self.last_byte and self.transport.get_write_buffer_size() == 0:
+            attempt = self.attempt
+            intent = None if attempt is None else attempt.intent
+            if attempt is not None and intent is not None and not self._may_leave(attempt, intent):
+                return
             last, self.last_byte = self.last_byte, b""
             self.prove_until = 0.0
-            if self.attempt is not None:
-                self.attempt.state = WRITING
+            if attempt is not None:
+                attempt.state = WRITING
             self.transport.write(last)
             self._written()
 
+    def _may_leave(self, attempt: Attempt, intent: Intent) -> bool:
+        """Whether what must be durable is; else it goes on, or ends unsent, when that is known."""
+        durable = intent.durable()
+        if durable is None:
+            intent.wait(lambda: self._known(attempt))
+        elif durable:
+            intent.leaves(attempt)
+        else:
+            self.abort()
+            self._finish(Outcome.NOT_SENT)
+        return durable is True
+
+    def _known(self, attempt: Attempt) -> None:
+        # Guards against one that was given up, went on elsewhere or was let go meanwhile: never twice.
+        if self.attempt is not attempt or attempt.state != HELD or self.holding is not None:
+            return
+        if self.upload is not None:
+            self._pour_first()
+        else:
+            self._complete()
+
     def _broken(self) -> None:
         """The connection is of no use, and the request on it has not run: a kept one is made good for."""
         self.host.proof.broke(time.monotonic() * 1000)
--- /dev/null
+++ b/millgw/intents/log.py
@@ -0,0 +1,149 @@
+"""The book's log in service: a store that is opened beside the loop, and its writer."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+from collections.abc import Sequence
+from concurrent.futures import Future
+from dataclasses import dataclass
+from logging import ERROR, INFO, WARNING
+from pathlib import Path
+
+from millgw.events import tell
+from millgw.intents.book import Book, Done, Intent, Refusal
+from millgw.message import FAILED, Answer, Content
+from millgw.request import Head
+from millgw.store.files import Locked, RealFiles
+from millgw.store.record import FormatError
+from millgw.store.store import Item, Options, Standing, Store
+from millgw.store.writer import Sync, Writer
+
+OPEN_AGAIN = 0.05  # s between two tries at a store that another process of this sidecar still has
+DESCRIPTORS = 16  # that a store of two mirrors has open at the most, a compaction's among them
+CONFLICT = 409
+PLAIN = b"Content-Type: text/plain\r\n"
+
+
+@dataclass(slots=True, frozen=True)
+class Terms:
+    """Where the store is (two directories: mirrors), how it syncs, how long a mark is kept (ms), and the
+    header of a client's own key, in lower case, if there is one."""
+
+    directories: tuple[str, ...]
+    sync: Sync
+    keep: float
+    key: bytes
+
+
+class Durable:
+    """The marks of a store, by way of its writer's thread."""
+
+    def __init__(self, writer: Writer, keep: float, loop: asyncio.AbstractEventLoop) -> None:
+        self.writer = writer
+        self.keep = keep
+        self.loop = loop
+
+    def standing(self, key: bytes) -> Standing:
+        return self.writer.store.standing(key)
+
+    def mark(self, keys: Sequence[bytes], done: Done) -> None:
+        expires = int(self.writer.store.now() + self.keep)
+        self._all([self.writer.put(Item(key, b"", expires)) for key in keys], done)
+
+    def clear(self, keys: Sequence[bytes], done: Done) -> None:
+        self._all([self.writer.put(Item(key, None)) for key in keys], done)
+
+    def _all(self, futures: list[Future[int]], done: Done) -> None:
+        """Tell the loop when all of them have ended, and whether each did as it should."""
+        ended = itertools.count(1)
+
+        def one(future: Future[int]) -> None:
+            # In the writer's thread, or at once where the store has failed or waits for no sync.
+            if next(ended) == len(futures):
+                failed = next((error for f in futures if (error := f.exception()) is not None), None)
+                if failed is not None:
+                    tell(ERROR, "store-failed", cause=failed)
+                self.loop.call_soon_threadsafe(done, failed is None)
+
+        for future in futures:
+            future.add_done_callback(one)
+
+
+class Intents:
+    """What a process knows of unsafe calls that were sent. Until the store is open, none is taken."""
+
+    def __init__(self, terms: Terms) -> None:
+        self.terms = terms
+        self.descriptors = DESCRIPTORS
+        self.book: Book | None = None
+        self.writer: Writer | None = None
+        self.opening: asyncio.Task[None] | None = None
+
+    async def begin(self) -> None:
+        """Open the store; where it can't be had yet, this returns and it is tried on."""
+        if not await self._open():
+            self.opening = asyncio.create_task(self._until_open())
+
+    async def _until_open(self) -> None:
+        while not await self._open():
+            await asyncio.sleep(OPEN_AGAIN)
+
+    async def _open(self) -> bool:
+        """Whether there is nothing more to be tried."""
+        try:
+            store = await asyncio.to_thread(self._made)
+        except Locked as error:
+            tell(INFO, "store-locked", cause=error)
+            return False
+        except (OSError, FormatError) as error:
+            # Calls of other classes are served; an operator has to look at it.
+            tell(ERROR, "store-unusable", cause=error)
+            return True
+        for note in store.notes:
+            tell(WARNING, "store-recovered", note=note)
+        self.writer = Writer(store, self.terms.sync)
+        loop = asyncio.get_running_loop()
+        self.book = Book(Durable(self.writer, self.terms.keep, loop))
+        tell(INFO, "store-open", keys=len(store.index), sync=self.terms.sync.value)
+        return True
+
+    def _made(self) -> Store:
+        made = []
+        for directory in self.terms.directories:
+            Path(directory).mkdir(parents=True, exist_ok=True)
+            made.append(RealFiles(Path(directory)))
+        options = Options(window=self.terms.keep)
+        return Store(made, options, lambda: time.time() * 1000, lambda: time.monotonic() * 1000)
+
+    def stop(self) -> None:
+        """Write what was taken, and let the store go."""
+        if self.opening is not None:
+            self.opening.cancel()
+        if self.writer is not None:
+            self.writer.close()
+            self.writer = None
+
+    def take(self, pool: str, head: Head) -> Intent | Answer:
+        """The intent of an unsafe call, or the answer to one that is not to be sent."""
+        if self.book is None:
+            # No refusal, which would promise that nothing of it ran: another process may have sent it.
+            return Answer(FAILED, Content(PLAIN, _worded(Refusal.NO_LOG)))
+        taken = self.book.take(self._keys(pool.encode(), head))
+        if isinstance(taken, Intent):
+            return taken
+        tell(INFO, "not-sent-again", trace=head.values[b"x-trace-id"].decode("latin-1"), cause=taken.value)
+        return Answer(CONFLICT if taken is Refusal.OPEN else FAILED, Content(PLAIN, _worded(taken)))
+
+    def _keys(self, pool: bytes, head: Head) -> tuple[bytes, ...]:
+        values = head.values
+        keys = [b"%b\0trace\0%b" % (pool, values[b"x-trace-id"])]
+        own = values.get(self.terms.key, b"") if self.terms.key else b""
+        if own:
+            keys.append(b"%b\0key\0%b\0%b" % (pool, values.get(b"x-customer", b""), own))
+        return tuple(keys)
+
+
+def _worded(why: Refusal) -> bytes:
+    return f"{why.value}\n".encode()
--- a/millgw/operator/file.py
+++ b/millgw/operator/file.py
@@ -127,6 +127,18 @@
     connections: Connections | None = None
 
 
+class Store(Table, frozen=True, kw_only=True):
+    """Where it is marked, durably, that an unsafe call is sent (docs/store.md); the table switches it on.
+
+    Two `directories` are mirrors. A mark is kept for `keep_h`; `key` names the header of a client's own key.
+    """
+
+    directories: Annotated[tuple[str, ...], Meta(min_length=1, max_length=2)]
+    sync: Literal["each", "group", "interval"] = "group"
+    keep_h: Annotated[float, Meta(gt=0, le=24 * 366)] = 24.0
+    key: Annotated[str, Meta(pattern=r"^[A-Za-z0-9-]*$", max_length=64)] = ""
+
+
 class Meeting(Table, frozen=True, kw_only=True):
     """A directory of a ZooKeeper-style coordinator in which each sidecar has an ephemeral node."""
 
@@ -167,6 +179,7 @@
     routes: tuple[RouteEntry, ...] = ()
     connections: Connections | None = None
     peers: Peers | None = None
+    store: Store | None = None
 
     def tends(self, name: str = "") -> Terms | None:
         """How a service's connections are tended, or those of the one pool; None for the plain way."""
--- a/millgw/pool/call.py
+++ b/millgw/pool/call.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from millgw.endpoints.attempt import Attempt
+from millgw.endpoints.attempt import Intent as Sent
 from millgw.interface import Repeat, SetTimer
 from millgw.message import Answer
 from millgw.pool.deadlines import Due
@@ -23,6 +24,16 @@
         self.attempt = attempt
 
 
+class Intent(Sent, Protocol):
+    """The same, of the whole call."""
+
+    def over(self, token: object, never_ran: bool) -> None:
+        """An attempt has ended."""
+
+    def end(self) -> None:
+        """The call is answered, or its client has gone."""
+
+
 class Owner(Protocol):
     """Who answers for a call."""
 
@@ -38,8 +49,8 @@
     """A caller's request that is owed one answer. `payload` words an attempt, given the time left in ms."""
 
     __slots__ = (
-        "answer", "cls", "deadline", "id", "out", "owner", "patience", "payload", "repeat", "sends", "tenant",
-        "timers", "trace", "upload",
+        "answer", "cls", "deadline", "id", "intent", "out", "owner", "patience", "payload", "repeat", "sends",
+        "tenant", "timers", "trace", "upload",
     )  # fmt: skip
 
     def __init__(
@@ -61,6 +72,7 @@
         self.trace = trace
         self.repeat = repeat
         self.owner = owner
+        self.intent: Intent | None = None  # where marks are kept of what may not be sent again
         self.upload: Upload | None = None  # its body, where that is passed on as it comes
         self.id = 0
         self.deadline = 0.0
--- a/millgw/pool/driver.py
+++ b/millgw/pool/driver.py
@@ -19,6 +19,7 @@
 from millgw.endpoints.connection import Host
 from millgw.endpoints.upstream import Upstream
 from millgw.interface import (
+    NEVER_RAN,
     Action,
     AttemptEnded,
     BodyGone,
@@ -218,6 +219,8 @@
     def _ended(self, call: Call, number: int, outcome: Outcome, content: Content) -> None:
         flight = call.out.pop(number)
         elapsed = self.clock() - flight.sent
+        if call.intent is not None:
+            call.intent.over(flight.attempt, outcome in NEVER_RAN)
         if outcome is Outcome.OK and self._close(call):
             call.answer(Answer(SERVED, content))
         elif outcome is Outcome.CANCELLED and self._close(call):
@@ -349,7 +352,8 @@
         now, number = self.clock(), call.sends
         call.sends += 1
         ended, began = partial(self._ended, call, number), partial(self._began, call, number)
-        attempt = Attempt(partial(self._payload, call), ended, call.repeat, began, call.upload)
+        payload = partial(self._payload, call)
+        attempt = Attempt(payload, ended, call.repeat, began, call.upload, call.intent)
         call.out[number] = Flight(endpoint, now, attempt)
         self.upstream.send(endpoint, attempt)
 
@@ -366,5 +370,7 @@
         self.partial.discard(call.id)
         if call.upload is not None:
             call.upload.drop()
+        if call.intent is not None:
+            call.intent.end()
         self.open.discard(call.trace)
         return self.calls.pop(call.id, None) is not None
--- a/millgw/pool/pool.py
+++ b/millgw/pool/pool.py
@@ -14,11 +14,11 @@
 from millgw.endpoints.upstream import Room, Upstream
 from millgw.events import tell
 from millgw.figures import Book
-from millgw.interface import ListKind
+from millgw.interface import ListKind, Repeat
 from millgw.message import REFUSED, Answer
 from millgw.platform.config import Config
 from millgw.platform.discovery import Heard, Listed
-from millgw.pool.call import Call
+from millgw.pool.call import Call, Intent
 from millgw.pool.driver import Driver
 from millgw.pool.share import ANSWERS, BODIES, CALLS, CONNECTIONS, Share
 from millgw.pool.terms import Terms
@@ -52,6 +52,13 @@
     def misses(self, endpoint: int) -> int: ...
 
 
+class Intents(Protocol):
+    """What keeps marks of calls that may not be sent again (see `millgw.intents`)."""
+
+    def take(self, pool: str, head: Head) -> Intent | Answer:
+        """The intent of a call, or the answer to one that is not to be sent."""
+
+
 class Pool:
     """`retired` once no route leads to it: it ends when its last call has.
 
@@ -79,6 +86,7 @@
         self.source = source(self._heard, self)
         self.driver = Driver(Balancer(self.settings, seed), self.upstream, self.source.subscribe)
         self.terms = Terms(self.settings, self.driver)
+        self.intents: Intents | None = None  # where what may not be sent again is marked
         self.book = Book([c.name for c in self.settings.classes])
 
     def seen(self, endpoint: int) -> tuple[float, float, float, float] | None:
@@ -125,6 +133,11 @@
         if call.trace in self.driver.open:
             # Guards against a second answer for one request, and against attempts that disturb the first.
             raise BadRequest(409, "X-Trace-Id is that of an open request")
+        if self.intents is not None and call.repeat is Repeat.UNSAFE:
+            taken = self.intents.take(self.name, head)
+            if isinstance(taken, Answer):
+                return taken
+            call.intent = taken
         return call
 
     def enter(self) -> int:
--- a/millgw/rehearsal/command.py
+++ b/millgw/rehearsal/command.py
@@ -22,7 +22,7 @@
 from millgw.rehearsal.lateness import quantile
 from millgw.rehearsal.page import page
 from millgw.rehearsal.report import Day, exit_code, judge, show, to_json
-from millgw.rehearsal.scenario import SCALES, Scenario, ScenarioError, changed, load, parse, shipped
+from millgw.rehearsal.scenario import OPTIONAL, SCALES, Scenario, ScenarioError, changed, load, parse, shipped
 from millgw.rehearsal.search import SMALL
 from millgw.rehearsal.sidecars import DEFAULT_RUN, NotReady
 from millgw.rehearsal.stage import Stage
@@ -67,6 +67,7 @@
         sub.add_argument("--endpoints", type=count, help="in the first tier; the others follow")
         sub.add_argument("--rate", type=positive, help="first tries a second")
         sub.add_argument("--scale", choices=sorted(SCALES), help="the deployment's size")
+        sub.add_argument("--without", action="append", default=[], choices=OPTIONAL, help="leave a table out")
         sub.add_argument("--html", metavar="FILE", help="one self-contained page")
         sub.add_argument("--logs", metavar="DIR", help="keep the sidecars' logs")
     search = verbs.add_parser("search", help="draw overlapping faults, play them, shrink what does harm")
@@ -136,7 +137,7 @@
     shown, scenario = load(name)
     return shown, changed(
         scenario, seed=args.seed, seconds=args.seconds, sidecars=args.sidecars, endpoints=args.endpoints,
-        rate=args.rate, scale=args.scale,
+        rate=args.rate, scale=args.scale, without=args.without,
     )  # fmt: skip
 
 
--- a/millgw/rehearsal/front.py
+++ b/millgw/rehearsal/front.py
@@ -19,6 +19,7 @@
 LOOK_EVERY = 0.1  # s between two looks at /ready of a sidecar that was told to send clients away
 HEEDED = 0.2  # s after a no until no new connections come
 LEAST = 20.0  # ms that must be left for a try to be made
+INSIST_EVERY = 150.0  # ms between two tries of a client that insists
 PAUSE = 50.0  # ms before a client that found no connection tries again
 
 
@@ -29,9 +30,16 @@
         self.rng = random.Random(f"front {seed}")
         self.taking: list[Desk] = [s.desk for s in sidecars]
         self.leaving: list[Desk] = []
+        self.dead: set[Desk] = set()
 
     def died(self, sidecar: Sidecar) -> None:
-        self._later(NOTICE, lambda: self._drop(sidecar.desk))
+        self.dead.add(sidecar.desk)
+        self._later(NOTICE, lambda: self._notice(sidecar.desk))
+
+    def _notice(self, desk: Desk) -> None:
+        """Guards against one that is back before it was missed: nobody would put it back again."""
+        if desk in self.dead:
+            self._drop(desk)
 
     def leaves(self, sidecar: Sidecar) -> None:
         """It was told to end: clients go on using the connections that they have."""
@@ -63,6 +71,7 @@
             self.taking.remove(desk)
 
     def back(self, sidecar: Sidecar) -> None:
+        self.dead.discard(sidecar.desk)
         if sidecar.desk in self.leaving:
             self.leaving.remove(sidecar.desk)
         if sidecar.desk not in self.taking:
@@ -89,7 +98,9 @@
         clock: Clock,
         seed: int,
         hosts: Mapping[str, str],
+        insist: float = 0.0,
     ) -> None:
+        self.insist = insist
         self.front = front
         self.classes = {c.name: c for c in classes}
         self.hosts = dict(hosts)
@@ -134,7 +145,12 @@
                 body=int(cls.body_kb * 1024),
                 pace=cls.pace_kb_s * 1024,
             )
-            call = await self._ask(call, arrival.leaves)
+            first = call
+            call = await self._ask(first, arrival.leaves)
+            unheard = first.end in (End.BROKEN, End.CROSSED) and call.end in (End.BROKEN, End.NOT_TAKEN)
+            if cls.repeat == "fragile" and unheard and self._insists(arrival):
+                await self._again_and_again(call, end)
+                return
             if call.status == 200 or not again(call, cls):
                 return
             wait = PAUSE if call.end is End.NOT_TAKEN else arrival.wait
@@ -142,6 +158,17 @@
                 wait = max(wait, call.retry_after)
             await asyncio.sleep(wait / 1000)
 
+    def _insists(self, arrival: Arrival) -> bool:
+        return random.Random(f"insists {self.seed} {arrival.number}").random() < self.insist
+
+    async def _again_and_again(self, call: Call, end: float) -> None:
+        """Ask the same sidecar for the same request until it answers, as a client may who heard nothing."""
+        desks = [d for d in (*self.front.taking, *self.front.leaving) if d.name == call.sidecar]
+        while desks and call.end in (End.BROKEN, End.NOT_TAKEN) and end - self.clock() > 2 * INSIST_EVERY:
+            await asyncio.sleep(INSIST_EVERY / 1000)
+            call = copy(call, self.clock(), end - self.clock())
+            await ask(desks[0], call, self.ledger)
+
     async def _ask(self, call: Call, leaves: float | None) -> Call:
         desk = self.front.pick()
         if desk is None:
@@ -168,16 +195,21 @@
     await desk.ask(call)
     if call.end is not End.CROSSED:
         return call
-    again = Call(
-        call.trace, call.root, call.stage, call.cls, call.tenant, call.key, call.sidecar, call.due,
-        patience=call.patience, method=call.method, number=call.number, host=call.host,
-        body=call.body, pace=call.pace,
-    )  # fmt: skip
+    again = copy(call, call.due, call.patience)
     ledger.book(again)
     await desk.ask(again, fresh=True)
     return again
 
 
+def copy(call: Call, due: float, patience: float) -> Call:
+    """The same request, to be made once more."""
+    return Call(
+        call.trace, call.root, call.stage, call.cls, call.tenant, call.key, call.sidecar, due,
+        patience=float(int(patience)), method=call.method, number=call.number, host=call.host,
+        body=call.body, pace=call.pace,
+    )  # fmt: skip
+
+
 def again(call: Call, cls: Class) -> bool:
     """Whether a client tries again: what may have run only where that does no harm."""
     if call.end is End.LEFT:
--- a/millgw/rehearsal/scenario.py
+++ b/millgw/rehearsal/scenario.py
@@ -143,7 +143,11 @@
 
 
 class Traffic(Table, frozen=True, kw_only=True):
-    """What clients ask and do. `rate` is in first tries a second."""
+    """What clients ask and do. `rate` is in first tries a second.
+
+    A share `insist` of the clients of `fragile` requests, whose connection ended without an answer, ask the
+    same sidecar for the same one again, under its trace, until it answers or their time is over.
+    """
 
     rate: Positive = 40.0
     shape: Shape = "bursty"
@@ -154,6 +158,7 @@
     at_once: Share = 0.5
     honour: Share = 0.3
     impatient: Share = 0.0
+    insist: Share = 0.0
 
 
 class Cadastro(Table, frozen=True, kw_only=True):
@@ -188,6 +193,13 @@
     liars: Annotated[int, Meta(ge=0, le=100)] = 0
 
 
+class Store(Table, frozen=True, kw_only=True):
+    """Each sidecar marks unsafe calls in a store of its own before they are sent (docs/store.md)."""
+
+    sync: Literal["each", "group", "interval"] = "group"
+    mirrors: Annotated[int, Meta(ge=1, le=2)] = 1
+
+
 class Limits(Table, frozen=True, kw_only=True):
     """What each sidecar is given."""
 
@@ -287,9 +299,13 @@
     coordinator: Coordinator | None = None
     connections: Connections | None = None
     peers: Peers | None = None
+    store: Store | None = None
     faults: tuple[Fault, ...] = ()
 
 
+OPTIONAL = ("connections", "peers", "store")
+"""Tables without which a day can be played too, to compare."""
+
 SCALES: dict[str, tuple[int, int, float]] = {"today": (17, 67, 170.0), "to-come": (60, 365, 620.0)}
 """Endpoints of the first tier, sidecars, first tries a second."""
 
@@ -425,8 +441,12 @@
     endpoints: int | None = None,
     rate: float | None = None,
     scale: str | None = None,
+    without: Sequence[str] = (),
 ) -> Scenario:
-    """The scenario with what the command line says; faults keep their places in a day of another length."""
+    """The scenario with what the command line says; faults keep their places in a day of another length.
+
+    `without` names tables of what sidecars are told beyond the platform, which are left out.
+    """
     fleet, traffic = scenario.fleet, scenario.traffic
     if scale is not None:
         of_scale = SCALES[scale]
@@ -460,6 +480,7 @@
                 faults=tuple(faults),
                 seed=scenario.seed if seed is None else seed,
                 seconds=scenario.seconds if seconds is None else seconds,
+                **dict.fromkeys(without),
             )
         )
     except ValueError as error:
--- a/millgw/rehearsal/stage.py
+++ b/millgw/rehearsal/stage.py
@@ -213,7 +213,10 @@
                 sidecar.operator = self.operator(name)
         self.front = Front([self.sidecars[f"n0-{i}"] for i in range(front)], scenario.seed)
         hosts = {cls: f"{s.name}.{DOMAIN}" for s in scenario.services for cls in s.classes}
-        self.clients = Clients(self.front, scenario.classes, self.ledger, self.clock, scenario.seed, hosts)
+        self.clients = Clients(
+            self.front, scenario.classes, self.ledger, self.clock, scenario.seed, hosts,
+            scenario.traffic.insist,
+        )  # fmt: skip
 
     def _tier(self, tier: int, size: int) -> list[Endpoint]:
         scenario, fleet = self.scenario, self.scenario.fleet
@@ -302,7 +305,7 @@
 
     def operator(self, sidecar: str, without: str = "") -> str:
         """The operator's file of a sidecar: services at the front, how connections are tended."""
-        lines = [connections_toml(self.scenario), self._peers_toml(sidecar)]
+        lines = [connections_toml(self.scenario), self._peers_toml(sidecar), self._store_toml(sidecar)]
         for tier, service in enumerate(self.scenario.services, 1):
             if service.name != without:
                 address = self.cadastro.window(sidecar, tier)
@@ -325,6 +328,15 @@
             ]
         )  # fmt: skip
 
+    def _store_toml(self, sidecar: str) -> str:
+        """Where a sidecar marks unsafe calls, through all its processes."""
+        told = self.scenario.store
+        if told is None:
+            return ""
+        folder = self.sidecars[sidecar].folder
+        directories = [str(folder / f"store-{number}") for number in range(told.mirrors)]
+        return f'[store]\ndirectories = {json.dumps(directories)}\nsync = "{told.sync}"'
+
     async def _lie(self) -> None:
         """Let the day's liars join the sidecars at the front."""
         told = self.scenario.peers
--- a/millgw/services/node.py
+++ b/millgw/services/node.py
@@ -25,7 +25,7 @@
 from millgw.pool.share import ANSWERS, BODIES, BODIES_PART, CALLS, CONNECTIONS
 from millgw.services.front import RoutedFront, Services, Spells
 from millgw.services.limits import Allotment
-from millgw.services.parts import attach, pool_config, pool_seed, source
+from millgw.services.parts import attach, intents, pool_config, pool_seed, source
 from millgw.services.shares import Bounds, LentShare, PoolRoom
 
 if TYPE_CHECKING:
@@ -62,6 +62,7 @@
         self.environ = environ
         self.path = path
         self.operator = _load(path)
+        self.intents = intents(self.operator)
 
     def open(self) -> tuple[Callable[[], Sequence[Server]], Callable[[], Sequence[Pool]], Callable[[], None]]:
         """Make the pools and the callers' sides; a ConfigError tells what can't be had."""
@@ -129,6 +130,7 @@
         room = PoolRoom(name, self.shared, self.bounds, share)
         seed = pool_seed(config.seed, name)
         made = Pool(name, own, seed, room, share, source(name, service, config), self.turns)
+        made.intents = self.intents
         return Served(made, service, raw, attach(made, operator.tends(name), own, seed))
 
     def _allotments(self, operator: Operator) -> dict[str, Allotment]:
@@ -181,8 +183,9 @@
             for listener in opened.values():
                 listener.server.stop()
             return
-        if operator.peers != self.operator.peers:
-            tell(WARNING, "reload-takes-restart", field="peers")
+        for field in ("peers", "store"):
+            if getattr(operator, field) != getattr(self.operator, field):
+                tell(WARNING, "reload-takes-restart", field=field)
         old = [served.pool for name, served in self.served.items() if made.get(name) is not served]
         self.bounds.allotments = allotments
         self.bounds.retired = [pool for pool in self.bounds.retired if pool.driver.calls] + old
--- a/millgw/services/parts.py
+++ b/millgw/services/parts.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from millgw.connections.tended import Tended
     from millgw.connections.terms import Terms
+    from millgw.intents.log import Intents
     from millgw.peers.node import Peers
 
 
@@ -147,6 +148,19 @@
         raise ConfigError(f"peers.keys: {error}") from None
 
 
+def intents(operator: Operator) -> Intents | None:
+    """What keeps marks of unsafe calls, where the operator's file has a store."""
+    told = operator.store
+    if told is None:
+        return None
+    # Only here: without a store nothing of it is loaded.
+    from millgw.intents.log import Intents, Terms
+    from millgw.store.writer import Sync
+
+    terms = Terms(told.directories, Sync(told.sync), told.keep_h * 3_600_000.0, told.key.lower().encode())
+    return Intents(terms)
+
+
 def static_list(service: Service, config: Config) -> tuple[Listed, ...]:
     """The endpoints that an operator's file names for a service."""
     entries = [
--- a/millgw/sidecar/__main__.py
+++ b/millgw/sidecar/__main__.py
@@ -53,6 +53,8 @@
             parts.begin(None)
         else:
             await operators.begin(stop)
+        if parts.intents is not None:
+            await parts.intents.begin()
         if parts.peers is not None:
             await parts.peers.begin()
         for server in parts.servers():
@@ -68,6 +70,8 @@
             watching.cancel()
         if parts.peers is not None:
             parts.peers.stop()
+        if parts.intents is not None:
+            parts.intents.stop()
         if operators is not None:
             operators.stop()
 
--- a/millgw/sidecar/parts.py
+++ b/millgw/sidecar/parts.py
@@ -21,7 +21,9 @@
 
 if TYPE_CHECKING:
     from millgw.handover.state import State
+    from millgw.intents.log import Intents
     from millgw.peers.node import Peers
+    from millgw.services.node import Node
 
 OPERATOR = "BALANCER_OPERATOR"  # names the operator's file
 
@@ -39,6 +41,7 @@
     life: Life
     descriptors: Descriptors
     begin: Callable[[State | None], None]
+    intents: Intents | None = None  # what marks unsafe calls before they are sent, where that is wanted
     peers: Peers | None = None  # what goes between this sidecar and others, where it does
 
 
@@ -87,18 +90,28 @@
     # Only here: an operator's file that is not given must cost nothing.
     try:
         from millgw.services.node import Node
-        from millgw.services.parts import attach, peers
+        from millgw.services.parts import peers
     except ModuleNotFoundError as missing:
         raise ConfigError(f"{OPERATOR}: needs {missing.name}: requirements-operator.txt") from None
 
     node = Node(config, environ, environ[OPERATOR], life)
     if not node.operator.services:
-        tends = node.operator.tends()
-        parts = one(config, environ, life, lambda pool: attach(pool, tends, config, config.seed))
+        parts = one(config, environ, life, partial(_equip, node, config))
     else:
         # Services start as any other process does: what their pools have learned does not go over yet.
         parts = Parts(*node.open(), life, node.shared, lambda _: None)
-    return replace(parts, peers=peers(node.operator, config, parts.pools, parts.descriptors))
+    told = peers(node.operator, config, parts.pools, parts.descriptors)
+    if node.intents is not None:
+        parts.descriptors.reserve(node.intents.descriptors)
+    return replace(parts, peers=told, intents=node.intents)
+
+
+def _equip(node: Node, config: Config, pool: Pool) -> None:
+    """Give the one pool what the operator's file has for it."""
+    from millgw.services.parts import attach
+
+    attach(pool, node.operator.tends(), config, config.seed)
+    pool.intents = node.intents
 
 
 class Reload:
--- a/millgw/store/store.py
+++ b/millgw/store/store.py
@@ -182,12 +182,13 @@
             return Found(damaged=[f"a file can't be read: {error}"])
 
     def _index(self, record: Record) -> None:
+        # Taken out first: so the index stands in the order of the sequence numbers.
+        self.index.pop(record.key, None)
         if record.kind == DELETE or (record.expires and record.expires <= self.now()):
-            self.index.pop(record.key, None)
-        else:
-            self.index[record.key] = Entry(record.seq, record.value, record.expires)
-            if record.expires:
-                heapq.heappush(self.expiry, (record.expires, record.key))
+            return
+        self.index[record.key] = Entry(record.seq, record.value, record.expires)
+        if record.expires:
+            heapq.heappush(self.expiry, (record.expires, record.key))
 
     def _rewrite(self) -> None:
         """All that is known into one segment, in the place of all there were."""
@@ -217,9 +218,10 @@
 
     def entries(self, after: int = 0) -> Iterator[tuple[bytes, Entry]]:
         """What stands now with sequence numbers over `after`, in their order: a snapshot."""
-        some = [(e.seq, key, e) for key, e in self.index.items() if e.seq > after]
-        for _, key, entry in sorted(some):
-            yield key, entry
+        # One copy, in one step: what is asked of the store meanwhile waits for no pass over all of it.
+        for key, entry in list(self.index.items()):
+            if entry.seq > after:
+                yield key, entry
 
     # Writing
 
@@ -341,8 +343,7 @@
         self.replaced = [n for n in store.segments if n <= upto]
         store.turn += 1
         self.last = store.last
-        live = ((key, e) for key, e in store.entries())
-        self.rest = iter([(key, e) for key, e in live if e.seq <= self.last])
+        self.rest = iter([*store.index.items()])  # of this moment: what comes later is in later segments
         self.header = Header(store.store, upto, 1, store.turn, 1)
         self.count = 0
         self.handles = [files.create(MAKING) for files in store.mirrors]
--- /dev/null
+++ b/tests/test_intents.py
@@ -0,0 +1,361 @@
+"""Marks of unsafe calls: durable before the last byte leaves, so that a restart never sends one again."""
+
+from __future__ import annotations
+
+import asyncio
+import subprocess
+import sys
+from collections.abc import Sequence
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from millgw.__main__ import main
+from millgw.intents.book import Book, Done, Intent, Refusal
+from millgw.standins.address import free_address
+from millgw.standins.http import Message
+from millgw.standins.scripted import ScriptedEndpoint
+from millgw.store.files import RealFiles
+from millgw.store.store import Options, Standing, Store
+from tests.rig import PATIENCE, Services, request, run, services
+
+# The book
+
+
+class Log:
+    """A log whose answers come when the test lets them: what is durable outlives the process."""
+
+    def __init__(self) -> None:
+        self.durable: set[bytes] = set()
+        self.asked: list[tuple[bool, tuple[bytes, ...], Done]] = []
+        self.unproven = False
+
+    def standing(self, key: bytes) -> Standing:
+        if key in self.durable:
+            return Standing.SENT
+        return Standing.UNPROVEN if self.unproven else Standing.UNSENT
+
+    def mark(self, keys: Sequence[bytes], done: Done) -> None:
+        self.asked.append((True, tuple(keys), done))
+
+    def clear(self, keys: Sequence[bytes], done: Done) -> None:
+        self.asked.append((False, tuple(keys), done))
+
+    def one(self, works: bool = True) -> None:
+        """Carry out the first that was asked for."""
+        puts, keys, done = self.asked.pop(0)
+        if works and puts:
+            self.durable.update(keys)
+        elif works:
+            self.durable.difference_update(keys)
+        done(works)
+
+
+def test_no_last_byte_leaves_before_the_mark_is_durable() -> None:
+    log = Log()
+    intent = Book(log).take((b"a",))
+    assert isinstance(intent, Intent)
+    for _ in range(2):
+        with pytest.raises(RuntimeError):
+            intent.leaves("1")
+        intent.begin()
+    seen: list[bool | None] = []
+    intent.wait(lambda: seen.append(intent.durable()))
+    log.one()
+    intent.leaves("1")
+    assert seen == [True] and not log.asked, "one mark for all attempts"
+
+
+def test_what_can_t_be_proven_and_what_is_open_is_not_taken() -> None:
+    log = Log()
+    book = Book(log)
+    assert isinstance(book.take((b"a", b"k")), Intent)
+    assert book.take((b"b", b"k")) is Refusal.OPEN
+    log.unproven = True
+    assert book.take((b"c",)) is Refusal.UNPROVEN
+
+
+class Lives(RuleBasedStateMachine):
+    """Processes that die at any moment over one log; the oracle is whose last byte ever left."""
+
+    KEYS = st.sampled_from([b"a", b"b", b"c"])
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.log = Log()
+        self.book = Book(self.log)
+        self.open: dict[bytes, Intent] = {}
+        self.ran: set[bytes] = set()  # what left, and is not known not to have run
+
+    @rule(key=KEYS)
+    def ask(self, key: bytes) -> None:
+        taken = self.book.take((key,))
+        if isinstance(taken, Intent):
+            assert key not in self.ran and key not in self.open
+            self.open[key] = taken
+        elif taken is Refusal.SENT:
+            assert key in self.log.durable
+
+    @rule(key=KEYS)
+    def send(self, key: bytes) -> None:
+        intent = self.open.get(key)
+        if intent is not None:
+            intent.begin()
+            if intent.durable():
+                intent.leaves(key)
+                self.ran.add(key)
+
+    @rule(key=KEYS, proven=st.booleans())
+    def over(self, key: bytes, proven: bool) -> None:
+        intent = self.open.get(key)
+        if intent is not None:
+            intent.over(key, proven)
+            if proven:
+                self.ran.discard(key)
+
+    @rule(key=KEYS)
+    def end(self, key: bytes) -> None:
+        intent = self.open.pop(key, None)
+        if intent is not None:
+            intent.end()
+
+    @precondition(lambda self: self.log.asked)
+    @rule(works=st.booleans())
+    def disk(self, works: bool) -> None:
+        self.log.one(works)
+
+    @rule()
+    def die(self) -> None:
+        """What was asked of the log and not carried out is lost."""
+        self.log.asked.clear()
+        self.book = Book(self.log)
+        self.open.clear()
+
+    @invariant()
+    def what_ran_stands(self) -> None:
+        assert self.ran <= self.log.durable
+
+
+Lives.TestCase.settings = settings(max_examples=150, stateful_step_count=40, deadline=None)
+TestLives = Lives.TestCase
+
+
+def test_what_never_ran_may_come_again_at_once() -> None:
+    log = Log()
+    book = Book(log)
+    first = book.take((b"a",))
+    assert isinstance(first, Intent)
+    first.begin()
+    log.one()
+    first.leaves("1")
+    first.over("1", True)
+    first.end()
+    assert b"a" in log.durable, "its end is on its way to the disk"
+    again = book.take((b"a",))
+    assert isinstance(again, Intent)
+    again.begin()
+    log.one()  # the first one's end
+    assert again.durable() is None and b"a" not in log.durable
+    log.one()
+    assert again.durable() and b"a" in log.durable and not book.clearing
+
+
+# In the daemon
+
+
+def text(endpoint: ScriptedEndpoint, folder: Path, more: str = "") -> str:
+    return f"""[store]
+directories = ["{folder / "store"}"]
+{more}
+[services.a]
+[[services.a.endpoints]]
+name = "{endpoint.name}"
+address = "{endpoint.address}"
+[[routes]]
+to = "a"
+"""
+
+
+def on_disk(folder: Path) -> bytes:
+    return b"".join(path.read_bytes() for path in (folder / "store").iterdir())
+
+
+async def asked(node: Services, trace: str, cls: str = "pay", **headers: Any) -> tuple[int, bytes]:
+    while True:
+        with suppress(ConnectionRefusedError):  # it reads its store before it serves
+            reply = await node.ask(request(cls, X_Trace_Id=trace, **headers))
+            return reply.status, reply.body
+        await asyncio.sleep(0.01)
+
+
+def test_the_mark_is_on_the_disk_when_an_endpoint_has_the_request_and_a_restart_does_not_send_it(
+    tmp_path: Path,
+) -> None:
+    seen: list[bool] = []
+
+    async def script(message: Message, endpoint: ScriptedEndpoint) -> bytes:
+        seen.append(message.headers["x-trace-id"].encode() in on_disk(tmp_path))
+        return b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e", script)
+        await endpoint.start()
+        for _ in range(2):
+            async with services(tmp_path, text(endpoint, tmp_path)) as node:
+                first = await asked(node, "aa01")
+                second = await asked(node, "aa01")
+                assert second[0] == 502 and b"sent before" in second[1]
+        assert first[0] == 502, "the second process knows of it"
+        assert [m.headers["x-trace-id"] for m in endpoint.got] == ["aa01"] and seen == [True]
+        async with services(tmp_path, text(endpoint, tmp_path)) as node:
+            assert (await asked(node, "bb02", "read"))[0] == 200
+            assert (await asked(node, "bb02", "read"))[0] == 200, "safe calls are not marked"
+        assert b"bb02" not in on_disk(tmp_path)
+
+    run(test)
+
+
+def test_what_was_sent_and_not_answered_is_not_sent_again_and_what_was_turned_away_is(tmp_path: Path) -> None:
+    turned_away = b"HTTP/1.1 503 X\r\nContent-Length: 0\r\nX-Never-Ran: 1\r\n\r\n"
+    answers: list[bytes | None] = [None, turned_away, turned_away]  # a second try is all the budget has
+
+    async def script(message: Message, endpoint: ScriptedEndpoint) -> bytes | None:
+        return answers.pop(0) if answers else b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e", script)
+        await endpoint.start()
+        async with services(tmp_path, text(endpoint, tmp_path)) as node:
+            assert (await asked(node, "aa01"))[0] == 502
+            assert b"sent before" in (await asked(node, "aa01"))[1]
+            assert (await asked(node, "bb02"))[0] == 503, "turned away"
+            assert (await asked(node, "bb02"))[0] == 200, "it never ran"
+            traces = [m.headers["x-trace-id"] for m in endpoint.got]
+            assert traces.count("aa01") == 1 and traces.count("bb02") == 3
+
+    run(test)
+
+
+def test_a_client_s_own_key_is_known_under_any_trace(tmp_path: Path) -> None:
+    gate = asyncio.Event()
+
+    async def script(message: Message, endpoint: ScriptedEndpoint) -> bytes:
+        await gate.wait()
+        return b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e", script)
+        await endpoint.start()
+        async with services(tmp_path, text(endpoint, tmp_path, 'key = "X-Order"')) as node:
+            first = asyncio.create_task(asked(node, "aa01", X_Order="7"))
+            while not endpoint.got:
+                await asyncio.sleep(0.005)
+            assert (await asked(node, "aa02", X_Order="7"))[0] == 409
+            gate.set()
+            assert (await first)[0] == 200
+            assert (await asked(node, "aa03", X_Order="7"))[0] == 502
+            assert (await asked(node, "aa04", X_Order="8"))[0] == 200
+            assert (await asked(node, "aa05", X_Order="7", X_Customer="other"))[0] == 200
+
+    run(test)
+
+
+def test_while_another_process_has_the_store_nothing_unsafe_is_sent_and_all_else_is(tmp_path: Path) -> None:
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e")
+        await endpoint.start()
+        folder = tmp_path / "store"
+        folder.mkdir()
+        other = Store([RealFiles(folder)], Options(), lambda: 1e12, lambda: 0.0)
+        async with services(tmp_path, text(endpoint, tmp_path)) as node:
+            assert (await asked(node, "aa01", "read"))[0] == 200
+            status, body = await asked(node, "aa02")
+            assert status == 502 and b"not known yet" in body, "a refusal would promise that nothing ran"
+            other.close()
+            while (await asked(node, "aa02"))[0] != 200:
+                await asyncio.sleep(0.02)
+        assert [m.headers["x-trace-id"] for m in endpoint.got] == ["aa01", "aa02"]
+
+    run(test)
+
+
+def test_a_store_that_fails_or_has_lost_records_stops_unsafe_calls_and_nothing_else(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def fails(*_: object) -> int:
+        raise OSError("the disk is full")
+
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e")
+        await endpoint.start()
+        async with services(tmp_path, text(endpoint, tmp_path)) as node:
+            with monkeypatch.context() as patch:
+                patch.setattr(Store, "append", fails)
+                assert (await asked(node, "aa01", patience=PATIENCE))[0] in (502, 503)
+            assert (await asked(node, "aa02", "read"))[0] == 200
+        (segment, *_) = sorted((tmp_path / "store").glob("seg-*"))
+        segment.write_bytes(b"no store" + segment.read_bytes())
+        async with services(tmp_path, text(endpoint, tmp_path)) as node:
+            status, body = await asked(node, "aa03")
+            assert status == 502 and b"can't be proven" in body
+            assert (await asked(node, "aa04", "read"))[0] == 200
+        assert [m.headers["x-trace-id"] for m in endpoint.got] == ["aa02", "aa04"]
+
+    run(test)
+
+
+def test_off_costs_nothing() -> None:
+    code = (
+        "import sys, millgw.sidecar.__main__, millgw.pool.pool\n"
+        "print([m for m in sys.modules if m.startswith(('millgw.intents', 'millgw.store'))])"
+    )
+    got = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert got.stdout.strip() == "[]"
+
+
+@pytest.mark.parametrize(
+    ("words", "says"),
+    [
+        ("directories = []", "store.directories"),
+        ('directories = ["a", "b", "c"]', "store.directories"),
+        ('directories = ["a"]\nsync = "never"', "store.sync"),
+        ('directories = ["a"]\nkey = "X Order"', "store.key"),
+        ('directories = ["a"]\nkeep_h = 0', "store.keep_h"),
+    ],
+)
+def test_a_table_that_can_t_be_used_is_named(
+    tmp_path: Path, words: str, says: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "o.toml"
+    path.write_text(f"[store]\n{words}\n")
+    assert main(["check", str(path)]) == 2
+    assert says in capsys.readouterr().err
+
+
+def test_one_pool_marks_too(tmp_path: Path) -> None:
+    """Without services: the pool of the configuration's discovery."""
+    node = Services(tmp_path, f'[store]\ndirectories = ["{tmp_path / "store"}"]\n', str(free_address()))
+    done = subprocess.run(
+        [sys.executable, "-c", ONE_POOL], env={**node.environ, "PYTHONPATH": "."},
+        capture_output=True, text=True, timeout=60, check=False,
+    )  # fmt: skip
+    assert done.stdout.strip() == "True", done.stderr
+
+
+ONE_POOL = """
+import asyncio, os
+from millgw.life import Life
+from millgw.platform.config import read_config
+from millgw.sidecar.parts import several
+
+async def look():
+    parts = several(read_config(os.environ), os.environ, Life())
+    print(parts.intents is not None and all(pool.intents is parts.intents for pool in parts.pools()))
+
+asyncio.run(look())
+"""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -212,6 +212,15 @@
     assert alone.priors(0.0, listed(*names), YOUNG)["e1"].up == 50.0, "of one endpoint it may be so"
 
 
+def test_of_an_earlier_process_of_its_name_nothing_counts_and_of_a_later_one_all() -> None:
+    beliefs = Beliefs()
+    beliefs.take(0.0, [seen("a", failing=1.0, draining=True, since=100.0)])
+    assert not beliefs.priors(0.0, {"e": 200.0, "x": 0.0, "y": 0.0}, YOUNG), "another one is there by now"
+    for since in (100.0, 50.0):
+        (prior,) = beliefs.priors(0.0, {"e": since, "x": 0.0, "y": 0.0, "z": 0.0}, YOUNG).values()
+        assert prior.failing == 1.0 and prior.draining
+
+
 def test_a_drain_that_one_heard_counts_but_not_a_few_who_say_that_all_drain() -> None:
     names = [f"e{i}" for i in range(6)]
     beliefs = Beliefs()
--- a/tests/test_rehearsal_pure.py
+++ b/tests/test_rehearsal_pure.py
@@ -17,6 +17,7 @@
 from millgw.rehearsal.faults import crowds, plan
 from millgw.rehearsal.page import page
 from millgw.rehearsal.scenario import (
+    OPTIONAL,
     SCALES,
     Fault,
     Scenario,
@@ -85,6 +86,7 @@
         "zk-restart-empty", "zk-reconnect-storm", "zk-both-sources", "stale-pools",
         "cold-handshake-storm", "silent-middlebox", "upgrade", "drain-and-resume", "long-bodies",
         "join-during-cold-start", "peer-lies", "peer-vanishes", "all-restart",
+        "login-codes-survive",
     }  # fmt: skip
     for name in shipped():
         scenario = load(name)[1]
@@ -92,6 +94,8 @@
         for scale in SCALES:
             assert changed(scenario, scale=scale).fleet.sidecars == SCALES[scale][1]
         assert parse(to_toml(scenario), name) == scenario
+        plain = changed(scenario, without=OPTIONAL)
+        assert plain.peers is None and plain.connections is None and plain.faults == scenario.faults
 
 
 SERVICES = "[fleet]\ntiers=[1.0]\nwork=[1.0]\n[[services]]\nclasses = ['codigo-acesso']\nname = 'a'\n"
--- a/tests/test_rehearsal_wrong.py
+++ b/tests/test_rehearsal_wrong.py
@@ -125,6 +125,13 @@
     return asyncio_days({name: (short(name), DEFAULT_RUN) for name in TENDED})
 
 
+@cache
+def marked_days() -> dict[str, Day]:
+    scenario = changed(load("login-codes-survive")[1], seconds=SHIPPED_SECONDS)
+    plain = changed(scenario, without=["store"])
+    return asyncio_days({"marked": (scenario, DEFAULT_RUN), "plain": (plain, DEFAULT_RUN)})
+
+
 @cache
 def peered_days() -> dict[str, Day]:
     days = {}
@@ -242,6 +249,15 @@
     assert day.summary.asked > 100 and day.summary.served > 0.5 * day.summary.asked
 
 
+@aside
+def test_no_login_code_is_sent_again_across_restarts_where_it_is_marked_and_is_where_it_is_not() -> None:
+    marked, plain = marked_days()["marked"], marked_days()["plain"]
+    assert not broken(marked), broken(marked)
+    assert marked.summary.served > 0.8 * marked.summary.asked
+    effects = {f.rule: f for f in plain.audit.findings}[2]
+    assert effects.kinds["a fragile request sent again that may have run"] > 0
+
+
 @once
 def test_upgrades_hit_no_request_and_break_no_rule() -> None:
     day = daily_days()["upgrade"]
