--- a/millgw/operator/command.py
+++ b/millgw/operator/command.py
@@ -52,13 +52,16 @@
         return BAD_INPUT
     services = {name: _service(operator, name) for name in operator.services}
     if args.json:
+        store = None if operator.store is None else list(operator.store.directories)
         peers = None if operator.peers is None else operator.peers.listen
-        print(json.dumps({"services": services, "peers": peers}, indent=1))
+        print(json.dumps({"services": services, "peers": peers, "store": store}, indent=1))
         return HELD
     if not services:
         tended = operator.tends() is not None
-        plain = operator.peers is None
+        plain = operator.peers is None and operator.store is None
         print("no services: " + (TENDED if tended else WITHOUT if plain else "one pool for all requests"))
+    if operator.store is not None:
+        print(f"marks unsafe calls in {', '.join(operator.store.directories)} before they are sent")
     if operator.peers is not None:
         print(f"learns from peers, who find it at {operator.peers.listen}")
     for name, told in services.items():
