--- a/millgw/peers/swim.py
+++ b/millgw/peers/swim.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 import random
 import zlib
@@ -93,6 +94,43 @@
     answered: bool = False
 
 
+class Hot:
+    """Names whose news are still to be passed on, and how often: the least passed on go first.
+
+    By count, as each message takes a few of what may be thousands.
+    """
+
+    def __init__(self) -> None:
+        self.left: dict[str, int] = {}
+        self.by_count: dict[int, dict[str, None]] = {}
+
+    def put(self, name: str, count: int) -> None:
+        self.drop(name)
+        if count > 0:
+            self.left[name] = count
+            self.by_count.setdefault(count, {})[name] = None
+
+    def drop(self, name: str) -> None:
+        count = self.left.pop(name, 0)
+        if count:
+            names = self.by_count[count]
+            del names[name]
+            if not names:
+                del self.by_count[count]
+
+    def take(self, most: int, first: Iterable[str]) -> list[str]:
+        """So many names, those of `first` before all others; each is to be passed on once less."""
+        taken = dict.fromkeys(name for name in first if name in self.left)
+        for count in sorted(self.by_count, reverse=True):
+            if len(taken) >= most:
+                break
+            taken.update(itertools.islice(self.by_count[count].items(), most))
+        names = list(taken)[:most]
+        for name in names:
+            self.put(name, self.left[name] - 1)
+        return names
+
+
 class Swim:
     """One node's view of all. `start` must grow from one process of a name to the next (a Unix time does)."""
 
@@ -102,7 +140,7 @@
         self.rng = random.Random(seed)
         self.own = News(name, start, Status.ALIVE)
         self.members: dict[str, _Member] = {}
-        self.left: dict[str, int] = {}  # how often news of a name are still to be passed on
+        self.hot = Hot()
         self.order: list[str] = []
         self.probe: _Probe | None = None
         self.relayed: dict[int, tuple[str, int, float]] = {}  # own number: for whom, its number, until when
@@ -264,7 +302,7 @@
                 self._learn(now, News(name, member.news.incarnation, Status.DEAD))
             elif member.news.status is Status.DEAD and now >= member.since + self.terms.forget:
                 del self.members[name]
-                self.left.pop(name, None)
+                self.hot.drop(name)
 
     def _ask_helpers(self) -> list[Sent]:
         probe = self.probe
@@ -309,20 +347,15 @@
         self._pass_on(news.name)
 
     def _pass_on(self, name: str) -> None:
-        self.left[name] = math.ceil(self.terms.spread * self._log())
+        self.hot.put(name, math.ceil(self.terms.spread * self._log()))
 
     def _log(self) -> float:
         return math.log2(len(self.members) + 2)
 
     def _message(self, kind: Kind, number: int, about: str = "", to: str = "") -> Message:
         """With the news that were passed on least, and first what is said of the two that it goes between."""
-        first = sorted(self.left, key=lambda n: (n not in (to, self.name), -self.left[n]))[:MOST_NEWS]
-        news: list[News] = []
-        for name in first:
-            news.append(self.own if name == self.name else self.members[name].news)
-            self.left[name] -= 1
-            if self.left[name] <= 0:
-                del self.left[name]
+        names = self.hot.take(MOST_NEWS, (to, self.name))
+        news = (self.own if name == self.name else self.members[name].news for name in names)
         return Message(kind, number, about, tuple(news))
 
     def _number(self) -> int:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -152,7 +152,7 @@
         assert node.own.status is Status.ALIVE and node.own.incarnation >= highest
         highest = node.own.incarnation
         assert "me" not in node.members and len(node.members) <= 4
-        assert set(node.left) <= {"me", *node.members}
+        assert set(node.hot.left) <= {"me", *node.members}
 
 
 # What is believed
