Unsafe calls wait for a store that the process before still has; it lets go when idle

Seen: in an upgrade the new process can't open the store until the old one has ended, and failed every unsafe call until then. They wait now, the last byte held back, and the old process lets the store go as soon as none of its unsafe calls is open. What waited past its deadline is failed, not refused: that would promise that no process ever sent it.

--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -2,6 +2,7 @@
 
     python -m benchmarks.store appends [DIR]    # by way to sync and writers, and SQLite (WAL, FULL)
     python -m benchmarks.store recovery [DIR]   # time and memory at 1e5 and 1e6 keys
+    python -m benchmarks.store truncation [DIR] # every file cut, beside SQLite (WAL, FULL) and LMDB
     python -m benchmarks.store compaction [DIR] # p99 of appends without and with a compaction going on
 
 Wants an idle machine.
@@ -9,6 +10,7 @@
 
 from __future__ import annotations
 
+import os
 import resource
 import shutil
 import sqlite3
@@ -22,7 +24,7 @@
 
 from millgw.rehearsal.lateness import quantile
 from millgw.store.files import RealFiles
-from millgw.store.store import Item, Options, Store
+from millgw.store.store import Item, Options, Standing, Store
 from millgw.store.writer import Sync, Writer
 
 SECONDS = 2.0
@@ -146,8 +148,111 @@
     store.close()
 
 
+CUT_KEYS = 60  # acknowledged, one by one, before a file is cut
+CUTS = 1500  # of one file at the most, evenly spread
+KEYS = [b"key-%04d" % number for number in range(CUT_KEYS)]
+
+
+def _ours(folder: Path) -> Callable[[], list[bool]]:
+    """Whether each key is known, or said not to be proven: what it calls unsent is lost without a word."""
+    folder.mkdir()
+    store = opened(folder)
+    for key in KEYS:
+        store.append([Item(key, VALUE)])
+    store.close()
+
+    def look() -> list[bool]:
+        store = opened(folder)
+        return [store.standing(key) is not Standing.UNSENT for key in KEYS]
+
+    return look
+
+
+def _sqlite(folder: Path) -> Callable[[], list[bool]]:
+    folder.mkdir()
+    made = sqlite3.connect(folder / "db", isolation_level=None)
+    made.execute("PRAGMA journal_mode=WAL")
+    made.execute("PRAGMA synchronous=FULL")
+    made.execute("CREATE TABLE sent (key BLOB PRIMARY KEY, value BLOB)")
+    for key in KEYS:
+        made.execute("INSERT INTO sent VALUES (?, ?)", (key, VALUE))
+    # As a crash leaves them: a close would put the log's pages into the database.
+    for name in ("db", "db-wal"):
+        shutil.copyfile(folder / name, folder / f"{name}.kept")
+    made.close()
+    for path in folder.iterdir():
+        if not path.name.endswith(".kept"):
+            path.unlink()
+    for name in ("db", "db-wal"):
+        (folder / f"{name}.kept").rename(folder / name)
+
+    def look() -> list[bool]:
+        made = sqlite3.connect(folder / "db")
+        known = {bytes(row[0]) for row in made.execute("SELECT key FROM sent")}
+        return [key in known for key in KEYS]
+
+    return look
+
+
+def _lmdb(folder: Path) -> Callable[[], list[bool]]:
+    import lmdb
+
+    folder.mkdir()
+    made = lmdb.open(str(folder), map_size=1 << 24)
+    for key in KEYS:
+        with made.begin(write=True) as transaction:
+            transaction.put(key, VALUE)
+    made.close()
+    (folder / "lock.mdb").unlink()
+
+    def look() -> list[bool]:
+        with lmdb.open(str(folder), map_size=1 << 24).begin() as transaction:
+            return [transaction.get(key) is not None for key in KEYS]
+
+    return look
+
+
+def _outcome(look: Callable[[], list[bool]]) -> str:
+    """What an opening comes to, in a process of its own: one may end by a signal."""
+    child = os.fork()
+    if child == 0:
+        code = 3
+        try:
+            code = 0 if all(look()) else 1
+        except Exception:  # every library has errors of its own
+            code = 2
+        finally:
+            os._exit(code)
+    status = os.waitpid(child, 0)[1]
+    return "crashed" if os.WIFSIGNALED(status) else ("whole", "silent", "refused", "refused")[status >> 8]
+
+
+def truncation(root: Path) -> None:
+    print("| store | file | bytes | cuts | all there or said | refused | lost without a word | crashed |")
+    print("| " + "--- | " * 8)
+    for name, make in (("otterslip", _ours), ("SQLite", _sqlite), ("LMDB", _lmdb)):
+        look = make(root / name)
+        kept = root / f"{name}-kept"
+        shutil.copytree(root / name, kept)
+        for path in sorted(kept.iterdir()):
+            size = path.stat().st_size
+            step = max(1, size // CUTS)
+            counts = dict.fromkeys(("whole", "refused", "silent", "crashed"), 0)
+            cuts = range(0, size, step)
+            for at in cuts:
+                shutil.rmtree(root / name)
+                shutil.copytree(kept, root / name)
+                os.truncate(root / name / path.name, at)
+                counts[_outcome(look)] += 1
+            row = (name, path.name, size, len(cuts), *counts.values())
+            print("| " + " | ".join(map(str, row)) + " |", flush=True)
+
+
 if __name__ == "__main__":
-    jobs = {"appends": appends, "recovery": recovery, "compaction": compaction, "open": open_only}
+    jobs = {
+        "appends": appends, "recovery": recovery, "compaction": compaction, "truncation": truncation,
+        "open": open_only,
+    }  # fmt: skip
     if len(sys.argv) not in (2, 3) or sys.argv[1] not in jobs:
         raise SystemExit(__doc__)
     if len(sys.argv) == 3:
--- a/millgw/intents/book.py
+++ b/millgw/intents/book.py
@@ -9,7 +9,7 @@
     no, yes                   that it is under way (409)
     yes                       that it was sent before, and may have run (502); it is not sent
     can't be proven           the same: the log has lost records that may have held it (502)
-    the log is not there      that it is not sent, and may have been (502)
+    the log is not there yet  it waits, as long as it may; then, that it may have been sent before (502)
 """
 
 from __future__ import annotations
@@ -99,6 +99,11 @@
         if never_ran:
             self.left.discard(id(token))
 
+    @property
+    def doubtful(self) -> bool:
+        """Whether a refusal would promise what is not known: that no process ever sent it."""
+        return False
+
     def end(self) -> None:
         """The call is answered, or its client has gone."""
         if not self.ended:
@@ -107,6 +112,77 @@
             self.book.ended(self)
 
 
+class Late:
+    """The intent of a call that came before the log could be read: it is held until then, or its deadline."""
+
+    __slots__ = ("begun", "ended", "intent", "keys", "refused", "waiting")
+
+    def __init__(self, keys: tuple[bytes, ...]) -> None:
+        self.keys = keys
+        self.intent: Intent | None = None
+        self.refused = False
+        self.begun = False
+        self.ended = False
+        self.waiting: list[Callable[[], None]] = []
+
+    @property
+    def doubtful(self) -> bool:
+        return self.intent is None
+
+    def opened(self, book: Book) -> None:
+        """The log can be read."""
+        if self.ended:
+            return
+        taken = book.take(self.keys)
+        waiting, self.waiting = self.waiting, []
+        if isinstance(taken, Intent):
+            self.intent = taken
+            if self.begun:
+                taken.begin()
+            for then in waiting:
+                taken.wait(then)
+            return
+        self.give_up(waiting)
+
+    def give_up(self, waiting: list[Callable[[], None]] | None = None) -> None:
+        """It may not be sent."""
+        waiting, self.waiting = self.waiting if waiting is None else waiting, []
+        self.refused = True
+        for then in waiting:
+            then()
+
+    def begin(self) -> None:
+        self.begun = True
+        if self.intent is not None:
+            self.intent.begin()
+
+    def durable(self) -> bool | None:
+        if self.intent is not None:
+            return self.intent.durable()
+        return False if self.refused else None
+
+    def wait(self, then: Callable[[], None]) -> None:
+        if self.intent is not None:
+            self.intent.wait(then)
+        else:
+            self.waiting.append(then)
+
+    def leaves(self, token: object) -> None:
+        if self.intent is None:
+            raise RuntimeError("the last byte of an unsafe attempt, and the log was not read")
+        self.intent.leaves(token)
+
+    def over(self, token: object, never_ran: bool) -> None:
+        if self.intent is not None:
+            self.intent.over(token, never_ran)
+
+    def end(self) -> None:
+        self.ended = True
+        self.waiting.clear()
+        if self.intent is not None:
+            self.intent.end()
+
+
 class Book:
     """All open calls' intents of one process."""
 
--- a/millgw/intents/log.py
+++ b/millgw/intents/log.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 from millgw.events import tell
-from millgw.intents.book import Book, Done, Intent, Refusal
+from millgw.intents.book import Book, Done, Intent, Late, Refusal
 from millgw.message import FAILED, Answer, Content
 from millgw.request import Head
 from millgw.store.files import Locked, RealFiles
@@ -80,6 +80,7 @@
         self.book: Book | None = None
         self.writer: Writer | None = None
         self.opening: asyncio.Task[None] | None = None
+        self.late: list[Late] = []  # calls that wait for the store
 
     async def begin(self) -> None:
         """Open the store; where it can't be had yet, this returns and it is tried on."""
@@ -88,8 +89,13 @@
 
     async def _until_open(self) -> None:
         while not await self._open():
+            self.late = [call for call in self.late if not call.ended]
             await asyncio.sleep(OPEN_AGAIN)
 
+    def idle(self) -> bool:
+        """Whether no call that was marked, or may be, is under way."""
+        return self.book is not None and not self.book.open and not self.book.clearing
+
     async def _open(self) -> bool:
         """Whether there is nothing more to be tried."""
         try:
@@ -100,13 +106,19 @@
         except (OSError, FormatError) as error:
             # Calls of other classes are served; an operator has to look at it.
             tell(ERROR, "store-unusable", cause=error)
+            late, self.late = self.late, []
+            for call in late:
+                call.give_up()
             return True
         for note in store.notes:
             tell(WARNING, "store-recovered", note=note)
         self.writer = Writer(store, self.terms.sync)
         loop = asyncio.get_running_loop()
         self.book = Book(Durable(self.writer, self.terms.keep, loop))
-        tell(INFO, "store-open", keys=len(store.index), sync=self.terms.sync.value)
+        tell(INFO, "store-open", keys=len(store.index), sync=self.terms.sync.value, waited=len(self.late))
+        late, self.late = self.late, []
+        for call in late:
+            call.opened(self.book)
         return True
 
     def _made(self) -> Store:
@@ -123,10 +135,13 @@
             self.opening.cancel()
         if self.writer is not None:
             self.writer.close()
-            self.writer = None
+            self.writer = self.book = None
 
-    def take(self, pool: str, head: Head) -> Intent | Answer:
+    def take(self, pool: str, head: Head) -> Intent | Late | Answer:
         """The intent of an unsafe call, or the answer to one that is not to be sent."""
+        if self.book is None and self.opening is not None and not self.opening.done():
+            self.late.append(Late(self._keys(pool.encode(), head)))
+            return self.late[-1]
         if self.book is None:
             # No refusal, which would promise that nothing of it ran: another process may have sent it.
             return Answer(FAILED, Content(PLAIN, _worded(Refusal.NO_LOG)))
--- a/millgw/pool/call.py
+++ b/millgw/pool/call.py
@@ -27,6 +27,10 @@
 class Intent(Sent, Protocol):
     """The same, of the whole call."""
 
+    @property
+    def doubtful(self) -> bool:
+        """Whether a refusal would promise what is not known: that no process ever sent it."""
+
     def over(self, token: object, never_ran: bool) -> None:
         """An attempt has ended."""
 
--- a/millgw/pool/driver.py
+++ b/millgw/pool/driver.py
@@ -345,6 +345,8 @@
 
     def _answer(self, request: int, answer: Answer) -> None:
         call = self.calls[request]
+        if answer.status == REFUSED and call.intent is not None and call.intent.doubtful:
+            answer = Answer(FAILED)  # the module knows of its own attempts only
         self._close(call)
         call.answer(answer)
 
--- a/millgw/sidecar/__main__.py
+++ b/millgw/sidecar/__main__.py
@@ -109,6 +109,8 @@
         async with asyncio.timeout(left):
             while any(server.held() for server in servers) or not all(server.closed for server in servers):
                 await asyncio.sleep(LEAVE_EVERY)
+                if succeeded and parts.intents is not None and parts.intents.idle():
+                    parts.intents.stop()  # the other process waits for the store
                 if life.closes_idle(time.monotonic()):
                     for server in servers:
                         server.close_idle()
--- a/tests/test_rehearsal_wrong.py
+++ b/tests/test_rehearsal_wrong.py
@@ -19,6 +19,7 @@
     Fleet,
     Rules,
     Scenario,
+    Store,
     Traffic,
     changed,
     check,
@@ -144,6 +145,7 @@
 @cache
 def daily_days() -> dict[str, Day]:
     days = {name: (short(name), DEFAULT_RUN) for name in DAILY[:2]}
+    days["upgrade, marked"] = (check(replace(short("upgrade"), store=Store())), DEFAULT_RUN)
     days["long-bodies"] = (changed(load("long-bodies")[1], seconds=SHIPPED_SECONDS), DEFAULT_RUN)
     return asyncio_days(days)
 
@@ -266,6 +268,14 @@
     assert day.summary.hit_by_upgrades == 0 and day.summary.served > 0.9 * day.summary.asked
 
 
+@once
+def test_upgrades_hit_no_request_where_unsafe_calls_are_marked_in_a_store_that_one_process_has() -> None:
+    day = daily_days()["upgrade, marked"]
+    assert not broken(day), broken(day)
+    assert len(day.upgrades) >= 2 and all(u.ended is not None for u in day.upgrades)
+    assert day.summary.hit_by_upgrades == 0 and day.summary.served > 0.9 * day.summary.asked
+
+
 @once
 def test_clients_are_sent_away_and_taken_again() -> None:
     day = daily_days()["drain-and-resume"]
