--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -1,6 +1,6 @@
 """What keeping the list of peers costs, and how soon a death or a join is known, in virtual time.
 
-    python -m benchmarks.peers [--nodes 60,400] [--loss 0,0.05,0.2] [--seeds 3] [--rest 60]
+    python -m benchmarks.peers [--nodes 60,400] [--loss 0,0.05,0.2] [--seeds 3] [--rest 60] [--suspicion 2]
 
 Each run: all nodes know of one and come to know all; then nothing happens for `rest` periods of 1 s (who is
 held to be dead now is a false death); then one node dies. Bytes are those of sealed messages as msgpack words
@@ -30,13 +30,13 @@
     return HEAD + AROUND + len(msgspec.msgpack.encode(message))
 
 
-def run(count: int, loss: float, seed: int, rest: int) -> list[float]:
+def run(count: int, loss: float, seed: int, rest: int, suspicion: float) -> list[float]:
     """Periods until all are known, bytes a node and second at rest, false suspicions and deaths a node and
     minute, periods until one, and all, hold the dead one to be dead; seconds that it took to play."""
     begun = time.perf_counter()
-    rng, terms = random.Random(seed), Terms()
+    rng, terms = random.Random(seed), Terms(suspicion=suspicion)
     network: Network[Message] = Network(seed, loss=loss, size=size)
-    nodes = [Swim(f"n{i}", 1, rng.getrandbits(32)) for i in range(count)]
+    nodes = [Swim(f"n{i}", 1, rng.getrandbits(32), terms) for i in range(count)]
     for node in nodes:
         node.join(0.0, ["n0"] if node is not nodes[0] else [])
         network.add(node, rng.uniform(0.0, terms.period))
@@ -79,12 +79,13 @@
     parser.add_argument("--loss", default="0,0.05,0.2")
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--rest", type=int, default=60)
+    parser.add_argument("--suspicion", type=float, default=Terms().suspicion, help="times log2 of the nodes")
     args = parser.parse_args()
     print("| nodes | loss | all known s | bytes/s | suspicions | false deaths | first s | all s | played |")
     print("| --- " * 9 + "|")
     for count in map(int, args.nodes.split(",")):
         for loss in map(float, args.loss.split(",")):
-            runs = [run(count, loss, seed, args.rest) for seed in range(args.seeds)]
+            runs = [run(count, loss, seed, args.rest, args.suspicion) for seed in range(args.seeds)]
             cells = [f"{statistics.median(figures):.2f}" for figures in zip(*runs, strict=True)]
             print(f"| {count} | {loss:g} | {' | '.join(cells)} |", flush=True)
     return 0
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -1,8 +1,9 @@
 """Measures the store: appends beside SQLite on the same disk, compaction's effect on them, recovery.
 
     python -m benchmarks.store appends [DIR]    # by way to sync and writers, and SQLite (WAL, FULL)
-    python -m benchmarks.store recovery [DIR]   # time and memory at 1e5 and 1e6 keys
+    python -m benchmarks.store recovery [DIR]   # time and memory at 1e5, 1e6 and 1e7 keys
     python -m benchmarks.store truncation [DIR] # every file cut, beside SQLite (WAL, FULL) and LMDB
+    python -m benchmarks.store space [DIR]      # bytes on the disk for each of what stands
     python -m benchmarks.store compaction [DIR] # p99 of appends without and with a compaction going on
 
 Wants an idle machine.
@@ -24,7 +25,8 @@
 
 from millgw.rehearsal.lateness import quantile
 from millgw.store.files import RealFiles
-from millgw.store.store import Item, Options, Standing, Store
+from millgw.store.record import RECORD_SIZE
+from millgw.store.store import STEP, Item, Options, Standing, Store
 from millgw.store.writer import Sync, Writer
 
 SECONDS = 2.0
@@ -96,7 +98,7 @@
 def recovery(root: Path) -> None:
     print("| keys | log MB | written in s | opened in s | MB of memory at the most |")
     print("| --- | --- | --- | --- | --- |")
-    for count in (100_000, 1_000_000):
+    for count in (100_000, 1_000_000, 10_000_000):
         folder = root / str(count)
         store = opened(folder)
         begun = time.monotonic()
@@ -148,6 +150,34 @@
     store.close()
 
 
+def space(root: Path) -> None:
+    """Bytes on the disk for each of what stands, while keys come, go and are compacted as they would be."""
+    print("| keys standing | records written | most on disk MB | of what stands | after a compaction |")
+    print("| --- | --- | --- | --- | --- |")
+    folder = root / "space"
+    folder.mkdir()
+    store = opened(folder)
+    standing, wrote, most = 50_000, 0, 0
+    for i in range(0, 20 * standing, 1000):
+        store.append([Item(b"%016x" % (i + n), VALUE) for n in range(1000)])
+        if i >= standing:
+            store.append([Item(b"%016x" % (i + n - standing), None) for n in range(1000)])
+            wrote += 1000
+        wrote += 1000
+        if store.compacting is not None or store.wants_compaction():
+            store.compact(64 * STEP)
+        most = max(most, sum(p.stat().st_size for p in folder.iterdir()))
+    live = sum(RECORD_SIZE + len(key) + len(entry.value) for key, entry in store.entries())
+    while not store.compact():
+        pass
+    after = sum(p.stat().st_size for p in folder.iterdir())
+    print(
+        f"| {len(store.index)} | {wrote} | {most / 2**20:.1f} | {most / live:.1f} | {after / live:.2f} |",
+        flush=True,
+    )
+    store.close()
+
+
 CUT_KEYS = 60  # acknowledged, one by one, before a file is cut
 CUTS = 1500  # of one file at the most, evenly spread
 KEYS = [b"key-%04d" % number for number in range(CUT_KEYS)]
@@ -251,7 +281,7 @@
 if __name__ == "__main__":
     jobs = {
         "appends": appends, "recovery": recovery, "compaction": compaction, "truncation": truncation,
-        "open": open_only,
+        "space": space, "open": open_only,
     }  # fmt: skip
     if len(sys.argv) not in (2, 3) or sys.argv[1] not in jobs:
         raise SystemExit(__doc__)
--- a/millgw/peers/swim.py
+++ b/millgw/peers/swim.py
@@ -73,7 +73,7 @@
     answer: float = 300.0  # for a probe to be answered directly
     helpers: int = 3
     spread: float = 3.0
-    suspicion: float = 2.0
+    suspicion: float = 1.0
     recall: int = 8  # periods between two looks at one that is held to be dead
     sync: int = 20  # periods between two comparisons with another: news may miss a node, or be too old for it
     forget: float = 600_000.0  # after which the dead are forgotten
