--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -102,6 +102,17 @@
     fleet.agreed(80)
 
 
+def test_a_link_that_flaps_condemns_nobody_for_good() -> None:
+    fleet = Fleet(24, 8)
+    fleet.agreed(30)
+    names = sorted(fleet.nodes)
+    for turn in range(20):
+        fleet.network.split(*((names[:8], names[8:]) if turn % 2 else ()))
+        fleet.network.run(fleet.network.now + 3 * PERIOD)
+    fleet.network.split()
+    fleet.agreed(40)
+
+
 def test_all_restart_at_once_and_a_name_that_is_used_again_is_the_new_process() -> None:
     fleet = Fleet(20, 5)
     fleet.agreed(30)
