Marks take a quarter of the memory at the most, and are kept for an hour unless said

Full, unsafe calls are turned away (nothing ran) until marks are over; taking marks out is never refused.

--- a/millgw/intents/log.py
+++ b/millgw/intents/log.py
@@ -21,6 +21,8 @@
 from millgw.store.writer import Sync, Writer
 
 OPEN_AGAIN = 0.05  # s between two tries at a store that another process of this sidecar still has
+MEMORY_PART = 1 / 4  # of the sidecar's, for marks
+MARK_BYTES = 450  # of memory that one takes, as measured (docs/design/store.md)
 DESCRIPTORS = 16  # that a store of two mirrors has open at the most, a compaction's among them
 CONFLICT = 409
 PLAIN = b"Content-Type: text/plain\r\n"
@@ -28,13 +30,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Terms:
-    """Where the store is (two directories: mirrors), how it syncs, how long a mark is kept (ms), and the
-    header of a client's own key, in lower case, if there is one."""
+    """Where the store is (two directories: mirrors), how it syncs, how long a mark is kept (ms), the header
+    of a client's own key, in lower case, if there is one, and how many marks may be held."""
 
     directories: tuple[str, ...]
     sync: Sync
     keep: float
     key: bytes
+    most: int
 
 
 class Durable:
@@ -126,7 +129,7 @@
         for directory in self.terms.directories:
             Path(directory).mkdir(parents=True, exist_ok=True)
             made.append(RealFiles(Path(directory)))
-        options = Options(window=self.terms.keep)
+        options = Options(window=self.terms.keep, most=self.terms.most)
         return Store(made, options, lambda: time.time() * 1000, lambda: time.monotonic() * 1000)
 
     def stop(self) -> None:
--- a/millgw/operator/file.py
+++ b/millgw/operator/file.py
@@ -135,7 +135,7 @@
 
     directories: Annotated[tuple[str, ...], Meta(min_length=1, max_length=2)]
     sync: Literal["each", "group", "interval"] = "group"
-    keep_h: Annotated[float, Meta(gt=0, le=24 * 366)] = 24.0
+    keep_h: Annotated[float, Meta(gt=0, le=24 * 366)] = 1.0
     key: Annotated[str, Meta(pattern=r"^[A-Za-z0-9-]*$", max_length=64)] = ""
 
 
--- a/millgw/services/node.py
+++ b/millgw/services/node.py
@@ -62,7 +62,7 @@
         self.environ = environ
         self.path = path
         self.operator = _load(path)
-        self.intents = intents(self.operator)
+        self.intents = intents(self.operator, config.memory)
 
     def open(self) -> tuple[Callable[[], Sequence[Server]], Callable[[], Sequence[Pool]], Callable[[], None]]:
         """Make the pools and the callers' sides; a ConfigError tells what can't be had."""
--- a/millgw/services/parts.py
+++ b/millgw/services/parts.py
@@ -148,17 +148,17 @@
         raise ConfigError(f"peers.keys: {error}") from None
 
 
-def intents(operator: Operator) -> Intents | None:
+def intents(operator: Operator, memory: float) -> Intents | None:
     """What keeps marks of unsafe calls, where the operator's file has a store."""
     told = operator.store
     if told is None:
         return None
     # Only here: without a store nothing of it is loaded.
-    from millgw.intents.log import Intents, Terms
+    from millgw.intents.log import MARK_BYTES, MEMORY_PART, Intents, Terms
     from millgw.store.writer import Sync
 
-    terms = Terms(told.directories, Sync(told.sync), told.keep_h * 3_600_000.0, told.key.lower().encode())
-    return Intents(terms)
+    keep, most = told.keep_h * 3_600_000.0, int(MEMORY_PART * memory / MARK_BYTES)
+    return Intents(Terms(told.directories, Sync(told.sync), keep, told.key.lower().encode(), most))
 
 
 def static_list(service: Service, config: Config) -> tuple[Listed, ...]:
--- a/millgw/store/store.py
+++ b/millgw/store/store.py
@@ -230,7 +230,7 @@
         if self.failed is not None:
             raise StoreFailed(f"it has failed: {self.failed}")
         self._expire()
-        if len(self.index) + len(items) > self.options.most:
+        if len(self.index) + sum(x.value is not None for x in items) > self.options.most:
             raise StoreFull(f"it holds {len(self.index)} keys of {self.options.most}")
         records = [
             Record(self.last + i, DELETE if x.value is None else PUT, x.key, x.value or b"", x.expires)
--- a/tests/test_intents.py
+++ b/tests/test_intents.py
@@ -16,6 +16,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from millgw.__main__ import main
+from millgw.intents import log as marks
 from millgw.intents.book import Book, Done, Intent, Refusal
 from millgw.standins.address import free_address
 from millgw.standins.http import Message
@@ -312,6 +313,24 @@
     run(test)
 
 
+def test_a_store_that_is_full_turns_unsafe_calls_away_until_marks_are_over(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e")
+        await endpoint.start()
+        # Three marks fit, and each is over after some seconds.
+        monkeypatch.setattr(marks, "MARK_BYTES", marks.MEMORY_PART * 32 * 2**20 / 3)
+        async with services(tmp_path, text(endpoint, tmp_path, "keep_h = 0.0005")) as node:
+            got = [(await asked(node, f"aa0{i}"))[0] for i in range(5)]
+            assert got == [200, 200, 200, 503, 503], "nothing ran: they may come again"
+            while (await asked(node, "aa07"))[0] != 200:
+                await asyncio.sleep(0.05)
+        assert len(endpoint.got) == 4
+
+    run(test)
+
+
 def test_off_costs_nothing() -> None:
     code = (
         "import sys, millgw.sidecar.__main__, millgw.pool.pool\n"
