--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -974,19 +974,32 @@
 
     # Siblings
 
-    def evidence(self, now: float) -> list[Told]:
+    def evidence(self, now: float, named: set[int] | None = None) -> list[Told]:
         """What it holds of each endpoint by its own calls, for siblings; changes nothing.
 
-        One that it ejected counts as failing: what it was judged by is over, and its record halfway back.
+        With `named`, of those, and of others only where something is out of the ordinary. One that it ejected
+        counts as failing: what it was judged by is over, and its record halfway back.
         """
         told: list[Told] = []
         for server in self.ring:
+            if named is not None and server.info.id not in named and self._ordinary(now, server):
+                continue
             ill = server.missed >= LOST_AFTER or (now < server.ejected_until and not server.hearsay)
             calls = max(server.served_rate(now) * SERVED_MEMORY, JUDGED_BY if ill else 0.0)
             failing, started = 1.0 if ill else server.failing, max(server.info.since, server.back)
             told.append(Told(server.info.id, failing, server.seen_slowness(now), calls, started))
         return told
 
+    def _ordinary(self, now: float, server: Server) -> bool:
+        """Whether siblings need not hear of it."""
+        return (
+            server.failing < OUTLIER_FAILING / 2
+            and server.slow < OUTLIER_MULTIPLE / 2 + LEAST_RATIO
+            and server.missed < LOST_AFTER
+            and now >= server.ejected_until
+            and now >= max(server.info.since, server.back) + self.settings.cold_time
+        )
+
     def _hear(self, now: float, event: Hearsay) -> None:
         """Take siblings' word, as far as it asks for more care than is taken already."""
         self.cold.siblings = max(self.settings.siblings, event.siblings)
--- a/millgw/peers/beliefs.py
+++ b/millgw/peers/beliefs.py
@@ -134,24 +134,27 @@
         ]
 
     def priors(
-        self, now: float, listed: Mapping[str, float], young: float, without: str = ""
+        self, now: float, listed: Mapping[str, float], young: float, without: str = "", of: int = 0
     ) -> dict[str, Prior]:
         """What to hold of the endpoints of a list, by name the start that it tells of each.
 
         One that has been up for less than `young` ms is cold. `without` names an origin that does not count.
+        `of` is how many are on the list, where only those are given that something is known of.
         """
+        whole = max(of, len(listed))
         self._forget(now)
         told = {
             name: [o for o in self.told(now, name, since) if o.origin != without]
             for name, since in listed.items()
+            if name in self.known
         }
         found = {name: self._prior(observations) for name, observations in told.items() if observations}
         ill = sum(p.failing * min(1.0, p.calls) >= ILL for p in found.values())
-        if ill > ILL_MOST * len(listed):
+        if ill > ILL_MOST * whole:
             found = {name: replace(p, failing=0.0, slow=1.0, calls=0.0) for name, p in found.items()}
-        for name in self._few(told, DRAINS_MOST, lambda o: o.draining):
+        for name in self._few(told, DRAINS_MOST * whole, lambda o: o.draining):
             found[name] = replace(found[name], draining=False)
-        for name in self._few(told, ILL_MOST, lambda o: o.up is not None and o.up < young):
+        for name in self._few(told, ILL_MOST * whole, lambda o: o.up is not None and o.up < young):
             found[name] = replace(found[name], up=None)
         return found
 
@@ -163,7 +166,7 @@
         origins = {o.origin for observations in told.values() for o in observations}
         counts = {name: sum(map(says, observations)) for name, observations in told.items()}
         few = [name for name, count in counts.items() if 0 < 2 * count < len(origins)]
-        return few if len(few) >= most * len(told) else []
+        return few if len(few) >= most else []
 
     @staticmethod
     def _prior(observations: list[Observation]) -> Prior:
--- a/millgw/peers/gossip.py
+++ b/millgw/peers/gossip.py
@@ -87,7 +87,10 @@
     # What is seen here
 
     def see(self, now: float, pool: str, young: float, seen: Iterable[Observation]) -> None:
-        """All that this sidecar holds of a pool's endpoints by its own calls."""
+        """What this sidecar holds of a pool's endpoints by its own calls.
+
+        All that is known of (`known`) and all that is out of the ordinary must be among them.
+        """
         self.young[pool] = young
         self.own[pool] = own = {o.endpoint: o for o in seen}
         beliefs = self.pools.setdefault(pool, Beliefs())
@@ -160,10 +163,17 @@
                 out[pool].append(replace(observation, origin=self.name, age=0.0, number=self.number))
         return out
 
-    def priors(self, now: float, pool: str, listed: Mapping[str, float], young: float) -> dict[str, Prior]:
-        """What others' word comes to, for the endpoints of a list."""
+    def priors(
+        self, now: float, pool: str, listed: Mapping[str, float], young: float, of: int = 0
+    ) -> dict[str, Prior]:
+        """What others' word comes to, for the endpoints of a list (see `Beliefs.priors`)."""
+        beliefs = self.pools.get(pool)
+        return {} if beliefs is None else beliefs.priors(now, listed, young, self.name, of)
+
+    def known(self, pool: str) -> list[str]:
+        """The endpoints of which anything is held."""
         beliefs = self.pools.get(pool)
-        return {} if beliefs is None else beliefs.priors(now, listed, young, without=self.name)
+        return [] if beliefs is None else list(beliefs.known)
 
     # What goes out
 
--- a/millgw/peers/node.py
+++ b/millgw/peers/node.py
@@ -73,10 +73,10 @@
         self.swim = Swim(self.name, start, seed)
         self.gossip = Gossip(self.name, start, seed + 1)
         self.links = Links(lambda: Dialog(self.seal, self.opener), self._asked)
-        self.since: dict[str, dict[str, float]] = {}  # by pool and endpoint, starts as discovery tells them
+        self.since: dict[str, tuple[object, dict[str, float]]] = {}  # by pool: of which list, what
         self.limits: dict[str, list[float]] = {}  # learned from peers, until the modules have been told
         self.transport: asyncio.DatagramTransport | None = None
-        self.looks = self.rereads = self.tells = 0.0
+        self.looks = self.rereads = self.tells = self.wholes = 0.0
         self.timer: asyncio.TimerHandle | None = None
         self.tasks: set[asyncio.Task[object]] = set()
         self.stopped = False
@@ -195,6 +195,11 @@
 
     def _look(self, now: float) -> None:
         """Take what the modules have seen, and tell them what peers have."""
+        self._see(now, whole=False)
+        self._tell_modules()
+
+    def _see(self, now: float, whole: bool) -> None:
+        """Take what the modules have seen: of each endpoint, or of those only that are worth a word."""
         pools = {pool.name for pool in self.pools()}
         for gone in self.gossip.pools.keys() - pools:
             self.gossip.drop(gone)
@@ -202,21 +207,32 @@
         for pool in self.pools():
             driver = pool.driver
             balancer, at = driver.balancer, driver.clock()
-            before, since = self.since.get(pool.name, {}), seen.listed(s.info for s in balancer.ring)
-            # The module has forgotten those that drain; their starts tell them from what follows them.
-            since |= {key: before[key] for key in map(seen.key, driver.draining) if key in before}
-            self.since[pool.name] = since
-            told = seen.observations(at, balancer.evidence(at), since, driver.draining)
+            named = None if whole else {int(name, 16) for name in self.gossip.known(pool.name)}
+            evidence = balancer.evidence(at, named)
+            told = seen.observations(at, evidence, self._starts(pool), driver.draining)
             self.gossip.see(now, pool.name, balancer.settings.cold_time, told)
-        self._tell_modules()
+
+    def _starts(self, pool: Pool) -> dict[str, float]:
+        """By endpoint, starts as discovery tells them; made anew only when the list has changed."""
+        ring, draining = pool.driver.balancer.ring, pool.driver.draining
+        of, before = self.since.get(pool.name, (None, {}))
+        if of is ring:
+            return before
+        since = seen.listed(s.info for s in ring)
+        # The module has forgotten those that drain; their starts tell them from what follows them.
+        since |= {key: before[key] for key in map(seen.key, draining) if key in before}
+        self.since[pool.name] = ring, since
+        return since
 
     def _tell_modules(self) -> None:
         siblings = len(self.swim.alive()) + 1
         for pool in self.pools():
             driver = pool.driver
             settings = driver.balancer.settings
-            known = seen.listed(s.info for s in driver.balancer.servers.values())
-            priors = self.gossip.priors(_clock(), pool.name, known, settings.cold_time)
+            servers = driver.balancer.servers
+            told_of = (servers.get(int(name, 16)) for name in self.gossip.known(pool.name))
+            known = seen.listed(server.info for server in told_of if server is not None)
+            priors = self.gossip.priors(_clock(), pool.name, known, settings.cold_time, len(servers))
             limits = self.limits.pop(pool.name, [])
             event = seen.hearsay(driver.clock(), priors, settings.cold_time, siblings, limits)
             if event.endpoints or limits or siblings > settings.siblings:
@@ -227,6 +243,11 @@
     def _asked(self, sender: str, body: wire.Body) -> list[wire.Body]:
         """Take what came on a connection; what to answer."""
         if isinstance(body, wire.Ask):
+            now = _clock()
+            if now >= self.wholes + LOOK:
+                # Not for each of a crowd: what else is held leaves out what is well, which asks for no care.
+                self.wholes = now
+                self._see(now, whole=True)
             return [wire.snapshot(self.gossip.snapshot(_clock()), self._own_limits())]
         if isinstance(body, wire.Snapshot):
             rows = {pool: map(wire.observation, told) for pool, told in body.pools.items()}
--- a/millgw/standins/liar.py
+++ b/millgw/standins/liar.py
@@ -44,7 +44,7 @@
     def draining(self) -> set[int]:
         return {endpoint.id for endpoint, cold in self.endpoints() if not cold}
 
-    def evidence(self, now: float) -> list[Told]:
+    def evidence(self, now: float, named: set[int] | None = None) -> list[Told]:
         return [
             Told(e.id, 0.0, 1.0, CALLS, now - LONG_AGO) if cold else Told(e.id, 1.0, 99.0, CALLS, now)
             for e, cold in self.endpoints()
--- a/tests/test_peer_node.py
+++ b/tests/test_peer_node.py
@@ -15,7 +15,16 @@
 
 from millgw.__main__ import main
 from millgw.decide import Balancer
-from millgw.interface import Endpoint, EndpointList, Hearsay, ListKind, Repeat, RequestClass, Settings
+from millgw.interface import (
+    Condition,
+    Endpoint,
+    EndpointList,
+    Hearsay,
+    ListKind,
+    Repeat,
+    RequestClass,
+    Settings,
+)
 from millgw.membership.servers import read_connect
 from millgw.peers import links, node, wire
 from millgw.peers.beliefs import Observation
@@ -125,6 +134,11 @@
             assert learned.cold(2) and not learned.cold(1)
             now = learned.clock()
             assert [s.info.id for s in learned.balancer.ring if s.drains_until > now] == [3]
+            # One that nothing was to be said of goes from the list as it drains: its start stays known.
+            listed = EndpointList(ListKind.DELTA, (Endpoint(5, Condition.DRAINING),))
+            served.balancer.handle(served.clock(), listed)
+            served.draining = {3, 5}
+            await until(lambda: learned.balancer.servers[5].drains_until > learned.clock())
             third, _ = await some.start(fresh.terms.listen)
             await until(lambda: all(len(p.swim.alive()) == 2 for p in (first, fresh, third)))
             await until(lambda: bool(served.heard) and served.heard[-1].siblings == 3)
