--- a/tests/test_hearsay.py
+++ b/tests/test_hearsay.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from benchmarks.joining import Run
 from millgw.decide import EJECT_SHARE, Balancer
 from millgw.interface import (
     AttemptEnded,
@@ -23,6 +24,7 @@
     Settings,
     Told,
 )
+from tests.kinds import once
 
 NOW = 1_000_000.0
 COLD = 10_000.0
@@ -124,6 +126,14 @@
     assert without >= 10 and with_peers <= without / 4
 
 
+@once
+def test_sidecars_that_join_amid_a_cold_start_push_it_over_alone_and_not_where_they_learn() -> None:
+    """Seventy endpoints, sixty sidecars, the same seed; of what the cold endpoint stands, 1 is its end."""
+    alone, _ = Run(70, 60, peers=False, heard=False, seed=1).play()
+    learned, _ = Run(70, 60, peers=True, heard=False, seed=1).play()
+    assert alone > 1.0 and learned < 0.8
+
+
 TOLD = st.builds(
     Told,
     st.integers(0, 7),
