--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -88,6 +88,7 @@
 HOLD_PART = 0.1  # of the aim that a request waits for room: a refused client needs the rest for another try
 ASK_SPREAD = 0.1  # of `ask_within`: instances that start together ask at different times
 ASK_RETRY = 0.03  # of `ask_within`: least wait after a watch that was on has ended
+ASK_SILENT = 0.09  # of `ask_within`: a third of the longest first wait after a call that was silent
 ASK_CROWDED = 0.25  # of `ask_within`: least wait after a call that was not answered; the most is all of it
 TOLD_WITHIN = 6000.0  # ms after which what discovery has to tell counts as told, whether it came or not
 NOTICED_WITHIN = 3000.0  # ms in which a watch that has fallen silent is noticed
@@ -528,10 +529,12 @@
     def failed(self, now: float, silent: bool = False) -> float:
         # Guards against a crowd that keeps discovery full: it works for calls that wait too long and fail,
         # and answers none for as long as they come back at the rate at which it could answer them. A call
-        # that is silent is in no crowd, which would turn it away: its connection is dead, and what it misses
-        # counts as told `TOLD_WITHIN` after that, of which half has passed.
+        # that is silent may be on a dead connection, and what it misses counts as told `TOLD_WITHIN` after
+        # that, of which half has passed: it is made again in the rest of it, but spread over that.
         crowded = self.deaf() and not silent
         base = (ASK_CROWDED if crowded else ASK_RETRY) * self.settings.ask_within
+        if self.deaf() and silent:
+            self.wait = max(self.wait, ASK_SILENT * self.settings.ask_within)
         self.wait = self.backoff.next(self.wait, base, self.settings.ask_within)
         self.due = now + self.wait
         return self.due
