--- a/benchmarks/command_line.py
+++ b/benchmarks/command_line.py
@@ -27,7 +27,7 @@
 from millgw.log.writer import Writer
 from millgw.platform.config import Address
 from millgw.standins.address import free_address
-from tests.support import SETTINGS
+from tests.rig import SETTINGS
 
 ROOT = Path(__file__).parent.parent
 EVENTS = 20_000
