What a watch had written when it is given up is taken; waits for discovery stand in ms

Seen by reading, confirmed by tests that fail without the change (test_told, test_crossings): - Discovery.subscribe and move aborted the old watch with what it had got: half a line in the process, whole lines in the socket, and all it wrote until it ended. All of that counts as told. What waits is read and its drains taken; after a move the old watch is read on for drains until it ends, 6 s at the most. - ASK_* were parts of ask_within while what is missed counts as told after 6 s, whatever that is. With 30 s a silent watch was asked for again up to 2.7 s after it was noticed, a crowd up to 30 s; with 2 s a call was given up for another after 1 s (Discovery.asked), before discovery answers at all. They stand in ms now, with a bound for the least ask_within; at 10 s they are what they were. - Drains read out of something torn were told as a change, so a watch that had ended counted as heard: ListKind has PART for them. - Where no endpoint is sure, the draw was among all of them. It is the one vouched for last now, and a silent discovery is asked at once. Refusing instead was not chosen: a discovery silent for an hour would end the service of each sidecar with few calls.

Ruled out: a timer of silence that goes before bytes that have come; the loop reads first (test kept).

A state machine in virtual time plays drains, silences, breaks, parts and returns at five ask_within. test_a_watch_that_never_says_a_line: its bound was the module's own patience of then (half of ask_within, 2 s); that is 5 s now and the bound 4.9.

--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -86,14 +86,17 @@
 ORDER_STEP = 0x9E3779B1  # odd, so that a product scatters ids and no two meet
 SHARE_BURST = 1000.0  # ms of a tenant's rate that may come at once and still be within its share
 HOLD_PART = 0.1  # of the aim that a request waits for room: a refused client needs the rest for another try
-ASK_SPREAD = 0.1  # of `ask_within`: instances that start together ask at different times
-ASK_RETRY = 0.03  # of `ask_within`: least wait after a watch that was on has ended
-ASK_SILENT = 0.09  # of `ask_within`: a third of the longest first wait after a call that was silent
-ASK_CROWDED = 0.25  # of `ask_within`: least wait after a call that was not answered; the most is all of it
+# How soon discovery is asked again stands in ms, as the time after which all counts as told does: parts of
+# `ask_within` alone would leave a silent watch too long where that is long, and storm where it is short.
+ASK_SPREAD, ASK_SPREAD_PART = 1000.0, 0.1  # instances that start together ask at different times
+ASK_RETRY, ASK_RETRY_PART = 300.0, 0.25  # least wait after a watch that was on has ended
+ASK_SILENT = 3.0  # times that, the wait before which the first wait after a silent call is drawn from
+ASK_CROWDED, ASK_CROWDED_PART = 2500.0, 1.0  # least wait after a call that was turned away
+ASK_MOST, ASK_MOST_PART = 10_000.0, 3.0  # longest wait; a failed call keeps the list for four `ask_within`
+ASK_AGAIN = 5000.0  # longest silence after a call: over the longest that discovery works before it answers
 TOLD_WITHIN = 6000.0  # ms after which what discovery has to tell counts as told, whether it came or not
 NOTICED_WITHIN = 3000.0  # ms in which a watch that has fallen silent is noticed
 PAIR_PART = 0.5  # of tokens and cold endpoints' allowances for each of two processes of one sidecar
-ASK_AGAIN = 0.5  # of `ask_within`: longest silence of discovery before it is asked again
 
 
 CARRIED = (
@@ -513,17 +516,23 @@
         self.settings = settings
         self.backoff = Backoff(rng)
         self.rng = rng
+        within = settings.ask_within
+        self.crowd = min(ASK_SPREAD, ASK_SPREAD_PART * within)
+        self.retry = min(ASK_RETRY, ASK_RETRY_PART * within)
+        self.crowded = min(ASK_CROWDED, ASK_CROWDED_PART * within)
+        self.most = min(ASK_MOST, ASK_MOST_PART * within)
         self.wait = 0.0
         self.due = math.inf
-        self.crowd = ASK_SPREAD
+        self.soonest = math.inf  # from when on a request for which no endpoint is sure may have it asked
 
     def start(self, now: float) -> float:
-        self.due = now + self.rng.random() * self.crowd * self.settings.ask_within
+        self.due = now + self.rng.random() * self.crowd
         return self.due
 
     def asked(self, now: float) -> float:
         """When to ask again if nothing at all is heard."""
-        self.due = now + ASK_AGAIN * self.settings.ask_within
+        self.soonest = math.inf
+        self.due = now + ASK_AGAIN
         return self.due
 
     def failed(self, now: float, silent: bool = False) -> float:
@@ -532,16 +541,21 @@
         # that is silent may be on a dead connection, and what it misses counts as told `TOLD_WITHIN` after
         # that, of which half has passed: it is made again in the rest of it, but spread over that.
         crowded = self.deaf() and not silent
-        base = (ASK_CROWDED if crowded else ASK_RETRY) * self.settings.ask_within
         if self.deaf() and silent:
-            self.wait = max(self.wait, ASK_SILENT * self.settings.ask_within)
-        self.wait = self.backoff.next(self.wait, base, self.settings.ask_within)
+            self.wait = max(self.wait, ASK_SILENT * self.retry)
+        self.wait = self.backoff.next(self.wait, self.crowded if crowded else self.retry, self.most)
         self.due = now + self.wait
+        self.soonest = now + self.retry if silent else math.inf
         return self.due
 
     def heard(self) -> None:
         self.wait = 0.0
         self.due = math.inf
+        self.soonest = math.inf
+
+    def wanted(self, now: float) -> bool:
+        """Whether to ask before it is due, as no endpoint is sure: after a silence, where no crowd is met."""
+        return self.soonest <= now < self.due
 
     def deaf(self) -> bool:
         """Whether no watch is known to be on: what the list says may be over."""
@@ -901,9 +915,14 @@
         return max(HOME_LEAST, part, len(self.flights) + 1)
 
     def _ready(self, now: float, request: Request, most: int, without: set[int]) -> list[Server]:
-        """The first `most` healthy endpoints, from this instance's place in the ring; else ill ones."""
+        """The first `most` healthy endpoints, from this instance's place in the ring; else ill ones.
+
+        Where none of either can be vouched for, it is the one that could be last. All may have been told to
+        drain by then; but a discovery that says nothing for an hour must not end the service for as long.
+        """
         healthy: list[Server] = []
         ill: list[Server] = []
+        doubtful: list[Server] = []
         seen = 0
         for server in self.ring:
             if server.info.id in without or not self.rules.may_go_to(request, server.info):
@@ -912,7 +931,10 @@
                 continue
             if not self.cold.admits(server, now):
                 continue
-            if now < server.ejected_until or self.discovery.unsure(now, server):
+            if self.discovery.unsure(now, server):
+                doubtful.append(server)
+                continue
+            if now < server.ejected_until:
                 ill.append(server)
                 continue
             seen += 1
@@ -920,7 +942,12 @@
                 healthy.append(server)
             if seen >= most and healthy:
                 break
-        return healthy or ill
+        if healthy or ill or not doubtful:
+            return healthy or ill
+        if self.discovery.wanted(now):
+            self._ask(now)
+        last = max(server.sure_at for server in doubtful)
+        return [server for server in doubtful if server.sure_at >= last]
 
     def aside(self, now: float) -> dict[int, str]:
         """The endpoints that it sends nothing while it has others, and why; changes nothing."""
@@ -958,13 +985,13 @@
                     server.sure_at = max(server.sure_at, now - NOTICED_WITHIN)
             self._set_timer(self.discovery.failed(now, event.kind is ListKind.SILENT), None)
             return
-        if event.kind is not ListKind.CACHED:
+        if event.kind not in (ListKind.CACHED, ListKind.PART):
             self.discovery.heard()
             for server in self.servers.values():
                 server.sure_at = now
         if event.kind is ListKind.DELTA and not event.endpoints:
             return
-        if event.kind is not ListKind.DELTA:
+        if event.kind not in (ListKind.DELTA, ListKind.PART):
             named = {e.id for e in event.endpoints}
             for id in [i for i in self.servers if i not in named]:
                 del self.servers[id]
@@ -1054,14 +1081,17 @@
             self.requests[request].timers.append(self.next_timer)
         self.actions.append(SetTimer(self.next_timer, at, request))
 
+    def _ask(self, now: float) -> None:
+        self.actions.append(Subscribe())
+        self._set_timer(self.discovery.asked(now), None)
+
     def _timer(self, now: float, timer: int) -> None:
         if timer not in self.timers:
             return
         id = self.timers.pop(timer)
         if id is None:
             if now + self.settings.tick >= self.discovery.due:
-                self.actions.append(Subscribe())
-                self._set_timer(self.discovery.asked(now), None)
+                self._ask(now)
             return
         request = self.requests.get(id)
         if request is None or any(a.out for a in request.attempts):
--- a/millgw/interface.py
+++ b/millgw/interface.py
@@ -43,7 +43,8 @@
 class ListKind(Enum):
     """What an endpoint list holds: changes only, all, a cached copy of all, or nothing.
 
-    A call to discovery has failed, or it is silent: neither answered nor turned away, nor ended.
+    A call to discovery has failed, or it is silent: neither answered nor turned away, nor ended. A part is
+    drains and ends that were read out of something that was not whole: no sign that a watch is on.
     """
 
     DELTA = 0
@@ -51,6 +52,7 @@
     CACHED = 2
     FAILED = 3
     SILENT = 4
+    PART = 5
 
 
 class Outcome(Enum):
--- a/millgw/message.py
+++ b/millgw/message.py
@@ -7,9 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import select
 import socket
 import struct
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Final
 
@@ -84,6 +86,30 @@
     return bool((poll or watcher(transport)).poll(0))
 
 
+def gone(transport: asyncio.Transport) -> bool:
+    """Whether the other side has ended or reset a connection, also where bytes before that are unread.
+
+    For connections that are not read for now, where the loop would not tell.
+    """
+    if transport.is_closing():
+        return True
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
+def waiting(transport: asyncio.Transport, most: int) -> bytes:
+    """Up to so many bytes that have come on a connection and that the loop has not handed on, for its end."""
+    if transport.is_closing():
+        return b""
+    descriptor = transport.get_extra_info("socket").fileno()
+    got = bytearray()
+    with suppress(OSError):  # no more has come, or the connection is reset
+        while len(got) < most and (part := os.read(descriptor, most - len(got))):
+            got += part
+    return bytes(got)
+
+
 UNACKED: Final = struct.Struct("=I")
 UNACKED_AT: Final = 24  # of tcpi_unacked in Linux' struct tcp_info (tcp(7)): eight bytes, then four words
 
--- a/millgw/platform/discovery.py
+++ b/millgw/platform/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, replace
 from hashlib import blake2b
 from typing import Any, cast
@@ -13,11 +14,13 @@
 
 from millgw.events import tell
 from millgw.interface import Condition, Endpoint, ListKind
+from millgw.message import waiting
 from millgw.platform.config import Address, read_address
 from millgw.settings import number
 
 SILENCE = 2.6  # s without a line after which a watch has failed: heartbeats come every 2 s
 FIRST_LINE = 3.0  # s until its first line: calls are worked through in turn, and turned away after some 2 s
+LEAVING = 6.0  # s that a watch is still read after a move: what it tells by then counts as told
 MAX_LINE = 8 * 1024 * 1024  # bytes of one line, far above the list of any fleet
 CONDITIONS = {
     "in_service": Condition.READY,
@@ -118,6 +121,7 @@
         self.heard = heard
         self.index: int | None = None
         self.watch: Watch | None = None
+        self.leaving: Watch | None = None  # the one before a move, of which drains are still taken
         self.asking: asyncio.Task[None] | None = None
 
     def start(self, known: Any) -> None:
@@ -143,7 +147,8 @@
         if self.asking is not None:
             self.asking.cancel()
         if self.watch is not None:
-            self.watch.stop()
+            before, self.watch = self.watch, None
+            before.leave()
         self.watch = Watch(self)
         self.watch.expect(FIRST_LINE)
         self.asking = asyncio.get_running_loop().create_task(self._connect(self.watch))
@@ -152,15 +157,24 @@
         """Watch no longer."""
         if self.asking is not None:
             self.asking.cancel()
-        if self.watch is not None:
-            watch, self.watch = self.watch, None
-            watch.stop()
+        for watch in (self.watch, self.leaving):
+            if watch is not None:
+                watch.stop()
+        self.watch = self.leaving = None
 
     def move(self, address: Address) -> None:
         """Go on at another address from the version that is known; the list and all learned of it stay."""
         if address != self.address:
             tell("discovery-moves", before=self.address, to=address)
             self.address = address
+            if self.leaving is not None:
+                before, self.leaving = self.leaving, None
+                before.leave()
+            if self.watch is not None and self.watch.spoken:
+                # Guards against drains that it has told, or tells until it ends: they count as told, though
+                # the new one may know them later.
+                self.leaving, self.watch = self.watch, None
+                self.leaving.expect(LEAVING)
             self.subscribe()
 
     def figures(self) -> dict[str, object]:
@@ -182,7 +196,7 @@
         drains = drains_in(part)
         if drains:
             tell("drains-in-part", discovery=self.address, drains=len(drains))
-            self.heard(ListKind.DELTA, drains)
+            self.heard(ListKind.PART, drains)
 
     def line(self, line: bytes, advance: bool) -> None:
         """Take one line of the watch; a ValueError tells that it can't be read."""
@@ -193,11 +207,14 @@
 
     def failed(self, watch: Watch, why: str, kind: ListKind = ListKind.FAILED) -> None:
         """Tell the balancer once for each watch that ends by itself, or falls silent."""
+        if watch is self.leaving:
+            self.leaving = None
+            watch.leave()
+            return
         if watch is not self.watch:
             return
         self.watch = None
-        watch.stop()
-        self.part(bytes(watch.rest))
+        watch.leave()
         tell("watch-ended", discovery=self.address, cause=why)
         self.heard(kind, ())
 
@@ -211,6 +228,7 @@
         self.transport: asyncio.Transport | None = None
         self.stopped = False
         self.ended = ""
+        self.spoken = False  # whether a line has come
         self.gap = False
         self.silence: asyncio.TimerHandle | None = None
         self.rest = bytearray()
@@ -222,6 +240,20 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def leave(self) -> None:
+        """End it, and take the drains of what has come: also half a line, and what waits in the socket.
+
+        All of that was written to this sidecar, so it counts as told.
+        """
+        if self.transport is not None:
+            with suppress(httptools.HttpParserError):
+                self.parser.feed_data(waiting(self.transport, MAX_LINE))
+        self.stopped = True
+        for line in bytes(self.rest).split(b"\n"):
+            self.discovery.part(line)
+        self.rest.clear()
+        self.stop()
+
     def expect(self, within: float) -> None:
         """Guards against a discovery that is cut off: its connection stays open and says nothing."""
         if self.silence is not None:
@@ -257,6 +289,10 @@
     def _line(self, line: bytes) -> None:
         if self.stopped:
             return
+        if self is self.discovery.leaving:
+            self.discovery.part(line)
+            return
+        self.spoken = True
         self.expect(SILENCE)
         if not line.strip():
             return
