Callers that left, second answers and the end of the process: nothing is sent or lost there

The kernel is asked (POLLRDHUP) at each send and taking while nothing is read, and five times a second. The last byte waits until 5 ms after that answer, rested connections go first, and safe calls wait too once a pool's endpoints were seen to do so. - A 200 that comes before the request is whole was served; it is spoilt now. An answer of unknown length that drips for ever had no end: it is broken off at its caller's deadline unless it is over 64 KiB by then. - leave(): a request whose last byte came between fail_all and the exit was sent on and never answered; it is refused now, and half requests are answered 503. Connections that wait at the bound when the listener closes were reset; they are taken. SIGTERM before its handler stood ended the process; it is blocked until then. - A send that waits for its durable mark went out after its endpoint had drained. - A predecessor's state of other classes was taken by their numbers; it is refused whole.

--- a/millgw/callers/connection.py
+++ b/millgw/callers/connection.py
@@ -13,7 +13,7 @@
 
 from millgw.callers.core import RequestCore, word_answer, word_begin
 from millgw.events import tell
-from millgw.message import FAILED, SERVED, Answer, unread, watcher
+from millgw.message import FAILED, SERVED, Answer, gone, unread, watcher
 from millgw.pool.call import Call
 from millgw.request import BadRequest, Head
 from millgw.streams.flow import Flow
@@ -110,6 +110,11 @@
         open = self.current is not None or self.flow is not None
         return open or self.resting is not None or bool(self.core.queue)
 
+    @property
+    def half(self) -> bool:
+        """Whether a request has begun to come in, and nothing is served meanwhile."""
+        return self.core.head is not None and not self.busy and not self.ended
+
     def quiet(self, least: float) -> bool:
         """Whether it has been between requests for so long, and has none waiting to be read.
 
@@ -268,6 +273,7 @@
                 self._count(head, made.status)
                 self._end_early(made)
             return
+        made.gone = self.gone
         upload = Upload(None if head.told < 0 else head.told, head.pool.enter(), self._room)
         upload.put(head.body)
         head.release()
@@ -351,6 +357,15 @@
     def eof_received(self) -> None:
         self._leave()
 
+    def gone(self) -> bool:
+        """Whether the client has left and the loop can't tell, as nothing is read for now."""
+        return self.paused and self.transport is not None and gone(self.transport)
+
+    def look_for_end(self) -> None:
+        """End what is served for a client that has left while nothing was read."""
+        if self.gone():
+            self._leave()
+
     def connection_lost(self, exc: Exception | None) -> None:
         if self.lingering is not None:
             self.lingering.cancel()
@@ -401,6 +416,9 @@
         while queue and not self.unread_answers:
             if self.current is not None or self.flow is not None or self.resting is not None:
                 break
+            if self.gone():
+                self._leave()  # nobody waits for what is behind a request that was answered to nobody
+                break
             item = queue.popleft()
             if isinstance(item, BadRequest):
                 self._end_badly(item)
@@ -417,6 +435,7 @@
             self.serves = item
             if isinstance(made, Call):
                 self.current = made
+                made.gone = self.gone
                 if item.pool is not None:
                     self.lane = item.pool.name
                 made.owner.take(made)
--- a/millgw/callers/server.py
+++ b/millgw/callers/server.py
@@ -15,6 +15,7 @@
 from millgw.callers.connection import CallerConnection, Front, Lanes
 from millgw.events import tell
 from millgw.life import Life
+from millgw.message import REFUSED
 from millgw.platform.config import Address
 from millgw.platform.descriptors import Descriptors
 from millgw.request import BadRequest
@@ -82,11 +83,20 @@
         self.loop.add_reader(self.socket, self._accept)
         self.loop.call_later(SWEEP, self._sweep)
 
+    def end_halves(self) -> None:
+        """Answer requests that are still coming in: the process is about to end.
+
+        Guards against a last byte that crosses the end: from then on the request would have been taken.
+        """
+        for connection in [c for c in self.connections if c.half]:
+            connection.refuse(BadRequest(REFUSED, "the sidecar is about to end"))
+
     # Accepting
 
-    def _accept(self, most: int = ACCEPTS) -> None:
+    def _accept(self, most: int = ACCEPTS, last: bool = False) -> None:
+        """With `last` all that waits is taken, bound or not: it would be lost otherwise."""
         for _ in range(most):
-            if self.descriptors.full_of_callers() and not self.give_way():
+            if not last and self.descriptors.full_of_callers() and not self.give_way():
                 # Guards against running out of descriptors: what can't be held waits in the backlog.
                 self._pause()
                 return
@@ -166,6 +176,8 @@
             connection.refuse(BadRequest(408, "the request did not come to its end"))
         for connection in [c for c in self.connections if c.stuck(now)]:
             connection.abort()
+        for connection in [c for c in self.connections if c.paused]:
+            connection.look_for_end()
         for connections, most in ((self.fresh, SILENT_TIME), (self.kept, KEEP_TIME)):
             self._close_quiet(connections, most)
         if self.life.closes_idle(now):
@@ -184,7 +196,7 @@
         """Accept what has connected, then no more: a connection left in the backlog would be lost."""
         if self.closed:
             return
-        self._accept(BACKLOG)
+        self._accept(BACKLOG, last=True)
         self.closed = True
         self.loop.remove_reader(self.socket)
         self.socket.close()
--- a/millgw/endpoints/connection.py
+++ b/millgw/endpoints/connection.py
@@ -74,6 +74,11 @@
     def most_held(self) -> int:
         """Bytes of answers that may be coming in at once."""
 
+    strays_until: float  # ms; until then answers are expected to have something behind them
+
+    def strayed(self) -> None:
+        """Something came behind an answer, where nothing was asked."""
+
     def keep(self, connection: Connection) -> None: ...
 
     def lost(self, connection: Connection) -> None: ...
@@ -144,9 +149,11 @@
         if attempt.upload is not None:
             self._send_head(attempt, attempt.upload, payload)
             return
-        hold = self.host.proof.hold(now, attempt.repeat, self.reused, self.idle_since)
+        hold = self.host.proof.hold(
+            now, attempt.repeat, self.reused, self.idle_since, self.home.strays_until
+        )
         if prove > 0:
-            hold, self.prove_until = HOLD_BACK, now + prove
+            hold, self.prove_until = max(hold, HOLD_BACK), now + prove
         if hold > 0:
             attempt.state = HELD
             self.last_byte = payload[-1:]
@@ -274,6 +281,11 @@
         # Guards against one that was given up, went on elsewhere or was let go meanwhile: never twice.
         if self.attempt is not attempt or attempt.state != HELD or self.holding is not None:
             return
+        if not self.host.used:
+            # Guards against a mark that took longer than the grace of a drain that came meanwhile.
+            self.abort()
+            self._finish(Outcome.CONNECT_FAILED)
+            return
         if self.upload is not None:
             self._pour_first()
         else:
@@ -384,6 +396,7 @@
         if attempt is None or core is None:
             # Guards against a late answer that would be taken for the next request's.
             after = time.monotonic() * 1000 - self.idle_since
+            self.home.strayed()
             self.home.log.tell("bytes-after-answer", endpoint=self.host.address, after_ms=round(after, 1))
             self.abort()
             return
@@ -398,7 +411,9 @@
         grown = len(core.body) - self.counted
         self.counted += grown
         self.home.held += grown
-        if read == WHOLE:
+        if read == WHOLE and core.status == 200 and self._early():
+            self._spoilt("it came before the request was whole")
+        elif read == WHOLE:
             self._stop_timers()
             if self.home.lanes is None:
                 self._whole(attempt, core)
@@ -422,6 +437,10 @@
                 within = OPEN_TIME if core.open_ended else ANSWER_TIME
                 self.stalled = self.home.loop.call_later(within, self._look)
 
+    def _early(self) -> bool:
+        """Whether some of the request has yet to leave: no endpoint has begun it by then."""
+        return self.upload is not None or bool(self.transport and self.transport.get_write_buffer_size())
+
     def _look(self) -> None:
         """An answer is not whole yet: it has stopped half-way, or it goes on and may be a long one."""
         self.stalled = None
--- a/millgw/endpoints/upstream.py
+++ b/millgw/endpoints/upstream.py
@@ -11,6 +11,7 @@
 
 from millgw.endpoints.attempt import Attempt
 from millgw.endpoints.connection import Connection, Host, Lanes
+from millgw.endpoints.proof import DOUBT_TIME, REST
 from millgw.events import Bound
 from millgw.interface import Outcome
 from millgw.message import NOTHING
@@ -59,6 +60,17 @@
         """What happened to connections, for the log."""
 
 
+def rested(idle: list[Connection], now: float) -> int:
+    """Which of the idle ones, the last used at the end, goes first: the last used that has had its rest."""
+    latest = len(idle) - 1
+    if idle[0].idle_since > now - REST:
+        return latest
+    at = latest
+    while idle[at].idle_since > now - REST:
+        at -= 1
+    return at
+
+
 class Upstream:
     """All connections to endpoints, by endpoint. `most_held` bounds the bytes of answers coming in.
 
@@ -92,6 +104,7 @@
         self.whole = int(ANSWERS_PART * memory)
         self.bound = most_held
         self.held = 0  # bytes of answers that are coming in
+        self.strays_until = 0.0  # ms; until then answers here are expected to have something behind them
         self.sends = 0
         self.written = 0  # attempts whose last byte the kernel has taken
         self.held_back = 0  # sends whose last byte waited for a proof of their connection
@@ -182,7 +195,7 @@
             self.tending.send(endpoint, host, attempt, now)
             return
         while host.idle:
-            connection = host.idle.pop()
+            connection = host.idle.pop(rested(host.idle, now))
             # Guards against the endpoint's own idle time: what is written to a connection that it is about
             # to close ends as a reset, and may have run.
             if connection.idle_since > now - self.idle_for and connection.usable():
@@ -191,6 +204,10 @@
             connection.abort()
         self.connect(host, attempt)
 
+    def strayed(self) -> None:
+        """Something came behind an answer, where nothing was asked: the next may do so as well."""
+        self.strays_until = time.monotonic() * 1000 + DOUBT_TIME
+
     def again(self, connection: Connection, attempt: Attempt) -> None:
         """An attempt that has not run goes on, as its connection is dead."""
         if self.tending is not None:
--- a/millgw/life.py
+++ b/millgw/life.py
@@ -30,6 +30,7 @@
         self.succeeded = False
         self.ending = False
         self.idle_from = math.inf
+        self.over = False  # what comes now could not be answered in time: it is refused at once
 
     @property
     def last(self) -> bool:
--- a/millgw/pool/call.py
+++ b/millgw/pool/call.py
@@ -10,6 +10,7 @@
 from millgw.interface import Repeat, SetTimer
 from millgw.message import Answer
 from millgw.pool.deadlines import Due
+from millgw.streams.flow import Flow
 from millgw.streams.upload import Upload
 
 
@@ -53,8 +54,8 @@
     """A caller's request that is owed one answer. `payload` words an attempt, given the time left in ms."""
 
     __slots__ = (
-        "answer", "cls", "deadline", "id", "intent", "out", "owner", "patience", "payload", "repeat", "sends",
-        "tenant", "timers", "trace", "upload",
+        "answer", "cls", "deadline", "gone", "id", "intent", "out", "owner", "patience", "payload", "repeat",
+        "sends", "tenant", "timers", "trace", "upload",
     )  # fmt: skip
 
     def __init__(
@@ -76,10 +77,11 @@
         self.trace = trace
         self.repeat = repeat
         self.owner = owner
+        self.gone: Callable[[], bool] | None = None  # whether its caller has left, as far as can be seen now
         self.intent: Intent | None = None  # where marks are kept of what may not be sent again
         self.upload: Upload | None = None  # its body, where that is passed on as it comes
         self.id = 0
         self.deadline = 0.0
         self.sends = 0
         self.out: dict[int, Flight] = {}
-        self.timers: list[Due[Call | SetTimer]] = []  # its deadline, and those that the module set for it
+        self.timers: list[Due[Call | SetTimer | Flow]] = []  # its deadline, those of the module
--- a/millgw/pool/driver.py
+++ b/millgw/pool/driver.py
@@ -88,7 +88,7 @@
         self.draining: set[int] = set()
         self.events: deque[Event] = deque()
         self.feeding = False
-        self.due: Deadlines[Call | SetTimer] = Deadlines()
+        self.due: Deadlines[Call | SetTimer | Flow] = Deadlines()
         self.waking: asyncio.TimerHandle | None = None
         self.wakes_at = math.inf
         self.ended = False
@@ -245,10 +245,15 @@
         """
         flight = call.out.pop(number)
         elapsed = self.clock() - flight.sent
+        whole = call.id not in self.partial
         if not self._close(call):
             return False
         self.flows.add(flow)
         flow.over_calls.append(self.flows.discard)
+        if whole:  # else its time has not begun
+            due = self.due.add(call.deadline, flow)
+            flow.over_calls.append(lambda _: self.due.cancel(due))
+            self._arm()
         call.answer(Answer(SERVED, Content(flow.headers), flow=flow))
         self._feed(AttemptEnded(call.id, flight.endpoint, number, Outcome.OK, elapsed, True))
         self._give_up(call, concluded=True)
@@ -308,6 +313,8 @@
         while (what := self.due.pop(now)) is not None:
             if isinstance(what, Call):
                 self._expire(what)
+            elif isinstance(what, Flow):
+                what.expire()
             else:
                 self._feed(TimerFired(what.timer))
         self._arm()
@@ -358,6 +365,11 @@
     def _send(self, call: Call, endpoint: int) -> None:
         now, number = self.clock(), call.sends
         call.sends += 1
+        if call.gone is not None and call.gone():
+            # Guards against sends for nobody: a caller's end is not seen while its connection is not read.
+            self._feed(AttemptEnded(call.id, endpoint, number, Outcome.CANCELLED, 0.0, True))
+            self.left(call)
+            return
         ended, began = partial(self._ended, call, number), partial(self._began, call, number)
         payload = partial(self._payload, call)
         attempt = Attempt(payload, ended, call.repeat, began, call.upload, call.intent, call.trace)
--- a/millgw/services/front.py
+++ b/millgw/services/front.py
@@ -74,7 +74,7 @@
             head.wrong = found
         elif found is not None:
             head.pool = found
-            head.refused = found.busy()
+            head.refused = Answer(REFUSED) if self.services.life.over else found.busy()
 
     def _find(self, head: Head) -> Pool | BadRequest | None:
         """The pool of a request, or what it is refused with; None for /ready, which is of no service."""
--- a/millgw/sidecar/__main__.py
+++ b/millgw/sidecar/__main__.py
@@ -26,9 +26,11 @@
 ANSWER_WITHIN = 0.3  # s more by which all is answered
 SERVE_PART = 0.6  # of the time after SIGTERM, for which requests are taken: the rest is for answering them
 FLUSH = 0.2  # s that answers may take to be read before the process ends
+FLUSH_EVERY = 0.02  # s between two looks meanwhile for connections on which nothing is asked
 ABLE_EVERY = 0.02  # s between two looks whether calls can be served
 LEAVE_EVERY = 0.05  # s between two looks whether all is answered
 
+HANDLED = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 LOG = "BALANCER_LOG"  # how events are told: text or json
 
 
@@ -46,7 +48,7 @@
 
         operators = Operators(config, config.control, environ, parts)
     loop.add_signal_handler(signal.SIGHUP, parts.reload)
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED)
     watching = None
     try:
         if operators is None:
@@ -119,19 +121,27 @@
                         server.stop()  # takes what has connected meanwhile, if anything
     except TimeoutError:
         tell("ended-unserved", requests=sum(len(p.driver.calls) for p in parts.pools()))
+        life.over = True  # guards against calls that the process would not live to answer
         for pool in parts.pools():
             pool.driver.fail_all()
-        await asyncio.sleep(FLUSH)
+        for server in servers:
+            server.end_halves()
+        end = time.monotonic() + FLUSH
+        while time.monotonic() < end:
+            for server in servers:
+                server.close_idle()
+            await asyncio.sleep(FLUSH_EVERY)
 
 
 def main() -> int:
+    # Guards against signals before there are handlers, which would end the process: they wait for these.
+    # Before any thread is started, as a thread has the mask of its starter.
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED)
     try:
         start_log(os.environ.get(LOG) or "text")
     except ValueError as error:
         print(f"millgw: {LOG}: {error}", file=sys.stderr)
         return 2
-    # Guards against a SIGHUP before there is a handler, which would end the process: it waits for one.
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
         config = read_config(os.environ)
     except ConfigError as error:
--- a/millgw/sidecar/operators.py
+++ b/millgw/sidecar/operators.py
@@ -17,7 +17,7 @@
 from millgw.message import Answer, Content
 from millgw.platform.config import Address, Config
 from millgw.platform.discovery import Discovery, Listed
-from millgw.sidecar.parts import Parts
+from millgw.sidecar.parts import Parts, class_names
 
 JSON = b"Content-Type: application/json\r\n"
 WAIT = 0.02  # s between two looks whether this process can take over
@@ -144,7 +144,7 @@
         source, driver = pools[0].source, pools[0].driver
         if len(pools) == 1 and isinstance(source, Discovery):
             index, endpoints = source.index, driver.entries()
-            learned = driver.balancer.export()
+            learned = driver.balancer.export() | {"classes": class_names(self.config)}
         life, held = self.parts.life, self.parts.descriptors.held()
         return encode(
             State(time.time() * 1000, self.config.name, index, endpoints, life.drained, held, learned)
--- a/millgw/sidecar/parts.py
+++ b/millgw/sidecar/parts.py
@@ -71,7 +71,16 @@
     return Parts(lambda: (server,), lambda: (pool,), reload, life, descriptors, begin)
 
 
+def class_names(config: Config) -> list[str]:
+    """The settings' classes in their order, by which what was learned of them is told."""
+    return [c.name for c in config.settings.classes]
+
+
 def _begin(config: Config, pool: Pool, state: State | None) -> None:
+    if state is not None and state.learned.get("classes", class_names(config)) != class_names(config):
+        # Guards against what was learned by other settings, or by another deployment's sidecar of this name.
+        tell("handover-unusable", cause="it is of other classes")
+        state = None
     if state is None:
         pool.start(config.known)
         return
--- a/millgw/streams/flow.py
+++ b/millgw/streams/flow.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from millgw.streams.room import LONG
+
 
 class Source(Protocol):
     """The endpoint's connection."""
@@ -37,7 +39,7 @@
 class Flow:
     """`headers` and `length` (None: not known ahead) are the answer's, `window` the bytes to be held."""
 
-    __slots__ = ("headers", "length", "over", "over_calls", "sink", "source", "window")
+    __slots__ = ("headers", "length", "over", "over_calls", "passed", "sink", "source", "window")
 
     def __init__(self, source: Source, headers: bytes, length: int | None, window: int) -> None:
         self.source = source
@@ -46,11 +48,13 @@
         self.window = window
         self.sink: Sink | None = None
         self.over = False
+        self.passed = 0  # bytes of the body so far
         self.over_calls: list[Callable[[Flow], None]] = []
 
     # The endpoint's side
 
     def data(self, data: bytes) -> None:
+        self.passed += len(data)
         if not self.over and self.sink is not None:
             self.sink.pass_on(data)
 
@@ -66,6 +70,15 @@
             if self.sink is not None:
                 self.sink.broken_off()
 
+    def expire(self) -> None:
+        """The caller's time is up: only a long answer may go on, as its first bytes are what is timed.
+
+        Guards against an answer of unknown length that never ends: its caller would wait for it for ever.
+        """
+        if not self.over and max(self.passed, self.length or 0) <= LONG:
+            self.source.abandon()
+            self.break_off()
+
     # The caller's side
 
     def cancel(self) -> None:
--- a/tests/test_cores.py
+++ b/tests/test_cores.py
@@ -10,7 +10,7 @@
 
 from millgw.callers.core import RequestCore, word_answer
 from millgw.endpoints.core import MORE, SPOILT, WHOLE, AnswerCore
-from millgw.endpoints.proof import DOUBT_TIME, PROVEN_KEYED, PROVEN_SAFE, Proof
+from millgw.endpoints.proof import DOUBT_TIME, HOLD_BACK, PROVEN_SAFE, REST, Proof
 from millgw.interface import Outcome, Repeat
 from millgw.message import REFUSED, Answer, Content
 from millgw.pool.deadlines import Deadlines, Due
@@ -269,12 +269,16 @@
     now: float, repeat: Repeat, reused: bool, idle: float, since: float
 ) -> None:
     proof = Proof()
-    held = proof.hold(now, repeat, reused, now - idle)
-    if repeat is Repeat.UNSAFE:
-        assert held > 0
+    answered = now - idle
+    held = proof.hold(now, repeat, reused, answered)
+    if repeat is not Repeat.SAFE:
+        assert held >= HOLD_BACK
     elif reused:
-        proven = PROVEN_KEYED if repeat is Repeat.KEYED else PROVEN_SAFE
-        assert (held == 0) == (now - (now - idle) <= proven)
+        assert (held == 0) == (now - answered <= PROVEN_SAFE)
+    for strays in (now - 1.0, now + 1.0):
+        held = proof.hold(now, repeat, reused, answered, strays)
+        if reused and (repeat is not Repeat.SAFE or now < strays):
+            assert now + held >= answered + REST, "what comes behind an answer comes before the last byte"
     proof.broke(now)
     if since < DOUBT_TIME:
         assert proof.hold(now + since, repeat, reused, now + since) > 0
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,526 @@
+"""Crossings, forced on real sockets: what comes at the one moment at which it used to be lost.
+
+Each names what crosses what; `docs/design/crossings.md` lists them all. Nothing here hopes for a moment: the
+stand-ins act at a named point, and a loopback socket delivers at once what is written or closed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import select
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import pytest
+
+from millgw.endpoints.attempt import Attempt
+from millgw.endpoints.upstream import Upstream
+from millgw.interface import Condition, ListKind, Outcome, Repeat
+from millgw.life import Life
+from millgw.message import Content
+from millgw.platform import discovery as discovery_module
+from millgw.platform.config import Address
+from millgw.platform.descriptors import Descriptors
+from millgw.platform.discovery import Discovery, Listed, endpoint_id
+from millgw.pool.driver import Driver
+from millgw.sidecar import __main__ as main_module
+from millgw.standins.http import NEVER_RAN, Message, ServerConnection, ok, status
+from millgw.standins.scripted import (
+    STREAM,
+    ScriptedCadastro,
+    ScriptedEndpoint,
+    answering,
+    chunk,
+    line,
+    silent,
+)
+from tests.rig import request, run, sidecar, until
+
+NO_LINGER = struct.pack("ii", 1, 0)
+RETRIED = 0.6  # s in which the module's longest wait between two attempts here (0.25 s) is over
+
+
+def raw(address: Address) -> socket.socket:
+    """A caller's connection whose writes and end take effect when they are called."""
+    return socket.create_connection((address.host, address.port), 10.0)
+
+
+def write_now(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Write past the loop: it is in the other side's kernel when this returns."""
+    assert os.write(writer.transport.get_extra_info("socket").fileno(), data) == len(data)
+
+
+class Watched:
+    """A watch on a discovery, and what was heard by it."""
+
+    def __init__(self, cadastro: ScriptedCadastro) -> None:
+        self.heard: list[tuple[ListKind, tuple[Listed, ...]]] = []
+        self.discovery = Discovery(cadastro.address, ("a",), lambda *heard: self.heard.append(heard))
+
+    def drained(self) -> set[int]:
+        return {
+            entry.endpoint.id
+            for _, entries in self.heard
+            for entry in entries
+            if entry.endpoint.condition is not Condition.READY
+        }
+
+
+@contextmanager
+def watched(cadastro: ScriptedCadastro) -> Iterator[Watched]:
+    made = Watched(cadastro)
+    made.discovery.subscribe()
+    try:
+        yield made
+    finally:
+        made.discovery.stop()
+
+
+E1, E2 = ScriptedEndpoint("e1"), ScriptedEndpoint("e2")
+DRAIN = line(2, [E1.entry("terminating")])
+
+
+# The list
+
+
+@pytest.mark.parametrize("written", [chunk(DRAIN), chunk(DRAIN[:-3])], ids=["whole", "torn"])
+@pytest.mark.parametrize("then", ["moved", "asked again"])
+def test_a_drain_that_waits_in_the_socket_when_its_watch_is_given_up_is_taken(
+    written: bytes, then: str
+) -> None:
+    async def test() -> None:
+        cadastro, other = ScriptedCadastro(), ScriptedCadastro()
+        await cadastro.start()
+        await other.start()
+        with watched(cadastro) as made:
+            _, writer = await cadastro.calls.get()
+            write_now(writer, STREAM + chunk(line(1, [E1.entry()])) if then == "moved" else STREAM)
+            if then == "moved":
+                await until(lambda: bool(made.heard))
+            write_now(writer, written)
+            if then == "moved":
+                made.discovery.move(other.address)
+                made.discovery.move(cadastro.address)  # the one before is let go of for good
+            else:
+                await until(lambda: made.discovery.watch is not None and bool(made.discovery.watch.transport))
+                made.discovery.subscribe()
+            assert made.drained() == {endpoint_id("e1")}
+            assert [kind for kind, entries in made.heard if entries][-1] is ListKind.PART
+
+    run(test)
+
+
+def test_a_watch_that_is_moved_from_is_read_until_it_ends() -> None:
+    async def test() -> None:
+        cadastro, other = ScriptedCadastro(), ScriptedCadastro()
+        await cadastro.start()
+        await other.start()
+        with watched(cadastro) as made:
+            _, writer = await cadastro.calls.get()
+            writer.write(STREAM + chunk(line(1, [E1.entry(), E2.entry()])))
+            await until(lambda: bool(made.heard))
+            made.discovery.move(other.address)
+            call, later = await other.calls.get()
+            assert call.first.split()[1].endswith("from=1")
+            writer.write(chunk(DRAIN))
+            await until(lambda: bool(made.drained()))
+            assert made.discovery.index == 1, "what the new one has to tell is still asked for"
+            writer.write(chunk(line(3, [E2.entry("terminated")])[:-3]))
+            await writer.drain()
+            writer.transport.close()
+            await until(lambda: len(made.drained()) == 2)
+            later.write(STREAM + chunk(line(4, [E1.entry()])))
+            await until(lambda: made.discovery.index == 4)
+            assert made.discovery.leaving is None
+            assert ListKind.FAILED not in [kind for kind, _ in made.heard], "it was moved from, not lost"
+
+    run(test)
+
+
+def test_what_came_while_the_process_stood_still_is_read_before_silence_is_told(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A timer that is due and bytes that have come: the loop reads before it looks at its timers."""
+    monkeypatch.setattr(discovery_module, "SILENCE", 0.2)
+
+    async def test() -> None:
+        cadastro = ScriptedCadastro()
+        await cadastro.start()
+        with watched(cadastro) as made:
+            _, writer = await cadastro.calls.get()
+            writer.write(STREAM + chunk(line(1, [E1.entry()])))
+            await until(lambda: bool(made.heard))
+            write_now(writer, chunk(DRAIN))
+            time.sleep(0.3)
+            await until(lambda: len(made.heard) > 1)
+            assert made.heard[1][0] is ListKind.DELTA and made.drained()
+            write_now(writer, chunk(b"half a line"))
+            time.sleep(0.3)
+            await until(lambda: made.heard[-1][0] is ListKind.SILENT)  # bytes alone are no line
+
+    run(test)
+
+
+# Callers that leave
+
+
+def leave(client: socket.socket, how: str) -> None:
+    if how == "half":
+        client.shutdown(socket.SHUT_WR)
+        return
+    if how == "reset":
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    client.close()
+
+
+@pytest.mark.parametrize("how", ["close", "reset", "half"])
+@pytest.mark.parametrize("behind", [b"", request("pay")], ids=["nothing behind", "a request behind"])
+def test_nothing_more_is_sent_for_a_caller_that_left_while_its_request_waited(
+    how: str, behind: bytes
+) -> None:
+    """With bytes behind its request the connection is not read, so its end comes to nobody's notice."""
+
+    async def test() -> None:
+        client: socket.socket
+
+        async def turn_away(_: Message, __: ScriptedEndpoint) -> bytes:
+            leave(client, how)
+            return status(503, NEVER_RAN)
+
+        endpoint, other = ScriptedEndpoint("e1", turn_away), ScriptedEndpoint("e2", turn_away)
+        async with sidecar(endpoint, other) as rig:
+            client = raw(rig.listen)
+            client.sendall(request("pay") + behind)
+            await until(lambda: bool(endpoint.got or other.got))
+            await asyncio.sleep(RETRIED)
+            assert len(endpoint.got) + len(other.got) == 1
+            client.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("how", ["close", "reset", "half"])
+def test_a_request_behind_another_is_not_taken_for_a_caller_that_left(how: str) -> None:
+    async def test() -> None:
+        go = asyncio.Event()
+        endpoint = ScriptedEndpoint("e1", answering(ok(), after=go))
+        async with sidecar(endpoint) as rig:
+            client = raw(rig.listen)
+            client.sendall(request("pay") + request("read"))
+            await until(lambda: len(endpoint.got) == 1)
+            leave(client, how)
+            go.set()
+            assert (await rig.ask(request("read"))).status == 200
+            assert len(endpoint.got) == 2, "the first and the other caller's"
+            client.close()
+
+    run(test)
+
+
+def test_an_attempt_is_given_up_when_a_caller_leaves_whose_connection_is_not_read() -> None:
+    """And the endpoint is not called ill for it: it serves the next call at once."""
+
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e1", silent)
+        async with sidecar(endpoint) as rig:
+            for number in range(1, 4):
+                client = raw(rig.listen)
+                client.sendall(request("pay") + request("pay"))
+                await until(lambda number=number: len(endpoint.got) == number)  # type: ignore[misc]
+                client.close()
+                await until(lambda number=number: endpoint.lost_connections == number)  # type: ignore[misc]
+            endpoint.script = answering(ok())
+            assert (await rig.ask(request("pay", patience=1500))).status == 200
+
+    run(test)
+
+
+def test_a_body_that_nobody_takes_is_given_up_when_its_caller_leaves() -> None:
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e1", silent)
+        async with sidecar(endpoint) as rig:
+            first = asyncio.Event()
+
+            def stop_reading(connection: ServerConnection) -> bool:
+                assert connection.transport is not None
+                connection.transport.pause_reading()
+                first.set()
+                return True
+
+            endpoint.bytes_came = stop_reading  # type: ignore[method-assign]
+            client = raw(rig.listen)
+            client.setblocking(False)
+            client.send(request("pay", Content_Length="30000000", X_Trace_Id="aa"))
+            await first.wait()
+            idle = 0
+            while idle < 20:  # until nobody takes more: the sidecar reads no further then
+                try:
+                    client.send(bytes(65536))
+                    idle = 0
+                except BlockingIOError:
+                    idle += 1
+                await asyncio.sleep(0.01)
+            again = request("read", X_Trace_Id="aa", patience=200)
+            assert (await rig.ask(again)).status == 409, "its call is open"
+            leave(client, "reset")
+            while (await rig.ask(again)).status == 409:
+                pass
+            assert not [m for m in endpoint.got if m.first.startswith("POST")]
+
+    run(test)
+
+
+# The end of the process
+
+
+def at_the_end(monkeypatch: pytest.MonkeyPatch, act: Callable[[], None]) -> None:
+    """Act between the answer to all that is owed and the end of the process."""
+    monkeypatch.setattr(main_module, "LONGEST", 0.1)
+    fail_all = Driver.fail_all
+
+    def and_act(driver: Driver) -> None:
+        fail_all(driver)
+        act()
+
+    monkeypatch.setattr(Driver, "fail_all", and_act)
+
+
+@pytest.mark.skipif(not hasattr(Driver.fail_all, "__code__"), reason="compiled code has no such seam")
+def test_what_crosses_the_end_is_answered_and_not_sent_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The last byte of one request, and another whole one: both callers have connected in time."""
+
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e1")
+        whole = request("pay", b"body")
+        clients: list[socket.socket] = []
+
+        def act() -> None:
+            clients[0].sendall(whole[-1:])
+            clients[1].sendall(request("pay"))
+
+        at_the_end(monkeypatch, act)
+        monkeypatch.setattr(Life, "closes_idle", lambda *_: False)
+        async with sidecar(endpoint) as rig:
+            clients.append(raw(rig.listen))
+            clients[0].sendall(whole[:-1])
+            clients.append(raw(rig.listen))
+            await asyncio.sleep(0.05)
+            os.kill(os.getpid(), signal.SIGTERM)
+            await rig.task
+            for client in clients:
+                client.settimeout(0.0)
+                assert client.recv(4096).startswith(b"HTTP/1.1 503")
+            assert not [m for m in endpoint.got if m.first.startswith("POST")]
+        for client in clients:
+            client.close()
+
+    run(test)
+
+
+def test_sigterm_before_there_is_a_handler_ends_it_in_order(tmp_path: Path) -> None:
+    """While the configuration is read: the process serves, is told to end, and ends with 0."""
+    code = (
+        "import os, signal, sys\n"
+        "from millgw.sidecar import __main__ as main\n"
+        "read = main.read_config\n"
+        "def crossed(environ):\n"
+        "    os.kill(os.getpid(), signal.SIGHUP)\n"
+        "    os.kill(os.getpid(), signal.SIGTERM)\n"
+        "    return read(environ)\n"
+        "main.read_config = crossed\n"
+        "sys.exit(main.main())\n"
+    )
+    from tests.test_sidecar_process import GOOD, write_config  # the file that any process here is given
+
+    environ = write_config(tmp_path, GOOD | {"listen": "127.0.0.1:0"[:-1] + "47070"})
+    done = subprocess.run(
+        [sys.executable, "-c", code], env=os.environ | environ, capture_output=True, text=True, timeout=60
+    )
+    assert done.returncode == 0, done.stderr
+
+
+def test_a_connection_that_waits_at_the_bound_when_it_stops_listening_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(main_module, "LONGEST", 2.0)
+
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e1")
+        async with sidecar(endpoint) as rig:
+            monkeypatch.setattr(Descriptors, "full_of_callers", lambda _: True)
+            client = raw(rig.listen)
+            client.setblocking(False)
+            client.send(request("pay"))
+            os.kill(os.getpid(), signal.SIGTERM)
+            await rig.task
+            assert client.recv(4096).startswith((b"HTTP/1.1 200", b"HTTP/1.1 503"))
+            client.close()
+
+    run(test)
+
+
+# Connections to endpoints
+
+
+class NoRoom:
+    endpoints: Callable[[], int] = int
+
+    def full(self) -> bool:
+        return False
+
+    def make(self) -> bool:
+        return False
+
+
+class Strays(ScriptedEndpoint):
+    """Answers once more when a request has come on a kept connection, all but its last byte."""
+
+    strays = 1
+
+    def bytes_came(self, connection: ServerConnection) -> bool:
+        asyncio.get_running_loop().call_soon(self._stray, connection)
+        return True
+
+    def _stray(self, connection: ServerConnection) -> None:
+        if not self.strays or connection.closed or not connection.requests or connection.message is None:
+            return
+        assert connection.transport is not None
+        if not select.select([connection.transport.get_extra_info("socket").fileno()], [], [], 0)[0]:
+            self.strays -= 1  # the last byte has not been written
+            connection.write(ok(b"stray"))
+
+
+@pytest.mark.parametrize("cls", ["write", "pay"])
+def test_a_second_answer_that_crosses_the_next_request_is_not_taken_for_its_own(cls: str) -> None:
+    async def test() -> None:
+        endpoint = Strays("e1")
+        async with sidecar(endpoint) as rig:
+            client = await rig.connect()
+            for _ in range(50):
+                answer = await client.ask(request(cls, b"body"))
+                assert answer.status == 200 and answer.body == b"done", answer
+        assert endpoint.strays == 0, "the last byte never went by itself"
+        assert endpoint.connections == 2 and len(endpoint.got) == 50
+
+    run(test)
+
+
+def test_once_an_endpoint_was_seen_to_answer_twice_the_pool_expects_it() -> None:
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e1")
+        await endpoint.start()
+        upstream = Upstream(NoRoom(), 5000.0, 60_000.0, 2.0**26)
+        upstream.point(1, endpoint.address)
+        ended: list[Outcome] = []
+
+        def end(outcome: Outcome, _: Content) -> None:
+            ended.append(outcome)
+
+        upstream.send(1, Attempt(lambda: request("read"), end, Repeat.SAFE))
+        await until(lambda: bool(ended))
+        assert upstream.strays_until == 0.0
+        endpoint.served[0].write(ok(b"stray"))
+        await until(lambda: endpoint.lost_connections == 1)
+        assert upstream.strays_until > time.monotonic() * 1000
+        upstream.stop()
+
+    run(test)
+
+
+def test_a_200_that_comes_before_the_request_is_whole_is_not_its_answer() -> None:
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e1", silent)
+
+        def answer_early(connection: ServerConnection) -> bool:
+            if connection.message is not None and connection.message.body:
+                connection.write(ok(b"early"))
+            return True
+
+        endpoint.bytes_came = answer_early  # type: ignore[method-assign]
+        async with sidecar(endpoint) as rig:
+            client = await rig.connect()
+            answer = await client.ask(request("pay", bytes(200_000), Content_Length="1000000"))
+            assert answer.status == 502, "no endpoint begins a request before its last byte"
+
+    run(test)
+
+
+def test_an_answer_that_never_ends_is_over_when_its_callers_time_is() -> None:
+    async def test() -> None:
+        dripping: list[asyncio.Task[None]] = []
+
+        async def drip(_: Message, endpoint: ScriptedEndpoint) -> bytes:
+            async def go_on() -> None:
+                while True:
+                    endpoint.served[-1].write(chunk(b"more"))
+                    await asyncio.sleep(0.02)
+
+            dripping.append(asyncio.create_task(go_on()))
+            return STREAM
+
+        endpoint = ScriptedEndpoint("e1", drip)
+        async with sidecar(endpoint) as rig:
+            client = await rig.connect()
+            client.writer.write(request("pay", patience=1500))
+            got = await client.reader.read()  # to the end of the connection
+            assert got.startswith(b"HTTP/1.1 200") and not got.endswith(b"0\r\n\r\n"), "it shows as not whole"
+            await until(lambda: endpoint.lost_connections == 1)
+        dripping[0].cancel()
+
+    run(test)
+
+
+class SlowMark:
+    """An intent whose mark is durable when the test says so."""
+
+    def __init__(self) -> None:
+        self.known: bool | None = None
+        self.then: Callable[[], None] | None = None
+        self.left = False
+
+    def begin(self) -> None:
+        pass
+
+    def durable(self) -> bool | None:
+        return self.known
+
+    def wait(self, then: Callable[[], None]) -> None:
+        self.then = then
+
+    def leaves(self, token: object) -> None:
+        self.left = True
+
+
+def test_a_drain_that_comes_while_a_mark_is_written_ends_the_attempt_unsent() -> None:
+    async def test() -> None:
+        endpoint, mark = ScriptedEndpoint("e1"), SlowMark()
+        await endpoint.start()
+        upstream = Upstream(NoRoom(), 5000.0, 60_000.0, 2.0**26)
+        upstream.point(1, endpoint.address)
+        ended: list[Outcome] = []
+
+        def end(outcome: Outcome, _: Content) -> None:
+            ended.append(outcome)
+
+        upstream.send(1, Attempt(lambda: request("pay"), end, Repeat.UNSAFE, intent=mark))
+        await until(lambda: mark.then is not None)
+        host = upstream.forget(1)
+        assert host is not None
+        upstream.close(host)
+        mark.known = True
+        assert mark.then is not None
+        mark.then()
+        assert ended == [Outcome.CONNECT_FAILED] and not mark.left
+        await until(lambda: endpoint.lost_connections == 1)
+        assert not endpoint.got
+        upstream.stop()
+
+    run(test)
