--- a/millgw/rehearsal/auditor.py
+++ b/millgw/rehearsal/auditor.py
@@ -19,6 +19,7 @@
 
 SOCKET_MARGIN = 50.0  # ms by which every time limit is longer on sockets (protocol page)
 CROSSING = 100.0  # ms after a request's writing by which a close that crossed it has come
+LEFT_MARGIN = 300.0  # ms after a caller left while its request waited, in which that may still be sent
 KILL_SOON = 700.0  # ms after SIGTERM within which a SIGKILL excuses what was open
 REFUSALS = frozenset({429, 503})
 LEAST_SERVED = 0.02  # of the requests, below which a day puts nothing to the test
@@ -255,6 +256,16 @@
                     lost = evidence("no answer in the caller's time", limit, None, None)
                     self._timed(finding, lost, SOCKET_MARGIN, sent, call.sidecar)
             return
+        if call.end is End.LEFT and call.closed is not None:
+            for attempt in self.attempts.get(call.trace, ()):
+                for_nobody = Evidence(
+                    "sent on after its caller had left (ms)", attempt.first, call.trace, attempt.endpoint,
+                    call.sidecar, attempt.first - call.closed, LEFT_MARGIN,
+                )  # fmt: skip
+                over = attempt.first - call.closed - LEFT_MARGIN
+                if over > 0:
+                    self._timed(finding, for_nobody, over, call.closed, call.sidecar)
+            return
         if call.extra:
             finding.add(evidence("more than one answer", call.answered or sent, 1 + call.extra, 1))
         if call.answered is None:
--- a/millgw/rehearsal/blows.py
+++ b/millgw/rehearsal/blows.py
@@ -93,6 +93,7 @@
             "flapping": self._flapping,
             "cadastro-outage": self._outage,
             "cadastro-restart": self._outage,
+            "watches-silent": self._mute,
             "sidecar-killed": self._sidecar_killed,
             "sidecar-restart": self._sidecar_restart,
             "sidecar-upgrade": self._sidecar_upgrade,
@@ -245,6 +246,9 @@
         if not self.outages:
             self.stage.cadastro.come_back(history=blow.kind == "cadastro-outage")
 
+    async def _mute(self, blow: Blow) -> None:
+        self.stage.cadastro.mute()
+
     # The coordinator
 
     @property
--- a/millgw/rehearsal/scenario.py
+++ b/millgw/rehearsal/scenario.py
@@ -37,6 +37,7 @@
     "flapping",
     "cadastro-outage",
     "cadastro-restart",
+    "watches-silent",
     "sidecar-killed",
     "sidecar-restart",
     "sidecar-upgrade",
--- a/millgw/standins/cadastro.py
+++ b/millgw/standins/cadastro.py
@@ -113,12 +113,18 @@
         self.asked = asked
         self.queued = True  # its first line is on its way
         self.heartbeat: asyncio.TimerHandle | None = None
+        self.muted = False
+
+    def mute(self) -> None:
+        """Say nothing from now on, and stay open, as behind a cut of the network."""
+        self.muted = True
+        self.end()
 
     def flush(self, first: bool = False) -> None:
         """Write what has changed since the line before."""
         self.queued = False
         cadastro = self.window.cadastro
-        if self.connection.closed or cadastro.down:
+        if self.connection.closed or cadastro.down or self.muted:
             return
         whole, entries = self.window.register.since(self.index)
         if first or whole or entries:
@@ -145,7 +151,8 @@
         self.connection.write(b"%x\r\n%b\r\n" % (len(line), line))
 
     def end(self) -> None:
-        self.asked.until = self.window.clock()
+        if self.asked.until is None:
+            self.asked.until = self.window.clock()
         if self.heartbeat is not None:
             self.heartbeat.cancel()
 
@@ -251,5 +258,11 @@
         for window in self.windows.values():
             window.listener.open()
 
+    def mute(self) -> None:
+        """Have all open watches fall silent; new ones are answered as ever."""
+        for window in self.windows.values():
+            for watch in window.watches.values():
+                watch.mute()
+
     def close(self) -> None:
         self.go_down()
--- a/tests/test_rehearsal_auditor.py
+++ b/tests/test_rehearsal_auditor.py
@@ -479,3 +479,14 @@
             life.fell = life.until = now
             break
     assert (4 in broken(ledger)) is (life.fell is not None)
+
+
+@pytest.mark.parametrize("late", [250.0, 350.0])
+def test_what_is_sent_on_after_its_caller_had_left_is_found(late: float) -> None:
+    made = Books(random.Random(1))
+    call = plain(made, "status")
+    attempt = made.attempt(call, "a", Told.OK)
+    call.end, call.closed, call.answered, call.status = End.LEFT, attempt.first - late, None, 0
+    finding = audit(made.ledger, TERMS).findings[0]
+    found = [e for e in finding.evidence if "had left" in e.what]
+    assert bool(found) == (late > 300.0)
--- a/tests/test_rehearsal_wrong.py
+++ b/tests/test_rehearsal_wrong.py
@@ -33,6 +33,7 @@
 SCRIPT = Path(__file__).parent / "wrong" / "sidecar.py"
 RULES = {
     "loses": 1, "twice": 1, "late": 1, "makes-up": 1, "afterwards": 1,
+    "for-nobody": 1,
     "resends": 2, "other-group": 2, "past-window": 2, "refuses": 2,
     "after-drain": 3, "floods": 4,
 }  # fmt: skip
@@ -63,8 +64,11 @@
 }  # fmt: skip
 
 CROWDED = replace(BASE.traffic, rate=90.0)  # enough to push a cold endpoint over
+LEAVING = replace(BASE.traffic, impatient=0.5)
+TRAFFIC = {"floods": CROWDED, "for-nobody": LEAVING}
 
 SHIPPED = ("silence-and-slowdown", "overlap-three", "drain-wave", "cadastro-outage", "sidecar-killed")
+CROSSING = ("callers-leave", "watches-silent")
 SERVICES = ("flood-one-pool", "reload-under-flood", "pool-without-servers")
 COORDINATED = (
     "zk-mass-expiry", "zk-lingering", "zk-lagging-face", "zk-restart-empty", "zk-reconnect-storm",
@@ -95,9 +99,7 @@
     days = {
         kind: (
             check(
-                replace(
-                    BASE, faults=FAULTS.get(kind, ()), traffic=CROWDED if kind == "floods" else BASE.traffic
-                )
+                replace(BASE, faults=FAULTS.get(kind, ()), traffic=TRAFFIC.get(kind, BASE.traffic))
             ),
             f"exec {sys.executable} {SCRIPT} {kind}",
         )
@@ -108,7 +110,7 @@
 
 @cache
 def daemon_days() -> dict[str, Day]:
-    days = {name: (short(name), DEFAULT_RUN) for name in SHIPPED}
+    days = {name: (short(name), DEFAULT_RUN) for name in SHIPPED + CROSSING}
     for name in SERVICES:
         scenario = changed(load(name)[1], seconds=SHIPPED_SECONDS, rate=20.0)
         days[name] = (scenario, DEFAULT_RUN)
@@ -194,7 +196,7 @@
     assert "0 of" in day.audit.unserved and "the target is not the client's" in day.audit.unserved
 
 
-@pytest.mark.parametrize("name", [*SHIPPED, *SERVICES, "all classes"])
+@pytest.mark.parametrize("name", [*SHIPPED, *CROSSING, *SERVICES, "all classes"])
 def test_the_daemon_breaks_no_rule(name: str) -> None:
     day = daemon_days()[name]
     assert not broken(day), broken(day)
--- a/tests/wrong/sidecar.py
+++ b/tests/wrong/sidecar.py
@@ -113,6 +113,8 @@
         if WRONG == "makes-up" and now:
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nmade-u")
             return True
+        if WRONG == "for-nobody":
+            await asyncio.sleep(patience / 2)  # a wait that is not ended when the client leaves
         endpoint = self.pick()
         try:
             async with asyncio.timeout(patience - 0.05):
