--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -42,7 +42,7 @@
     line,
     silent,
 )
-from tests.rig import request, run, sidecar, until
+from tests.rig import request, run, services, sidecar, until
 
 NO_LINGER = struct.pack("ii", 1, 0)
 RETRIED = 0.6  # s in which the module's longest wait between two attempts here (0.25 s) is over
@@ -207,6 +207,31 @@
     run(test)
 
 
+def test_the_same_where_several_services_take_turns(tmp_path: Path) -> None:
+    async def test() -> None:
+        client: socket.socket
+
+        async def turn_away(_: Message, __: ScriptedEndpoint) -> bytes:
+            client.close()
+            return status(503, NEVER_RAN)
+
+        endpoint, other = ScriptedEndpoint("e1", turn_away), ScriptedEndpoint("e2", turn_away)
+        for each in (endpoint, other):
+            await each.start()
+        listed = "".join(
+            f'[[services.s.endpoints]]\nname = "{each.name}"\naddress = "{each.address}"\n'
+            for each in (endpoint, other)
+        )
+        async with services(tmp_path, f'[services.s]\n{listed}[[routes]]\nto = "s"\n') as rig:
+            client = raw(rig.listen)
+            client.sendall(request("pay") + request("pay"))
+            await until(lambda: bool(endpoint.got or other.got))
+            await asyncio.sleep(RETRIED)
+            assert len(endpoint.got) + len(other.got) == 1
+
+    run(test)
+
+
 @pytest.mark.parametrize("how", ["close", "reset", "half"])
 def test_a_request_behind_another_is_not_taken_for_a_caller_that_left(how: str) -> None:
     async def test() -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -26,13 +26,15 @@
 from millgw.handover.predecessor import FILE, find, leave_word
 from millgw.handover.state import FRESH, BadState, State, decode, encode
 from millgw.interface import Endpoint, Outcome
+from millgw.life import Life
 from millgw.platform.config import Address
-from millgw.platform.discovery import Listed
+from millgw.platform.discovery import Discovery, Listed
+from millgw.sidecar.parts import one
 from millgw.standins.address import free_address
 from millgw.standins.crowd import Crowd
 from millgw.standins.http import ok
 from millgw.standins.scripted import STREAM, ScriptedCadastro, ScriptedEndpoint, chunk, line, read_message
-from tests.rig import SETTINGS, request, run, until
+from tests.rig import SETTINGS, config, request, run, until
 from tests.support import drive
 from tests.test_control import call
 
@@ -96,6 +98,26 @@
     assert len(new.balancer.aside(new.now)) == len(old.balancer.aside(old.now))
 
 
+@pytest.mark.parametrize(
+    ("classes", "taken"), [(["read", "write", "pay"], True), (["pay", "read", "x"], False)]
+)
+def test_a_state_of_other_classes_is_refused_whole(classes: list[str], taken: bool) -> None:
+    """What was learned is told by the classes' numbers, and those mean other classes there."""
+
+    async def test() -> None:
+        parts = one(config([], Address("127.0.0.1", 9)), {}, Life())
+        (pool,) = parts.pools()
+        learned = drive(1).balancer.export() | {"classes": classes, "tokens": 77.0}
+        parts.begin(replace(STATE, learned=json.loads(json.dumps(learned))))
+        assert isinstance(pool.source, Discovery)
+        assert pool.source.index == (41 if taken else 1), "the configuration's own list is of version 1"
+        assert (pool.driver.balancer.budget.tokens == 77.0) == taken
+        pool.source.stop()
+        pool.drop()
+
+    run(test)
+
+
 @pytest.mark.parametrize("field", ["servers", "limit", "times", "tokens"])
 def test_learned_words_that_cannot_be_read_change_nothing(field: str) -> None:
     old, new = drive(3), drive(3)
