--- a/tests/test_cores.py
+++ b/tests/test_cores.py
@@ -9,10 +9,13 @@
 from hypothesis import strategies as st
 
 from millgw.callers.core import RequestCore, word_answer
+from millgw.endpoints.connection import Connection, Host
 from millgw.endpoints.core import MORE, SPOILT, WHOLE, AnswerCore
 from millgw.endpoints.proof import DOUBT_TIME, HOLD_BACK, PROVEN_SAFE, REST, Proof
+from millgw.endpoints.upstream import rested
 from millgw.interface import Outcome, Repeat
 from millgw.message import REFUSED, Answer, Content
+from millgw.platform.config import Address
 from millgw.pool.deadlines import Deadlines, Due
 from millgw.request import BadRequest, Head, word
 from millgw.streams.room import LONG
@@ -282,3 +285,16 @@
     proof.broke(now)
     if since < DOUBT_TIME:
         assert proof.hold(now + since, repeat, reused, now + since) > 0
+
+
+@given(st.lists(st.floats(0, 50), min_size=1, max_size=8).map(sorted))
+def test_the_last_used_connection_that_has_had_its_rest_goes_first(rests: list[float]) -> None:
+    """Where none has, the last used goes, and its request's last byte waits."""
+    now = 1000.0
+    idle = []
+    for rest in reversed(rests):
+        idle.append(Connection(None, Host(Address("127.0.0.1", 1), 0.0), None, 1))  # type: ignore[arg-type]
+        idle[-1].idle_since = now - rest
+    at = rested(idle, now)
+    fit = [i for i, c in enumerate(idle) if c.idle_since <= now - REST]
+    assert at == (fit[-1] if fit else len(idle) - 1)
