--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -524,7 +524,10 @@
         self.left = True
 
 
-def test_a_drain_that_comes_while_a_mark_is_written_ends_the_attempt_unsent() -> None:
+@pytest.mark.parametrize("what", ["drains", "left"])
+def test_what_comes_while_a_mark_is_written_ends_the_attempt_unsent(what: str) -> None:
+    """The endpoint drains, or the caller leaves."""
+
     async def test() -> None:
         endpoint, mark = ScriptedEndpoint("e1"), SlowMark()
         await endpoint.start()
@@ -535,15 +538,19 @@
         def end(outcome: Outcome, _: Content) -> None:
             ended.append(outcome)
 
-        upstream.send(1, Attempt(lambda: request("pay"), end, Repeat.UNSAFE, intent=mark))
+        attempt = Attempt(lambda: request("pay"), end, Repeat.UNSAFE, intent=mark)
+        upstream.send(1, attempt)
         await until(lambda: mark.then is not None)
-        host = upstream.forget(1)
-        assert host is not None
-        upstream.close(host)
+        if what == "left":
+            assert not attempt.give_up(), "it has not run"
+        else:
+            host = upstream.forget(1)
+            assert host is not None
+            upstream.close(host)
         mark.known = True
         assert mark.then is not None
         mark.then()
-        assert ended == [Outcome.CONNECT_FAILED] and not mark.left
+        assert ended == ([] if what == "left" else [Outcome.CONNECT_FAILED]) and not mark.left
         await until(lambda: endpoint.lost_connections == 1)
         assert not endpoint.got
         upstream.stop()
