Tests of crossings: one place makes connections to an endpoint; a flag that stop sets anyway

Two tests built the same Upstream with the same outcomes' list; pool_of does. Watch.leave set stopped just before Watch.stop does.

--- a/millgw/platform/discovery.py
+++ b/millgw/platform/discovery.py
@@ -248,7 +248,6 @@
         if self.transport is not None:
             with suppress(httptools.HttpParserError):
                 self.parser.feed_data(waiting(self.transport, MAX_LINE))
-        self.stopped = True
         for line in bytes(self.rest).split(b"\n"):
             self.discovery.part(line)
         self.rest.clear()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -405,6 +405,14 @@
         return False
 
 
+def pool_of(endpoint: ScriptedEndpoint) -> tuple[Upstream, list[Outcome], Callable[[Outcome, Content], None]]:
+    """Connections to one endpoint, the outcomes of attempts there, and what takes them."""
+    upstream = Upstream(NoRoom(), 5000.0, 60_000.0, 2.0**26)
+    upstream.point(1, endpoint.address)
+    ended: list[Outcome] = []
+    return upstream, ended, lambda outcome, _: ended.append(outcome)
+
+
 class Strays(ScriptedEndpoint):
     """Answers once more when a request has come on a kept connection, all but its last byte."""
 
@@ -442,13 +450,7 @@
     async def test() -> None:
         endpoint = ScriptedEndpoint("e1")
         await endpoint.start()
-        upstream = Upstream(NoRoom(), 5000.0, 60_000.0, 2.0**26)
-        upstream.point(1, endpoint.address)
-        ended: list[Outcome] = []
-
-        def end(outcome: Outcome, _: Content) -> None:
-            ended.append(outcome)
-
+        upstream, ended, end = pool_of(endpoint)
         upstream.send(1, Attempt(lambda: request("read"), end, Repeat.SAFE))
         await until(lambda: bool(ended))
         assert upstream.strays_until == 0.0
@@ -531,13 +533,7 @@
     async def test() -> None:
         endpoint, mark = ScriptedEndpoint("e1"), SlowMark()
         await endpoint.start()
-        upstream = Upstream(NoRoom(), 5000.0, 60_000.0, 2.0**26)
-        upstream.point(1, endpoint.address)
-        ended: list[Outcome] = []
-
-        def end(outcome: Outcome, _: Content) -> None:
-            ended.append(outcome)
-
+        upstream, ended, end = pool_of(endpoint)
         attempt = Attempt(lambda: request("pay"), end, Repeat.UNSAFE, intent=mark)
         upstream.send(1, attempt)
         await until(lambda: mark.then is not None)
