--- a/millgw/connections/introduction.py
+++ b/millgw/connections/introduction.py
@@ -33,7 +33,7 @@
         if kind in (ListKind.FAILED, ListKind.SILENT):
             return list(entries)
         before = dict(self.shown)
-        if kind not in (ListKind.DELTA, ListKind.PART):
+        if kind.whole:
             self.shown.clear()
             self.hidden.clear()
         told = []
--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -991,7 +991,7 @@
                 server.sure_at = now
         if event.kind is ListKind.DELTA and not event.endpoints:
             return
-        if event.kind not in (ListKind.DELTA, ListKind.PART):
+        if event.kind.whole:
             named = {e.id for e in event.endpoints}
             for id in [i for i in self.servers if i not in named]:
                 del self.servers[id]
--- a/millgw/interface.py
+++ b/millgw/interface.py
@@ -54,6 +54,11 @@
     SILENT = 4
     PART = 5
 
+    @property
+    def whole(self) -> bool:
+        """Whether what it does not name is not there."""
+        return self is ListKind.FULL or self is ListKind.CACHED
+
 
 class Outcome(Enum):
     """How an attempt ended."""
--- a/millgw/membership/source.py
+++ b/millgw/membership/source.py
@@ -324,7 +324,7 @@
             wait = self.waits.next() / 1000
             self.asking = asyncio.get_running_loop().call_later(wait, self._again)
             return
-        if kind in (ListKind.FULL, ListKind.CACHED):
+        if kind.whole:
             self.ready.clear()
             self.drains.clear()
         for entry in entries:
--- a/millgw/pool/driver.py
+++ b/millgw/pool/driver.py
@@ -147,11 +147,11 @@
                 old.append(self.upstream.point(id, entry.address, entry.endpoint.since))
                 named.add(id)
         gone |= {e.id for e in told} - named
-        if kind in (ListKind.FULL, ListKind.CACHED):
+        if kind.whole:
             gone |= self.ready - named
         drains = {e.id for e in told if e.condition is Condition.DRAINING}
         ended = {e.id for e in told if e.condition is Condition.GONE}
-        before = set() if kind in (ListKind.FULL, ListKind.CACHED) else self.draining
+        before = set() if kind.whole else self.draining
         self.ready = (self.ready | named) - gone
         self.draining = (before | drains) - named - ended
         seen = tuple(told) if self.curtain is None else self.curtain.listed(kind, told)
