A keyed call is not repeated on a connection that comes up after its window

Ruled out: groups (all in one cell), first tries told as never run. At fault: Rules.may_try held the window against the moment of the decision only; between that and the last byte lie a handshake (1.5 s there), the proof of the connection and, with a store, a mark.

Now Send says until when the last byte may leave. The connection looks again before it writes and before the last byte, and ends the attempt as not sent, which counts against no endpoint. Tests on real sockets force a window that ends while the connection comes up, while the last byte is held back and while a mark is written; that of the whole sidecar was seen to fail without the mend. The books of the property tests hold every Send to it.

--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -163,10 +163,16 @@
             return False
         if not self.concurrent and any(a.out for a in request.attempts):
             return False
+        return now <= self.until(request)
+
+    def until(self, request: Request) -> float:
+        """When (ms) the last byte of a further attempt must have left; never, if it may not run again."""
         ran = [a for a in request.attempts if not a.never_ran]
         if not ran or request.cls.repeat is Repeat.SAFE:
-            return True
-        return request.cls.repeat is Repeat.KEYED and now <= ran[0].sent + request.cls.window - self.margin
+            return math.inf
+        if request.cls.repeat is not Repeat.KEYED:
+            return -math.inf
+        return ran[0].sent + request.cls.window - self.margin
 
     @staticmethod
     def may_go_to(request: Request, endpoint: Endpoint) -> bool:
@@ -838,9 +844,10 @@
         else:
             self.flights[key] = attempt
             server.out[attempt] = None
+        until = self.rules.until(request)
         request.attempts.append(attempt)
         server.allowance -= 1
-        self.actions.append(Send(request.id, server.info.id))
+        self.actions.append(Send(request.id, server.info.id, until))
 
     def _serve_held(self, now: float) -> None:
         """Send what is held while there is room: the worthiest first.
--- a/millgw/endpoints/attempt.py
+++ b/millgw/endpoints/attempt.py
@@ -16,6 +16,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Final, Protocol
 
@@ -67,7 +68,8 @@
     """
 
     __slots__ = (
-        "began", "carrier", "connecting", "ended", "intent", "payload", "repeat", "state", "trace", "upload",
+        "began", "carrier", "connecting", "ended", "intent", "payload", "repeat", "state", "trace", "until",
+        "upload",
     )  # fmt: skip
 
     def __init__(
@@ -81,6 +83,7 @@
         trace: bytes = b"",
     ) -> None:
         self.trace = trace  # of its call, for the log
+        self.until = math.inf  # ms, monotonic: its last byte may leave no later
         self.intent = intent
         self.payload = payload
         self.ended = ended
--- a/millgw/endpoints/connection.py
+++ b/millgw/endpoints/connection.py
@@ -145,6 +145,9 @@
         assert self.transport is not None and self.core is not None
         self.core.begin()
         self.attempt, attempt.carrier = attempt, self
+        if now > attempt.until:
+            self._unsent()
+            return
         payload = attempt.payload()
         if attempt.upload is not None:
             self._send_head(attempt, attempt.upload, payload)
@@ -256,6 +259,9 @@
         elif self.last_byte and self.transport.get_write_buffer_size() == 0:
             attempt = self.attempt
             intent = None if attempt is None else attempt.intent
+            if attempt is not None and time.monotonic() * 1000 > attempt.until:
+                self._unsent()
+                return
             if attempt is not None and intent is not None and not self._may_leave(attempt, intent):
                 return
             last, self.last_byte = self.last_byte, b""
@@ -265,6 +271,11 @@
             self.transport.write(last)
             self._written()
 
+    def _unsent(self) -> None:
+        """Its last byte may not leave: its window ended meanwhile, or its mark is not durable."""
+        self.abort()
+        self._finish(Outcome.NOT_SENT)
+
     def _may_leave(self, attempt: Attempt, intent: Intent) -> bool:
         """Whether what must be durable is; else it goes on, or ends unsent, when that is known."""
         durable = intent.durable()
@@ -273,8 +284,7 @@
         elif durable:
             intent.leaves(attempt)
         else:
-            self.abort()
-            self._finish(Outcome.NOT_SENT)
+            self._unsent()
         return durable is True
 
     def _known(self, attempt: Attempt) -> None:
--- a/millgw/interface.py
+++ b/millgw/interface.py
@@ -288,10 +288,15 @@
 
 @dataclass(slots=True)
 class Send:
-    """Start an attempt; it waits for its answer until the client gives up."""
+    """Start an attempt; it waits for its answer until the client gives up.
+
+    Its last byte may leave up to `until` (ms, as the events' clock), and else it ends as NOT_SENT: between
+    this decision and that byte lie a handshake and a proof of the connection.
+    """
 
     request: int
     endpoint: int
+    until: float = math.inf
 
 
 @dataclass(slots=True)
--- a/millgw/pool/driver.py
+++ b/millgw/pool/driver.py
@@ -338,7 +338,7 @@
 
     def _carry_out(self, action: Action) -> None:
         if isinstance(action, Send):
-            self._send(self.calls[action.request], action.endpoint)
+            self._send(self.calls[action.request], action.endpoint, action.until)
         elif isinstance(action, Refuse):
             self._answer(action.request, Answer(REFUSED, retry_after=action.after))
         elif isinstance(action, Fail):
@@ -362,7 +362,7 @@
         self._close(call)
         call.answer(answer)
 
-    def _send(self, call: Call, endpoint: int) -> None:
+    def _send(self, call: Call, endpoint: int, until: float) -> None:
         now, number = self.clock(), call.sends
         call.sends += 1
         if call.gone is not None and call.gone():
@@ -373,6 +373,7 @@
         ended, began = partial(self._ended, call, number), partial(self._began, call, number)
         payload = partial(self._payload, call)
         attempt = Attempt(payload, ended, call.repeat, began, call.upload, call.intent, call.trace)
+        attempt.until = time.monotonic() * 1000 + until - now
         call.out[number] = Flight(endpoint, now, attempt)
         self.upstream.send(endpoint, attempt)
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 
 from millgw.decide import Balancer
@@ -158,8 +159,10 @@
         cls = self.config.classes[request.cls]
         if ran and cls.repeat is Repeat.UNSAFE:
             raise AssertionError("an unsafe request that may have run was sent again")
+        if not ran or cls.repeat is Repeat.SAFE:
+            assert action.until == math.inf, "a wait that ends for nothing"
         if ran and cls.repeat is Repeat.KEYED:
-            assert self.now <= ran[0][1] + cls.window, "resent outside its window"
+            assert self.now <= action.until <= ran[0][1] + cls.window, "resent outside its window"
             if cls.scope is Scope.CELL:
                 cells = {self.known[t[0]].cell for t in ran}
                 assert cells == {self.known[action.endpoint].cell}, "resent outside its group"
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -31,6 +31,7 @@
 from millgw.platform.config import Address
 from millgw.platform.descriptors import Descriptors
 from millgw.platform.discovery import Discovery, Listed, endpoint_id
+from millgw.settings import to_settings
 from millgw.sidecar import __main__ as main_module
 from millgw.standins.http import NEVER_RAN, Message, ServerConnection, ok, status
 from millgw.standins.scripted import (
@@ -42,7 +43,7 @@
     line,
     silent,
 )
-from tests.rig import request, run, services, sidecar, until
+from tests.rig import SETTINGS, request, run, services, sidecar, until
 
 NO_LINGER = struct.pack("ii", 1, 0)
 RETRIED = 0.6  # s in which the module's longest wait between two attempts here (0.25 s) is over
@@ -552,3 +553,79 @@
         upstream.stop()
 
     run(test)
+
+
+# Repeats
+
+
+@pytest.mark.parametrize("when", ["connecting", "held back", "its mark is written"])
+def test_a_repeat_whose_window_ends_before_its_last_byte_leaves_is_not_sent(when: str) -> None:
+    async def test() -> None:
+        endpoint, mark = ScriptedEndpoint("e1"), SlowMark()
+        await endpoint.start()
+        upstream, ended, end = pool_of(endpoint)
+        intent = mark if when == "its mark is written" else None
+
+        def payload() -> bytes:
+            if when == "held back":
+                attempt.until = 0.0
+            return request("write")
+
+        attempt = Attempt(payload, end, Repeat.KEYED, intent=intent)
+        upstream.send(1, attempt)
+        if when == "connecting":
+            attempt.until = 0.0
+        if intent is not None:
+            await until(lambda: mark.then is not None)
+            attempt.until = 0.0
+            mark.known = True
+            assert mark.then is not None
+            mark.then()
+        await until(lambda: bool(ended))
+        assert ended == [Outcome.NOT_SENT] and not mark.left
+        await until(lambda: endpoint.lost_connections == 1)
+        assert not endpoint.got
+        upstream.stop()
+
+    run(test)
+
+
+def test_a_keyed_call_is_not_repeated_on_a_connection_that_comes_up_after_its_window() -> None:
+    """The decision falls into the window, the handshake ends after it: its first try is lost for a second."""
+    classes = [c | {"repeatWindow": 900.0} for c in SETTINGS["classes"]]
+
+    async def test() -> None:
+        late = socket.create_server(("127.0.0.1", 0), backlog=0)
+        blocking = [socket.socket(socket.AF_INET, socket.SOCK_STREAM) for _ in range(3)]
+        for one in blocking:
+            one.setblocking(False)
+            one.connect_ex(late.getsockname())
+        watch: list[asyncio.StreamWriter] = []
+        moved = ScriptedEndpoint("e2", address=Address(*late.getsockname()))
+
+        async def reset(_: Message, endpoint: ScriptedEndpoint) -> None:
+            watch[0].write(STREAM + chunk(line(2, [endpoint.entry("terminating"), moved.entry()])))
+            await watch[0].drain()
+
+        first = ScriptedEndpoint("e1", reset)
+        async with sidecar(first, settings=to_settings(SETTINGS | {"classes": classes})) as rig:
+            watch.append((await rig.discovery.calls.get())[1])
+            asked = asyncio.create_task(rig.ask(request("write", b"body")))
+            await until(lambda: bool(first.got))
+            await asyncio.sleep(RETRIED)  # its handshake is lost by now, and made again after a second
+            late.setblocking(False)
+            loop, own = asyncio.get_running_loop(), {one.getsockname() for one in blocking}
+            while True:  # there is room again: the sidecar's next try comes through
+                connection, peer = await loop.sock_accept(late)
+                if peer not in own:
+                    break
+                connection.close()
+            read = b""
+            while part := await loop.sock_recv(connection, 65536):
+                read += part
+            assert read == b"", "its window was over"
+            assert (await asked).status == 502
+        for one in (*blocking, late, connection):
+            one.close()
+
+    run(test)
