What a silent watch misses counts as told all at once: calls served meanwhile vouch no longer than that

At fault: Discovery.unsure let each served call vouch for 6 s from when it was sent, also one served after the watch fell silent and before the drain (1.0 to 1.6 s, so until 7.6 s).

Now the module keeps when each watch or call fell silent and until when it was taken for one that is on; what served in between vouches until 6 s after the former. Directed tests were seen to fail without the mend; the state machine in virtual time judges by the new terms, with rests between its calls, and did not find the old fault by itself.

--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -93,9 +93,9 @@
 ASK_SILENT = 3.0  # times that, the wait before which the first wait after a silent call is drawn from
 ASK_CROWDED, ASK_CROWDED_PART = 2500.0, 1.0  # least wait after a call that was turned away
 ASK_MOST, ASK_MOST_PART = 10_000.0, 3.0  # longest wait; a failed call keeps the list for four `ask_within`
+AGENT_RETRY, AGENT_MOST = 20.0, 250.0  # where lists are pushed: the own machine's agent answers at no cost
 ASK_AGAIN = 5000.0  # longest silence after a call: over the longest that discovery works before it answers
-TOLD_WITHIN = 6000.0  # ms after which what discovery has to tell counts as told, whether it came or not
-NOTICED_WITHIN = 3000.0  # ms in which a watch that has fallen silent is noticed
+TOLD_WITHIN = 6000.0  # ms after which what a silent watch or call misses counts as told, all at once
 PAIR_PART = 0.5  # of tokens and cold endpoints' allowances for each of two processes of one sidecar
 
 
@@ -516,7 +516,11 @@
 
 
 class Discovery:
-    """Follows the list: subscribes at start, and asks again after a failure or a silence."""
+    """Follows the list: subscribes at start, and asks again after a failure or a silence.
+
+    What a watch or call misses that falls silent counts as told `TOLD_WITHIN` after that, all at once,
+    however late it was made. What changes while none is on counts as told `later` after it was made.
+    """
 
     def __init__(self, settings: Settings, rng: random.Random) -> None:
         self.settings = settings
@@ -530,6 +534,10 @@
         self.wait = 0.0
         self.due = math.inf
         self.soonest = math.inf  # from when on a request for which no endpoint is sure may have it asked
+        self.later = min(TOLD_WITHIN, within) if settings.ask_discovery else TOLD_WITHIN
+        self.alive = -math.inf  # when the last call was made, or last said something
+        self.spoken = False  # whether it has said anything
+        self.silent: list[tuple[float, float]] = []  # those that fell silent: from when on, and until when
 
     def start(self, now: float) -> float:
         self.due = now + self.rng.random() * self.crowd
@@ -537,6 +545,9 @@
 
     def asked(self, now: float) -> float:
         """When to ask again if nothing at all is heard."""
+        if self.spoken:
+            self._fell_silent(now)
+        self.alive, self.spoken = now, False
         self.soonest = math.inf
         self.due = now + ASK_AGAIN
         return self.due
@@ -546,15 +557,29 @@
         # and answers none for as long as they come back at the rate at which it could answer them. A call
         # that is silent may be on a dead connection, and what it misses counts as told `TOLD_WITHIN` after
         # that, of which half has passed: it is made again in the rest of it, but spread over that.
+        spoken, self.spoken = self.spoken, False
+        if spoken or (silent and self.settings.ask_discovery):
+            self._fell_silent(now)
         crowded = self.deaf() and not silent
-        if self.deaf() and silent:
-            self.wait = max(self.wait, ASK_SILENT * self.retry)
-        self.wait = self.backoff.next(self.wait, self.crowded if crowded else self.retry, self.most)
+        if not self.settings.ask_discovery:
+            # What the agent has counts as told while no watch is on, and what it gets when discovery is back.
+            self.wait = 0.0 if spoken else self.backoff.next(self.wait, AGENT_RETRY, AGENT_MOST)
+        else:
+            if self.deaf() and silent:
+                self.wait = max(self.wait, ASK_SILENT * self.retry)
+            self.wait = self.backoff.next(self.wait, self.crowded if crowded else self.retry, self.most)
         self.due = now + self.wait
         self.soonest = now + self.retry if silent else math.inf
         return self.due
 
-    def heard(self) -> None:
+    def _fell_silent(self, now: float) -> None:
+        self.silent.append((self.alive, now))
+        while len(self.silent) > 1 and now > self.silent[1][0] + TOLD_WITHIN:
+            del self.silent[0]  # the next one says the same of all that this one speaks of
+
+    def heard(self, now: float) -> None:
+        self.alive, self.spoken = now, True
+        self.silent.clear()
         self.wait = 0.0
         self.due = math.inf
         self.soonest = math.inf
@@ -573,7 +598,12 @@
         An endpoint that took a call, and served it, did not drain then: it is safe until a later drain would
         count as told. One that turned a call away is not, as draining endpoints do so.
         """
-        return self.deaf() and now > server.sure_at + TOLD_WITHIN
+        if not self.deaf():
+            return False
+        for alive, until in self.silent:
+            if server.sure_at < until:
+                return now > alive + TOLD_WITHIN or server.sure_at == -math.inf
+        return now > server.sure_at + self.later
 
 
 def _numbers(row: object, count: int) -> list[float]:
@@ -987,13 +1017,10 @@
 
     def _list(self, now: float, event: EndpointList) -> None:
         if event.kind is ListKind.FAILED or event.kind is ListKind.SILENT:
-            if not self.discovery.deaf():
-                for server in self.servers.values():
-                    server.sure_at = max(server.sure_at, now - NOTICED_WITHIN)
             self._set_timer(self.discovery.failed(now, event.kind is ListKind.SILENT), None)
             return
         if event.kind not in (ListKind.CACHED, ListKind.PART):
-            self.discovery.heard()
+            self.discovery.heard(now)
             for server in self.servers.values():
                 server.sure_at = now
         if event.kind is ListKind.DELTA and not event.endpoints:
--- a/millgw/platform/discovery.py
+++ b/millgw/platform/discovery.py
@@ -15,11 +15,12 @@
 from millgw.events import tell
 from millgw.interface import Condition, Endpoint, ListKind
 from millgw.message import waiting
-from millgw.platform.config import Address, read_address
+from millgw.platform.config import Address, Config, read_address
 from millgw.settings import number
 
 SILENCE = 2.6  # s without a line after which a watch has failed: heartbeats come every 2 s
 FIRST_LINE = 3.0  # s until its first line: calls are worked through in turn, and turned away after some 2 s
+AGENT_LINE = 0.2  # s for the same where lists are pushed: an agent on this machine answers at once
 LEAVING = 6.0  # s that a watch is still read after a move: what it tells by then counts as told
 MAX_LINE = 8 * 1024 * 1024  # bytes of one line, far above the list of any fleet
 CONDITIONS = {
@@ -115,8 +116,11 @@
 class Discovery:
     """The list as last heard, and the watch that is on, if any. When to ask is the balancer's decision."""
 
-    def __init__(self, address: Address, zones: tuple[str, ...], heard: Heard) -> None:
+    def __init__(
+        self, address: Address, zones: tuple[str, ...], heard: Heard, first_line: float = FIRST_LINE
+    ) -> None:
         self.address = address
+        self.first_line = first_line
         self.zones = zones
         self.heard = heard
         self.index: int | None = None
@@ -150,7 +154,7 @@
             before, self.watch = self.watch, None
             before.leave()
         self.watch = Watch(self)
-        self.watch.expect(FIRST_LINE)
+        self.watch.expect(self.first_line)
         self.asking = asyncio.get_running_loop().create_task(self._connect(self.watch))
 
     def stop(self) -> None:
@@ -219,6 +223,12 @@
         self.heard(kind, ())
 
 
+def of_platform(config: Config, heard: Heard) -> Discovery:
+    """The platform's own: a service for all sidecars, or where lists are pushed an agent on this machine."""
+    first_line = FIRST_LINE if config.settings.ask_discovery else AGENT_LINE
+    return Discovery(config.discovery, config.zones, heard, first_line)
+
+
 class Watch(asyncio.Protocol):
     """One watch: an answer that stays open, cut into lines wherever the reads fall."""
 
--- a/millgw/services/parts.py
+++ b/millgw/services/parts.py
@@ -12,7 +12,7 @@
 from millgw.membership.servers import read_connect
 from millgw.operator.file import Coordinator, Directory, Operator, Service
 from millgw.platform.config import Config, ConfigError, read_address
-from millgw.platform.discovery import Discovery, Heard, Listed, read_listing
+from millgw.platform.discovery import Discovery, Heard, Listed, of_platform, read_listing
 from millgw.pool.pool import Pool, Source, Witness
 from millgw.settings import to_settings
 
@@ -80,7 +80,7 @@
     if service.coordinator is not None:
         return _coordinated(service, service.coordinator, config, pool_seed(config.seed, name))
     if service.discovery is None:
-        return lambda heard, _: Discovery(config.discovery, config.zones, heard)
+        return lambda heard, _: of_platform(config, heard)
     address = read_address(service.discovery)
     return lambda heard, _: OwnDiscovery(Discovery(address, config.zones, heard))
 
--- a/millgw/sidecar/parts.py
+++ b/millgw/sidecar/parts.py
@@ -14,7 +14,7 @@
 from millgw.life import Life
 from millgw.platform.config import Config, ConfigError, read_config
 from millgw.platform.descriptors import Descriptors
-from millgw.platform.discovery import Discovery
+from millgw.platform.discovery import Discovery, of_platform
 from millgw.pool.pool import Pool
 from millgw.pool.share import ANSWERS, BODIES, BODIES_PART, CALLS, CONNECTIONS, Whole
 
@@ -58,7 +58,7 @@
     )
     pool = Pool(
         "", config, config.seed, descriptors, whole,
-        lambda heard, _: Discovery(config.discovery, config.zones, heard),
+        lambda heard, _: of_platform(config, heard),
     )  # fmt: skip
     if tend is not None:
         tend(pool)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -21,7 +21,7 @@
 
 import pytest
 
-from millgw import events
+from millgw import decide, events
 from millgw.endpoints.attempt import Attempt
 from millgw.endpoints.upstream import Upstream
 from millgw.interface import Condition, ListKind, Outcome, Repeat
@@ -170,6 +170,29 @@
     run(test)
 
 
+def test_an_agent_that_lists_are_pushed_to_is_asked_again_without_a_wait() -> None:
+    """It is silent while discovery is down; what it has, and what it gets then, counts as told at once."""
+    pushed = to_settings(SETTINGS | {"registryMode": "pushed"})
+
+    async def test() -> None:
+        one = ScriptedEndpoint("e1")
+        async with sidecar(one, settings=pushed) as rig:
+            async with asyncio.timeout(discovery_module.FIRST_LINE):
+                for _ in range(4):  # each of them silent
+                    _, writer = await rig.discovery.calls.get()
+            writer.write(STREAM + chunk(line(1, [one.entry()])))
+            await writer.drain()
+            async with asyncio.timeout(5 * decide.ASK_RETRY / 1000):  # shorter than five waits for a service
+                for index in range(5):
+                    await asyncio.sleep(0)
+                    writer.transport.abort()
+                    _, writer = await rig.discovery.calls.get()
+                    writer.write(STREAM + chunk(line(2 + index, [one.entry()])))
+                    await writer.drain()
+
+    run(test)
+
+
 # Callers that leave
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -100,7 +100,7 @@
 def test_a_watch_that_breaks_is_asked_for_again_sooner_than_a_call_that_was_not_answered() -> None:
     for seed in range(20):
         discovery = Balancer(settings(), seed).discovery
-        discovery.heard()
+        discovery.heard(0.0)
         broken = discovery.failed(0.0)
         unanswered = discovery.failed(0.0)
         assert broken <= 900.0 and unanswered >= 2500.0
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -1,7 +1,8 @@
 """The list in virtual time: drains, silences, breaks, moves and returns in any order, any `ask_within`.
 
-Held to: what a watch says counts at once, and what discovery has to tell 6 s later at the latest, whether it
-came or not (protocol page, Figures). An endpoint that drains turns calls away from then on.
+Held to: what a watch says counts at once. What a watch or call misses that has fallen silent counts as told
+6 s after it fell silent, all at once; what changes while there is none, 6 s or `ask_within` after that.
+An endpoint that drains turns calls away from then on.
 """
 
 from __future__ import annotations
@@ -38,18 +39,21 @@
         self.served = dict.fromkeys(IDS, -math.inf)
         self.mode = "answers"
         self.on = False
-        self.silent_since = math.inf
+        self.heartbeat = -math.inf  # when the last line came
+        self.later = min(TOLD_WITHIN, ask_within)
+        self.silent: list[tuple[float, float, float]] = []  # the last line, from when on and until when
         self.due: tuple[float, str] | None = None  # what comes of the call that is made
         self.asked: list[float] = []
         self.drive.show(*map(Endpoint, IDS), kind=ListKind.CACHED)
-        self.vouched = self.drive.now  # when all were last known
 
     def list_now(self) -> None:
         self.told = set(self.draining)
-        self.vouched = self.drive.now
+        self.silent.clear()
         self.feed(ListKind.FULL, *(Endpoint(id) for id in IDS if id not in self.draining))
 
     def feed(self, kind: ListKind, *entries: Endpoint) -> None:
+        if kind not in (ListKind.FAILED, ListKind.SILENT, ListKind.PART):
+            self.heartbeat = self.drive.now
         self.drive.feed(EndpointList(kind, entries))
 
     def step(self, name: str, value: float) -> None:
@@ -65,8 +69,9 @@
             if self.on:
                 self.feed(ListKind.DELTA, Endpoint(id))
         elif name == "silence" and self.on:
-            self.on, self.silent_since = False, now
-            self.due = (now + NOTICED, "silent")
+            self.on = False
+            self.silent.append((self.heartbeat, now, math.inf))
+            self.due = (self.heartbeat + NOTICED, "silent")
         elif name == "break" and self.on:
             self.on = False
             self.feed(ListKind.FAILED)
@@ -76,10 +81,10 @@
             self.feed(ListKind.PART, Endpoint(id, Condition.DRAINING))
         elif name in ("answers", "fails", "hangs"):
             self.mode = name
-        elif name == "wait":
-            self.wait(value)
+        elif name in ("wait", "rest"):
+            self.wait(value, calls=name == "wait")
 
-    def wait(self, ms: float) -> None:
+    def wait(self, ms: float, calls: bool = True) -> None:
         end = self.drive.now + ms
         while self.drive.now < end:
             self.drive.advance(self.drive.now + TICK)
@@ -87,18 +92,43 @@
                 self.on = False
                 self.asked.append(self.drive.now)
                 times = {"answers": 300.0, "fails": TURNED_AWAY, "hangs": FIRST_LINE}
+                self.close()
+                if self.mode == "hangs":
+                    self.silent.append((self.drive.now, self.drive.now, math.inf))
                 self.due = (self.drive.now + times[self.mode], self.mode)
             if self.due is not None and self.drive.now >= self.due[0]:
                 _, what = self.due
                 self.due = None
                 if what == "answers":
-                    self.on, self.silent_since = True, math.inf
+                    self.on = True
                     self.list_now()
                 else:
+                    self.close()
                     self.feed(ListKind.FAILED if what == "fails" else ListKind.SILENT)
-            if self.on:
-                self.vouched = self.drive.now
-            self.call()
+            if self.on and self.drive.now >= self.heartbeat + HEARTBEAT:
+                self.feed(ListKind.DELTA)
+            if calls:
+                self.call()
+
+    def close(self) -> None:
+        """The silent watch or call, if there is one, is given up."""
+        if self.silent and self.silent[-1][2] == math.inf:
+            self.silent[-1] = (*self.silent[-1][:2], self.drive.now)
+
+    def counts(self, drained: float) -> float:
+        """From when on a drain counts as told that nothing was heard of."""
+        for _, since, until in self.silent:
+            if since <= drained < until:
+                return max(drained, since + TOLD_WITHIN)
+        return drained + self.later
+
+    def vouched(self, id: int) -> bool:
+        """Whether an endpoint is safe by what a sidecar knows: nothing was said since the last line."""
+        served = self.served[id]
+        for line, _, until in self.silent:
+            if served <= until:
+                return self.drive.now < line + TOLD_WITHIN
+        return self.drive.now < served + self.later
 
     def call(self) -> None:
         """One request, answered at once by whom it comes to."""
@@ -120,17 +150,18 @@
         now = self.drive.now
         assert endpoint not in self.told, "told, and sent to"
         since = self.draining.get(endpoint)
-        if since is None or now <= since + TOLD_WITHIN + GRACE:
+        if since is None or now <= self.counts(since) + GRACE:
             return
-        lately = [id for id in IDS if self.served[id] > now - TOLD_WITHIN + TICK and id not in self.told]
-        assert not lately, f"{endpoint} counts as told, and {lately} served a moment ago"
+        safe = [id for id in IDS if id not in self.draining and self.vouched(id)]
+        assert not safe, f"{endpoint} counts as told, and {safe} served a moment ago"
 
 
 STEPS = st.lists(
     st.tuples(
         st.sampled_from(
             ["drain", "drain", "return", "silence", "silence", "break", "part", "answers", "fails", "hangs"]
-            + ["wait"] * 8
+            + ["wait"] * 6
+            + ["rest"] * 4
         ),
         st.floats(0, 9000),
     ),
@@ -212,6 +243,58 @@
     assert not [a for _, a in drive.log if isinstance(a, Send) and a.endpoint != last]
 
 
+def served_by(drive: Drive, wanted: int) -> None:
+    """Calls until this endpoint has served one; nobody waits for those that go elsewhere."""
+    while True:
+        request = drive.arrive(SAFE)
+        if drive.sent_to(request) == [wanted]:
+            drive.outcome(request, 0, Outcome.OK)
+            return
+        drive.abort(request)
+
+
+def test_what_served_while_a_watch_was_silent_is_vouched_for_until_its_silence_is_told_of() -> None:
+    """It may have begun to drain a moment after, and that counts as told 6 s after the watch fell silent."""
+    drive = Drive(settings(stage=1), 1)
+    drive.show(*map(Endpoint, IDS))
+    fell = drive.now
+    drive.advance(fell + 1500.0)
+    for id in IDS:
+        served_by(drive, id)
+    drive.advance(fell + NOTICED)
+    drive.feed(EndpointList(ListKind.SILENT))
+    drive.advance(fell + NOTICED + 100.0)
+    served_by(drive, 2)
+    drive.advance(fell + TOLD_WITHIN + GRACE)
+    for _ in range(40):
+        request = drive.arrive(SAFE)
+        assert drive.sent_to(request) == [2], "it served when nobody took the watch for one that is on"
+        drive.abort(request)
+
+
+def test_what_is_vouched_for_without_a_watch_counts_as_told_when_discovery_has_to_be_asked() -> None:
+    drive = Drive(settings(stage=1, ask_within=2000.0), 1)
+    drive.show(*map(Endpoint, IDS))
+    drive.feed(EndpointList(ListKind.FAILED))
+    drive.advance(drive.now + 1000.0)
+    served_by(drive, 3)
+    assert not drive.balancer.discovery.unsure(drive.now + 2000.0, drive.balancer.servers[3])
+    assert drive.balancer.discovery.unsure(drive.now + 2001.0, drive.balancer.servers[3])
+
+
+def test_where_lists_are_pushed_the_agent_is_asked_at_once_and_soon_again() -> None:
+    """What it has counts as told while no watch is on, and what it gets when discovery is back."""
+    drive = Drive(settings(ask_discovery=False), 1)
+    drive.show(*map(Endpoint, IDS))
+    for nth, kind in enumerate([ListKind.FAILED, ListKind.FAILED, ListKind.SILENT, ListKind.SILENT] * 10):
+        before = len(drive.log)
+        failed = drive.now
+        drive.feed(EndpointList(kind))
+        while not any(isinstance(a, Subscribe) for _, a in drive.log[before:]):
+            drive.advance(drive.now + 1.0)
+        assert drive.now - failed <= (1.0 + drive.config.tick if nth == 0 else 251.0 + drive.config.tick)
+
+
 def test_a_part_is_no_sign_that_discovery_is_heard() -> None:
     drive = Drive(settings(), 1)
     drive.show(*map(Endpoint, IDS))
