Store: a compaction syncs as it goes and counts what is dead beside it; recovery holds one file at a time

Now it syncs each MB and counts nothing. What was written beside it counted as standing, dead records too, so the next one came late; the log's own count is held to what a recovery finds. Recovery read all files before it looked at any. Tests seen to fail without each.

--- a/millgw/store/files.py
+++ b/millgw/store/files.py
@@ -7,6 +7,7 @@
 
 import fcntl
 import os
+from collections.abc import Iterator, Mapping
 from pathlib import Path
 from typing import Protocol
 
@@ -56,6 +57,28 @@
     def close(self) -> None: ...
 
 
+class Directory(Mapping[str, bytes]):
+    """What a directory's files hold, by name: each is read when it is asked for, they are never all held."""
+
+    def __init__(self, files: Files) -> None:
+        self.files = files
+        self.listed = files.names()
+
+    def __getitem__(self, name: str) -> bytes:
+        if name not in self.listed:
+            raise KeyError(name)
+        return self.files.read(name)
+
+    def __contains__(self, name: object) -> bool:
+        return name in self.listed
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self.listed)
+
+    def __len__(self) -> int:
+        return len(self.listed)
+
+
 class RealHandle:
     def __init__(self, path: Path, flags: int) -> None:
         self.fd = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | flags, 0o600)
--- a/millgw/store/store.py
+++ b/millgw/store/store.py
@@ -18,7 +18,7 @@
 from enum import Enum
 
 from millgw.store import mark as marks
-from millgw.store.files import Files, Handle
+from millgw.store.files import Directory, Files, Handle
 from millgw.store.mark import Mark
 from millgw.store.record import DELETE, END, PUT, FormatError, Header, Record, word, word_header
 from millgw.store.recovery import Found, look, name_of
@@ -27,6 +27,7 @@
 DEAD_MOST = 0.5  # of the log's records that may be dead before compaction is worth its while
 DEAD_LEAST = 1000  # records under which it is not
 STEP = 64 * 1024  # bytes that one step of a compaction writes
+SYNCED = 1024 * 1024  # bytes of it that wait for a sync at the most: one for all would hold up an append
 
 
 class StoreError(OSError):
@@ -175,7 +176,7 @@
     @staticmethod
     def _look(files: Files) -> Found:
         try:
-            return look({name: files.read(name) for name in files.names()})
+            return look(Directory(files))
         except FormatError as error:
             raise StoreError(str(error)) from error
         except OSError as error:
@@ -345,7 +346,9 @@
         self.last = store.last
         self.rest = iter([*store.index.items()])  # of this moment: what comes later is in later segments
         self.header = Header(store.store, upto, 1, store.turn, 1)
+        self.before = store.records
         self.count = 0
+        self.unsynced = 0
         self.handles = [files.create(MAKING) for files in store.mirrors]
         for handle in self.handles:
             handle.write(word_header(self.header))
@@ -360,9 +363,14 @@
                 break
         self.count += len(parts)
         data = b"".join(parts)
+        self.unsynced += len(data)
         for handle in self.handles:
             if data:
                 handle.write(data)
+            if self.unsynced >= SYNCED:
+                handle.sync()
+        if self.unsynced >= SYNCED:
+            self.unsynced = 0
         if size >= budget:
             return False
         self._finish()
@@ -386,4 +394,4 @@
                 if name != keep and name.startswith("seg-") and int(name[4:12]) <= self.header.number:
                     files.remove(name)
             files.sync_names()
-        store.records = self.count + sum(1 for e in store.index.values() if e.seq > self.last)
+        store.records += self.count - self.before
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -18,8 +18,9 @@
 from hypothesis import strategies as st
 
 from millgw.store import mark as marks
+from millgw.store import store as store_module
 from millgw.store.faulty import Crash, FaultyFiles, Inode, mirrored
-from millgw.store.files import Locked, RealFiles
+from millgw.store.files import Directory, Locked, RealFiles
 from millgw.store.record import (
     HEADER_SIZE,
     PUT,
@@ -31,6 +32,7 @@
     word,
     word_header,
 )
+from millgw.store.recovery import look
 from millgw.store.store import (
     Item,
     Options,
@@ -317,6 +319,48 @@
             assert (store.standing(k) is Standing.SENT) is alive
 
 
+@pytest.mark.parametrize("mirrors", [1, 2])
+def test_what_is_written_beside_a_compaction_counts_in_when_the_next_one_is_due(mirrors: int) -> None:
+    """Dead records among it too: by what stands alone the log would grow on."""
+    disks, at = mirrored(1, mirrors), Time()
+    store = opened(disks, at)
+    for i in range(20):
+        store.append([Item(b"old-%d" % i)])
+    while not store.compact(40):
+        store.append([Item(b"again", b"%d" % store.last), Item(b"gone"), Item(b"gone", None)])
+    counted = store.records
+    store.close()
+    assert counted == opened(disks, at).records > len(store.index)
+
+
+def test_a_compaction_never_leaves_much_to_its_last_sync(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Seen: an append waited for all of it."""
+    monkeypatch.setattr(store_module, "SYNCED", 500)
+    disks = mirrored(1, 1)
+    store = opened(disks)
+    for i in range(100):
+        store.append([Item(b"key-%d" % i, bytes(100))])
+    while not store.compact(100):
+        making = disks[0].now[store_module.MAKING]
+        assert len(making.now) - len(making.durable) < 500 + 250, "a step, and a record more"
+
+
+def test_recovery_holds_one_file_at_a_time() -> None:
+    disks, keys = filled(20, compact=False)
+    read: list[str] = []
+    whole = disks[0].read
+
+    def once(name: str) -> bytes:
+        read.append(name)
+        return whole(name)
+
+    disks[0].read = once  # type: ignore[method-assign]
+    directory = Directory(disks[0])
+    assert not read, "nothing is read before it is asked for"
+    found = look(directory)
+    assert {r.key for r in found.records} >= keys and len(read) == len(set(read)) == 5
+
+
 @given(st.binary(max_size=400), st.integers(0, 400))
 def test_no_bytes_make_the_readers_fall_over(noise: bytes, at: int) -> None:
     whole = word_header(Header(b"s" * 16, 1, 1, 0, 1)) + b"".join(
