A second connection is tried where the first is late; one that is given back goes to whoever waits

At fault: Upstream.connect bound an attempt to its one connection, however long that took, also while another one came free.

Now a second one is tried after a fifth of the time for connecting, one at a time for an endpoint; whichever is up first carries the attempt, the other is kept for the next. An attempt that waits takes a connection that is given back. Tests lose handshakes in the kernel, on order; each was seen to fail without its part.

--- a/millgw/connections/tended.py
+++ b/millgw/connections/tended.py
@@ -300,7 +300,7 @@
 
     def _wait(self, kept: Kept, attempt: Attempt, now: float) -> None:
         kept.waiting.append((attempt, now + self.terms.wait))
-        kept.host.connecting.add(attempt)  # a drain ends it there
+        kept.host.connecting[attempt] = None  # a drain ends it there
 
     def _serve_soon(self, kept: Kept) -> None:
         """In the next turn: what is going on has not come to its end yet."""
@@ -317,7 +317,7 @@
             attempt, until = kept.waiting[0]
             if attempt.given_up:
                 kept.waiting.popleft()
-                kept.host.connecting.discard(attempt)
+                kept.host.connecting.pop(attempt, None)
                 continue
             if self._reuse(kept, attempt, now):
                 self._leaves(kept, attempt)
@@ -347,7 +347,7 @@
         """Guards against one that is taken twice: what it is told may bring another call here at once."""
         if kept.waiting and kept.waiting[0][0] is attempt:
             kept.waiting.popleft()
-        kept.host.connecting.discard(attempt)
+        kept.host.connecting.pop(attempt, None)
 
     def _full(self) -> bool:
         room = self.upstream.room
--- a/millgw/endpoints/attempt.py
+++ b/millgw/endpoints/attempt.py
@@ -68,7 +68,7 @@
     """
 
     __slots__ = (
-        "began", "carrier", "connecting", "ended", "intent", "payload", "repeat", "state", "trace", "until",
+        "began", "carrier", "dials", "ended", "intent", "payload", "repeat", "state", "trace", "until",
         "upload",
     )  # fmt: skip
 
@@ -91,7 +91,7 @@
         self.upload = upload  # the body that follows the payload, where that is passed on as it comes
         self.repeat = repeat
         self.state = CONNECTING
-        self.connecting: asyncio.Task[bool] | None = None
+        self.dials: tuple[asyncio.Task[bool], ...] = ()  # that are under way for it
         self.carrier: Carrier | None = None
 
     @property
@@ -120,6 +120,10 @@
         carrier, self.carrier = self.carrier, None
         if carrier is not None:
             carrier.leave()
-        elif self.connecting is not None:
-            self.connecting.cancel()
+        self.hang_up()
         return written
+
+    def hang_up(self) -> None:
+        """Make no more connections for it."""
+        for dial in self.dials:
+            dial.cancel()
--- a/millgw/endpoints/connection.py
+++ b/millgw/endpoints/connection.py
@@ -44,7 +44,7 @@
         self.since = since
         self.used = True
         self.idle: list[Connection] = []  # the last used at the end, which goes first
-        self.connecting: set[Attempt] = set()
+        self.connecting: dict[Attempt, None] = {}  # attempts that wait for a connection, the oldest first
         self.proof = Proof()
         self.missed = -math.inf
         self.broken = -math.inf
@@ -363,6 +363,9 @@
             self.attempt = None
             self.abort()
             return
+        if attempt is not None and attempt.state != CONNECTING:
+            self.attempt = attempt = None  # it went on another one meanwhile: this one is for the next
+            self.ahead = True
         # Only now: a connection that never comes up has no end at which the cycle could be broken.
         self.core = AnswerCore(self.most_body)
         self.poll = watcher(transport)
@@ -372,7 +375,7 @@
             self.reused, self.idle_since = True, self.opened
         self.home.came_up(self)
         if attempt is not None:
-            self.host.connecting.discard(attempt)
+            self.host.connecting.pop(attempt, None)
             self.send(attempt, self.opened)
 
     def pause_writing(self) -> None:
--- a/millgw/endpoints/upstream.py
+++ b/millgw/endpoints/upstream.py
@@ -9,7 +9,7 @@
 from functools import partial
 from typing import Protocol, cast
 
-from millgw.endpoints.attempt import Attempt
+from millgw.endpoints.attempt import CONNECTING, Attempt
 from millgw.endpoints.connection import Connection, Host, Lanes
 from millgw.endpoints.proof import DOUBT_TIME, REST
 from millgw.events import Bound
@@ -22,6 +22,7 @@
 ANSWERS_PART = 1 / 8  # of the memory, for all answers that are coming in
 IDLE_PART = 0.5  # of the endpoint's idle time, after which a kept connection is not used: it may be closing
 SWEEP = 1.0  # s between two looks for connections that have been idle too long
+LATE_PART = 0.2  # of the time for connecting, after which a connection is late: a handshake takes far less
 
 
 class Room(Protocol):
@@ -148,9 +149,8 @@
         host.used = False
         self._close_idle(host)
         for attempt in list(host.connecting):
-            host.connecting.discard(attempt)
-            if attempt.connecting is not None:
-                attempt.connecting.cancel()
+            del host.connecting[attempt]
+            attempt.hang_up()
             attempt.end(Outcome.CONNECT_FAILED, NOTHING)
         if self.tending is not None:
             self.tending.close(host)
@@ -194,15 +194,22 @@
         if self.tending is not None:
             self.tending.send(endpoint, host, attempt, now)
             return
+        connection = self._idle(host, now)
+        if connection is not None:
+            connection.send(attempt, now)
+        else:
+            self.connect(host, attempt)
+
+    def _idle(self, host: Host, now: float) -> Connection | None:
+        """A kept connection that may be used, no longer kept."""
         while host.idle:
             connection = host.idle.pop(rested(host.idle, now))
             # Guards against the endpoint's own idle time: what is written to a connection that it is about
             # to close ends as a reset, and may have run.
             if connection.idle_since > now - self.idle_for and connection.usable():
-                connection.send(attempt, now)
-                return
+                return connection
             connection.abort()
-        self.connect(host, attempt)
+        return None
 
     def strayed(self) -> None:
         """Something came behind an answer, where nothing was asked: the next may do so as well."""
@@ -224,10 +231,22 @@
             self.log.tell("no-descriptor", endpoint=host.address)
             attempt.end(Outcome.NOT_SENT, NOTHING)
             return False
-        host.connecting.add(attempt)
-        attempt.connecting = self._start(host, attempt)
+        host.connecting[attempt] = None
+        attempt.dials += (self._start(host, attempt),)
+        if self.tending is None:
+            self.loop.call_later(LATE_PART * self.connect_timeout, self._dial_again, host, attempt)
         return True
 
+    def _dial_again(self, host: Host, attempt: Attempt) -> None:
+        """Try a second connection where the first is late; whichever is up first carries the attempt.
+
+        Guards against a handshake whose packet was lost: late by a second, it takes the attempt with it.
+        One at a time for an endpoint: one that is crowded is not to be met by twice the handshakes.
+        """
+        waits = attempt in host.connecting and attempt.state == CONNECTING and bool(attempt.dials)
+        if waits and host.used and not self.room.full() and all(len(a.dials) < 2 for a in host.connecting):
+            attempt.dials += (self._start(host, attempt),)
+
     def open_ahead(self, host: Host) -> None:
         """Open a connection that no attempt waits for."""
         self._start(host, None)
@@ -235,37 +254,39 @@
     def _start(self, host: Host, attempt: Attempt | None) -> asyncio.Task[bool]:
         task = self.loop.create_task(self._connect(host, attempt))
         self.tasks.add(task)
-        task.add_done_callback(partial(self._tried, host))
+        task.add_done_callback(partial(self._tried, host, attempt))
         return task
 
-    def _tried(self, host: Host, task: asyncio.Task[bool]) -> None:
+    def _tried(self, host: Host, attempt: Attempt | None, task: asyncio.Task[bool]) -> None:
         """A handshake is over: told here, as a task cancelled before its first step runs no `finally`."""
         self.tasks.discard(task)
+        missed = not task.cancelled() and task.exception() is None and task.result()
+        if attempt is not None:
+            # Guards also against a cycle through the task's traceback.
+            attempt.dials = tuple(dial for dial in attempt.dials if dial is not task)
+            if not attempt.dials:
+                host.connecting.pop(attempt, None)
+                if missed and attempt.state == CONNECTING:
+                    attempt.end(Outcome.CONNECT_FAILED, NOTHING)
         if self.tending is not None:
-            missed = not task.cancelled() and task.exception() is None and task.result()
             self.tending.tried(host, missed)
 
     async def _connect(self, host: Host, attempt: Attempt | None) -> bool:
         """Tells whether the connection did not come up."""
-        missed = False
         made = cast(asyncio.Protocol, Connection(self, host, attempt, self.most_body))
         try:
             async with asyncio.timeout(self.connect_timeout):
                 await self.loop.create_connection(lambda: made, host.address.host, host.address.port)
         except OSError:  # refused, or not up in time
-            missed = True
             host.missed = host.broken = time.monotonic() * 1000
-        finally:
-            if attempt is not None:
-                host.connecting.discard(attempt)
-                attempt.connecting = None  # guards against a cycle through the task's traceback
-        if missed and attempt is not None:
-            attempt.end(Outcome.CONNECT_FAILED, NOTHING)
-        return missed
+            return True
+        return False
 
     def came_up(self, connection: Connection) -> None:
         if self.tending is not None:
             self.tending.up(connection)
+        elif connection.attempt is None:
+            connection.host.idle.append(connection)
 
     def keep(self, connection: Connection) -> None:
         """Keep a connection for the next attempt, unless its endpoint is no longer in use."""
@@ -273,9 +294,21 @@
             self.tending.keep(connection)
         elif connection.host.used:
             connection.host.idle.append(connection)
+            if connection.host.connecting:
+                # Not now: what its answer causes comes first, and may be sent on it.
+                self.loop.call_soon(self._hand_over, connection.host)
         else:
             connection.abort()
 
+    def _hand_over(self, host: Host) -> None:
+        """An attempt that waits for a connection need not, as another one has given one back."""
+        for attempt in [a for a in host.connecting if a.state == CONNECTING]:
+            connection = self._idle(host, time.monotonic() * 1000)
+            if connection is None:
+                return
+            del host.connecting[attempt]
+            connection.send(attempt, time.monotonic() * 1000)
+
     def lost(self, connection: Connection) -> None:
         self.open -= 1
         idle = connection in connection.host.idle
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,7 +16,7 @@
 import sys
 import time
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from pathlib import Path
 
 import pytest
@@ -85,6 +85,60 @@
         made.discovery.stop()
 
 
+class Lossy:
+    """An address at which handshakes are lost until `heal`: the kernel drops them while its queue is full.
+
+    The other side's kernel makes each lost one again after a second.
+    """
+
+    def __init__(self) -> None:
+        self.socket = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.socket.setblocking(False)
+        self.address = Address(*self.socket.getsockname())
+        self.filling = [socket.socket(socket.AF_INET, socket.SOCK_STREAM) for _ in range(3)]
+        for one in self.filling:
+            one.setblocking(False)
+            one.connect_ex(self.socket.getsockname())
+        self.accepted: list[socket.socket] = []
+
+    def heal(self) -> None:
+        """There is room: what comes from now on is taken."""
+        for one in self.filling:
+            one.close()
+        with suppress(BlockingIOError):
+            while True:
+                self.socket.accept()[0].close()
+        self.socket.listen(64)
+
+    async def accept(self) -> socket.socket:
+        """The next connection that comes up."""
+        connection, _ = await asyncio.get_running_loop().sock_accept(self.socket)
+        self.accepted.append(connection)
+        return connection
+
+    async def read(self, connection: socket.socket, least: int = 1 << 30) -> bytes:
+        """What comes on it, so many bytes or to its end."""
+        read = b""
+        while len(read) < least and (part := await asyncio.get_running_loop().sock_recv(connection, 65536)):
+            read += part
+        return read
+
+    async def serve(self, connection: socket.socket) -> None:
+        """Answer its next request."""
+        await self.read(connection, 1)
+        await asyncio.get_running_loop().sock_sendall(connection, ok())
+
+
+@contextmanager
+def lossy() -> Iterator[Lossy]:
+    made = Lossy()
+    try:
+        yield made
+    finally:
+        for one in (*made.filling, *made.accepted, made.socket):
+            one.close()
+
+
 E1, E2 = ScriptedEndpoint("e1"), ScriptedEndpoint("e2")
 DRAIN = line(2, [E1.entry("terminating")])
 
@@ -578,6 +632,93 @@
     run(test)
 
 
+# Connections that come up late
+
+# ms for connecting here: a second connection is tried after a fifth of it, a lost handshake after 1 s
+ENDS, LASTS = 500.0, 1500.0
+
+
+def at_lossy(late: Lossy, connecting: float = LASTS) -> tuple[Upstream, list[Outcome], Attempt]:
+    """Connections to it, an attempt under way there, and its outcome."""
+    upstream = Upstream(NoRoom(), connecting, 60_000.0, 2.0**26)
+    upstream.point(1, late.address)
+    ended: list[Outcome] = []
+    attempt = Attempt(lambda: request("read"), lambda outcome, _: ended.append(outcome), Repeat.SAFE)
+    upstream.send(1, attempt)
+    return upstream, ended, attempt
+
+
+def test_an_attempt_goes_on_a_second_connection_where_the_first_is_late() -> None:
+    async def test() -> None:
+        with lossy() as late:
+            upstream, ended, attempt = at_lossy(late)
+            (first,) = attempt.dials
+            await asyncio.sleep(0.1)  # lost by now
+            late.heal()
+            connection = await late.accept()
+            assert first in attempt.dials and len(attempt.dials) <= 2 and not first.done()
+            second = asyncio.create_task(late.accept())  # the first, made again: it is for the next attempt
+            await late.read(connection, 1)
+            await second
+            await until(lambda: bool(upstream.hosts[1].idle) and not attempt.dials)
+            assert upstream.open == 2 and not ended
+            await asyncio.get_running_loop().sock_sendall(connection, ok())
+            await until(lambda: bool(ended))
+            assert ended == [Outcome.OK] and len(upstream.hosts[1].idle) == 2
+            upstream.stop()
+
+    run(test)
+
+
+def test_an_attempt_that_waits_for_a_connection_takes_one_that_is_given_back() -> None:
+    async def test() -> None:
+        with lossy() as late:
+            late.heal()
+            upstream, ended, _ = at_lossy(late)
+            busy = await late.accept()
+            await late.read(busy, 1)
+            late.socket.listen(0)
+            late.filling = [socket.socket(socket.AF_INET, socket.SOCK_STREAM) for _ in range(3)]
+            for one in late.filling:
+                one.setblocking(False)
+                one.connect_ex(late.socket.getsockname())
+            waiting = Attempt(lambda: request("read"), lambda outcome, _: ended.append(outcome), Repeat.SAFE)
+            upstream.send(1, waiting)
+            await asyncio.sleep(0.05)
+            assert waiting.dials and waiting in upstream.hosts[1].connecting
+            await asyncio.get_running_loop().sock_sendall(busy, ok())
+            await late.serve(busy)
+            await until(lambda: len(ended) == 2)
+            assert ended == [Outcome.OK] * 2
+            upstream.stop()
+
+    run(test)
+
+
+@pytest.mark.parametrize("what", ["drains", "given up", "nothing comes up"])
+def test_both_connections_of_an_attempt_end_with_it(what: str) -> None:
+    async def test() -> None:
+        with lossy() as late:
+            upstream, ended, attempt = at_lossy(late, ENDS)
+            await until(lambda: len(attempt.dials) == 2)
+            host, dials = upstream.hosts[1], attempt.dials
+            if what == "drains":
+                upstream.forget(1)
+                upstream.close(host)
+            elif what == "given up":
+                assert not attempt.give_up(), "it has not run"
+            await until(lambda: not upstream.tasks)
+            assert ended == ([] if what == "given up" else [Outcome.CONNECT_FAILED])
+            assert not attempt.dials and not host.connecting and upstream.open == 0
+            assert {dial.cancelled() for dial in dials} == {what != "nothing comes up"}
+            late.heal()
+            await asyncio.sleep(0.05)
+            assert upstream.open == 0
+            upstream.stop()
+
+    run(test)
+
+
 # Repeats
 
 
@@ -618,37 +759,23 @@
     classes = [c | {"repeatWindow": 900.0} for c in SETTINGS["classes"]]
 
     async def test() -> None:
-        late = socket.create_server(("127.0.0.1", 0), backlog=0)
-        blocking = [socket.socket(socket.AF_INET, socket.SOCK_STREAM) for _ in range(3)]
-        for one in blocking:
-            one.setblocking(False)
-            one.connect_ex(late.getsockname())
         watch: list[asyncio.StreamWriter] = []
-        moved = ScriptedEndpoint("e2", address=Address(*late.getsockname()))
-
-        async def reset(_: Message, endpoint: ScriptedEndpoint) -> None:
-            watch[0].write(STREAM + chunk(line(2, [endpoint.entry("terminating"), moved.entry()])))
-            await watch[0].drain()
-
-        first = ScriptedEndpoint("e1", reset)
-        async with sidecar(first, settings=to_settings(SETTINGS | {"classes": classes})) as rig:
-            watch.append((await rig.discovery.calls.get())[1])
-            asked = asyncio.create_task(rig.ask(request("write", b"body")))
-            await until(lambda: bool(first.got))
-            await asyncio.sleep(RETRIED)  # its handshake is lost by now, and made again after a second
-            late.setblocking(False)
-            loop, own = asyncio.get_running_loop(), {one.getsockname() for one in blocking}
-            while True:  # there is room again: the sidecar's next try comes through
-                connection, peer = await loop.sock_accept(late)
-                if peer not in own:
-                    break
-                connection.close()
-            read = b""
-            while part := await loop.sock_recv(connection, 65536):
-                read += part
-            assert read == b"", "its window was over"
-            assert (await asked).status == 502
-        for one in (*blocking, late, connection):
-            one.close()
+        with lossy() as late:
+            moved = ScriptedEndpoint("e2", address=late.address)
+
+            async def reset(_: Message, endpoint: ScriptedEndpoint) -> None:
+                watch[0].write(STREAM + chunk(line(2, [endpoint.entry("terminating"), moved.entry()])))
+                await watch[0].drain()
+
+            first = ScriptedEndpoint("e1", reset)
+            async with sidecar(first, settings=to_settings(SETTINGS | {"classes": classes})) as rig:
+                watch.append((await rig.discovery.calls.get())[1])
+                asked = asyncio.create_task(rig.ask(request("write", b"body")))
+                await until(lambda: bool(first.got))
+                await asyncio.sleep(RETRIED)  # its handshake is lost by now, and made again after a second
+                late.heal()
+                read = await late.read(await late.accept())
+                assert read == b"", "its window was over"
+                assert (await asked).status == 502
 
     run(test)
