A keyed call is repeated in the group that it was first sent to, wherever the list moves that endpoint since

By reading: Rules.may_go_to asked the endpoint's group as last listed, and the list may move a running endpoint to another, which then knows nothing of the call. The group is that of when the attempt was sent now. A test seen to fail without it; the books of the property tests count by the same.

--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -119,10 +119,11 @@
 class Attempt:
     """One attempt of a request: where it went, and whether it is out or proven not to have run."""
 
-    __slots__ = ("cls", "never_ran", "out", "sent", "server")
+    __slots__ = ("cell", "cls", "never_ran", "out", "sent", "server", "zone")
 
     def __init__(self, server: Server, cls: int, now: float) -> None:
         self.server = server
+        self.cell, self.zone = server.info.cell, server.info.zone  # as they were: who knows of it is of these
         self.cls = cls
         self.sent = now
         self.out = True
@@ -181,7 +182,7 @@
             return True
         by_zone = request.cls.scope is Scope.ZONE
         return all(
-            a.server.info.zone == endpoint.zone if by_zone else a.server.info.cell == endpoint.cell
+            a.zone == endpoint.zone if by_zone else a.cell == endpoint.cell
             for a in request.attempts
             if not a.never_ran
         )
--- a/tests/support.py
+++ b/tests/support.py
@@ -67,6 +67,7 @@
         self.open: dict[int, RequestArrived] = {}
         self.tries: dict[int, list[tuple[int, float, Outcome | None]]] = {}
         self.known: dict[int, Endpoint] = {}
+        self.cells: dict[int, list[int]] = {}  # of the endpoints, as each was sent to
         self.usable: set[int] = set()
         self.answers: dict[int, str] = {}
         self.log: list[tuple[float, Action]] = []
@@ -164,9 +165,10 @@
         if ran and cls.repeat is Repeat.KEYED:
             assert self.now <= action.until <= ran[0][1] + cls.window, "resent outside its window"
             if cls.scope is Scope.CELL:
-                cells = {self.known[t[0]].cell for t in ran}
+                cells = {c for c, t in zip(self.cells[action.request], tries, strict=True) if t in ran}
                 assert cells == {self.known[action.endpoint].cell}, "resent outside its group"
         tries.append((action.endpoint, self.now, None))
+        self.cells.setdefault(action.request, []).append(self.known[action.endpoint].cell)
 
     def _check_refuse(self, request: int) -> None:
         cls = self.config.classes[self.open[request].cls]
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -439,6 +439,20 @@
     assert KEYED == 1
 
 
+def test_a_repeat_stays_in_the_group_that_its_first_try_was_sent_to() -> None:
+    """Also where the list moves the endpoint, which runs on, to another: only the old one may know of it."""
+    for seed in range(20):
+        d = Drive(settings(), seed)
+        d.show(*endpoints(6))
+        request = d.arrive(KEYED)
+        (first,) = d.sent_to(request)
+        group = {e.id for e in endpoints(6) if e.cell == first % 2}
+        d.show(Endpoint(first, cell=1 - first % 2), kind=ListKind.DELTA)
+        d.outcome(request, 0, Outcome.RESET)
+        d.advance(d.now + 500)
+        assert len(d.sent_to(request)) == 2 and d.sent_to(request)[1] in group - {first}
+
+
 def test_odd_but_legal_settings_never_stop_it() -> None:
     classes = tuple(replace(c, aim=0.0, window=0.0) for c in settings().classes)
     odd = {"cold_time": 0.0, "cold_share": 0.0, "fall_window": 0.0, "tick": 0.0, "ask_within": 0.0}
