--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -538,7 +538,7 @@
         self.later = min(TOLD_WITHIN, within) if settings.ask_discovery else TOLD_WITHIN
         self.alive = -math.inf  # when the last call was made, or last said something
         self.spoken = False  # whether it has said anything
-        self.silent: list[tuple[float, float]] = []  # those that fell silent: from when on, and until when
+        self.silent: list[tuple[float, float, bool]] = []  # what fell silent: from, until, whether a watch
 
     def start(self, now: float) -> float:
         self.due = now + self.rng.random() * self.crowd
@@ -547,7 +547,7 @@
     def asked(self, now: float) -> float:
         """When to ask again if nothing at all is heard."""
         if self.spoken:
-            self._fell_silent(now)
+            self._fell_silent(now, True)
         self.alive, self.spoken = now, False
         self.soonest = math.inf
         self.due = now + ASK_AGAIN
@@ -560,7 +560,7 @@
         # that, of which half has passed: it is made again in the rest of it, but spread over that.
         spoken, self.spoken = self.spoken, False
         if spoken or (silent and self.settings.ask_discovery):
-            self._fell_silent(now)
+            self._fell_silent(now, spoken)
         crowded = self.deaf() and not silent
         if not self.settings.ask_discovery:
             # What the agent has counts as told while no watch is on, and what it gets when discovery is back.
@@ -573,8 +573,8 @@
         self.soonest = now + self.retry if silent else math.inf
         return self.due
 
-    def _fell_silent(self, now: float) -> None:
-        self.silent.append((self.alive, now))
+    def _fell_silent(self, now: float, spoken: bool) -> None:
+        self.silent.append((self.alive, now, spoken))
         while len(self.silent) > 1 and now > self.silent[1][0] + TOLD_WITHIN:
             del self.silent[0]  # the next one says the same of all that this one speaks of
 
@@ -601,9 +601,11 @@
         """
         if not self.deaf():
             return False
-        for alive, until in self.silent:
-            if server.sure_at < until:
-                return now > alive + TOLD_WITHIN or server.sure_at == -math.inf
+        for alive, until, spoken in self.silent:
+            if alive <= server.sure_at < until:
+                # What changes between it and the next counts by `later`; so may what does under a mere call.
+                unwatched = until if spoken else server.sure_at
+                return now > min(alive + TOLD_WITHIN, unwatched + self.later)
         return now > server.sure_at + self.later
 
 
--- /dev/null
+++ b/millgw/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""The product's laboratory: small machines of the daemon, explored over their own code."""
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -126,8 +126,8 @@
         """Whether an endpoint is safe by what a sidecar knows: nothing was said since the last line."""
         served = self.served[id]
         for line, _, until in self.silent:
-            if served <= until:
-                return self.drive.now < line + TOLD_WITHIN
+            if line <= served <= until:
+                return self.drive.now < min(line + TOLD_WITHIN, served + self.later)
         return self.drive.now < served + self.later
 
     def call(self) -> None:
