--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,17 +22,21 @@
 import pytest
 
 from millgw import decide, events
+from millgw.callers.connection import CallerConnection
+from millgw.callers.server import Server
 from millgw.endpoints.attempt import Attempt
 from millgw.endpoints.upstream import Upstream
 from millgw.interface import Condition, ListKind, Outcome, Repeat
 from millgw.life import Life
-from millgw.message import Content
+from millgw.message import REFUSED, Answer, Content
 from millgw.platform import discovery as discovery_module
 from millgw.platform.config import Address
 from millgw.platform.descriptors import Descriptors
 from millgw.platform.discovery import Discovery, Listed, endpoint_id
+from millgw.request import Head
 from millgw.settings import to_settings
 from millgw.sidecar import __main__ as main_module
+from millgw.standins.address import free_address
 from millgw.standins.http import NEVER_RAN, Message, ServerConnection, ok, status
 from millgw.standins.scripted import (
     STREAM,
@@ -381,6 +385,53 @@
     run(test)
 
 
+class Queue:
+    """Lanes whose turn comes when the test says so."""
+
+    def __init__(self) -> None:
+        self.waiting: list[CallerConnection] = []
+
+    def wait(self, lane: str, connection: CallerConnection) -> None:
+        self.waiting.append(connection)
+
+
+class Taken:
+    """A front that notes what it is asked to take."""
+
+    def __init__(self) -> None:
+        self.heads: list[Head] = []
+
+    def gate(self, head: Head) -> None:
+        pass
+
+    def read(self, head: Head, answer: Callable[[Answer], None]) -> Answer:
+        self.heads.append(head)
+        return Answer(REFUSED)
+
+
+@pytest.mark.parametrize("how", ["end", "reset", "stays"])
+def test_a_request_in_its_lane_s_queue_is_not_taken_for_a_caller_that_left(how: str) -> None:
+    async def test() -> None:
+        front, lanes, address = Taken(), Queue(), free_address()
+        server = Server(address, Descriptors(64), front, Life(), lanes)
+        server.start()
+        client = raw(address)
+        client.sendall(request("pay"))
+        await until(lambda: bool(lanes.waiting))
+        (connection,) = lanes.waiting
+        if how != "stays":
+            if how == "reset":
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+            client.close()
+            await until(lambda: not server.connections)
+        connection.turn()
+        assert len(front.heads) == (1 if how == "stays" else 0)
+        client.close()
+        server.stop()
+
+    run(test)
+
+
 # The end of the process
 
 
