Configuration of the fleet: its document, versions and lines, with the wire form they travel in

A changed setting reaches a sidecar by a file and SIGHUP only: it has no version, and nobody knows where it is in force. Nothing uses it yet.

--- /dev/null
+++ b/millgw/configuration/document.py
@@ -0,0 +1,155 @@
+"""The fleet's configuration as a document of named entries, and the versions that change it.
+
+A version is applied as a whole. Indexes are 1, 2, 3, ... without gaps; index 0 is the empty document.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from hashlib import blake2b
+from typing import Any
+
+DIGEST_BYTES = 16
+MAX_NAME = 256  # characters of an entry's name
+
+
+class DocumentError(ValueError):
+    """A line, version or change can't be used; the text names the field."""
+
+
+@dataclass(slots=True, frozen=True)
+class Change:
+    """One entry set to a JSON object, or removed where `value` is None."""
+
+    name: str
+    value: Mapping[str, Any] | None
+
+
+@dataclass(slots=True, frozen=True)
+class Version:
+    """One committed or proposed version: what changed, by whom and why; `at` is Unix time in ms."""
+
+    index: int
+    epoch: int
+    changes: tuple[Change, ...]
+    author: str = ""
+    reason: str = ""
+    at: float = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class Line:
+    """One line of a watch: the whole document (`snapshot`), or what changed since the line before."""
+
+    index: int
+    epoch: int
+    snapshot: bool
+    digest: str
+    changes: tuple[Change, ...]
+
+
+@dataclass(slots=True)
+class Document:
+    """All entries as of one version. Instances are changed by `apply` and `load` alone."""
+
+    index: int = 0
+    epoch: int = 0
+    entries: dict[str, Mapping[str, Any]] = field(default_factory=dict)
+
+    def copy(self) -> Document:
+        """An independent document; entry values are shared, as nobody changes them in place."""
+        return Document(self.index, self.epoch, dict(self.entries))
+
+    def digest(self) -> str:
+        """BLAKE2b over the canonical JSON of all entries, in hexadecimal."""
+        return blake2b(canonical(self.entries), digest_size=DIGEST_BYTES).hexdigest()
+
+    def apply(self, index: int, epoch: int, changes: Iterable[Change]) -> None:
+        """Take the changes of one version, or of several at once."""
+        for change in changes:
+            if change.value is None:
+                self.entries.pop(change.name, None)
+            else:
+                self.entries[change.name] = change.value
+        self.index = index
+        self.epoch = epoch
+
+    def load(self, line: Line) -> None:
+        """Take a line of a watch; a DocumentError tells that its digest does not fit, and nothing changed."""
+        after = Document() if line.snapshot else self.copy()
+        after.apply(line.index, line.epoch, line.changes)
+        if after.digest() != line.digest:
+            raise DocumentError(f"digest: version {line.index} does not follow from version {self.index}")
+        self.entries = after.entries
+        self.index = after.index
+        self.epoch = after.epoch
+
+    def snapshot(self) -> Line:
+        """The whole document as a line."""
+        changes = tuple(Change(name, self.entries[name]) for name in sorted(self.entries))
+        return Line(self.index, self.epoch, True, self.digest(), changes)
+
+
+def canonical(value: Any) -> bytes:
+    """A JSON value as bytes that are the same for equal values."""
+    return json.dumps(value, sort_keys=True, separators=(",", ":"), ensure_ascii=False).encode()
+
+
+def encode_line(line: Line) -> bytes:
+    """A line of a watch, with its line feed."""
+    entries = [{"name": change.name, "value": change.value} for change in line.changes]
+    fields = {
+        "index": line.index,
+        "epoch": line.epoch,
+        "snapshot": line.snapshot,
+        "digest": line.digest,
+        "entries": entries,
+    }
+    return canonical(fields) + b"\n"
+
+
+def decode_line(data: bytes) -> Line:
+    """A line of a watch from its bytes; a DocumentError names the field that can't be used."""
+    try:
+        fields = json.loads(data)
+    except ValueError as error:
+        raise DocumentError(f"line: {error}") from None
+    if not isinstance(fields, dict):
+        raise DocumentError("line: not an object")
+    snapshot = fields.get("snapshot")
+    if not isinstance(snapshot, bool):
+        raise DocumentError("snapshot: not true or false")
+    digest = fields.get("digest")
+    if not isinstance(digest, str):
+        raise DocumentError("digest: not a string")
+    changes = decode_changes(fields.get("entries"), "entries")
+    return Line(decode_count(fields, "index"), decode_count(fields, "epoch"), snapshot, digest, changes)
+
+
+def decode_changes(value: Any, path: str) -> tuple[Change, ...]:
+    """Changes from their JSON value; a DocumentError names the field that can't be used."""
+    if not isinstance(value, list):
+        raise DocumentError(f"{path}: not a list")
+    return tuple(_decode_change(item, f"{path}[{i}]") for i, item in enumerate(value))
+
+
+def _decode_change(item: Any, path: str) -> Change:
+    if not isinstance(item, dict):
+        raise DocumentError(f"{path}: not an object")
+    name = item.get("name")
+    if not isinstance(name, str) or not 0 < len(name) <= MAX_NAME:
+        raise DocumentError(f"{path}.name: not a string of 1 to {MAX_NAME} characters")
+    value = item.get("value")
+    if "value" not in item or not (value is None or isinstance(value, dict)):
+        raise DocumentError(f"{path}.value: neither an object nor null")
+    return Change(name, value)
+
+
+def decode_count(fields: Mapping[str, Any], name: str) -> int:
+    """A field that is a whole number of 0 or more."""
+    value = fields.get(name)
+    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+        raise DocumentError(f"{name}: not a whole number of 0 or more")
+    return value
