--- a/benchmarks/joining.py
+++ b/benchmarks/joining.py
@@ -148,9 +148,7 @@
         number = self._number(action.request)
         away = action.endpoint == COLD_ONE and START + DOWN <= now < START + BACK
         if away:
-            ended = AttemptEnded(
-                action.request, action.endpoint, number, Outcome.CONNECT_FAILED, 1.0, False
-            )
+            ended = AttemptEnded(action.request, action.endpoint, number, Outcome.CONNECT_FAILED, 1.0, False)
             self._at(now + 1.0, who, ended)
             return
         if action.endpoint == COLD_ONE and now >= START + BACK:
--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -14,6 +14,8 @@
 import statistics
 import sys
 import time
+from collections.abc import Callable
+from dataclasses import dataclass
 from types import SimpleNamespace
 from typing import Any
 
@@ -34,25 +36,45 @@
     return HEAD + AROUND + len(msgspec.msgpack.encode(message))
 
 
+@dataclass(slots=True, frozen=True)
+class Fleet:
+    """Nodes that were all started at once and know of one, on a network in virtual time."""
+
+    network: Network[Message]
+    nodes: list[Swim]
+    terms: Terms
+
+    @classmethod
+    def start(cls, count: int, loss: float, seed: int, suspicion: float) -> Fleet:
+        """`loss` is the share of datagrams that never come, `suspicion` times log2 of the nodes."""
+        rng = random.Random(seed)
+        terms = Terms(suspicion=suspicion)
+        network: Network[Message] = Network(seed, loss=loss, size=size)
+        nodes = [Swim(f"n{i}", 1, rng.getrandbits(32), terms) for i in range(count)]
+        for node in nodes:
+            node.join(0.0, ["n0"] if node is not nodes[0] else [])
+            network.add(node, rng.uniform(0.0, terms.period))
+        return cls(network, nodes, terms)
+
+    def periods(self, holds: Callable[[], bool]) -> float:
+        """How many periods pass until a condition holds, at most `MOST`."""
+        since = self.network.now
+        while not holds() and self.network.now < since + MOST * self.terms.period:
+            self.network.run(self.network.now + self.terms.period / 4)
+        return (self.network.now - since) / self.terms.period
+
+    def all_known(self) -> bool:
+        """Whether all nodes hold all others to be there."""
+        return agree(self.nodes, {node.name for node in self.nodes})
+
+
 def run(count: int, loss: float, seed: int, rest: int, suspicion: float) -> list[float]:
     """Periods until all are known, bytes a node and second at rest, false suspicions and deaths a node and
     minute, periods until one, and all, hold the dead one to be dead; seconds that it took to play."""
     begun = time.perf_counter()
-    rng, terms = random.Random(seed), Terms(suspicion=suspicion)
-    network: Network[Message] = Network(seed, loss=loss, size=size)
-    nodes = [Swim(f"n{i}", 1, rng.getrandbits(32), terms) for i in range(count)]
-    for node in nodes:
-        node.join(0.0, ["n0"] if node is not nodes[0] else [])
-        network.add(node, rng.uniform(0.0, terms.period))
-
-    def periods(holds: object) -> float:
-        assert callable(holds)
-        since = network.now
-        while not holds() and network.now < since + MOST * terms.period:
-            network.run(network.now + terms.period / 4)
-        return (network.now - since) / terms.period
-
-    known = periods(lambda: agree(nodes, {n.name for n in nodes}))
+    fleet = Fleet.start(count, loss, seed, suspicion)
+    network, nodes, terms, periods = fleet.network, fleet.nodes, fleet.terms, fleet.periods
+    known = periods(fleet.all_known)
     before, wrong = network.bytes, {Status.SUSPECT: 0, Status.DEAD: 0}
     held = set[tuple[str, str, Status]]()
     for _ in range(rest):
--- a/benchmarks/tending.py
+++ b/benchmarks/tending.py
@@ -100,7 +100,7 @@
     for i in range(ENDPOINTS):
         build = replace(
             Build(f"e{i}", 1, 0, free_address(), handshake_work=0.2, slots=200, idle=TOLD_IDLE),
-            **regime.build
+            **regime.build,
         )
         endpoint = Endpoint(build, tasks, Group(), ledger, clock, rule, seed)
         endpoint.start(cold=False)
