How long a fleet is without its list after an outage of discovery, by size and by answers a second

The model of a busy discovery stood in a test, for 34 sidecars. It is a measurement of its own now, which the test uses, with a heap of timers so that 670 fit.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,85 +2,23 @@
 
 from __future__ import annotations
 
-from collections import deque
-
 import pytest
 
+from benchmarks.discovery_recovery import AskingFleet, BusyDiscovery
 from millgw import decide
 from millgw.decide import Balancer
-from millgw.interface import Endpoint, EndpointList, ListKind, SetTimer, Subscribe, TimerFired
+from millgw.interface import Endpoint, EndpointList, ListKind, SetTimer
 from tests.support import settings
 
 FLEET = 34
-STEP = 10.0  # ms
-
-
-class BusyDiscovery:
-    """One service for all: calls in turn, each of one cost.
-
-    It takes more than it can answer in time, and works for those that have waited too long as well.
-    """
-
-    def __init__(self, a_second: float, patience: float, overbooked: float) -> None:
-        self.cost = 1000.0 / a_second
-        self.patience = patience
-        self.most = int(overbooked * patience / self.cost)
-        self.queue: deque[tuple[float, int]] = deque()
-        self.free_at = 0.0
-
-    def ask(self, now: float, sidecar: int) -> bool:
-        """Tells whether the call is taken."""
-        if len(self.queue) >= self.most:
-            return False
-        self.queue.append((now, sidecar))
-        return True
-
-    def answered(self, now: float) -> list[int]:
-        """The sidecars answered in time since the last look."""
-        done = []
-        while self.queue and max(self.free_at, self.queue[0][0]) + self.cost <= now:
-            asked, sidecar = self.queue.popleft()
-            self.free_at = max(self.free_at, asked) + self.cost
-            if self.free_at - asked <= self.patience:
-                done.append(sidecar)
-        return done
 
 
 def waits_until_heard(a_second: float, seconds: float) -> list[float]:
     """When each sidecar of the fleet has its list, where all asked at once; infinite where it never has."""
-    fleet = [Balancer(settings(siblings=FLEET, index=i), seed=i + 1) for i in range(FLEET)]
-    discovery = BusyDiscovery(a_second, patience=2000.0, overbooked=2.0)
-    timers: list[list[tuple[float, int]]] = [[] for _ in fleet]
-    heard = [float("inf")] * FLEET
-    asked = [-1.0] * FLEET
-
-    def feed(i: int, now: float, event: EndpointList | TimerFired) -> None:
-        for action in fleet[i].handle(now, event):
-            if isinstance(action, SetTimer):
-                timers[i].append((action.at, action.timer))
-            elif isinstance(action, Subscribe):
-                asked[i] = now
-                if not discovery.ask(now, i):
-                    asked[i] = -1.0
-                    feed(i, now, EndpointList(ListKind.FAILED))
-
-    for i in range(FLEET):
-        feed(i, 0.0, EndpointList(ListKind.CACHED, (Endpoint(1), Endpoint(2))))
-    for tick in range(1, int(seconds * 1000 / STEP)):
-        now = tick * STEP
-        for i in discovery.answered(now):
-            if asked[i] >= 0:
-                asked[i], heard[i] = -1.0, min(heard[i], now)
-                feed(i, now, EndpointList(ListKind.DELTA))
-        for i in range(FLEET):
-            if 0 <= asked[i] <= now - discovery.patience:
-                asked[i] = -1.0
-                feed(i, now, EndpointList(ListKind.FAILED))
-            due = [t for t in timers[i] if t[0] <= now]
-            timers[i] = [t for t in timers[i] if t[0] > now]
-            for _, timer in due:
-                feed(i, now, TimerFired(timer))
-    return heard
+    balancers = [Balancer(settings(siblings=FLEET, index=i), seed=i + 1) for i in range(FLEET)]
+    fleet = AskingFleet(balancers, BusyDiscovery(a_second, patience=2000.0, overbooked=2.0))
+    fleet.run(seconds)
+    return fleet.heard
 
 
 @pytest.mark.parametrize("a_second", [4.0, 6.0, 9.0])
