--- a/benchmarks/connections.py
+++ b/benchmarks/connections.py
@@ -22,7 +22,7 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import asdict, dataclass
 from multiprocessing.connection import Connection as Pipe
 from pathlib import Path
@@ -193,7 +193,7 @@
     _serve(address, Bare, cores)
 
 
-def _through(address: Address, endpoint: Address, cores: set[int]) -> None:
+def pass_through(address: Address, endpoint: Address, cores: set[int]) -> None:
     _serve(address, lambda: Through(endpoint), cores)
 
 
@@ -290,7 +290,7 @@
             daemon = start_daemon(Path(folder), endpoint, listen, services)
             pid = daemon.pid
         elif side == "pass-through":
-            through = spawn.Process(target=_through, args=(listen, endpoint, {0}), daemon=True)
+            through = spawn.Process(target=pass_through, args=(listen, endpoint, {0}), daemon=True)
             through.start()
             pid = through.pid or 0
         else:
@@ -318,7 +318,13 @@
             server.join()
 
 
-def start_daemon(folder: Path, endpoint: Address, listen: Address, services: str) -> subprocess.Popen[bytes]:
+def start_daemon(
+    folder: Path,
+    endpoint: Address,
+    listen: Address,
+    services: str,
+    settings: Mapping[str, Any] = SETTINGS,
+) -> subprocess.Popen[bytes]:
     """The daemon on core 0, with one endpoint that it knows from its configuration."""
     entry = {
         "name": "e", "address": str(endpoint), "zone": "", "group": 1, "status": "in_service",
@@ -326,7 +332,7 @@
     }  # fmt: skip
     config = {
         "name": "n", "listen": str(listen), "discovery": str(free_address()), "seed": "1",
-        "limits": {"sockets": 2048, "memory_mb": 64}, "settings": SETTINGS,
+        "limits": {"sockets": 2048, "memory_mb": 64}, "settings": settings,
         "known": {"index": 1, "snapshot": True, "endpoints": [entry]},
     }  # fmt: skip
     (folder / "c.json").write_text(json.dumps(config))
