--- a/millgw/connections/keeper.py
+++ b/millgw/connections/keeper.py
@@ -252,9 +252,7 @@
         most = min(self.cap, float(terms.open_most or math.inf))
         return self.open + self.opening >= most
 
-    def ahead(
-        self, now: float, wall: float, idle: int, all_opening: int, most: int, least: int = 0
-    ) -> bool:
+    def ahead(self, now: float, wall: float, idle: int, all_opening: int, most: int, least: int = 0) -> bool:
         """Whether to open a connection that no call waits for yet; `most` as for `keeps`.
 
         `least` is how many this endpoint should have in any case.
--- a/millgw/endpoints/connection.py
+++ b/millgw/endpoints/connection.py
@@ -152,9 +152,7 @@
         if attempt.upload is not None:
             self._send_head(attempt, attempt.upload, payload)
             return
-        hold = self.host.proof.hold(
-            now, attempt.repeat, self.reused, self.idle_since, self.home.strays_until
-        )
+        hold = self.host.proof.hold(now, attempt.repeat, self.reused, self.idle_since, self.home.strays_until)
         if prove > 0:
             hold, self.prove_until = max(hold, HOLD_BACK), now + prove
         if hold > 0:
--- a/millgw/interface.py
+++ b/millgw/interface.py
@@ -329,4 +329,3 @@
 
 
 Action = Send | Refuse | Fail | SetTimer | Subscribe
-
--- a/millgw/peers/beliefs.py
+++ b/millgw/peers/beliefs.py
@@ -123,9 +123,7 @@
         """What is known of an endpoint's process, and of a later one, from within so many ms."""
         known = self.known.get(name, {}).values()
         return [
-            self._aged(now, seen_at, o)
-            for seen_at, o in known
-            if o.since >= since and now - seen_at < within
+            self._aged(now, seen_at, o) for seen_at, o in known if o.since >= since and now - seen_at < within
         ]
 
     def priors(
--- a/millgw/peers/wire.py
+++ b/millgw/peers/wire.py
@@ -76,9 +76,7 @@
 class Snapshot(msgspec.Struct, frozen=True, tag_field="t", tag="snapshot"):
     """All that is known by pool, and its limits on calls in flight for each endpoint, as learned."""
 
-    pools: Annotated[
-        dict[Name, Annotated[tuple[Row, ...], Meta(max_length=MOST_TOLD)]], Meta(max_length=256)
-    ]
+    pools: Annotated[dict[Name, Annotated[tuple[Row, ...], Meta(max_length=MOST_TOLD)]], Meta(max_length=256)]
     limits: Annotated[dict[Name, Annotated[float, Meta(ge=0)]], Meta(max_length=256)]
 
 
--- a/millgw/wire.py
+++ b/millgw/wire.py
@@ -134,9 +134,7 @@
     pass
 
 
-Record = (
-    SwitchTo | Boot | Table | Sync | Knock | Flowing | Ended | Aborted | Fired | Echo | NoteFrom | Stop
-)
+Record = SwitchTo | Boot | Table | Sync | Knock | Flowing | Ended | Aborted | Fired | Echo | NoteFrom | Stop
 
 
 def _floats(body: bytes, at: int, n: int) -> tuple[tuple[float, ...], int]:
--- a/tests/test_connections_pure.py
+++ b/tests/test_connections_pure.py
@@ -27,9 +27,7 @@
 TICK = 50.0  # ms between two looks of an instance
 
 
-def storm(
-    siblings: int, rate: float, share: float, cold: float, common: bool, seed: int
-) -> list[float]:
+def storm(siblings: int, rate: float, share: float, cold: float, common: bool, seed: int) -> list[float]:
     """When siblings that want all the connections they can have open them at one cold endpoint."""
     rng = random.Random(seed)
     opened = []
--- a/tests/test_rehearsal_wrong.py
+++ b/tests/test_rehearsal_wrong.py
@@ -98,9 +98,7 @@
     """All wrong sidecars' days, played side by side once: one day is mostly waiting."""
     days = {
         kind: (
-            check(
-                replace(BASE, faults=FAULTS.get(kind, ()), traffic=TRAFFIC.get(kind, BASE.traffic))
-            ),
+            check(replace(BASE, faults=FAULTS.get(kind, ()), traffic=TRAFFIC.get(kind, BASE.traffic))),
             f"exec {sys.executable} {SCRIPT} {kind}",
         )
         for kind in ["right", "bare", "misspells", *RULES]
