--- a/benchmarks/daily.py
+++ b/benchmarks/daily.py
@@ -36,7 +36,14 @@
 from millgw.standins.address import free_address
 from millgw.standins.caller import DOOR_READY, ready
 from millgw.standins.crowd import Crowd
-from millgw.standins.scripted import STREAM, ScriptedCadastro, ScriptedEndpoint, chunk, line, read_message
+from millgw.standins.scripted import (
+    STREAM,
+    ScriptedDiscoveryServer,
+    ScriptedEndpoint,
+    chunk,
+    line,
+    read_message,
+)
 
 SETTINGS = {
     "classes": [{"name": "read", "deadline": 3000.0, "slo": 500.0, "repeat": "retryable"}],
@@ -57,7 +64,7 @@
     def __init__(self, folder: Path, listed: int) -> None:
         self.folder = folder
         self.listen = free_address()
-        self.cadastro = ScriptedCadastro()
+        self.discovery_server = ScriptedDiscoveryServer()
         self.spots = [ScriptedEndpoint(f"e{i}") for i in range(4)]
         self.others = [
             self.spots[0].entry() | {"name": f"x{i}", "address": f"127.1.{i // 250}.{i % 250 + 1}:9"}
@@ -67,12 +74,13 @@
         self.running: list[subprocess.Popen[bytes]] = []
 
     async def start(self) -> None:
-        await self.cadastro.start()
+        await self.discovery_server.start()
         for spot in self.spots:
             await spot.start()
         known = [spot.entry() for spot in self.spots] + [e | {"status": "terminating"} for e in self.others]
         told = {
-            "name": "n1", "listen": str(self.listen), "discovery": str(self.cadastro.address), "seed": "1",
+            "name": "n1", "listen": str(self.listen), "seed": "1",
+            "discovery": str(self.discovery_server.address),
             "known": {"index": 1, "snapshot": True, "endpoints": known}, "settings": SETTINGS,
             "limits": {"sockets": 1024, "memory_mb": 80},
         }  # fmt: skip
@@ -80,7 +88,7 @@
 
     async def watched(self) -> None:
         while True:
-            _, writer = await self.cadastro.calls.get()
+            _, writer = await self.discovery_server.calls.get()
             writer.write(STREAM + chunk(line(2, [])))
             self.watchers.append(writer)
 
--- a/millgw/rehearsal/auditor.py
+++ b/millgw/rehearsal/auditor.py
@@ -445,7 +445,7 @@
                     yield name, change.endpoint, due
 
     def _told_from(self, at: float) -> float:
-        """From when the cadastro could tell of a change and be asked, for as long as a sidecar may wait."""
+        """From when discovery could tell of a change and be asked, for as long as a sidecar may wait."""
         for outage in sorted(self.ledger.outages, key=lambda o: o.at):
             if outage.at <= at + self.terms.ask_within and (outage.until is None or outage.until > at):
                 at = float("inf") if outage.until is None else outage.until
--- a/millgw/rehearsal/blows.py
+++ b/millgw/rehearsal/blows.py
@@ -14,8 +14,8 @@
 from millgw.rehearsal.front import Front
 from millgw.rehearsal.scenario import Scenario
 from millgw.rehearsal.sidecars import NotReady, Sidecar
-from millgw.standins.cadastro import Cadastro, Delays
 from millgw.standins.caller import says_yes
+from millgw.standins.discovery_server import Delays, DiscoveryServer
 from millgw.standins.endpoint import Build, Endpoint
 from millgw.standins.http import Clock
 from millgw.standins.ledger import Ledger, SentAway, Strike, Upgrade
@@ -49,7 +49,7 @@
     scenario: Scenario
     clock: Clock
     ledger: Ledger
-    cadastro: Cadastro
+    discovery_server: DiscoveryServer
     delays: Delays
     front: Front
     endpoints: dict[str, Endpoint]
@@ -91,8 +91,8 @@
             "drain": self._drain,
             "replaced": self._replaced,
             "flapping": self._flapping,
-            "cadastro-outage": self._outage,
-            "cadastro-restart": self._outage,
+            "discovery-outage": self._outage,
+            "discovery-restart": self._outage,
             "watches-silent": self._mute,
             "sidecar-killed": self._sidecar_killed,
             "sidecar-restart": self._sidecar_restart,
@@ -198,7 +198,7 @@
             await self.stage.revive(self.stage.replace(endpoint, build))
 
     async def _flapping(self, blow: Blow) -> None:
-        """The cadastro takes an endpoint off the list and on again, over and over, while it serves on."""
+        """Discovery takes an endpoint off the list and on again, over and over, while it serves on."""
         endpoint = self.stage.endpoints[blow.target]
         life, listed = endpoint.lives, True
         end = self.loop.time() + (blow.until - blow.at) / 1000
@@ -207,7 +207,7 @@
                 return
             listed = not listed
             entry = self.stage.entry(endpoint, "in_service" if listed else "terminated")
-            self.stage.cadastro.list(entry)
+            self.stage.discovery_server.list(entry)
             await asyncio.sleep(FLAP)
 
     async def _middlebox(self, blow: Blow) -> None:
@@ -235,19 +235,19 @@
         endpoint.ills.spoiling = max(ailing.spoiling, default=0.0)
         endpoint.slow(max(ailing.slowness, default=1.0))
 
-    # The cadastro
+    # The discovery server
 
     async def _outage(self, blow: Blow) -> None:
         """It is down for a while; after a restart it has lost its history of changes."""
         self.outages += 1
-        self.stage.cadastro.go_down()
+        self.stage.discovery_server.go_down()
         await self._rest(blow)
         self.outages -= 1
         if not self.outages:
-            self.stage.cadastro.come_back(history=blow.kind == "cadastro-outage")
+            self.stage.discovery_server.come_back(history=blow.kind == "discovery-outage")
 
     async def _mute(self, blow: Blow) -> None:
-        self.stage.cadastro.mute()
+        self.stage.discovery_server.mute()
 
     # The coordinator
 
--- a/millgw/rehearsal/command.py
+++ b/millgw/rehearsal/command.py
@@ -62,7 +62,7 @@
 def rehearse() -> None:
     """Play failures on stand-ins and audit the four rules.
 
-    Plays a day of stand-in servers, cadastro and clients round real sidecars, lets faults strike, and reports
+    Plays a day of stand-in servers, discovery and clients round real sidecars, injects faults, and reports
     for each of the four rules whether it held.
 
     Exit: 0 held, 1 a rule broke, 2 bad input, 3 inconclusive, 4 the rig itself failed.
--- a/millgw/rehearsal/demo.py
+++ b/millgw/rehearsal/demo.py
@@ -10,7 +10,7 @@
 
 from millgw.platform.config import Address
 from millgw.rehearsal.report import Day, judge
-from millgw.rehearsal.scenario import Cadastro, Fault, Fleet, Scenario, Traffic, check
+from millgw.rehearsal.scenario import Discovery, Fault, Fleet, Scenario, Traffic, check
 from millgw.rehearsal.stage import Stage
 from millgw.standins.ledger import Told
 
@@ -30,7 +30,7 @@
                 endpoints=6, tiers=(1.0,), work=(0.6,), calls=(), sidecars=1, cold_s=6.0, idle_s=30.0
             ),
             traffic=Traffic(rate=12.0, shape="steady"),
-            cadastro=Cadastro(notice_s=(0.5, 1.0), silent_s=(2.0, 3.0), add_s=(0.2, 0.5)),
+            discovery=Discovery(notice_s=(0.5, 1.0), silent_s=(2.0, 3.0), add_s=(0.2, 0.5)),
             faults=(Fault(kind="silence", start_s=STRIKES_AT, length_s=5.0, share=0.12),),
         )
     )
@@ -68,7 +68,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, stage.stop)
-    print("a cadastro, six stand-in servers and one sidecar are starting", flush=True)
+    print("a discovery server, six stand-in servers and one sidecar are starting", flush=True)
     telling = asyncio.create_task(_tell(stage, address, once))
     try:
         ledger, facts = await stage.play()
--- /dev/null
+++ b/millgw/rehearsal/former_names.py
@@ -0,0 +1,17 @@
+"""Names that scenario files and commands used before, accepted for one release."""
+
+from __future__ import annotations
+
+import re
+
+SCENARIOS = {"cadastro-outage": "discovery-outage"}
+"""Shipped scenarios by their former names."""
+
+_TABLE = re.compile(r"^(\s*\[?\s*)cadastro(?=\s*[\].=])", re.MULTILINE)
+_FAULT_KIND = re.compile(r"""(\bkind\s*=\s*["'])cadastro-(?=(?:outage|restart)["'])""")
+
+
+def with_current_names(text: str) -> str:
+    """The text of a scenario file with the former names replaced; each stays on its line."""
+    text = _TABLE.sub(r"\1discovery", text)
+    return _FAULT_KIND.sub(r"\1discovery-", text)
--- a/millgw/rehearsal/scenario.py
+++ b/millgw/rehearsal/scenario.py
@@ -1,4 +1,4 @@
-"""What a scenario file says: fleet, traffic, cadastro and faults, checked down to the line.
+"""What a scenario file says: fleet, traffic, discovery and faults, checked down to the line.
 
 Shares are of 1, `_s` fields are seconds, `_ms` fields milliseconds. A file that can't be used raises a
 `ScenarioError` with its name, the line where that can be known, the key's path and what is wrong.
@@ -16,6 +16,7 @@
 
 from millgw.checked import FileError, Table, read
 from millgw.operator.file import Connections
+from millgw.rehearsal import former_names
 
 Share = Annotated[float, Meta(ge=0.0, le=1.0)]
 Part = Annotated[float, Meta(gt=0.0, le=1.0)]
@@ -35,8 +36,8 @@
     "drain",
     "replaced",
     "flapping",
-    "cadastro-outage",
-    "cadastro-restart",
+    "discovery-outage",
+    "discovery-restart",
     "watches-silent",
     "sidecar-killed",
     "sidecar-restart",
@@ -162,8 +163,8 @@
     insist: Share = 0.0
 
 
-class Cadastro(Table, frozen=True, kw_only=True):
-    """How late the cadastro is, and what it can do."""
+class Discovery(Table, frozen=True, kw_only=True):
+    """How late the discovery server is, and what it can do."""
 
     notice_s: Range = (0.5, 2.0)
     silent_s: Range = (3.0, 6.0)
@@ -176,7 +177,7 @@
 class Coordinator(Table, frozen=True, kw_only=True):
     """A ZooKeeper-style coordinator at which endpoints register, and sidecars' sessions at it.
 
-    `membership` is how sidecars use it: `alone`, or beside the cadastro as the operator's file words it.
+    `membership` is how sidecars use it: `alone`, or beside discovery as the operator's file words it.
     """
 
     faces: Annotated[int, Meta(ge=1, le=3)] = 3
@@ -293,7 +294,7 @@
         Tenant(name="transporte-lagoa", share=0.11),
         Tenant(name="padaria-nona", share=0.04),
     )
-    cadastro: Cadastro = Cadastro()
+    discovery: Discovery = Discovery()
     limits: Limits = Limits()
     rules: Rules = Rules()
     services: tuple[Service, ...] = ()
@@ -341,9 +342,9 @@
     for path, (low, high) in (
         ("traffic.try_share", scenario.traffic.try_share),
         ("traffic.wait_ms", scenario.traffic.wait_ms),
-        ("cadastro.notice_s", scenario.cadastro.notice_s),
-        ("cadastro.silent_s", scenario.cadastro.silent_s),
-        ("cadastro.add_s", scenario.cadastro.add_s),
+        ("discovery.notice_s", scenario.discovery.notice_s),
+        ("discovery.silent_s", scenario.discovery.silent_s),
+        ("discovery.add_s", scenario.discovery.add_s),
     ):
         if low > high:
             raise ValueError(f"{path}: {low:g} to {high:g} is no range")
@@ -355,7 +356,7 @@
 def _check_services(scenario: Scenario) -> None:
     classes, seen = [c.name for c in scenario.classes], set[str]()
     if scenario.services and scenario.coordinator is not None:
-        raise ValueError("coordinator: a day with services has a cadastro for each")
+        raise ValueError("coordinator: a day with services has a discovery server for each")
     if scenario.services and len(scenario.fleet.tiers) != 1:
         raise ValueError("fleet.tiers: a day with services has one tier")
     for i, service in enumerate(scenario.services):
@@ -405,7 +406,8 @@
 
 def parse(text: str, name: str) -> Scenario:
     """A scenario from its text; `name` is what errors call it."""
-    return read(text, name, Scenario, check, ScenarioError)
+    current = former_names.with_current_names(text)
+    return read(current, name, Scenario, check, ScenarioError)
 
 
 def shipped() -> dict[str, str]:
@@ -421,6 +423,7 @@
 def load(name: str) -> tuple[str, Scenario]:
     """A scenario by its shipped name or its file, with the name to show."""
     known = shipped()
+    name = former_names.SCENARIOS.get(name, name)
     if name in known:
         return name, parse(known[name], f"{name}.toml")
     path = Path(name)
--- a/millgw/rehearsal/search.py
+++ b/millgw/rehearsal/search.py
@@ -8,11 +8,11 @@
 
 from msgspec.structs import replace
 
-from millgw.rehearsal.scenario import Cadastro, Fault, FaultKind, Fleet, Scenario, Traffic, check
+from millgw.rehearsal.scenario import Discovery, Fault, FaultKind, Fleet, Scenario, Traffic, check
 
 KINDS: tuple[FaultKind, ...] = (
     "silence", "restart", "fast-failure", "slowdown", "resets", "spoilt", "drain", "replaced", "flapping",
-    "cadastro-outage", "cadastro-restart", "sidecar-killed", "sidecar-restart", "crowd", "connections",
+    "discovery-outage", "discovery-restart", "sidecar-killed", "sidecar-restart", "crowd", "connections",
 )  # fmt: skip
 SIZES: dict[str, tuple[float, float]] = {
     "fast-failure": (0.3, 0.9),
@@ -33,9 +33,9 @@
         endpoints=5, tiers=(1.0, 1.0), work=(0.5, 0.5), calls=(1.25,), sidecars=8, group=3, cold_s=5.0
     ),
     traffic=Traffic(rate=32.0),
-    cadastro=Cadastro(notice_s=(0.2, 1.5), silent_s=(1.0, 3.0), add_s=(0.1, 0.6)),
+    discovery=Discovery(notice_s=(0.2, 1.5), silent_s=(1.0, 3.0), add_s=(0.1, 0.6)),
 )
-"""The day that schedules are drawn into: a small fleet in two tiers, a cadastro that is not late for long."""
+"""The day that schedules are drawn into: a small fleet in two tiers, discovery not late for long."""
 
 
 def draw(base: Scenario, seed: int) -> Scenario:
--- a/millgw/rehearsal/stage.py
+++ b/millgw/rehearsal/stage.py
@@ -31,7 +31,7 @@
 from millgw.rehearsal.sidecars import DEFAULT_RUN, NotReady, Sidecar, settings
 from millgw.settings import to_settings
 from millgw.standins.address import free_address
-from millgw.standins.cadastro import Cadastro, Capacity, Delays
+from millgw.standins.discovery_server import Capacity, Delays, DiscoveryServer
 from millgw.standins.endpoint import Build, ColdRule, Endpoint, Group, NextTier, Task
 from millgw.standins.http import Clock, Message
 from millgw.standins.ledger import Attempt, Call, End, Ledger, shift
@@ -131,10 +131,10 @@
         self.listen = listen  # of the first sidecar at the front; by itself it finds a free one
         self.clock = Clock()
         self.ledger = Ledger()
-        known = scenario.cadastro
+        known = scenario.discovery
         self.delays = Delays(_ms(known.notice_s), _ms(known.silent_s), _ms(known.add_s))
         capacity = Capacity(known.lines_per_s, known.call_lines, known.timeout_s * 1000)
-        self.cadastro = Cadastro(self.ledger, self.clock, scenario.seed, self.delays, capacity)
+        self.discovery_server = DiscoveryServer(self.ledger, self.clock, scenario.seed, self.delays, capacity)
         self.coordination: Coordination | None = None
         if scenario.coordinator is not None:
             self.coordination = Coordination(
@@ -196,7 +196,7 @@
             for index in range(siblings):
                 name = f"n{stage}-{index}"
                 sidecar = Sidecar(
-                    name, stage, self.cadastro.window(name, stage + 1),
+                    name, stage, self.discovery_server.window(name, stage + 1),
                     settings(scenario, stage, index, siblings), scenario, self._known(stage + 1), self.run,
                     folder, keeper, self.ledger, self.clock,
                 )  # fmt: skip
@@ -298,7 +298,7 @@
 
     def _known(self, tier: int) -> Callable[[], tuple[int, tuple[Entry, ...]]]:
         def known() -> tuple[int, tuple[Entry, ...]]:
-            register = self.cadastro.register(tier)
+            register = self.discovery_server.register(tier)
             return register.index, tuple(register.entries.values())
 
         return known
@@ -308,7 +308,7 @@
         lines = [connections_toml(self.scenario), self._peers_toml(sidecar), self._store_toml(sidecar)]
         for tier, service in enumerate(self.scenario.services, 1):
             if service.name != without:
-                address = self.cadastro.window(sidecar, tier)
+                address = self.discovery_server.window(sidecar, tier)
                 classes = ", ".join(f'"{name}"' for name in service.classes)
                 lines += [f"[services.{service.name}]", f'discovery = "{address}"', f"classes = [{classes}]"]
                 lines += ["[[routes]]", f'to = "{service.name}"', f'host = "{service.name}.{DOMAIN}"']
@@ -365,7 +365,7 @@
 
     @property
     def listed(self) -> bool:
-        """Whether the cadastro knows of endpoints: sidecars may take them from a coordinator alone."""
+        """Whether discovery knows of endpoints: sidecars may take them from a coordinator alone."""
         return self.scenario.coordinator is None or self.scenario.coordinator.membership != "alone"
 
     def entry(self, endpoint: Endpoint, status: str) -> Entry:
@@ -376,10 +376,10 @@
         )
 
     def notice(self, endpoint: Endpoint, status: str, late: tuple[float, float]) -> None:
-        """Let the cadastro know after a while, and the coordinator what an endpoint itself would tell it."""
+        """Let discovery know after a while, and the coordinator what an endpoint itself would tell it."""
         entry = self.entry(endpoint, status)
         if self.listed:
-            self.cadastro.notice(entry, late)
+            self.discovery_server.notice(entry, late)
         if self.coordination is not None:
             if status == "in_service":
                 self.coordination.serve(endpoint, entry)
@@ -454,7 +454,7 @@
                 endpoint.start(cold=False)
                 entry = self.entry(endpoint, "in_service")
                 if self.listed:
-                    self.cadastro.list(entry)
+                    self.discovery_server.list(entry)
                 if self.coordination is not None:
                     self.coordination.serve(endpoint, entry)
         gate = asyncio.Semaphore(STARTS_AT_ONCE * (os.cpu_count() or 1))
@@ -524,7 +524,7 @@
         await asyncio.gather(*(w for s in self.sidecars.values() for w in s.waiters))
         for endpoint in self.endpoints.values():
             endpoint.stop()
-        self.cadastro.close()
+        self.discovery_server.close()
         if self.coordination is not None:
             await self.coordination.stop()
 
--- a/millgw/standins/__init__.py
+++ b/millgw/standins/__init__.py
@@ -1,4 +1,4 @@
-"""Stand-ins for what stands round a sidecar: endpoints, the cadastro (discovery), callers.
+"""Stand-ins for what stands round a sidecar: endpoints, the discovery server, callers.
 
 All of them run in one process on loopback addresses and keep one `Ledger` on one clock.
 """
--- a/millgw/standins/cadastro.py
+++ b/millgw/standins/discovery_server.py
@@ -1,4 +1,4 @@
-"""The stand-in cadastro: the list and watches on it, seconds late, from one service of fixed capacity.
+"""The stand-in for service discovery: a list with watches, late by seconds, of fixed capacity.
 
 Each sidecar asks at an address of its own, so that the ledger tells what was written to whom. The service
 works through calls and lines in turn; a call that waits too long is answered 503.
@@ -21,12 +21,13 @@
 
 HEARTBEAT = 2.0  # s between empty lines on a watch
 ORDER = {"in_service": 0, "terminating": 1, "terminated": 2}
+DELAY_SEED = "cadastro"  # the former name: a scenario's seed gives the same delays as before
 STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
 @dataclass(slots=True, frozen=True)
 class Delays:
-    """How late the cadastro knows (ms, drawn from a range), by what happened."""
+    """How late the discovery server knows (ms, drawn from a range), by what happened."""
 
     notice: tuple[float, float] = (2000.0, 5000.0)  # a process that ends or drains
     silent: tuple[float, float] = (4700.0, 13000.0)  # a machine that has gone without a word
@@ -45,11 +46,11 @@
 class Window:
     """Where one sidecar asks: its calls and its watch."""
 
-    def __init__(self, cadastro: Cadastro, sidecar: str, tier: int) -> None:
-        self.cadastro = cadastro
+    def __init__(self, discovery_server: DiscoveryServer, sidecar: str, tier: int) -> None:
+        self.discovery_server = discovery_server
         self.tier = tier
-        self.register = cadastro.register(tier)
-        self.clock = cadastro.clock
+        self.register = discovery_server.register(tier)
+        self.clock = discovery_server.clock
         self.sidecar = sidecar
         self.address: Address = free_address()
         self.listener: Listener = listener(self.address, self)
@@ -79,26 +80,28 @@
         since = query.get("from", [""])[0]
         index = int(since) if since.isdigit() else None
         asked = Asked(self.sidecar, self.clock(), tier=self.tier)
-        self.cadastro.ledger.asked.append(asked)
+        self.discovery_server.ledger.asked.append(asked)
         watch = Watch(self, connection, index, asked) if query.get("watch") == ["1"] else None
         if watch is not None:
             self.watches[connection] = watch
         else:
             asked.until = asked.at
         _, entries = self.register.since(index if watch else None)
-        cost = self.cadastro.capacity.call + len(entries)
-        if not self.cadastro.queue(cost, lambda: self._answer(connection, watch), call=True):
+        cost = self.discovery_server.capacity.call + len(entries)
+        if not self.discovery_server.queue(cost, lambda: self._answer(connection, watch), call=True):
             connection.write(status(503))
             connection.close()
 
     def _answer(self, connection: ServerConnection, watch: Watch | None) -> None:
-        if connection.closed or self.cadastro.down:
+        if connection.closed or self.discovery_server.down:
             return
         if watch is not None:
             connection.write(STREAM)
             watch.flush(first=True)
             return
-        body = json.dumps(self.cadastro.told(self, True, tuple(self.register.entries.values()))).encode()
+        body = json.dumps(
+            self.discovery_server.update_for(self, True, tuple(self.register.entries.values()))
+        ).encode()
         connection.write(ok(body, "Content-Type: application/json\r\n"))
         connection.answered()
 
@@ -123,20 +126,20 @@
     def flush(self, first: bool = False) -> None:
         """Write what has changed since the line before."""
         self.queued = False
-        cadastro = self.window.cadastro
-        if self.connection.closed or cadastro.down or self.muted:
+        discovery_server = self.window.discovery_server
+        if self.connection.closed or discovery_server.down or self.muted:
             return
         whole, entries = self.window.register.since(self.index)
         if first or whole or entries:
             self.index = self.window.register.index
-            line = json.dumps(cadastro.told(self.window, whole, entries)).encode() + b"\n"
+            line = json.dumps(discovery_server.update_for(self.window, whole, entries)).encode() + b"\n"
             self._write(line)
         self._beat()
 
     def changed(self) -> None:
         if not self.queued:
             self.queued = True
-            self.window.cadastro.queue(1.0, self.flush)
+            self.window.discovery_server.queue(1.0, self.flush)
 
     def _beat(self) -> None:
         if self.heartbeat is not None:
@@ -157,13 +160,13 @@
             self.heartbeat.cancel()
 
 
-class Cadastro:
+class DiscoveryServer:
     """The one service; `down` while it has an outage."""
 
     def __init__(self, ledger: Ledger, clock: Clock, seed: int, delays: Delays, capacity: Capacity) -> None:
         self.ledger = ledger
         self.clock = clock
-        self.rng = random.Random(f"cadastro {seed}")
+        self.rng = random.Random(f"{DELAY_SEED} {seed}")
         self.delays = delays
         self.capacity = capacity
         self.registers: dict[int, Register] = {}
@@ -204,11 +207,11 @@
 
     def _notice(self, entry: Entry) -> None:
         last = self.ever.get(entry.name)
-        # Guards against word that comes behind later word: of an older life, of a start after its drain.
+        # Otherwise a late notice would undo a later one: of an older life, of a start after its drain.
         if last is None or (last.life, ORDER[last.status]) < (entry.life, ORDER[entry.status]):
             self.list(entry)
 
-    def told(self, window: Window, whole: bool, entries: tuple[Entry, ...]) -> dict[str, object]:
+    def update_for(self, window: Window, whole: bool, entries: tuple[Entry, ...]) -> dict[str, object]:
         """The value of one line or list, booked as written to a sidecar now."""
         now, book = self.clock(), self.ledger.words.append
         for entry in entries:
--- a/millgw/standins/http.py
+++ b/millgw/standins/http.py
@@ -28,7 +28,7 @@
 
 
 class Clock:
-    """Milliseconds since the rig began; `unix` is the same moment as the cadastro words it."""
+    """Milliseconds since the rig began; `unix` is the same moment as the discovery server words it."""
 
     def __init__(self) -> None:
         self.zero = time.monotonic()
--- a/millgw/standins/ledger.py
+++ b/millgw/standins/ledger.py
@@ -99,7 +99,7 @@
 
 @dataclass(slots=True)
 class Word:
-    """One line on an endpoint, as the cadastro wrote it to a sidecar."""
+    """One line on an endpoint, as the discovery server wrote it to a sidecar."""
 
     sidecar: str
     endpoint: str
@@ -110,7 +110,7 @@
 
 @dataclass(slots=True)
 class Change:
-    """What became of an endpoint, when the cadastro knew."""
+    """What became of an endpoint, when the discovery server knew."""
 
     endpoint: str
     life: int
@@ -120,7 +120,7 @@
 
 @dataclass(slots=True)
 class Asked:
-    """A sidecar's time of asking and watching at the cadastro; `until` is None while the watch is open."""
+    """A sidecar's time of asking and watching at discovery; `until` is None while the watch is open."""
 
     sidecar: str
     at: float
@@ -130,7 +130,7 @@
 
 @dataclass(slots=True)
 class Outage:
-    """A time in which the cadastro was down; `until` is None while it is."""
+    """A time in which the discovery server was down; `until` is None while it is."""
 
     at: float
     until: float | None = None
--- a/millgw/standins/register.py
+++ b/millgw/standins/register.py
@@ -1,4 +1,4 @@
-"""The cadastro's list: entries, versions, and what has changed since one. Pure."""
+"""The discovery server's list: entries, versions, and what has changed since one. Pure."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Entry:
-    """An endpoint as the cadastro lists it; `life` is the rig's own and not written."""
+    """An endpoint as the discovery server lists it; `life` is the rig's own and not written."""
 
     name: str
     tier: int
--- a/millgw/standins/scripted.py
+++ b/millgw/standins/scripted.py
@@ -1,4 +1,4 @@
-"""Stand-ins that a test moves by hand: an endpoint whose script makes each answer, a cadastro that is raw."""
+"""Stand-ins that a test moves by hand: an endpoint whose script makes each answer, a raw discovery server."""
 
 from __future__ import annotations
 
@@ -57,7 +57,7 @@
         self.listener.open()
 
     def entry(self, status: str = "in_service", **more: Any) -> dict[str, Any]:
-        """This endpoint as a cadastro lists it."""
+        """This endpoint as a discovery server lists it."""
         return {
             "name": self.name, "address": str(self.address), "zone": "a", "type": "m", "group": 1,
             "status": status, "weight": 1.0, "since_ms": 0, **more,
@@ -103,7 +103,7 @@
     return json.dumps({"index": index, "snapshot": snapshot, "endpoints": entries}).encode() + b"\n"
 
 
-class ScriptedCadastro:
+class ScriptedDiscoveryServer:
     """Discovery by hand: a test takes each call as it comes and writes the bytes of its answer."""
 
     def __init__(self) -> None:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -21,7 +21,7 @@
 from millgw.sidecar.__main__ import serve
 from millgw.standins.address import free_address
 from millgw.standins.http import Message
-from millgw.standins.scripted import ScriptedCadastro, ScriptedEndpoint, read_message
+from millgw.standins.scripted import ScriptedDiscoveryServer, ScriptedEndpoint, read_message
 
 LIMIT = 30.0  # s that a test may wait for anything: far over what it takes on a busy machine
 STUCK = 3 * LIMIT  # s after which a test that never lets the loop turn ends the whole run, with its traceback
@@ -123,7 +123,7 @@
 
 
 class Rig(Reachable):
-    def __init__(self, config: Config, discovery: ScriptedCadastro, task: asyncio.Task[None]) -> None:
+    def __init__(self, config: Config, discovery: ScriptedDiscoveryServer, task: asyncio.Task[None]) -> None:
         self.config = config
         self.listen = config.listen
         self.discovery = discovery
@@ -133,7 +133,7 @@
 @asynccontextmanager
 async def sidecar(*endpoints: ScriptedEndpoint, **changes: Any) -> AsyncIterator[Rig]:
     """A sidecar in service, which knows these endpoints."""
-    discovery = ScriptedCadastro()
+    discovery = ScriptedDiscoveryServer()
     await discovery.start()
     for endpoint in endpoints:
         await endpoint.start()
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -14,7 +14,7 @@
 from millgw.standins.http import ServerConnection
 from millgw.standins.scripted import (
     STREAM,
-    ScriptedCadastro,
+    ScriptedDiscoveryServer,
     ScriptedEndpoint,
     chunk,
     line,
@@ -226,24 +226,26 @@
     run(test)
 
 
-async def told(cadastro: ScriptedCadastro, *entries: dict[str, object]) -> asyncio.StreamWriter:
+async def told(
+    discovery_server: ScriptedDiscoveryServer, *entries: dict[str, object]
+) -> asyncio.StreamWriter:
     """Answer the sidecar's watch with a whole list, and leave it open."""
-    _, writer = await cadastro.calls.get()
+    _, writer = await discovery_server.calls.get()
     writer.write(STREAM + chunk(line(2, list(entries), snapshot=True)))
     return writer
 
 
 def test_a_drain_ends_what_is_being_opened_ahead(tmp_path: Path) -> None:
     async def test() -> None:
-        cadastro, stays = ScriptedCadastro(), ScriptedEndpoint("stays")
+        discovery_server, stays = ScriptedDiscoveryServer(), ScriptedEndpoint("stays")
         leaves = ScriptedEndpoint("leaves")
-        await cadastro.start()
+        await discovery_server.start()
         for endpoint in (stays, leaves):
             await endpoint.start()
         leaves.listener.silence()  # what is being opened to it does not come up until it listens again
         text = '[connections]\nkeep_least = 2\n[services.all]\n[[routes]]\nto = "all"'
-        async with services(tmp_path, text, str(cadastro.address)) as rig:
-            writer = await told(cadastro, stays.entry(), leaves.entry())
+        async with services(tmp_path, text, str(discovery_server.address)) as rig:
+            writer = await told(discovery_server, stays.entry(), leaves.entry())
             await until(lambda: stays.connections == 2)
             writer.write(chunk(line(3, [leaves.entry("terminating")])))
             await asyncio.sleep(0.05)
@@ -263,9 +265,9 @@
     """Of 400 siblings the first has its turn after 0.2 s, the last not while the endpoint is cold."""
 
     async def test() -> None:
-        cadastro, warm = ScriptedCadastro(), [ScriptedEndpoint(f"w{i}") for i in range(2)]
+        discovery_server, warm = ScriptedDiscoveryServer(), [ScriptedEndpoint(f"w{i}") for i in range(2)]
         cold = ScriptedEndpoint("cold")
-        await cadastro.start()
+        await discovery_server.start()
         for endpoint in (*warm, cold):
             await endpoint.start()
         index = (place - endpoint_id("cold")) % 400
@@ -280,10 +282,10 @@
 [[routes]]
 to = "all"
 """
-        async with services(tmp_path, text, str(cadastro.address)) as rig:
+        async with services(tmp_path, text, str(discovery_server.address)) as rig:
             since = int(time.time() * 1000)
             entries = [e.entry() for e in warm]
-            await told(cadastro, *entries, cold.entry(since_ms=since))
+            await told(discovery_server, *entries, cold.entry(since_ms=since))
             await asyncio.sleep(1.0)
             for _ in range(10):
                 assert (await rig.ask(request("read"))).status == 200
@@ -310,11 +312,11 @@
 
 def test_one_pool_without_services_is_tended_too(tmp_path: Path) -> None:
     async def test() -> None:
-        cadastro, endpoint = ScriptedCadastro(), ScriptedEndpoint("e1")
-        await cadastro.start()
+        discovery_server, endpoint = ScriptedDiscoveryServer(), ScriptedEndpoint("e1")
+        await discovery_server.start()
         await endpoint.start()
-        async with services(tmp_path, "[connections]\nkeep_least = 2", str(cadastro.address)) as rig:
-            await told(cadastro, endpoint.entry())
+        async with services(tmp_path, "[connections]\nkeep_least = 2", str(discovery_server.address)) as rig:
+            await told(discovery_server, endpoint.entry())
             await until(lambda: endpoint.connections == 2)
             assert (await rig.ask(request("pay"))).status == 200
         assert endpoint.connections == 2
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -40,7 +40,7 @@
 from millgw.standins.http import NEVER_RAN, Message, ServerConnection, ok, status
 from millgw.standins.scripted import (
     STREAM,
-    ScriptedCadastro,
+    ScriptedDiscoveryServer,
     ScriptedEndpoint,
     answering,
     chunk,
@@ -66,9 +66,9 @@
 class Watched:
     """A watch on a discovery, and what was heard by it."""
 
-    def __init__(self, cadastro: ScriptedCadastro) -> None:
+    def __init__(self, discovery_server: ScriptedDiscoveryServer) -> None:
         self.heard: list[tuple[ListKind, tuple[Listed, ...]]] = []
-        self.discovery = Discovery(cadastro.address, ("a",), lambda *heard: self.heard.append(heard))
+        self.discovery = Discovery(discovery_server.address, ("a",), lambda *heard: self.heard.append(heard))
 
     def drained(self) -> set[int]:
         return {
@@ -80,8 +80,8 @@
 
 
 @contextmanager
-def watched(cadastro: ScriptedCadastro) -> Iterator[Watched]:
-    made = Watched(cadastro)
+def watched(discovery_server: ScriptedDiscoveryServer) -> Iterator[Watched]:
+    made = Watched(discovery_server)
     made.discovery.subscribe()
     try:
         yield made
@@ -161,18 +161,18 @@
     written: bytes, then: str
 ) -> None:
     async def test() -> None:
-        cadastro, other = ScriptedCadastro(), ScriptedCadastro()
-        await cadastro.start()
+        discovery_server, other = ScriptedDiscoveryServer(), ScriptedDiscoveryServer()
+        await discovery_server.start()
         await other.start()
-        with watched(cadastro) as made:
-            _, writer = await cadastro.calls.get()
+        with watched(discovery_server) as made:
+            _, writer = await discovery_server.calls.get()
             write_now(writer, STREAM + chunk(line(1, [E1.entry()])) if then == "moved" else STREAM)
             if then == "moved":
                 await until(lambda: bool(made.heard))
             write_now(writer, written)
             if then == "moved":
                 made.discovery.move(other.address)
-                made.discovery.move(cadastro.address)  # the one before is let go of for good
+                made.discovery.move(discovery_server.address)  # the one before is let go of for good
             else:
                 await until(lambda: made.discovery.watch is not None and bool(made.discovery.watch.transport))
                 made.discovery.subscribe()
@@ -184,11 +184,11 @@
 
 def test_a_watch_that_is_moved_from_is_read_until_it_ends() -> None:
     async def test() -> None:
-        cadastro, other = ScriptedCadastro(), ScriptedCadastro()
-        await cadastro.start()
+        discovery_server, other = ScriptedDiscoveryServer(), ScriptedDiscoveryServer()
+        await discovery_server.start()
         await other.start()
-        with watched(cadastro) as made:
-            _, writer = await cadastro.calls.get()
+        with watched(discovery_server) as made:
+            _, writer = await discovery_server.calls.get()
             writer.write(STREAM + chunk(line(1, [E1.entry(), E2.entry()])))
             await until(lambda: bool(made.heard))
             made.discovery.move(other.address)
@@ -216,10 +216,10 @@
     monkeypatch.setattr(discovery_module, "SILENCE", 0.2)
 
     async def test() -> None:
-        cadastro = ScriptedCadastro()
-        await cadastro.start()
-        with watched(cadastro) as made:
-            _, writer = await cadastro.calls.get()
+        discovery_server = ScriptedDiscoveryServer()
+        await discovery_server.start()
+        with watched(discovery_server) as made:
+            _, writer = await discovery_server.calls.get()
             writer.write(STREAM + chunk(line(1, [E1.entry()])))
             await until(lambda: bool(made.heard))
             write_now(writer, chunk(DRAIN))
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -33,7 +33,14 @@
 from millgw.standins.address import free_address
 from millgw.standins.crowd import Crowd
 from millgw.standins.http import ok
-from millgw.standins.scripted import STREAM, ScriptedCadastro, ScriptedEndpoint, chunk, line, read_message
+from millgw.standins.scripted import (
+    STREAM,
+    ScriptedDiscoveryServer,
+    ScriptedEndpoint,
+    chunk,
+    line,
+    read_message,
+)
 from tests.rig import SETTINGS, config, request, run, until
 from tests.support import drive
 from tests.test_control import call
@@ -227,7 +234,9 @@
 class Platform:
     """Starts processes of one sidecar, with a discovery and endpoints round them."""
 
-    def __init__(self, folder: Path, endpoints: list[ScriptedEndpoint], discovery: ScriptedCadastro) -> None:
+    def __init__(
+        self, folder: Path, endpoints: list[ScriptedEndpoint], discovery: ScriptedDiscoveryServer
+    ) -> None:
         self.folder = folder
         self.listen = free_address()
         self.endpoints = endpoints
@@ -270,7 +279,7 @@
 
 @asynccontextmanager
 async def platform(folder: Path, endpoints: int = 3) -> AsyncIterator[Platform]:
-    discovery = ScriptedCadastro()
+    discovery = ScriptedDiscoveryServer()
     await discovery.start()
     spots = [ScriptedEndpoint(f"e{i}") for i in range(endpoints)]
     for spot in spots:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -31,7 +31,7 @@
 from millgw.standins.address import free_address
 from millgw.standins.coordinator.ensemble import Ensemble
 from millgw.standins.coordinator.tree import Told
-from millgw.standins.scripted import STREAM, ScriptedCadastro, ScriptedEndpoint, chunk, line
+from millgw.standins.scripted import STREAM, ScriptedDiscoveryServer, ScriptedEndpoint, chunk, line
 from tests.rig import Reachable, request, run, services, until
 from tests.test_coordinator import running
 
@@ -182,16 +182,16 @@
 def test_both_sources_are_one_list_and_either_may_drain(tmp_path: Path) -> None:
     async def test() -> None:
         a, b, c = (ScriptedEndpoint(name) for name in "abc")
-        cadastro = ScriptedCadastro()
-        await cadastro.start()
+        discovery_server = ScriptedDiscoveryServer()
+        await discovery_server.start()
         async with ensemble() as zk:
             for e in (a, b, c):
                 await e.start()
             zk.own(f"{PATH}/a", entry("a", a.address))
             zk.own(f"{PATH}/b", entry("b", b.address))
             text = service(zk, 'membership = "union"')
-            async with services(tmp_path, text, str(cadastro.address)) as node:
-                _, writer = await cadastro.calls.get()
+            async with services(tmp_path, text, str(discovery_server.address)) as node:
+                _, writer = await discovery_server.calls.get()
                 writer.write(STREAM + chunk(line(1, [b.entry(), c.entry()], snapshot=True)))
                 await has(node, 3)
                 writer.write(chunk(line(2, [b.entry("terminating")])))
@@ -201,7 +201,7 @@
                 assert (await node.ask(request("pay"))).status == 200 and len(c.got) == 1
                 writer.close()
                 zk.write(f"{PATH}/b", entry("b", b.address, "terminating"))  # word that is not discovery's
-                _, writer = await cadastro.calls.get()
+                _, writer = await discovery_server.calls.get()
                 writer.write(STREAM + chunk(line(2, [c.entry()], snapshot=True)))
                 writer.write(chunk(line(3, [a.entry(since_ms=int(time.time() * 1000) + 60_000)])))
                 await has(node, 2)
--- a/tests/test_rehearsal_pure.py
+++ b/tests/test_rehearsal_pure.py
@@ -80,7 +80,7 @@
 def test_all_that_is_shipped_can_be_read_at_every_scale() -> None:
     assert set(shipped()) == {
         "calm", "silence", "cold-return", "fast-failure", "shared-slowdown", "silence-and-slowdown",
-        "overlap-three", "drain-wave", "cadastro-outage", "replaced-at-address", "sidecar-killed",
+        "overlap-three", "drain-wave", "discovery-outage", "replaced-at-address", "sidecar-killed",
         "rolling-restart", "flash-crowd", "connection-storm", "flood-one-pool", "pool-without-servers",
         "reload-under-flood", "cold-unheard", "zk-mass-expiry", "zk-lingering", "zk-lagging-face",
         "zk-restart-empty", "zk-reconnect-storm", "zk-both-sources", "stale-pools",
@@ -129,7 +129,9 @@
         ("[[faults]]\nkind = 'drain'\nstart_s = 1\nclass = 'x'\n", 4, "faults[0].class"),
         ("[fleet]\nsidecars = 12\n", 2, "none for the front"),
         ("[fleet]\ntiers = [1.0]\n", 1, "fleet.work"),
-        ("[cadastro]\nnotice_s = [3, 1]\n", 2, "is no range"),
+        ("[discovery]\nnotice_s = [3, 1]\n", 2, "is no range"),
+        ("[cadastro]\nnotice_s = [3, 1]\n", 2, "discovery.notice_s: 3 to 1 is no range"),
+        (FAULTS.replace("silence", "cadastro-reboot"), 2, "faults[0].kind"),
         (
             "[[classes]]\nname='a'\nshare=1\nrepeat='dedup'\nwork_ms=1\naim_ms=2\ndeadline_ms=3\n",
             1,
@@ -151,6 +153,15 @@
     assert said.startswith(f"day.toml:{line}: " if line else "day.toml: ")
 
 
+def test_former_names_are_read_as_the_current_ones() -> None:
+    current = "[discovery]\nsilent_s = [1, 2]\n[[faults]]\nkind = 'discovery-outage'\nstart_s = 1\n"
+    current += '[[faults]]\nkind = "discovery-restart"\nstart_s = 2\n'
+    former = current.replace("discovery", "cadastro")
+    assert parse(former, "day.toml") == parse(current, "day.toml")
+    assert "cadastro" not in to_toml(parse(former, "day.toml"))
+    assert load("cadastro-outage") == load("discovery-outage")
+
+
 def test_files_that_are_not_there_or_not_text(tmp_path: Path) -> None:
     (tmp_path / "x.toml").write_bytes(b"\xff\xfe")
     for name in (str(tmp_path / "x.toml"), str(tmp_path / "none.toml"), "no-such-scenario"):
--- a/tests/test_rehearsal_wrong.py
+++ b/tests/test_rehearsal_wrong.py
@@ -13,8 +13,8 @@
 
 from millgw.rehearsal.report import Day, judge
 from millgw.rehearsal.scenario import (
-    Cadastro,
     Class,
+    Discovery,
     Fault,
     Fleet,
     Rules,
@@ -50,7 +50,7 @@
         ),
         Class(name="codigo-acesso", share=0.35, repeat="fragile", work_ms=50, aim_ms=800, deadline_ms=3000),
     ),
-    cadastro=Cadastro(notice_s=(0.1, 0.2), silent_s=(0.5, 1.0), add_s=(0.05, 0.1)),
+    discovery=Discovery(notice_s=(0.1, 0.2), silent_s=(0.5, 1.0), add_s=(0.05, 0.1)),
     rules=Rules(drain_grace_ms=300.0),
 )  # fmt: skip
 
@@ -67,7 +67,7 @@
 LEAVING = replace(BASE.traffic, impatient=0.5)
 TRAFFIC = {"floods": CROWDED, "for-nobody": LEAVING}
 
-SHIPPED = ("silence-and-slowdown", "overlap-three", "drain-wave", "cadastro-outage", "sidecar-killed")
+SHIPPED = ("silence-and-slowdown", "overlap-three", "drain-wave", "discovery-outage", "sidecar-killed")
 CROSSING = ("callers-leave", "watches-silent")
 SERVICES = ("flood-one-pool", "reload-under-flood", "pool-without-servers")
 COORDINATED = (
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -25,7 +25,13 @@
 from millgw.services.turns import QUANTUM, Turns
 from millgw.standins.address import free_address
 from millgw.standins.http import Message, ok
-from millgw.standins.scripted import ScriptedCadastro, ScriptedEndpoint, answering, read_message, silent
+from millgw.standins.scripted import (
+    ScriptedDiscoveryServer,
+    ScriptedEndpoint,
+    answering,
+    read_message,
+    silent,
+)
 from tests.outside import loaded
 from tests.rig import Client, Services, request, run, services, until
 
@@ -65,7 +71,7 @@
         (('host = "login.example.org"', ""), 13, "routes[1]: can't be told apart from routes[0]"),
         (('host = "login.example.org"', 'host = "a..b"'), 9, "host: Host is no host name"),
         (('host = "login.example.org"', 'path = "x"'), 11, "routes[0].path"),
-        (("127.0.0.1:8501", "cadastro:8501"), 7, "services.campaign.discovery"),
+        (("127.0.0.1:8501", "discovery:8501"), 7, "services.campaign.discovery"),
         (("[services.campaign]", "[services.Campaign]"), None, "services"),
         (
             ("[services.campaign]\n", "[services.campaign.limits]\ncalls = 0.6\n[services.campaign]\n"),
@@ -418,12 +424,12 @@
 
 def test_a_service_may_follow_a_discovery_of_its_own(tmp_path: Path) -> None:
     async def test() -> None:
-        cadastro, other = ScriptedCadastro(), ScriptedCadastro()
-        await cadastro.start()
+        discovery_server, other = ScriptedDiscoveryServer(), ScriptedDiscoveryServer()
+        await discovery_server.start()
         await other.start()
         text = f'[services.login]\n[services.campaign]\ndiscovery = "{other.address}"\n' + ROUTES
-        async with services(tmp_path, text, str(cadastro.address)):
-            for asked in (cadastro, other):
+        async with services(tmp_path, text, str(discovery_server.address)):
+            for asked in (discovery_server, other):
                 call, _ = await asked.calls.get()
                 assert call.first.startswith("GET /v1/endpoints?watch=1")
 
@@ -480,10 +486,10 @@
 
 def test_a_file_without_services_is_as_if_there_were_none(tmp_path: Path) -> None:
     async def test() -> None:
-        cadastro = ScriptedCadastro()
-        await cadastro.start()
-        async with services(tmp_path, "# nothing\n", str(cadastro.address)) as node:
-            await cadastro.calls.get()
+        discovery_server = ScriptedDiscoveryServer()
+        await discovery_server.start()
+        async with services(tmp_path, "# nothing\n", str(discovery_server.address)) as node:
+            await discovery_server.calls.get()
             assert (await node.ask(request("pay", Host="anything"))).status == 503
 
     run(test)
--- a/tests/test_sidecar_process.py
+++ b/tests/test_sidecar_process.py
@@ -23,7 +23,7 @@
 from millgw.standins.http import ok, status
 from millgw.standins.scripted import (
     STREAM,
-    ScriptedCadastro,
+    ScriptedDiscoveryServer,
     ScriptedEndpoint,
     answering,
     chunk,
@@ -317,7 +317,7 @@
 
 def test_sighup_moves_the_watch_and_keeps_the_list_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
     async def test() -> None:
-        endpoint, old, new = ScriptedEndpoint("e1"), ScriptedCadastro(), ScriptedCadastro()
+        endpoint, old, new = ScriptedEndpoint("e1"), ScriptedDiscoveryServer(), ScriptedDiscoveryServer()
         await old.start()
         await new.start()
         process, listen = await in_service(endpoint, tmp_path, discovery=str(old.address))
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -1,4 +1,4 @@
-"""The stand-ins over loopback: what the protocol page says of endpoints, the cadastro and callers."""
+"""The stand-ins over loopback: what the protocol page says of endpoints, the discovery server and callers."""
 
 from __future__ import annotations
 
@@ -14,8 +14,8 @@
 
 from millgw.message import unconfirmed
 from millgw.standins.address import free_address
-from millgw.standins.cadastro import Cadastro, Capacity, Delays
 from millgw.standins.caller import Desk, ready
+from millgw.standins.discovery_server import Capacity, Delays, DiscoveryServer
 from millgw.standins.endpoint import Build, ColdRule, Endpoint, Group, Task, token
 from millgw.standins.http import Clock, Listener, Message, ok
 from millgw.standins.ledger import Call, End, Ledger, Told
@@ -331,7 +331,7 @@
     run(test)
 
 
-# The cadastro
+# The discovery server
 
 
 def entry(name: str, status: str = "in_service", life: int = 1) -> Entry:
@@ -341,8 +341,8 @@
 class Watching:
     """A sidecar's watch, read line by line."""
 
-    def __init__(self, cadastro: Cadastro, since: int | None = None, name: str = "n0") -> None:
-        self.address = cadastro.window(name, 1)
+    def __init__(self, discovery_server: DiscoveryServer, since: int | None = None, name: str = "n0") -> None:
+        self.address = discovery_server.window(name, 1)
         self.since = since
 
     async def start(self) -> Message:
@@ -360,14 +360,14 @@
                 return found
 
 
-def cadastro(**capacity: float) -> Cadastro:
+def discovery_server(**capacity: float) -> DiscoveryServer:
     delays = Delays((10.0, 20.0), (10.0, 20.0), (10.0, 20.0))
-    return Cadastro(Ledger(), Clock(), 1, delays, replace(Capacity(lines=10_000.0), **capacity))
+    return DiscoveryServer(Ledger(), Clock(), 1, delays, replace(Capacity(lines=10_000.0), **capacity))
 
 
-def test_the_cadastro_lists_watches_and_books_what_it_wrote() -> None:
+def test_the_discovery_server_lists_watches_and_books_what_it_wrote() -> None:
     async def test() -> None:
-        made = cadastro()
+        made = discovery_server()
         made.list(entry("a"))
         watching = Watching(made)
         assert (await watching.start()).status == 200
@@ -395,7 +395,7 @@
 
 def test_an_outage_ends_watches_and_a_restart_tells_the_whole_list() -> None:
     async def test() -> None:
-        made = cadastro()
+        made = discovery_server()
         made.list(entry("a"))
         made.list(entry("b"))
         watching = Watching(made)
@@ -421,7 +421,7 @@
 
 def test_late_word_of_an_older_life_or_of_a_start_is_not_believed_over_a_newer_one() -> None:
     async def test() -> None:
-        made = cadastro()
+        made = discovery_server()
         made.list(entry("a", life=2))
         for stale in (entry("a", "terminated", life=1), entry("a", life=2)):
             made.notice(stale, (0.0, 0.0))
@@ -434,7 +434,7 @@
 
 def test_calls_wait_their_turn_and_are_turned_away_when_that_takes_too_long() -> None:
     async def test() -> None:
-        made = cadastro(lines=100.0, call=20.0, timeout=300.0)
+        made = discovery_server(lines=100.0, call=20.0, timeout=300.0)
         watches = [Watching(made, name=f"n{i}") for i in range(4)]
         answers = await asyncio.gather(*(w.start() for w in watches))
         # Each takes 200 ms of its time: the third and fourth would wait for longer than they may.
