Rehearsal: faults are planned and injected, by modules and types of those names

blows.py is fault_injection.py (FaultInjector, FaultTargets), faults.py is fault_plan.py (PlannedFault); the ledger's record of one is InjectedFault.

--- a/millgw/rehearsal/faults.py
+++ b/millgw/rehearsal/fault_plan.py
@@ -1,4 +1,4 @@
-"""Which fault strikes whom and when: a scenario's faults drawn out from a seed. Pure."""
+"""Which targets each fault hits and when: a scenario's faults drawn out from a seed. Pure."""
 
 from __future__ import annotations
 
@@ -11,15 +11,15 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Blow:
-    """One fault on one target, in ms of the day. `target` is empty for what strikes the whole."""
+class PlannedFault:
+    """One fault on one target, in ms of the day. `target` is empty for what hits the whole."""
 
     kind: str
     at: float
     until: float
     target: str
     size: float
-    fault: int  # its number in the scenario
+    number: int  # of the fault in the scenario
 
 
 def size_of(fault: Fault) -> float:
@@ -28,12 +28,12 @@
 
 def plan(
     scenario: Scenario, endpoints: Sequence[tuple[str, int]], front: Sequence[str], seed: int
-) -> tuple[Blow, ...]:
-    """All blows of a day, in time. `endpoints` are names with their tiers (1, 2, ...), `front` sidecars.
+) -> tuple[PlannedFault, ...]:
+    """All faults of a day, in time. `endpoints` are names with their tiers (1, 2, ...), `front` sidecars.
 
-    A fault strikes at least one target and spares at least one, unless its share is 1.
+    A fault hits at least one target and spares at least one, unless its share is 1.
     """
-    blows: list[Blow] = []
+    planned: list[PlannedFault] = []
     for number, fault in enumerate(scenario.faults):
         rng = random.Random(f"fault {seed} {number}")
         if fault.kind in ON_ENDPOINTS:
@@ -47,8 +47,9 @@
             targets = [fault.service or ""]
         for i, target in enumerate(targets):
             at = (fault.start_s + i * fault.spacing_s) * 1000
-            blows.append(Blow(fault.kind, at, at + fault.length_s * 1000, target, size_of(fault), number))
-    return tuple(sorted(blows, key=lambda b: (b.at, b.fault, b.target)))
+            until = at + fault.length_s * 1000
+            planned.append(PlannedFault(fault.kind, at, until, target, size_of(fault), number))
+    return tuple(sorted(planned, key=lambda fault: (fault.at, fault.number, fault.target)))
 
 
 def _some(rng: random.Random, names: list[str], share: float) -> list[str]:
--- a/millgw/rehearsal/page.py
+++ b/millgw/rehearsal/page.py
@@ -8,7 +8,7 @@
 from millgw.rehearsal.auditor import Verdict
 from millgw.rehearsal.report import Day
 from millgw.rehearsal.summary import Second
-from millgw.standins.ledger import Strike
+from millgw.standins.ledger import InjectedFault
 
 WIDTH, LEFT, RIGHT = 1080, 64, 16
 PANEL, GAP, LANE = 120, 30, 18
@@ -74,7 +74,7 @@
     return (
         f"<h2 id='{escape(day.name)}'>{escape(day.name)}: {escape(day.conclusion)}</h2>"
         f"<p>{escape(day.about)}</p><p>{escape(facts)}</p><p class=legend>{legend}</p>"
-        f"{_chart(s.seconds, day.strikes)}{_evidence(day)}"
+        f"{_chart(s.seconds, day.injected)}{_evidence(day)}"
     )
 
 
@@ -90,9 +90,9 @@
     return "".join(out)
 
 
-def _chart(seconds: Sequence[Second], strikes: Sequence[Strike]) -> str:
+def _chart(seconds: Sequence[Second], faults: Sequence[InjectedFault]) -> str:
     span = max(1, len(seconds))
-    lanes = len(strikes)
+    lanes = len(faults)
     top = LANE * lanes + GAP
     height = top + 3 * (PANEL + GAP)
 
@@ -100,16 +100,16 @@
         return LEFT + (WIDTH - LEFT - RIGHT) * min(max(second, 0.0), span) / span
 
     parts = [f"<svg viewBox='0 0 {WIDTH} {height}' role=img aria-label='the day second by second'>"]
-    for i, strike in enumerate(strikes):
-        a, b, lane = x(strike.at / 1000), x(strike.until / 1000), i * LANE + 2
+    for i, fault in enumerate(faults):
+        a, b, lane = x(fault.at / 1000), x(fault.until / 1000), i * LANE + 2
         wide, tall = max(b - a, 2.0), height - GAP
-        size = f" {strike.size:g}" if strike.size else ""
-        count = f" x{len(strike.targets)}" if strike.targets else ""
+        size = f" {fault.size:g}" if fault.size else ""
+        count = f" x{len(fault.targets)}" if fault.targets else ""
         parts.append(
             f"<rect x={a:.1f} y=0 width={wide:.1f} height={tall} fill='#c8323c' opacity=.05 />"
             f"<rect x={a:.1f} y={lane} width={wide:.1f} height={LANE - 4} rx=3 fill='#c8323c' opacity=.75 />"
             f"<text x={min(a + 4, WIDTH - 170):.1f} y={lane + 11} style='fill:#fff'>"
-            f"{escape(strike.kind)}{size}{count}</text>"
+            f"{escape(fault.kind)}{size}{count}</text>"
         )
     stacks = [[part(s) for _, _, part in PARTS] for s in seconds]
     most = max([sum(stack) for stack in stacks] + [s.asked for s in seconds] + [1])
--- a/millgw/rehearsal/report.py
+++ b/millgw/rehearsal/report.py
@@ -14,7 +14,7 @@
 from millgw.rehearsal.scenario import Scenario, to_toml
 from millgw.rehearsal.stage import Facts, terms
 from millgw.rehearsal.summary import Summary, Worth, summarize
-from millgw.standins.ledger import Ledger, SentAway, Strike, Upgrade
+from millgw.standins.ledger import InjectedFault, Ledger, SentAway, Upgrade
 
 COLOURS = {Verdict.HELD: "green", Verdict.BROKEN: "bold red", Verdict.NOT_EXERCISED: "dim"}
 LEAST_WIDTH = 118  # columns of a table that goes to a file
@@ -31,7 +31,7 @@
     facts: Facts
     summary: Summary
     audit: Audit
-    strikes: tuple[Strike, ...]
+    injected: tuple[InjectedFault, ...]
     upgrades: tuple[Upgrade, ...] = ()
     sent_away: tuple[SentAway, ...] = ()
 
@@ -49,7 +49,7 @@
     worths = {c.name: Worth(c.aim_ms, c.deadline_ms, c.worth, c.late_worth) for c in scenario.classes}
     verdict = audit(ledger, terms(scenario))
     return Day(
-        name, scenario.about, scenario, facts, summarize(ledger, worths), verdict, tuple(ledger.strikes),
+        name, scenario.about, scenario, facts, summarize(ledger, worths), verdict, tuple(ledger.injected),
         tuple(ledger.upgrades), tuple(ledger.sent_away),
     )  # fmt: skip
 
@@ -173,7 +173,7 @@
         "hit_by_upgrades": s.hit_by_upgrades,
         "upgrades": [asdict(upgrade) for upgrade in day.upgrades],
         "sent_away": [asdict(away) for away in day.sent_away],
-        "faults": [asdict(strike) for strike in day.strikes],
+        "faults": [asdict(fault) for fault in day.injected],
         "rules": [
             {
                 "rule": f.rule, "title": f.title, "verdict": f.verdict.value, "checked": f.checked,
--- a/millgw/rehearsal/scenario.py
+++ b/millgw/rehearsal/scenario.py
@@ -396,9 +396,9 @@
     if (fault.kind == "reload") != named or (fault.service is not None and not named):
         raise ValueError(f"{path}.service: a reload names one of the services, and nothing else does")
     if fault.kind.startswith("zk-") and scenario.coordinator is None:
-        raise ValueError(f"{path}.kind: {fault.kind} strikes a coordinator, and the day has none")
+        raise ValueError(f"{path}.kind: {fault.kind} hits a coordinator, and the day has none")
     if fault.tier and fault.kind not in ON_ENDPOINTS:
-        raise ValueError(f"{path}.tier: {fault.kind} does not strike endpoints")
+        raise ValueError(f"{path}.tier: {fault.kind} does not hit endpoints")
 
 
 # Reading
--- a/millgw/rehearsal/stage.py
+++ b/millgw/rehearsal/stage.py
@@ -21,9 +21,9 @@
 from millgw.platform.config import Address
 from millgw.platform.discovery import endpoint_id
 from millgw.rehearsal.auditor import ClassTerms, Repeats, Terms
-from millgw.rehearsal.blows import Blows
 from millgw.rehearsal.coordination import Coordination
-from millgw.rehearsal.faults import crowds, floods, plan
+from millgw.rehearsal.fault_injection import FaultInjector
+from millgw.rehearsal.fault_plan import crowds, floods, plan
 from millgw.rehearsal.front import Clients, Front, ask
 from millgw.rehearsal.keeper import Keeper
 from millgw.rehearsal.sampler import Sampler, own_memory
@@ -361,7 +361,7 @@
                 seen.append((Listing(endpoint_id(endpoint.build.name), since=since), cold))
         return seen
 
-    # Its parts, for the blows
+    # Its parts, as targets of faults
 
     @property
     def listed(self) -> bool:
@@ -416,7 +416,7 @@
             await sidecar.ended.wait()
             await sidecar.start()
             if sidecar.pid is None:
-                return  # struck again meanwhile
+                return  # hit again meanwhile
         endpoint.start(cold=True)
         self.say(f"{endpoint.build.name} is back, cold")
         self.notice(endpoint, "in_service", self.delays.add)
@@ -477,12 +477,12 @@
         planned = schedule(scenario)
         endpoints = [(e.build.name, e.build.tier) for tier in self.tiers for e in tier]
         front = [name for name, s in self.sidecars.items() if s.stage == 0]
-        blows = Blows(self)
+        injector = FaultInjector(self)
         # Guards against the rig's own pauses: a look through a whole ledger takes it some tenths of a second.
         gc.collect()
         gc.disable()
         self.zero = self.clock()
-        blows.schedule(plan(scenario, endpoints, front, scenario.seed))
+        injector.schedule(plan(scenario, endpoints, front, scenario.seed))
         sampler = asyncio.create_task(Sampler(self.ledger, self.clock, list(self.sidecars.values())).run())
         playing = asyncio.create_task(self.clients.play(planned, self.zero))
         stopped = asyncio.create_task(self.over.wait())
@@ -497,7 +497,7 @@
         finally:
             for task in (sampler, playing, stopped, *self.clients.journeys):
                 task.cancel()
-            blows.close()
+            injector.close()
             gc.enable()
 
     def _facts(self, start_s: float) -> Facts:
--- a/millgw/standins/ledger.py
+++ b/millgw/standins/ledger.py
@@ -224,7 +224,7 @@
 
 
 @dataclass(slots=True)
-class Strike:
+class InjectedFault:
     """A fault as it was carried out."""
 
     kind: str
@@ -248,7 +248,7 @@
     handshakes: list[Handshake] = field(default_factory=list)
     sidecars: list[SidecarLife] = field(default_factory=list)
     samples: list[Sample] = field(default_factory=list)
-    strikes: list[Strike] = field(default_factory=list)
+    injected: list[InjectedFault] = field(default_factory=list)
     sent_away: list[SentAway] = field(default_factory=list)
     upgrades: list[Upgrade] = field(default_factory=list)
     late: list[tuple[float, float]] = field(default_factory=list)  # arrivals: when due, ms sent late
@@ -271,7 +271,7 @@
     Handshake: ("at",),
     SidecarLife: ("start", "ready", "term", "kill", "ended"),
     Sample: ("at",),
-    Strike: ("at", "until"),
+    InjectedFault: ("at", "until"),
     SentAway: ("at", "no_at", "until", "yes_at", "judged"),
     Upgrade: ("at", "yes_at", "term", "ended"),
 }
@@ -282,7 +282,7 @@
     """Move all times by so many ms: the stand-ins run before the day's 0 is known."""
     for records in (
         ledger.attempts, ledger.calls, ledger.words, ledger.changes, ledger.asked, ledger.outages,
-        ledger.lives, ledger.handshakes, ledger.sidecars, ledger.samples, ledger.strikes,
+        ledger.lives, ledger.handshakes, ledger.sidecars, ledger.samples, ledger.injected,
         ledger.sent_away, ledger.upgrades,
     ):  # fmt: skip
         for record in records:
--- a/tests/test_rehearsal_pure.py
+++ b/tests/test_rehearsal_pure.py
@@ -14,7 +14,7 @@
 
 from millgw.load import arrivals
 from millgw.rehearsal import search
-from millgw.rehearsal.faults import crowds, plan
+from millgw.rehearsal.fault_plan import crowds, plan
 from millgw.rehearsal.page import page
 from millgw.rehearsal.scenario import (
     OPTIONAL,
@@ -32,7 +32,7 @@
 from millgw.rehearsal.stage import schedule
 from millgw.rehearsal.summary import Worth, hit_by_upgrades, summarize
 from millgw.standins.capacity import Processor, Room
-from millgw.standins.ledger import Attempt, Call, End, Ledger, Life, Strike, Told, Upgrade, shift
+from millgw.standins.ledger import Attempt, Call, End, InjectedFault, Ledger, Life, Told, Upgrade, shift
 from millgw.standins.register import Entry, Register
 from tests.kinds import once
 
@@ -120,7 +120,7 @@
         ("seconds = 3\n[[faults]]\nkind = 'resets'\nstart_s = 4\n", 4, "past the day's 3"),
         ("[[faults]]\nkind = 'fast-failure'\nsize = 1.5\nstart_s = 4\n", 3, "takes 1 at the most"),
         ("[[faults]]\nkind = 'slowdown'\nsize = 0.5\nstart_s = 4\n", 3, "takes 1 or more"),
-        ("[[faults]]\nkind = 'crowd'\ntier = 1\nstart_s = 4\n", 3, "does not strike endpoints"),
+        ("[[faults]]\nkind = 'crowd'\ntier = 1\nstart_s = 4\n", 3, "does not hit endpoints"),
         ("[[faults]]\nkind = 'drain'\ntier = 4\nstart_s = 4\n", 3, "faults[0].tier: there are 3"),
         (SERVICES.replace("['codigo-acesso']", "['x']"), 5, "services[0].classes[0]: there is no class 'x'"),
         (SERVICES + "[[services]]\nname='b'\nclasses=['codigo-acesso']\n", 9, "has a service already"),
@@ -199,9 +199,9 @@
         Scenario(),
         faults=(Fault(kind="silence", start_s=1, share=share, tier=1), Fault(kind="crowd", start_s=2)),
     )
-    blows = plan(day, endpoints, ["n0"], seed)
-    assert blows == plan(day, endpoints, ["n0"], seed)
-    hit = {b.target for b in blows if b.kind == "silence"}
+    planned = plan(day, endpoints, ["n0"], seed)
+    assert planned == plan(day, endpoints, ["n0"], seed)
+    hit = {fault.target for fault in planned if fault.kind == "silence"}
     first = {name for name, tier in endpoints if tier == 1}
     assert hit and hit <= first and (share == 1 or hit < first)
     assert [c.factor for c in crowds(day)] == [3.0]
@@ -349,11 +349,11 @@
 
 
 def test_a_shift_moves_every_time_and_leaves_what_never_happened() -> None:
-    ledger = Ledger(lives=[Life("e", 1, 1, 0, 5.0, 1.0)], strikes=[Strike("x", 1.0, 2.0, (), 0.0)])
+    ledger = Ledger(lives=[Life("e", 1, 1, 0, 5.0, 1.0)], injected=[InjectedFault("x", 1.0, 2.0, (), 0.0)])
     ledger.calls.append(Call("a", "a", 0, "c", "t", "", "n0", 7.0))
     shift(ledger, -5.0)
     assert ledger.lives[0].start == 0.0 and ledger.lives[0].until is None
-    assert ledger.calls[0].due == 2.0 and ledger.calls[0].sent is None and ledger.strikes[0].until == -3.0
+    assert ledger.calls[0].due == 2.0 and ledger.calls[0].sent is None and ledger.injected[0].until == -3.0
 
 
 def test_a_page_without_days_is_a_page() -> None:
