--- a/millgw/rehearsal/command.py
+++ b/millgw/rehearsal/command.py
@@ -22,12 +22,12 @@
 from millgw.cli.kinds import COUNT, DIRECTORY, RATE, SCENARIO, SEED, Duration
 from millgw.cli.report import FileReporting, Out, Reporting
 from millgw.rehearsal import demo
-from millgw.rehearsal.hunt import Hunt, Outcome
+from millgw.rehearsal.fault_schedules import SMALL
+from millgw.rehearsal.fault_search import FaultSearch, SearchOutcome
 from millgw.rehearsal.lateness import quantile
 from millgw.rehearsal.page import page
 from millgw.rehearsal.report import Day, exit_code, judge, show, to_json
 from millgw.rehearsal.scenario import OPTIONAL, SCALES, Scenario, ScenarioError, changed, load, parse, shipped
-from millgw.rehearsal.search import SMALL
 from millgw.rehearsal.sidecars import DEFAULT_RUN, NotReady
 from millgw.rehearsal.stage import Stage
 
@@ -216,9 +216,9 @@
     def say(what: str) -> None:
         print(what, file=sys.stderr, flush=True)
 
-    async def search() -> Outcome:
-        hunt = Hunt(base, args.run, args.jobs, Path(args.into), args.steps, say)
-        return await _interruptible(hunt.search(args.seed, args.count))
+    async def search() -> SearchOutcome:
+        fault_search = FaultSearch(base, args.run, args.jobs, Path(args.into), args.steps, say)
+        return await _interruptible(fault_search.search(args.seed, args.count))
 
     outcome = asyncio.run(search())
     if not outcome.played:
--- a/millgw/rehearsal/search.py
+++ b/millgw/rehearsal/fault_schedules.py
@@ -1,4 +1,4 @@
-"""Schedules that nobody wrote down, and the least of one that still does harm. No I/O."""
+"""Random fault schedules, and the smallest part of one that still does harm. No I/O."""
 
 from __future__ import annotations
 
@@ -62,7 +62,7 @@
     return check(replace(base, about=about, seed=seed, faults=tuple(faults)))
 
 
-def apart(scenario: Scenario) -> Scenario:
+def one_at_a_time(scenario: Scenario) -> Scenario:
     """The same faults one after another, in a day that is longer by as much."""
     part, at = scenario.seconds, 0.0
     faults = []
@@ -73,7 +73,7 @@
     return check(replace(scenario, about=about, seconds=at, faults=tuple(faults)))
 
 
-def smaller(scenario: Scenario) -> Iterator[Scenario]:
+def simpler(scenario: Scenario) -> Iterator[Scenario]:
     """Days that are a step simpler, the greatest steps first."""
     faults = scenario.faults
     for i in range(len(faults)):
@@ -105,7 +105,7 @@
     asked, again = 0, True
     while again:
         again = False
-        steps = list(smaller(scenario))
+        steps = list(simpler(scenario))
         while steps and not again:
             some, steps = steps[:at_once][: most - asked], steps[at_once:]
             if not some:
--- a/millgw/rehearsal/hunt.py
+++ b/millgw/rehearsal/fault_search.py
@@ -14,16 +14,16 @@
 
 from msgspec.structs import replace
 
+from millgw.rehearsal.fault_schedules import draw, one_at_a_time, shrink
 from millgw.rehearsal.scenario import Scenario, to_toml
-from millgw.rehearsal.search import apart, draw, shrink
 
-LOW_SERVICE = 0.75  # service of a day below which it is held against the same faults apart
+LOW_SERVICE = 0.75  # service of a day below which it is held against the same faults one at a time
 FAR_BELOW = 0.2  # of service that overlap alone must cost to be worth a file
-TRIES = 2  # plays of a schedule that must all do harm: chance is not a finding
+TRIES = 2  # plays of a schedule that must all do harm: harm by chance does not count
 
 
 @dataclass(slots=True, frozen=True)
-class Played:
+class PlayResult:
     """What one play came to."""
 
     code: int
@@ -32,12 +32,12 @@
     first: str
 
 
-UNPLAYED = Played(4, 1.0, frozenset(), "")
+UNPLAYED = PlayResult(4, 1.0, frozenset(), "")
 """In the place of a play that came to nothing."""
 
 
 @dataclass(slots=True, frozen=True)
-class Found:
+class HarmfulSchedule:
     """A schedule that does harm, as it was drawn and shrunk, and where the file stands."""
 
     seed: int
@@ -48,7 +48,7 @@
 
 
 @dataclass(slots=True)
-class Outcome:
+class SearchOutcome:
     """A whole search."""
 
     played: int = 0
@@ -57,11 +57,11 @@
     unplayed: list[str] = field(default_factory=list)  # why
     services: list[float] = field(default_factory=list)
     kinds: Counter[str] = field(default_factory=Counter)
-    found: list[Found] = field(default_factory=list)
+    found: list[HarmfulSchedule] = field(default_factory=list)
 
 
-class Hunt:
-    """One search: `jobs` days at once, findings written to `out`."""
+class FaultSearch:
+    """One search: `jobs` days at once, harmful schedules written to `out`."""
 
     def __init__(
         self, base: Scenario, run: str | None, jobs: int, out: Path, steps: int, say: Callable[[str], None]
@@ -73,9 +73,9 @@
         self.out = out
         self.steps = steps
         self.say = say
-        self.outcome = Outcome()
+        self.outcome = SearchOutcome()
 
-    async def search(self, seed: int, count: int) -> Outcome:
+    async def search(self, seed: int, count: int) -> SearchOutcome:
         """Play `count` schedules drawn from the seeds that follow `seed`."""
         async with asyncio.TaskGroup() as group:
             for number in range(count):
@@ -101,7 +101,7 @@
             async def harms(candidate: Scenario) -> bool:
                 return await self._always(candidate, lambda p: rule in p.broken)
         elif played.code == 0 and played.service < LOW_SERVICE:
-            alone = (await self.play(apart(scenario))).service
+            alone = (await self.play(one_at_a_time(scenario))).service
             if alone - played.service < FAR_BELOW:
                 return
             why = f"service {played.service:.3f}, where the same faults one at a time leave {alone:.3f}"
@@ -109,7 +109,7 @@
             async def harms(candidate: Scenario) -> bool:
                 if not candidate.faults:
                     return False
-                together, single = await self.play(candidate), await self.play(apart(candidate))
+                together, single = await self.play(candidate), await self.play(one_at_a_time(candidate))
                 return together.code == 0 and single.service - together.service >= FAR_BELOW
         else:
             return
@@ -119,7 +119,7 @@
         least, plays = await shrink(scenario, harms, self.steps, self.jobs)
         self._write(seed, why, scenario, least, plays)
 
-    async def _always(self, scenario: Scenario, holds: Callable[[Played], bool]) -> bool:
+    async def _always(self, scenario: Scenario, holds: Callable[[PlayResult], bool]) -> bool:
         return all(map(holds, await asyncio.gather(*(self.play(scenario) for _ in range(TRIES)))))
 
     def _write(self, seed: int, why: str, drawn: Scenario, least: Scenario, plays: int) -> None:
@@ -130,10 +130,10 @@
             f"Found by a search, seed {seed}, shrunk from {len(drawn.faults)} faults in {plays} steps.\n{why}"
         )
         path.write_text(to_toml(replace(least, about=f"found by a search: {about}"), comment))
-        self.outcome.found.append(Found(seed, why, str(path), len(least.faults), plays))
+        self.outcome.found.append(HarmfulSchedule(seed, why, str(path), len(least.faults), plays))
         self.say(f"{seed}: {why}; the least that does it is in {path}")
 
-    async def play(self, scenario: Scenario) -> Played:
+    async def play(self, scenario: Scenario) -> PlayResult:
         """Play a day in a process of its own."""
         async with self.gate:
             self.outcome.plays += 1
@@ -163,7 +163,7 @@
                 return _read(process.returncode, json.loads(report.read_text())["days"][0])
 
 
-def _read(code: int, day: dict[str, Any]) -> Played:
+def _read(code: int, day: dict[str, Any]) -> PlayResult:
     broken = {r["rule"]: r for r in day["rules"] if r["verdict"] == "BROKEN"}
     first = next(iter(broken[min(broken)]["kinds"])) if broken else ""
-    return Played(code, day["service"], frozenset(broken), first)
+    return PlayResult(code, day["service"], frozenset(broken), first)
--- a/tests/test_rehearsal_command.py
+++ b/tests/test_rehearsal_command.py
@@ -17,9 +17,9 @@
 
 from millgw.__main__ import main
 from millgw.cli.exits import INTERRUPTED
+from millgw.rehearsal.fault_schedules import draw
 from millgw.rehearsal.report import judge, to_json
 from millgw.rehearsal.scenario import parse, shipped
-from millgw.rehearsal.search import draw
 from millgw.rehearsal.stage import Stage
 from tests.kinds import aside
 from tests.rig import LIMIT
--- a/tests/test_rehearsal_pure.py
+++ b/tests/test_rehearsal_pure.py
@@ -13,7 +13,7 @@
 from msgspec.structs import replace
 
 from millgw.load import arrivals
-from millgw.rehearsal import search
+from millgw.rehearsal import fault_schedules
 from millgw.rehearsal.fault_plan import crowds, plan
 from millgw.rehearsal.page import page
 from millgw.rehearsal.scenario import (
@@ -172,9 +172,9 @@
 @given(SEEDS)
 @settings(max_examples=60, deadline=None)
 def test_what_is_written_is_read_back_the_same(seed: int) -> None:
-    day = search.draw(search.SMALL, seed)
+    day = fault_schedules.draw(fault_schedules.SMALL, seed)
     assert parse(to_toml(day, "found\nby chance"), "x") == day
-    for simpler in search.smaller(day):
+    for simpler in fault_schedules.simpler(day):
         assert parse(to_toml(simpler), "x") == check(simpler)
 
 
@@ -366,10 +366,12 @@
 @given(SEEDS)
 @settings(max_examples=80, deadline=None)
 def test_drawn_faults_all_overlap_and_apart_none_do(seed: int) -> None:
-    day = search.draw(search.SMALL, seed)
-    assert day == search.draw(search.SMALL, seed) and len(day.faults) >= search.FEWEST
+    day = fault_schedules.draw(fault_schedules.SMALL, seed)
+    assert (
+        day == fault_schedules.draw(fault_schedules.SMALL, seed) and len(day.faults) >= fault_schedules.FEWEST
+    )
     assert max(f.start_s for f in day.faults) < min(f.until_s for f in day.faults)
-    alone = search.apart(day)
+    alone = fault_schedules.one_at_a_time(day)
     for one, two in zip(alone.faults, alone.faults[1:], strict=False):
         assert one.until_s < two.start_s
     assert alone.seconds == pytest.approx(day.seconds * len(day.faults))
@@ -380,7 +382,7 @@
 def test_shrinking_keeps_the_harm_and_leaves_nothing_that_is_not_needed(
     seed: int, data: st.DataObject
 ) -> None:
-    day = search.draw(search.SMALL, seed)
+    day = fault_schedules.draw(fault_schedules.SMALL, seed)
     needed = set(data.draw(st.sets(st.integers(0, len(day.faults) - 1), min_size=1)))
     guilty = [day.faults[i].kind for i in needed]
 
@@ -388,7 +390,7 @@
         kinds = [f.kind for f in candidate.faults]
         return all(kinds.count(kind) >= guilty.count(kind) for kind in guilty)
 
-    least, plays = asyncio.run(search.shrink(day, harms, most=500))
+    least, plays = asyncio.run(fault_schedules.shrink(day, harms, most=500))
     assert sorted(f.kind for f in least.faults) == sorted(guilty) and plays <= 500
     check(least)
 
@@ -397,5 +399,5 @@
     async def harms(_: Scenario) -> bool:
         return False
 
-    day = search.draw(search.SMALL, 1)
-    assert asyncio.run(search.shrink(day, harms, most=2)) == (day, 2)
+    day = fault_schedules.draw(fault_schedules.SMALL, 1)
+    assert asyncio.run(fault_schedules.shrink(day, harms, most=2)) == (day, 2)
