--- a/millgw/rehearsal/command.py
+++ b/millgw/rehearsal/command.py
@@ -29,7 +29,7 @@
 from millgw.rehearsal.report import Day, exit_code, judge, show, to_json
 from millgw.rehearsal.scenario import OPTIONAL, SCALES, Scenario, ScenarioError, changed, load, parse, shipped
 from millgw.rehearsal.sidecars import DEFAULT_RUN, NotReady
-from millgw.rehearsal.stage import Stage
+from millgw.rehearsal.testbed import Testbed
 
 T = TypeVar("T")
 
@@ -194,17 +194,17 @@
         bar = progress.add_task(name, total=scenario.seconds, now="starting")
         if not console.is_terminal:
             print(f"{name}: {scenario.seconds:g} s", file=sys.stderr)
-        stage = Stage(scenario, run, lambda what: progress.update(bar, now=what), logs)
+        testbed = Testbed(scenario, run, lambda what: progress.update(bar, now=what), logs)
 
         async def advance() -> None:
             while True:
                 await asyncio.sleep(0.2)
-                if stage.zero:
-                    progress.update(bar, completed=(stage.clock() - stage.zero) / 1000)
+                if testbed.zero:
+                    progress.update(bar, completed=(testbed.clock() - testbed.zero) / 1000)
 
         advancing = asyncio.create_task(advance())
         try:
-            ledger, facts = await stage.play()
+            ledger, facts = await testbed.play()
         finally:
             advancing.cancel()
     return judge(name, scenario, ledger, facts)
--- a/millgw/rehearsal/demo.py
+++ b/millgw/rehearsal/demo.py
@@ -11,7 +11,7 @@
 from millgw.platform.config import Address
 from millgw.rehearsal.report import Day, judge
 from millgw.rehearsal.scenario import Discovery, Fault, Fleet, Scenario, Traffic, check
-from millgw.rehearsal.stage import Stage
+from millgw.rehearsal.testbed import Testbed
 from millgw.standins.ledger import Told
 
 ONCE_S = 14.0
@@ -64,35 +64,35 @@
 
 async def _show(once: bool, address: Address) -> Day:
     made = scenario(once)
-    stage = Stage(made, say=lambda what: print(f"    -- {what}", flush=True), listen=address)
+    testbed = Testbed(made, say=lambda what: print(f"    -- {what}", flush=True), listen=address)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, stage.stop)
+        loop.add_signal_handler(number, testbed.stop)
     print("a discovery server, six stand-in servers and one sidecar are starting", flush=True)
-    telling = asyncio.create_task(_tell(stage, address, once))
+    telling = asyncio.create_task(_tell(testbed, address, once))
     try:
-        ledger, facts = await stage.play()
+        ledger, facts = await testbed.play()
     finally:
         telling.cancel()
     return judge("demo", made, ledger, facts)
 
 
-async def _tell(stage: Stage, address: Address, once: bool) -> None:
+async def _tell(testbed: Testbed, address: Address, once: bool) -> None:
     """A line a second on what callers got."""
-    while not stage.zero:
+    while not testbed.zero:
         await asyncio.sleep(0.05)
     end = f"it ends by itself after {ONCE_S:g} s" if once else "Ctrl-C ends it"
     print(f"ready; {end}; paste this into another terminal:\n\n{curl(address)}\n", flush=True)
     while True:
-        since = stage.clock()
+        since = testbed.clock()
         await asyncio.sleep(SAYS_EVERY)
-        calls = [c for c in stage.ledger.calls if c.answered is not None and c.answered >= since]
-        attempts = [a for a in stage.ledger.attempts if a.last is not None and a.last >= since]
+        calls = [c for c in testbed.ledger.calls if c.answered is not None and c.answered >= since]
+        attempts = [a for a in testbed.ledger.attempts if a.last is not None and a.last >= since]
         served = sum(c.status == 200 for c in calls)
         refused = sum(c.status in (429, 503) for c in calls)
         silent = sum(a.told is Told.NOTHING and a.began is None for a in attempts)
         print(
-            f"{(stage.clock() - stage.zero) / 1000:5.0f} s: {served} served, {refused} refused,"
+            f"{(testbed.clock() - testbed.zero) / 1000:5.0f} s: {served} served, {refused} refused,"
             f" {len(calls) - served - refused} failed; {len(attempts)} attempts, {silent} at a silent server",
             flush=True,
         )
--- a/millgw/rehearsal/report.py
+++ b/millgw/rehearsal/report.py
@@ -12,8 +12,8 @@
 from millgw.rehearsal.auditor import Audit, Verdict, audit
 from millgw.rehearsal.lateness import quantile
 from millgw.rehearsal.scenario import Scenario, to_toml
-from millgw.rehearsal.stage import Facts, terms
 from millgw.rehearsal.summary import Summary, Worth, summarize
+from millgw.rehearsal.testbed import Facts, terms
 from millgw.standins.ledger import InjectedFault, Ledger, SentAway, Upgrade
 
 COLOURS = {Verdict.HELD: "green", Verdict.BROKEN: "bold red", Verdict.NOT_EXERCISED: "dim"}
--- a/millgw/rehearsal/stage.py
+++ b/millgw/rehearsal/testbed.py
@@ -1,4 +1,4 @@
-"""Puts a day on: stand-ins and sidecars up, traffic and faults in time, all down again; a ledger out."""
+"""Plays a day: stand-ins and sidecars up, traffic and faults in time, all down again; a ledger out."""
 
 from __future__ import annotations
 
@@ -113,7 +113,7 @@
     return seconds[0] * 1000, seconds[1] * 1000
 
 
-class Stage:
+class Testbed:
     """One day. `say` is told what happens, for a person who watches; `logs` keeps the sidecars' logs."""
 
     def __init__(
@@ -152,7 +152,7 @@
         self.zero = 0.0
 
     async def play(self) -> tuple[Ledger, Facts]:
-        """Play the whole day; a NotReady or OSError tells that it could not be put on."""
+        """Play the whole day; a NotReady or OSError tells that it could not be played."""
         folder = Path(tempfile.mkdtemp(prefix="millgw-rehearsal-"))
         keeper = Keeper(str(folder))
         begun = self.clock()
@@ -478,7 +478,7 @@
         endpoints = [(e.build.name, e.build.tier) for tier in self.tiers for e in tier]
         front = [name for name, s in self.sidecars.items() if s.stage == 0]
         injector = FaultInjector(self)
-        # Guards against the rig's own pauses: a look through a whole ledger takes it some tenths of a second.
+        # Otherwise the rig itself pauses: a look through a whole ledger takes it some tenths of a second.
         gc.collect()
         gc.disable()
         self.zero = self.clock()
@@ -536,4 +536,4 @@
                 shutil.copyfile(source, logs / f"{name}.log")
 
 
-__all__ = ["Facts", "NotReady", "Stage", "schedule", "terms"]
+__all__ = ["Facts", "NotReady", "Testbed", "schedule", "terms"]
--- a/tests/test_rehearsal_command.py
+++ b/tests/test_rehearsal_command.py
@@ -20,7 +20,7 @@
 from millgw.rehearsal.fault_schedules import draw
 from millgw.rehearsal.report import judge, to_json
 from millgw.rehearsal.scenario import parse, shipped
-from millgw.rehearsal.stage import Stage
+from millgw.rehearsal.testbed import Testbed
 from tests.kinds import aside
 from tests.rig import LIMIT
 
@@ -153,12 +153,12 @@
                 await asyncio.sleep(0.01)
 
         scenario = parse(TINY, "tiny")
-        stage = Stage(scenario)
+        testbed = Testbed(scenario)
         hogging: list[asyncio.Task[None]] = []
-        stage.say = lambda what: (
+        testbed.say = lambda what: (
             hogging.append(asyncio.create_task(hog())) if what.startswith("2 of 2") else None
         )
-        ledger, facts = await stage.play()
+        ledger, facts = await testbed.play()
         for task in hogging:
             task.cancel()
         judged = judge("hogged", scenario, ledger, facts)
--- a/tests/test_rehearsal_pure.py
+++ b/tests/test_rehearsal_pure.py
@@ -29,8 +29,8 @@
     shipped,
     to_toml,
 )
-from millgw.rehearsal.stage import schedule
 from millgw.rehearsal.summary import Worth, hit_by_upgrades, summarize
+from millgw.rehearsal.testbed import schedule
 from millgw.standins.capacity import Processor, Room
 from millgw.standins.ledger import Attempt, Call, End, InjectedFault, Ledger, Life, Told, Upgrade, shift
 from millgw.standins.register import Entry, Register
--- a/tests/test_rehearsal_wrong.py
+++ b/tests/test_rehearsal_wrong.py
@@ -26,7 +26,7 @@
     load,
 )
 from millgw.rehearsal.sidecars import DEFAULT_RUN
-from millgw.rehearsal.stage import Stage
+from millgw.rehearsal.testbed import Testbed
 from tests.alone import alone
 from tests.kinds import aside, once
 
@@ -153,7 +153,7 @@
 def asyncio_days(days: dict[str, tuple[Scenario, str]]) -> dict[str, Day]:
     async def play() -> list[Day]:
         async def one(name: str, scenario: Scenario, run: str) -> Day:
-            ledger, facts = await Stage(scenario, run).play()
+            ledger, facts = await Testbed(scenario, run).play()
             return judge(name, scenario, ledger, facts)
 
         return await asyncio.gather(*(one(name, *what) for name, what in days.items()))
