Log: events are written by log_event, which stands in millgw/log/events.py

tell, to, Bound and Teller were names of our own. The notifier of a coordinator's changes, which was a Teller too, is ChangeNotifier.

--- a/millgw/callers/connection.py
+++ b/millgw/callers/connection.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from millgw.callers.core import RequestCore, word_answer, word_begin
-from millgw.events import tell
+from millgw.log.events import log_event
 from millgw.message import FAILED, SERVED, Answer, gone, unread, watcher
 from millgw.pool.call import Call
 from millgw.request import BadRequest, Head
@@ -562,7 +562,7 @@
             self.resting = self.server.loop.call_later(LINGER, self.close)
 
     def _say(self, bad: BadRequest) -> None:
-        tell("request-turned-away", status=bad.status, cause=bad)
+        log_event("request-turned-away", status=bad.status, cause=bad)
         self._write(bad.answer())
 
     def _write(self, answer: Answer) -> None:
--- a/millgw/callers/server.py
+++ b/millgw/callers/server.py
@@ -13,8 +13,8 @@
 from typing import cast
 
 from millgw.callers.connection import CallerConnection, Front, Lanes
-from millgw.events import tell
 from millgw.life import Life
+from millgw.log.events import log_event
 from millgw.message import REFUSED
 from millgw.platform.config import Address
 from millgw.platform.descriptors import Descriptors
@@ -106,7 +106,7 @@
                 return
             except OSError as error:
                 # Guards against an accept that fails (no descriptors, a client gone): it ends nothing.
-                tell("accept-failed", cause=error)
+                log_event("accept-failed", cause=error)
                 self._pause()
                 return
             task = self.loop.create_task(self._adopt(connection))
@@ -118,7 +118,7 @@
             made = cast(asyncio.Protocol, CallerConnection(self))
             await self.loop.connect_accepted_socket(lambda: made, connection)
         except OSError as error:
-            tell("caller-lost", cause=error)
+            log_event("caller-lost", cause=error)
 
     def _pause(self) -> None:
         self.loop.remove_reader(self.socket)
--- a/millgw/compiled.py
+++ b/millgw/compiled.py
@@ -29,7 +29,7 @@
 MODULES = (
     "interface",
     "decide",
-    "events",
+    "log.events",
     "streams.room",
     "streams.flow",
     "streams.upload",
--- a/millgw/control/door.py
+++ b/millgw/control/door.py
@@ -13,7 +13,7 @@
 
 from millgw.callers.core import word_answer
 from millgw.control.core import Asked, CallCore
-from millgw.events import tell
+from millgw.log.events import log_event
 from millgw.message import Answer
 from millgw.platform.config import Address, ConfigError
 from millgw.request import BadRequest
@@ -76,7 +76,7 @@
                     elif caller in self.held:
                         self._read(caller)
                 except Exception as error:  # the door must outlive whatever one call meets
-                    tell("door-call-failed", cause=repr(error))
+                    log_event("door-call-failed", cause=repr(error))
                     if caller is not None:
                         self._drop(caller)
             now = time.monotonic()
@@ -94,7 +94,7 @@
         except BlockingIOError:
             return
         except OSError as error:
-            tell("accept-failed", cause=error)
+            log_event("accept-failed", cause=error)
             time.sleep(0.01)  # guards against turning round and round without a descriptor
             return
         connection.setblocking(False)
--- a/millgw/endpoints/connection.py
+++ b/millgw/endpoints/connection.py
@@ -16,8 +16,8 @@
 from millgw.endpoints.attempt import CONNECTING, HELD, WRITING, WRITTEN, Attempt, Intent
 from millgw.endpoints.core import SPOILT, WHOLE, AnswerCore
 from millgw.endpoints.proof import HOLD_BACK, Proof
-from millgw.events import Bound
 from millgw.interface import Outcome
+from millgw.log.events import BoundLogger
 from millgw.message import NOTHING, unconfirmed, unread, watcher
 from millgw.platform.config import Address
 from millgw.streams.flow import Flow
@@ -69,7 +69,7 @@
     written: int
     buffer: bytearray
     streams: StreamRoom
-    log: Bound  # tells events with the service that it is of
+    log: BoundLogger  # logs events with the service that it is of
 
     def most_held(self) -> int:
         """Bytes of answers that may be coming in at once."""
@@ -408,7 +408,9 @@
             # Guards against a late answer that would be taken for the next request's.
             after = time.monotonic() * 1000 - self.idle_since
             self.home.strayed()
-            self.home.log.tell("bytes-after-answer", endpoint=self.host.address, after_ms=round(after, 1))
+            self.home.log.log_event(
+                "bytes-after-answer", endpoint=self.host.address, after_ms=round(after, 1)
+            )
             self.abort()
             return
         if self.last_byte or attempt.state == HELD:
@@ -568,7 +570,7 @@
     def _tell(self, event: str, why: str) -> None:
         attempt = self.attempt
         call = "" if attempt is None else attempt.trace.decode("ascii", "backslashreplace")
-        self.home.log.tell(event, endpoint=self.host.address, call=call, cause=why)
+        self.home.log.log_event(event, endpoint=self.host.address, call=call, cause=why)
 
     def _spoilt(self, why: str) -> None:
         self._tell("answer-spoilt", why)
--- a/millgw/endpoints/upstream.py
+++ b/millgw/endpoints/upstream.py
@@ -12,8 +12,8 @@
 from millgw.endpoints.attempt import CONNECTING, Attempt
 from millgw.endpoints.connection import Connection, Host, Lanes
 from millgw.endpoints.proof import DOUBT_TIME, REST
-from millgw.events import Bound
 from millgw.interface import Outcome
+from millgw.log.events import BoundLogger
 from millgw.message import NOTHING
 from millgw.platform.config import Address
 from millgw.streams.room import READ, StreamRoom
@@ -92,7 +92,7 @@
         self.loop = asyncio.get_running_loop()
         self.lanes = lanes
         self.lane = lane
-        self.log = Bound(service=lane) if lane else Bound()
+        self.log = BoundLogger(service=lane) if lane else BoundLogger()
         self.room = room
         self.room.endpoints = self.holds
         self.connect_timeout = connect_timeout / 1000
@@ -228,7 +228,7 @@
             attempt.end(Outcome.CONNECT_FAILED, NOTHING)
             return False
         if self.room.full() and not (self.give_way() or self.room.make()):
-            self.log.tell("no-descriptor", endpoint=host.address)
+            self.log.log_event("no-descriptor", endpoint=host.address)
             attempt.end(Outcome.NOT_SENT, NOTHING)
             return False
         host.connecting[attempt] = None
--- a/millgw/handover/heir.py
+++ b/millgw/handover/heir.py
@@ -13,8 +13,8 @@
 
 from millgw.control.calls import Calls, said
 from millgw.control.core import Asked
-from millgw.events import tell
 from millgw.handover.predecessor import DOOR, STATE, STEERED, SUCCESSOR, TOKEN, answers
+from millgw.log.events import log_event
 from millgw.message import Answer, Content
 from millgw.platform.config import Address, read_address
 
@@ -63,7 +63,7 @@
         except ValueError:
             return Answer(400, Content())
         self.steered = asked.headers.get(STEERED) == "1"
-        tell("successor", control=self.door, steered=self.steered)
+        log_event("successor", control=self.door, steered=self.steered)
         self._in_loop(self.took_over)
         return said(True, "succeeded")
 
--- a/millgw/handover/predecessor.py
+++ b/millgw/handover/predecessor.py
@@ -15,8 +15,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from millgw.events import tell
 from millgw.handover.state import MOST, BadState, State, decode
+from millgw.log.events import log_event
 from millgw.platform.config import Address, read_address
 
 FILE = "otterslip.handover"
@@ -73,7 +73,7 @@
                 raise BadState(f"it answered {code}")
             return decode(body, name, time.time() * 1000)
         except (OSError, ValueError) as error:
-            tell("handover-unusable", pid=self.pid, cause=error)
+            log_event("handover-unusable", pid=self.pid, cause=error)
             return None
 
     def succeed(self, control: Address, steered: bool) -> bool:
@@ -81,7 +81,7 @@
         try:
             code, _ = self._call("PUT", SUCCESSOR, f"{DOOR}: {control}\r\n{STEERED}: {int(steered)}\r\n")
         except (OSError, ValueError) as error:
-            tell("handover-unusable", pid=self.pid, cause=error)
+            log_event("handover-unusable", pid=self.pid, cause=error)
             return False
         return code == 200
 
@@ -114,9 +114,9 @@
     except FileNotFoundError:
         return None
     except (OSError, ValueError, LookupError, TypeError) as error:
-        tell("handover-unusable", pid=0, cause=error)
+        log_event("handover-unusable", pid=0, cause=error)
         return None
     if found.control == own_control or not found.runs():  # one at this process's own door has ended
         return None
-    tell("predecessor", pid=found.pid, control=found.control)
+    log_event("predecessor", pid=found.pid, control=found.control)
     return found
--- a/millgw/intents/log.py
+++ b/millgw/intents/log.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from millgw.events import tell
 from millgw.intents.book import Book, Done, Intent, Refusal
+from millgw.log.events import log_event
 from millgw.message import FAILED, Answer, plain
 from millgw.request import Head
 from millgw.store.files import Locked, RealFiles
@@ -65,7 +65,7 @@
             if next(ended) == len(futures):
                 failed = next((error for f in futures if (error := f.exception()) is not None), None)
                 if failed is not None:
-                    tell("store-failed", cause=failed)
+                    log_event("store-failed", cause=failed)
                 self.loop.call_soon_threadsafe(done, failed is None)
 
         for future in futures:
@@ -103,21 +103,21 @@
         try:
             store = await asyncio.to_thread(self._made)
         except Locked as error:
-            tell("store-locked", cause=error)
+            log_event("store-locked", cause=error)
             return False
         except (OSError, FormatError) as error:
             # Calls of other classes are served; an operator has to look at it.
-            tell("store-unusable", cause=error)
+            log_event("store-unusable", cause=error)
             for call in self.late:
                 call.marked(False)
             self.late.clear()
             return True
         for note in store.notes:
-            tell("store-recovered", note=note)
+            log_event("store-recovered", note=note)
         self.writer = Writer(store, self.terms.sync)
         loop = asyncio.get_running_loop()
         self.book = Book(Durable(self.writer, self.terms.keep, loop))
-        tell("store-open", keys=len(store.index), sync=self.terms.sync.value, waited=len(self.late))
+        log_event("store-open", keys=len(store.index), sync=self.terms.sync.value, waited=len(self.late))
         for call in self.late:
             call.opened(self.book)
         self.late.clear()
@@ -147,7 +147,7 @@
             if isinstance(taken, Intent):
                 return taken
             trace = head.values[b"x-trace-id"].decode("latin-1")
-            tell("not-sent-again", trace=trace, cause=taken.value)
+            log_event("not-sent-again", trace=trace, cause=taken.value)
             return plain(CONFLICT if taken is Refusal.OPEN else FAILED, taken.value)
         if self.opening is not None and not self.opening.done():
             self.late.append(Intent(None, keys))
--- a/millgw/log/start.py
+++ b/millgw/log/start.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from millgw import events
+from millgw.log import events
 from millgw.log.backlog import Backlog
 from millgw.log.repeats import Repeats
 from millgw.log.wording import Processor, Renderer, Told, known, plain, renderer
@@ -20,7 +20,7 @@
 
 
 class Log:
-    """Takes what is told (`events.to`), from any thread.
+    """Takes what is told (`events.set_handler`), from any thread.
 
     The daemon runs these processors by itself; the tools have structlog run the same ones (`millgw.cli.log`):
     the design note has what structlog costs a daemon.
@@ -97,6 +97,6 @@
 
 def take(log: Log, to: Callable[[str, dict[str, Any]], None] | None = None) -> None:
     """Have events and other libraries' messages go to a log (through `to`), and end it with the process."""
-    events.to(to or log)
+    events.set_handler(to or log)
     logging.basicConfig(level=logging.INFO, handlers=[Foreign(to or log)], force=True)
     atexit.register(log.close)
--- a/millgw/membership/client.py
+++ b/millgw/membership/client.py
@@ -13,7 +13,7 @@
 from collections.abc import Sequence
 from typing import Protocol, cast
 
-from millgw.events import tell
+from millgw.log.events import log_event
 from millgw.membership.jute import BadRecord
 from millgw.membership.protocol import Ask, Core, Expired, Fired, Reply, Up
 from millgw.membership.servers import Rota, Try
@@ -70,7 +70,7 @@
 
     def _later(self, next_: Try) -> None:
         if next_.over:
-            tell("coordinator-went-back", seen=self.core.seen)
+            log_event("coordinator-went-back", seen=self.core.seen)
             self.core.forget()
             self.over = True
         loop = asyncio.get_running_loop()
@@ -108,7 +108,7 @@
         self.core.up = False
         if self.stopped:
             return
-        tell("coordinator-lost", server=wire.server, cause=why)
+        log_event("coordinator-lost", server=wire.server, cause=why)
         if served:
             self.listener.down()
         if wire.expired:
@@ -129,13 +129,13 @@
                     wire.served(event.timeout)
                     self.rota.up()
                     over, self.over = self.over, False
-                    tell("coordinator-up", server=wire.server, fresh=event.fresh)
+                    log_event("coordinator-up", server=wire.server, fresh=event.fresh)
                     if event.read_only:
                         wire.look_on(READ_ONLY_FOR)
                     self.listener.up(event.fresh, over or event.read_only)
                 elif isinstance(event, Expired):
                     wire.expired = True
-                    tell("session-expired", server=wire.server)
+                    log_event("session-expired", server=wire.server)
                     wire.end("the session has expired")
                 elif isinstance(event, Fired):
                     self.listener.fired(event)
--- a/millgw/membership/registrar.py
+++ b/millgw/membership/registrar.py
@@ -19,7 +19,7 @@
 from dataclasses import dataclass, field
 from typing import Literal
 
-from millgw.events import tell
+from millgw.log.events import log_event
 from millgw.membership.client import Client
 from millgw.membership.protocol import Ask, Fired, Reply
 from millgw.membership.registration import Registration, State, Wish
@@ -133,10 +133,10 @@
         _mark(self.drained, state in (State.DRAINS, State.LEFT))
         _mark(self.left, state is State.LEFT)
         if state is State.TAKEN and not self.taken:
-            tell("name-taken", node=self.registration.path)
+            log_event("name-taken", node=self.registration.path)
         self.taken = state is State.TAKEN
         if self.registration.problem:
-            tell("register-refused", node=self.registration.path, code=self.registration.problem
+            log_event("register-refused", node=self.registration.path, code=self.registration.problem
             )  # fmt: skip
 
     # The client's listener
@@ -152,7 +152,7 @@
         made = self.registration.made
         self._ask(self.registration.reply(reply))
         if self.registration.made > made:
-            tell("registered", node=self.registration.path, times=self.registration.made)
+            log_event("registered", node=self.registration.path, times=self.registration.made)
 
     def fired(self, fired: Fired) -> None:
         self._ask(self.registration.fired(fired))
--- a/millgw/membership/source.py
+++ b/millgw/membership/source.py
@@ -14,8 +14,8 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from millgw.events import tell
 from millgw.interface import Condition, ListKind
+from millgw.log.events import log_event
 from millgw.membership.client import Client
 from millgw.membership.follower import Follower
 from millgw.membership.judge import Found, Judge, Seen, State, Terms
@@ -114,7 +114,7 @@
     def reply(self, reply: Reply) -> None:
         if reply.code not in (Code.OK, Code.NO_NODE):
             # What is known stays, and the recheck asks again.
-            tell("coordinator-refused", path=reply.ask.path, code=reply.code)
+            log_event("coordinator-refused", path=reply.ask.path, code=reply.code)
         before = self.follower.changes
         self._ask(self.follower.reply(self.now(), reply))
         if self.follower.changes != before or self.follower.too_many:
@@ -132,7 +132,7 @@
     def _judge(self) -> None:
         picture, now = self.follower.picture, self.now()
         if self.follower.too_many:
-            tell("too-many-nodes", path=self.where.path, nodes=self.follower.too_many)
+            log_event("too-many-nodes", path=self.where.path, nodes=self.follower.too_many)
         if not picture.whole:
             return
         self.read = {n: r for n, r in self.read.items() if n in picture.nodes}
@@ -152,7 +152,7 @@
         try:
             held = read_node(node.data, self.zones, self.where.port)
         except ValueError as error:
-            tell("node-skipped", node=f"{self.where.path}/{name}", cause=error)
+            log_event("node-skipped", node=f"{self.where.path}/{name}", cause=error)
         stat = node.stat
         found = None if held is None else Found(stat.czxid, stat.mzxid, stat.ctime, stat.owner, held)
         self.read[name] = node.data, stat.mzxid, found
@@ -165,7 +165,7 @@
         if seen or self.judge.counts != before:
             self._tell(first)
         if self.judge.counts.held > held:
-            tell("membership-held", path=self.where.path, held=self.judge.counts.held - held,
+            log_event("membership-held", path=self.where.path, held=self.judge.counts.held - held,
                 few=self.judge.few(),
             )  # fmt: skip
         if self.judge.unsettled() or self.judge.due() < now + IDLE_LOOK * 1000:
@@ -203,7 +203,7 @@
         }
 
 
-class Teller:
+class ChangeNotifier:
     """Tells the module a list as it comes to be: whole once it has asked (`due`), then what changes."""
 
     def __init__(self, heard: Heard) -> None:
@@ -211,7 +211,7 @@
         self.told: dict[int, Listed] = {}
         self.due = False
 
-    def tell(self, wanted: dict[int, Listed]) -> None:
+    def notify(self, wanted: dict[int, Listed]) -> None:
         if self.due:
             self.due = False
             self.heard(ListKind.FULL, tuple(wanted.values()))
@@ -228,7 +228,7 @@
     ) -> None:
         self.heard = heard
         self.directory = Directory(where, zones, seed, witness, self._changed)
-        self.teller = Teller(heard)
+        self.notifier = ChangeNotifier(heard)
         self.begun = False
 
     def start(self, known: Any) -> None:
@@ -236,7 +236,7 @@
         self.heard(ListKind.CACHED, ())
 
     def subscribe(self) -> None:
-        self.teller.due = True
+        self.notifier.due = True
         if not self.begun:
             self.begun = True
             self.directory.start()
@@ -248,7 +248,7 @@
 
     def _tell(self) -> None:
         ready, drains = self.directory.last
-        self.teller.tell(ready | drains)
+        self.notifier.notify(ready | drains)
 
     def stop(self) -> None:
         self.directory.stop()
@@ -282,7 +282,7 @@
         self.asking: asyncio.TimerHandle | None = None
         self.ready: dict[int, Listed] = {}
         self.drains: dict[int, Listed] = {}
-        self.teller = Teller(heard)
+        self.notifier = ChangeNotifier(heard)
         self.begun = False
         self.watching: asyncio.TimerHandle | None = None
 
@@ -291,7 +291,7 @@
         self.discovery.start(None if self.own else known)
 
     def subscribe(self) -> None:
-        self.teller.due = True
+        self.notifier.due = True
         if not self.begun:
             self.begun = True
             self.directory.start()
@@ -307,7 +307,7 @@
         side = self.merger.sides[COORDINATOR]
         if side.spoke and side.well != well:
             side.well = well
-            tell("coordinator-well", well=str(well).lower())
+            log_event("coordinator-well", well=str(well).lower())
             self._tell()
         self.watching = asyncio.get_running_loop().call_later(IDLE_LOOK, self._watch)
 
@@ -337,7 +337,7 @@
                 self.drains[id] = entry
         if kind is ListKind.CACHED:
             self.heard(kind, entries)  # an old list: sent to, and no word on who is gone
-            self.teller.told = {e.endpoint.id: e for e in entries}
+            self.notifier.told = {e.endpoint.id: e for e in entries}
             return
         self.waits.reset()
         self.merger.tell(DISCOVERY, self.ready, self.drains)
@@ -348,7 +348,7 @@
             self.discovery.subscribe()
 
     def _tell(self) -> None:
-        self.teller.tell(self.merger.result())
+        self.notifier.notify(self.merger.result())
 
     def stop(self) -> None:
         self.directory.stop()
--- a/millgw/peers/keys.py
+++ b/millgw/peers/keys.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from millgw.events import tell
+from millgw.log.events import log_event
 
 
 class Keys:
@@ -30,7 +30,7 @@
                 return None
             keys = self.read()
         except OSError as error:
-            tell("peer-keys-unusable", cause=error)
+            log_event("peer-keys-unusable", cause=error)
             return None
-        tell("peer-keys-read", keys=len(keys))
+        log_event("peer-keys-read", keys=len(keys))
         return keys
--- a/millgw/peers/links.py
+++ b/millgw/peers/links.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import cast
 
-from millgw.events import tell
+from millgw.log.events import log_event
 from millgw.peers.dialog import Dialog
 from millgw.peers.sealed import Refused
 from millgw.peers.wire import Body, encode
@@ -52,7 +52,7 @@
                 for answer in self.handle(sender, body):
                     self.transport.write(self.dialog.word(encode(answer)))
         except Refused as error:
-            tell("peer-refused", peer=self.transport.get_extra_info("peername"), cause=error)
+            log_event("peer-refused", peer=self.transport.get_extra_info("peername"), cause=error)
             self.transport.abort()
             return
         if said and self.first is not None:
--- a/millgw/peers/node.py
+++ b/millgw/peers/node.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, cast
 
-from millgw.events import tell
+from millgw.log.events import log_event
 from millgw.peers import gossip, seen, wire
 from millgw.peers.dialog import Dialog
 from millgw.peers.gossip import Digest, Gossip
@@ -103,7 +103,7 @@
         asking = [self._task(self._ask(name, wire.Ask())) for name in some]
         if asking:
             await asyncio.wait(asking, timeout=max(0.0, until - _clock()) / 1000)
-        tell("peers-learned", asked=len(asking), snapshots=self.snapshots)
+        log_event("peers-learned", asked=len(asking), snapshots=self.snapshots)
         self._tell_modules()
         self._task(self._listen())
 
@@ -121,7 +121,7 @@
                     await self.links.listen(listen)
                 await loop.create_datagram_endpoint(lambda: self, local_addr=(listen.host, listen.port))
             except OSError as error:
-                tell("peers-not-listening", listen=listen, cause=error)
+                log_event("peers-not-listening", listen=listen, cause=error)
                 await asyncio.sleep(LISTEN_AGAIN)
             else:
                 if self.finding is not None:
@@ -161,7 +161,7 @@
             self._reread()
         if now >= self.tells + TELL_EVERY:
             self.tells = now
-            tell("peers", **self.figures())
+            log_event("peers", **self.figures())
         if now >= self.looks + LOOK:
             self.looks = now
             self._look(now)
@@ -181,7 +181,7 @@
                 self.seal.change(keys)
                 self.opener.change(keys)
             except ValueError as error:
-                tell("peer-keys-unusable", cause=error)
+                log_event("peer-keys-unusable", cause=error)
 
     # The modules
 
@@ -273,7 +273,7 @@
             self._take(now, sender, wire.decode(body))
         except Refused as error:
             self.refused += 1
-            tell("peer-refused", peer=address, cause=error, refused=self.refused)
+            log_event("peer-refused", peer=address, cause=error, refused=self.refused)
 
     def _take(self, now: float, sender: str, body: wire.Body) -> None:
         if isinstance(body, wire.Rumours):
--- a/millgw/platform/discovery.py
+++ b/millgw/platform/discovery.py
@@ -12,8 +12,8 @@
 
 import httptools
 
-from millgw.events import tell
 from millgw.interface import Condition, Endpoint, ListKind
+from millgw.log.events import log_event
 from millgw.message import waiting
 from millgw.platform.config import Address, Config, read_address
 from millgw.settings import number
@@ -64,7 +64,7 @@
         try:
             entries.append(read_entry(raw, zones))
         except (ValueError, TypeError, LookupError, AttributeError) as error:
-            tell("entry-skipped", cause=f"{type(error).__name__}: {error}")
+            log_event("entry-skipped", cause=f"{type(error).__name__}: {error}")
     return Listing(int(number(data, "index", "")), data.get("snapshot") is True, tuple(entries))
 
 
@@ -133,7 +133,7 @@
         try:
             listing = Listing(0, False, ()) if known is None else read_listing(known, self.zones)
         except ValueError as error:
-            tell("known-unusable", cause=error)
+            log_event("known-unusable", cause=error)
             known, listing = None, Listing(0, False, ())
         if known is None:
             self.heard(ListKind.CACHED, ())  # guards against a balancer that hears nothing and never asks
@@ -169,7 +169,7 @@
     def move(self, address: Address) -> None:
         """Go on at another address from the version that is known; the list and all learned of it stay."""
         if address != self.address:
-            tell("discovery-moves", before=self.address, to=address)
+            log_event("discovery-moves", before=self.address, to=address)
             self.address = address
             if self.leaving is not None:
                 before, self.leaving = self.leaving, None
@@ -199,7 +199,7 @@
         """
         drains = drains_in(part)
         if drains:
-            tell("drains-in-part", discovery=self.address, drains=len(drains))
+            log_event("drains-in-part", discovery=self.address, drains=len(drains))
             self.heard(ListKind.PART, drains)
 
     def line(self, line: bytes, advance: bool) -> None:
@@ -219,7 +219,7 @@
             return
         self.watch = None
         watch.leave()
-        tell("watch-ended", discovery=self.address, cause=why)
+        log_event("watch-ended", discovery=self.address, cause=why)
         self.heard(kind, ())
 
 
--- a/millgw/pool/pool.py
+++ b/millgw/pool/pool.py
@@ -11,9 +11,9 @@
 from millgw.decide import Balancer
 from millgw.endpoints.connection import Lanes
 from millgw.endpoints.upstream import Room, Upstream
-from millgw.events import tell
 from millgw.figures import Book
 from millgw.interface import ListKind, Repeat
+from millgw.log.events import log_event
 from millgw.message import REFUSED, Answer
 from millgw.platform.config import Config
 from millgw.platform.discovery import Heard, Listed
@@ -214,7 +214,7 @@
             if host is not None:
                 self.upstream.close(host)
         self.drop()
-        tell("pool-ended", pool=self.name)
+        log_event("pool-ended", pool=self.name)
 
     def figures(self) -> dict[str, object]:
         """What it holds against its bounds, for the log."""
--- a/millgw/services/node.py
+++ b/millgw/services/node.py
@@ -13,8 +13,8 @@
 
 from millgw.callers.server import Server
 from millgw.endpoints.upstream import ANSWERS_PART
-from millgw.events import tell
 from millgw.life import Life
+from millgw.log.events import log_event
 from millgw.operator.file import KINDS, Limits, Operator, OperatorError, Service, load, table
 from millgw.operator.guarantees import parts
 from millgw.platform.config import Config, ConfigError, read_address, read_config
@@ -116,7 +116,7 @@
     def _status(self) -> None:
         """A line for each pool in the log, now and then."""
         for pool in self._all():
-            tell("pool", **pool.figures())
+            log_event("pool", **pool.figures())
         asyncio.get_running_loop().call_later(STATUS_EVERY, self._status)
 
     def _all(self) -> list[Pool]:
@@ -176,7 +176,7 @@
                     opened[name] = self._listen(operator, name)
         except (ConfigError, OSError) as error:
             # Worded here: a record that is kept would keep the error's frames, and so the pools in them.
-            tell("reload-refused", cause=str(error))
+            log_event("reload-refused", cause=str(error))
             for served in fresh:
                 served.pool.drop()
             for listener in opened.values():
@@ -184,7 +184,7 @@
             return
         for field in ("peers", "store"):
             if getattr(operator, field) != getattr(self.operator, field):
-                tell("reload-takes-restart", field=field)
+                log_event("reload-takes-restart", field=field)
         old = [served.pool for name, served in self.served.items() if made.get(name) is not served]
         self.bounds.allotments = allotments
         self.bounds.retired = [pool for pool in self.bounds.retired if pool.driver.calls] + old
@@ -209,7 +209,7 @@
         for pool in old:
             pool.retire()
         names = ", ".join(served.pool.name for served in fresh) or "none"
-        tell("reloaded", services=", ".join(made), new=names, removed=len(old))
+        log_event("reloaded", services=", ".join(made), new=names, removed=len(old))
 
     def _close(self, server: Server) -> None:
         """Take no connections at a listener any more; those it has end with their next answers, or idle."""
--- a/millgw/sidecar/__main__.py
+++ b/millgw/sidecar/__main__.py
@@ -13,8 +13,8 @@
 import uvloop
 
 from millgw import compiled
-from millgw.events import tell
 from millgw.life import Life
+from millgw.log.events import log_event
 from millgw.log.start import start as start_log
 from millgw.platform.config import Config, ConfigError, read_config
 from millgw.sidecar.parts import OPERATOR, Parts, one, several
@@ -64,7 +64,7 @@
         if operators is not None:
             await operators.serving()
         watching = asyncio.create_task(watch(parts))
-        tell("serving", name=config.name, listen=config.listen, modules=compiled.describe())
+        log_event("serving", name=config.name, listen=config.listen, modules=compiled.describe())
         await stop.wait()
         await leave(config, parts, operators)
     finally:
@@ -120,7 +120,7 @@
                     for server in servers:
                         server.stop()  # takes what has connected meanwhile, if anything
     except TimeoutError:
-        tell("ended-unserved", requests=sum(len(p.driver.calls) for p in parts.pools()))
+        log_event("ended-unserved", requests=sum(len(p.driver.calls) for p in parts.pools()))
         life.over = True  # guards against calls that the process would not live to answer
         for pool in parts.pools():
             pool.driver.fail_all()
--- a/millgw/sidecar/operators.py
+++ b/millgw/sidecar/operators.py
@@ -9,11 +9,11 @@
 from millgw.callers.steering import steer
 from millgw.control.calls import Calls, said
 from millgw.control.door import Door
-from millgw.events import tell
 from millgw.figures import rotation, worded
 from millgw.handover import predecessor, terms
 from millgw.handover.heir import Heir
 from millgw.handover.state import State, encode
+from millgw.log.events import log_event
 from millgw.message import Answer, Content
 from millgw.platform.config import Address, Config
 from millgw.platform.discovery import Discovery, Listed
@@ -92,14 +92,14 @@
             try:
                 self.heir.token = predecessor.leave_word(self.path, self.control)
             except OSError as error:
-                tell("handover-unusable", cause=error)
+                log_event("handover-unusable", cause=error)
 
     async def _beside(self, before: predecessor.Predecessor) -> None:
         while await asyncio.to_thread(before.runs):
             await asyncio.sleep(PAIR)
         self.pairing = None
         self._alone()
-        tell("alone", control=before.control)
+        log_event("alone", control=before.control)
 
     def _hold(self, most: int, paired: bool) -> None:
         """Hold so many descriptors, and cold endpoints' allowances together with another process or alone."""
@@ -125,7 +125,7 @@
         while missed < GONE_AFTER:
             await asyncio.sleep(PAIR)
             missed = 0 if await self.succeeded() else missed + 1
-        tell("successor-gone", control=self.heir.door)
+        log_event("successor-gone", control=self.heir.door)
         self.heir.gone()
         self.succeeding = None
         self._alone()
--- a/millgw/sidecar/parts.py
+++ b/millgw/sidecar/parts.py
@@ -10,8 +10,8 @@
 from millgw.callers.plain import PlainFront
 from millgw.callers.server import Server
 from millgw.endpoints.upstream import ANSWERS_PART
-from millgw.events import tell
 from millgw.life import Life
+from millgw.log.events import log_event
 from millgw.platform.config import Config, ConfigError, read_config
 from millgw.platform.descriptors import Descriptors
 from millgw.platform.discovery import Discovery, of_platform
@@ -79,7 +79,7 @@
 def _begin(config: Config, pool: Pool, state: State | None) -> None:
     if state is not None and state.learned.get("classes", class_names(config)) != class_names(config):
         # Guards against what was learned by other settings, or by another deployment's sidecar of this name.
-        tell("handover-unusable", cause="it is of other classes")
+        log_event("handover-unusable", cause="it is of other classes")
         state = None
     if state is None:
         pool.start(config.known)
@@ -91,7 +91,7 @@
     try:
         balancer.adopt(state.learned)
     except ValueError as error:
-        tell("handover-unusable", cause=error)
+        log_event("handover-unusable", cause=error)
 
 
 def several(config: Config, environ: Mapping[str, str], life: Life) -> Parts:
@@ -137,10 +137,10 @@
             self.config = read_config(self.environ, before)
         except ConfigError as error:
             # Guards against a file that is half written or wrong: the sidecar serves on with what it has.
-            tell("reload-refused", cause=error)
+            log_event("reload-refused", cause=error)
             return
         for name in ("name", "listen", "sockets", "settings"):
             if getattr(self.config, name) != getattr(before, name):
-                tell("reload-takes-restart", field=name)
-        tell("reloaded")
+                log_event("reload-takes-restart", field=name)
+        log_event("reloaded")
         self.discovery.move(self.config.discovery)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -21,13 +21,14 @@
 
 import pytest
 
-from millgw import decide, events
+from millgw import decide
 from millgw.callers.connection import CallerConnection
 from millgw.callers.server import Server
 from millgw.endpoints.attempt import Attempt
 from millgw.endpoints.upstream import Upstream
 from millgw.interface import Condition, ListKind, Outcome, Repeat
 from millgw.life import Life
+from millgw.log import events
 from millgw.message import REFUSED, Answer, Content
 from millgw.platform import discovery as discovery_module
 from millgw.platform.config import Address
@@ -443,14 +444,14 @@
 def at_the_end(monkeypatch: pytest.MonkeyPatch, act: Callable[[], None]) -> None:
     """Act when the time is over; nothing is read from then on until all that is owed has been answered."""
     monkeypatch.setattr(main_module, "LONGEST", 0.1)
-    tell = events.tell
+    log_event = events.log_event
 
     def and_act(event: str, **fields: object) -> None:
-        tell(event, **fields)
+        log_event(event, **fields)
         if event == "ended-unserved":
             act()
 
-    monkeypatch.setattr(main_module, "tell", and_act)
+    monkeypatch.setattr(main_module, "log_event", and_act)
 
 
 def test_what_crosses_the_end_is_answered_and_not_sent_on(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -22,8 +22,8 @@
 from hypothesis import strategies as st
 
 import millgw
-from millgw import events
 from millgw.cli.own import page
+from millgw.log import events
 from millgw.log import start as log_start
 from millgw.log.backlog import Backlog
 from millgw.log.repeats import Repeats
@@ -42,7 +42,7 @@
     """Events go to the standard library's log again."""
     handlers = logging.getLogger().handlers[:]
     yield
-    events.to(None)
+    events.set_handler(None)
     logging.getLogger().handlers[:] = handlers
 
 
@@ -106,9 +106,9 @@
 
 def test_bound_fields_go_with_each_event() -> None:
     pipe = Pipe("text")
-    events.to(pipe.log)
-    bound = events.Bound(service="login")
-    bound.tell("no-descriptor", endpoint="e1")
+    events.set_handler(pipe.log)
+    bound = events.BoundLogger(service="login")
+    bound.log_event("no-descriptor", endpoint="e1")
     assert pipe.read() == ["WARNING no-descriptor service=login endpoint=e1"]
 
 
@@ -124,10 +124,10 @@
     pipe = Pipe("text")
     told: dict[str, object] = {"endpoint": "e1", "cause": HOSTILE, "key": "sesame"}
     pipe.log("answer-spoilt", told)
-    events.tell("answer-spoilt", **told)
-    events.tell("answer-spoilt", endpoint="untold")
+    events.log_event("answer-spoilt", **told)
+    events.log_event("answer-spoilt", endpoint="untold")
     with structlog.contextvars.bound_contextvars(service="login"):
-        events.tell("no-descriptor", endpoint="e2")
+        events.log_event("no-descriptor", endpoint="e2")
     logger.bind(call="t9").msg("alone")
     ends[0]()
     os.close(into)
@@ -266,10 +266,10 @@
 
 def test_a_daemon_whose_log_nobody_reads_serves_and_ends(tmp_path: Path) -> None:
     code = (
-        "import os, sys, time\nfrom millgw.log.start import start\nfrom millgw import events\n"
+        "import os, sys, time\nfrom millgw.log.start import start\nfrom millgw.log import events\n"
         "log = start('text')\nbegun = time.monotonic()\n"
         "for i in range(20000):\n    log.repeats.last.clear()\n"
-        "    events.tell('no-descriptor', endpoint='e' * 90)\n"
+        "    events.log_event('no-descriptor', endpoint='e' * 90)\n"
         "print('told', flush=True)\n"
     )
     out, into = os.pipe()
@@ -301,7 +301,7 @@
                 continue
             name = node.func.attr if isinstance(node.func, ast.Attribute) else getattr(node.func, "id", "")
             first = node.args[0]
-            if name in ("tell", "word", "_tell") and isinstance(first, ast.Constant):
+            if name in ("log_event", "word", "_tell") and isinstance(first, ast.Constant):
                 yield str(path), str(first.value), {k.arg for k in node.keywords if k.arg}
 
 
@@ -341,7 +341,7 @@
             "e1", answering(f"HTTP/1.1 200 {mark}\r\nContent-Length: {mark}\r\n\r\n".encode())
         )
         async with sidecar(spoilt) as rig:
-            events.to(pipe.log)
+            events.set_handler(pipe.log)
             await rig.ask(whole.encode("latin-1"))
             for data in bad:
                 pipe.now += 2.0
@@ -350,7 +350,7 @@
                 writer.write_eof()
                 await reader.read()
                 writer.close()
-            events.to(None)
+            events.set_handler(None)
 
     run(test)
     lines = pipe.read()
@@ -365,7 +365,7 @@
 
 
 def test_the_library_alone_tells_the_standard_log(caplog: pytest.LogCaptureFixture) -> None:
-    events.tell("known-unusable", cause="x y", key="sesame")
+    events.log_event("known-unusable", cause="x y", key="sesame")
     (record,) = caplog.records
     assert (record.name, record.levelno) == ("millgw", logging.WARNING)
     assert record.getMessage() == 'known-unusable cause="x y"'
