--- a/benchmarks/connections.py
+++ b/benchmarks/connections.py
@@ -36,7 +36,7 @@
 from benchmarks.flags import words
 from millgw.cli.tree import run
 from millgw.platform.config import Address
-from millgw.rehearsal.lateness import quantile
+from millgw.rehearsal.audit.lateness import quantile
 from millgw.standins.address import free_address
 
 SENDERS = 2  # processes of callers
--- a/benchmarks/daily.py
+++ b/benchmarks/daily.py
@@ -32,7 +32,7 @@
 from benchmarks.flags import words
 from millgw.cli.tree import run
 from millgw.platform.config import Address
-from millgw.rehearsal.lateness import quantile
+from millgw.rehearsal.audit.lateness import quantile
 from millgw.standins.address import free_address
 from millgw.standins.caller import DOOR_READY, ready
 from millgw.standins.crowd import Crowd
--- a/benchmarks/services.py
+++ b/benchmarks/services.py
@@ -26,7 +26,7 @@
 from benchmarks import connections as connection_bench
 from benchmarks.rehearsal import play
 from millgw.platform.config import Address
-from millgw.rehearsal.lateness import quantile
+from millgw.rehearsal.audit.lateness import quantile
 from millgw.rehearsal.scenario import Fault, load, to_toml
 from millgw.standins.address import free_address
 from millgw.standins.caller import Desk
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -23,7 +23,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from millgw.rehearsal.lateness import quantile
+from millgw.rehearsal.audit.lateness import quantile
 from millgw.store.files import RealFiles
 from millgw.store.record import RECORD_SIZE
 from millgw.store.store import STEP, Item, Options, Standing, Store
--- a/benchmarks/tending.py
+++ b/benchmarks/tending.py
@@ -40,7 +40,7 @@
 from millgw.cli.tree import run
 from millgw.connections.opening import Place, Turns
 from millgw.platform.config import Address
-from millgw.rehearsal.lateness import quantile
+from millgw.rehearsal.audit.lateness import quantile
 from millgw.rehearsal.scenario import load, to_toml
 from millgw.standins.address import free_address
 from millgw.standins.caller import Desk, ready
--- /dev/null
+++ b/millgw/rehearsal/audit/drains.py
@@ -0,0 +1,95 @@
+"""Rule 3: an endpoint of whose drain or end a sidecar was notified gets nothing new from it."""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from collections.abc import Iterator
+
+from millgw.rehearsal.audit.day_records import SOCKET_MARGIN, DayRecords
+from millgw.rehearsal.audit.findings import Evidence, Finding
+from millgw.standins.ledger import Call
+
+
+def audit_drains(records: DayRecords) -> Finding:
+    """Nothing new goes to an endpoint past the grace after its sidecar was told of its end."""
+    finding = Finding(3, "drains are kept")
+    bans = _bans(records)
+    finding.checked = sum(len(spans) for spans in bans.values())
+    for trace, attempts in records.attempts.items():
+        for attempt in attempts:
+            call = _sender(records, trace, attempt.first)
+            for told, until in bans.get((call.sidecar, attempt.endpoint), ()) if call else ():
+                bound = records.rules.drain_grace + SOCKET_MARGIN
+                if call is not None and told + bound < attempt.first < until:
+                    late = Evidence(
+                        "sent to an endpoint after word of its drain or end (ms)", attempt.first,
+                        trace, attempt.endpoint, call.sidecar, attempt.first - told,
+                        records.rules.drain_grace,
+                    )  # fmt: skip
+                    records.add_timed(finding, late, attempt.first - told - bound, told, call.sidecar)
+    return finding
+
+
+def _sender(records: DayRecords, trace: str, at: float) -> Call | None:
+    """The call whose sidecar made an attempt: the last one written before it."""
+    calls = [c for c in records.calls.get(trace, ()) if _began(c) <= at + SOCKET_MARGIN]
+    return calls[-1] if calls else None
+
+
+def _bans(records: DayRecords) -> dict[tuple[str, str], list[tuple[float, float]]]:
+    """For each sidecar and endpoint: when it was told of an end, until when it was told of a start."""
+    words: dict[tuple[str, str], list[tuple[float, bool]]] = defaultdict(list)
+    for word in records.ledger.words:
+        words[word.sidecar, word.endpoint].append((word.at, word.status != "in_service"))
+    for sidecar, endpoint, at in _unheard(records):
+        words[sidecar, endpoint].append((at, True))
+    bans: dict[tuple[str, str], list[tuple[float, float]]] = defaultdict(list)
+    for key, told in words.items():
+        # A process that has just started was told the list as it is, and nothing of what was before it;
+        # one beside another is one sidecar with it, and bound by what that was told.
+        told += [(life.start, False) for life in records.sidecars.get(key[0], ()) if not life.beside]
+        since: float | None = None
+        for at, ends in sorted(told):
+            if ends and since is None:
+                since = at
+            elif not ends and since is not None:
+                bans[key].append((since, at))
+                since = None
+        if since is not None:
+            bans[key].append((since, float("inf")))
+    return bans
+
+
+def _unheard(records: DayRecords) -> Iterator[tuple[str, str, float]]:
+    """Changes that count as told to a sidecar that neither watched nor asked for as long as allowed."""
+    asked: dict[tuple[str, int], list[tuple[float, float]]] = defaultdict(list)
+    for record in records.ledger.asked:
+        until = float("inf") if record.until is None else record.until
+        asked[record.sidecar, record.tier].append((record.at, until))
+    ends = [c for c in records.ledger.changes if c.status != "in_service"]
+    tiers = {life.endpoint: life.tier for life in records.ledger.lives}
+    for change in ends:
+        since = _told_from(records, change.at)
+        due = since + records.rules.ask_within
+        for name, lives in records.sidecars.items():
+            tier = tiers.get(change.endpoint, 0)
+            if lives[0].stage + 1 != tier and (name, tier) not in asked:
+                continue  # its list never named it
+            alive = any(life.start <= since and (life.ended is None or life.ended >= due) for life in lives)
+            if alive and not any(a <= due and b >= since for a, b in asked[name, tier]):
+                yield name, change.endpoint, due
+
+
+def _told_from(records: DayRecords, at: float) -> float:
+    """From when discovery could tell of a change and be asked, for as long as a sidecar may wait."""
+    for outage in sorted(records.ledger.outages, key=lambda o: o.at):
+        if outage.at <= at + records.rules.ask_within and (outage.until is None or outage.until > at):
+            at = float("inf") if outage.until is None else outage.until
+    return at
+
+
+def _began(call: Call) -> float:
+    """When its first byte was written, if it ever was."""
+    began = call.sent if call.began is None else call.began
+    return math.inf if began is None else began
--- /dev/null
+++ b/millgw/rehearsal/audit/rules.py
@@ -0,0 +1,53 @@
+"""The figures of the four rules, which a day is judged by."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+
+from millgw.rehearsal.scenario import Scenario
+
+
+class Repeats(Enum):
+    """How far a class may be repeated, in the operators' words."""
+
+    RETRYABLE = "retryable"
+    DEDUP = "dedup"
+    FRAGILE = "fragile"
+
+
+@dataclass(slots=True, frozen=True)
+class ClassRules:
+    """`window` (ms): how long a group knows a key again. `all_drop`: a whole tier is one group."""
+
+    repeat: Repeats
+    window: float = 0.0
+    all_drop: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class AuditRules:
+    """The rules' figures. Times are ms; `heaviest` is the most core-ms of a class by tier."""
+
+    classes: Mapping[str, ClassRules]
+    drain_grace: float = 500.0
+    fall_multiple: float = 2.5
+    fall_window: float = 1000.0
+    ask_within: float = 6000.0
+    most_attempts: int = 3
+    heaviest: Mapping[int, float] = field(default_factory=dict)
+
+
+def audit_rules(scenario: Scenario) -> AuditRules:
+    """The figures that a scenario sets."""
+    heaviest = max(c.work_ms for c in scenario.classes)
+    return AuditRules(
+        classes={c.name: ClassRules(Repeats(c.repeat), c.window_ms) for c in scenario.classes},
+        drain_grace=scenario.rules.drain_grace_ms,
+        fall_multiple=scenario.rules.fall_multiple,
+        fall_window=scenario.rules.fall_ms,
+        ask_within=scenario.rules.ask_within_ms,
+        most_attempts=scenario.limits.attempts,
+        heaviest={i + 1: heaviest * part for i, part in enumerate(scenario.work_shares())},
+    )
--- a/millgw/rehearsal/command.py
+++ b/millgw/rehearsal/command.py
@@ -22,9 +22,9 @@
 from millgw.cli.kinds import COUNT, DIRECTORY, RATE, SCENARIO, SEED, Duration
 from millgw.cli.report import FileReporting, Out, Reporting
 from millgw.rehearsal import demo
+from millgw.rehearsal.audit.lateness import quantile
 from millgw.rehearsal.fault_schedules import SMALL
 from millgw.rehearsal.fault_search import FaultSearch, SearchOutcome
-from millgw.rehearsal.lateness import quantile
 from millgw.rehearsal.page import page
 from millgw.rehearsal.report import Day, exit_code, judge, show, to_json
 from millgw.rehearsal.scenario import OPTIONAL, SCALES, Scenario, ScenarioError, changed, load, parse, shipped
--- a/millgw/rehearsal/page.py
+++ b/millgw/rehearsal/page.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 from html import escape
 
-from millgw.rehearsal.auditor import Verdict
+from millgw.rehearsal.audit.findings import Verdict
 from millgw.rehearsal.report import Day
 from millgw.rehearsal.summary import Second
 from millgw.standins.ledger import InjectedFault
--- a/millgw/rehearsal/report.py
+++ b/millgw/rehearsal/report.py
@@ -9,11 +9,13 @@
 from rich.console import Console
 from rich.table import Table
 
-from millgw.rehearsal.auditor import Audit, Verdict, audit
-from millgw.rehearsal.lateness import quantile
+from millgw.rehearsal.audit.auditor import audit
+from millgw.rehearsal.audit.findings import Audit, Verdict
+from millgw.rehearsal.audit.lateness import quantile
+from millgw.rehearsal.audit.rules import audit_rules
 from millgw.rehearsal.scenario import Scenario, to_toml
 from millgw.rehearsal.summary import Summary, Worth, summarize
-from millgw.rehearsal.testbed import Facts, terms
+from millgw.rehearsal.testbed import Facts
 from millgw.standins.ledger import InjectedFault, Ledger, SentAway, Upgrade
 
 COLOURS = {Verdict.HELD: "green", Verdict.BROKEN: "bold red", Verdict.NOT_EXERCISED: "dim"}
@@ -47,7 +49,7 @@
 def judge(name: str, scenario: Scenario, ledger: Ledger, facts: Facts) -> Day:
     """The day that a ledger tells of."""
     worths = {c.name: Worth(c.aim_ms, c.deadline_ms, c.worth, c.late_worth) for c in scenario.classes}
-    verdict = audit(ledger, terms(scenario))
+    verdict = audit(ledger, audit_rules(scenario))
     return Day(
         name, scenario.about, scenario, facts, summarize(ledger, worths), verdict, tuple(ledger.injected),
         tuple(ledger.upgrades), tuple(ledger.sent_away),
--- a/millgw/rehearsal/scenario.py
+++ b/millgw/rehearsal/scenario.py
@@ -304,6 +304,10 @@
     store: Store | None = None
     faults: tuple[Fault, ...] = ()
 
+    def work_shares(self) -> tuple[float, ...]:
+        """The share of the work that each tier does; services beside each other do all of theirs."""
+        return self.fleet.work[:1] * len(self.services) or self.fleet.work
+
 
 OPTIONAL = ("connections", "peers", "store")
 """Tables without which a day can be played too, to compare."""
--- a/millgw/rehearsal/summary.py
+++ b/millgw/rehearsal/summary.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from millgw.rehearsal.lateness import quantile
+from millgw.rehearsal.audit.lateness import quantile
 from millgw.standins.ledger import Call, End, Ledger, Told
 
 
--- a/millgw/rehearsal/testbed.py
+++ b/millgw/rehearsal/testbed.py
@@ -20,7 +20,6 @@
 from millgw.peers.node import Terms as PeerTerms
 from millgw.platform.config import Address
 from millgw.platform.discovery import endpoint_id
-from millgw.rehearsal.auditor import ClassTerms, Repeats, Terms
 from millgw.rehearsal.coordination import Coordination
 from millgw.rehearsal.fault_injection import FaultInjector
 from millgw.rehearsal.fault_plan import crowds, floods, plan
@@ -60,25 +59,6 @@
     cores: int
 
 
-def _parts(scenario: Scenario) -> tuple[float, ...]:
-    """The part of the work that each tier does; services stand beside each other and do all of theirs."""
-    return scenario.fleet.work[:1] * len(scenario.services) or scenario.fleet.work
-
-
-def terms(scenario: Scenario) -> Terms:
-    """The auditor's figures for a scenario."""
-    heaviest = max(c.work_ms for c in scenario.classes)
-    return Terms(
-        classes={c.name: ClassTerms(Repeats(c.repeat), c.window_ms) for c in scenario.classes},
-        drain_grace=scenario.rules.drain_grace_ms,
-        fall_multiple=scenario.rules.fall_multiple,
-        fall_window=scenario.rules.fall_ms,
-        ask_within=scenario.rules.ask_within_ms,
-        most_attempts=scenario.limits.attempts,
-        heaviest={i + 1: heaviest * part for i, part in enumerate(_parts(scenario))},
-    )
-
-
 def schedule(scenario: Scenario) -> list[arrivals.Arrival]:
     """The day's arrivals."""
     traffic, length = scenario.traffic, scenario.seconds * 1000
@@ -223,7 +203,7 @@
         rng = random.Random(f"tier {scenario.seed} {tier}")
         weights = [k.share for k in fleet.kinds]
         last = bool(scenario.services) or tier == len(fleet.tiers)
-        part = _parts(scenario)[tier - 1]
+        part = scenario.work_shares()[tier - 1]
         tasks = {
             c.name: Task(
                 work=c.work_ms * part,
@@ -536,4 +516,4 @@
                 shutil.copyfile(source, logs / f"{name}.log")
 
 
-__all__ = ["Facts", "NotReady", "Testbed", "schedule", "terms"]
+__all__ = ["Facts", "NotReady", "Testbed", "schedule"]
--- a/tests/test_rehearsal_auditor.py
+++ b/tests/test_rehearsal_auditor.py
@@ -9,8 +9,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from millgw.rehearsal.auditor import Audit, ClassTerms, Repeats, Terms, Verdict, audit
-from millgw.rehearsal.lateness import LAG_BOUND
+from millgw.rehearsal.audit.auditor import audit
+from millgw.rehearsal.audit.findings import Audit, Verdict
+from millgw.rehearsal.audit.lateness import LAG_BOUND
+from millgw.rehearsal.audit.rules import AuditRules, ClassRules, Repeats
 from millgw.standins.capacity import ColdBudget
 from millgw.standins.ledger import (
     Asked,
@@ -31,11 +33,11 @@
 
 pytestmark = once
 
-TERMS = Terms(
+RULES = AuditRules(
     classes={
-        "status": ClassTerms(Repeats.RETRYABLE),
-        "campanha": ClassTerms(Repeats.DEDUP, window=2000.0),
-        "codigo": ClassTerms(Repeats.FRAGILE),
+        "status": ClassRules(Repeats.RETRYABLE),
+        "campanha": ClassRules(Repeats.DEDUP, window=2000.0),
+        "codigo": ClassRules(Repeats.FRAGILE),
     },
     heaviest={1: 40.0},
 )
@@ -112,7 +114,7 @@
                     if not cells:
                         ran_since = made.first
                     cells.add(made.cell)
-                    if self.now + 200.0 > ran_since + TERMS.classes[cls].window:
+                    if self.now + 200.0 > ran_since + RULES.classes[cls].window:
                         break
         self.now += rng.uniform(0.1, 5.0)
         call.answered, call.end = self.now, End.ANSWERED
@@ -132,8 +134,8 @@
     return made
 
 
-def verdict(ledger: Ledger, terms: Terms = TERMS) -> Audit:
-    return audit(ledger, terms)
+def verdict(ledger: Ledger, rules: AuditRules = RULES) -> Audit:
+    return audit(ledger, rules)
 
 
 def broken(ledger: Ledger) -> set[int]:
@@ -470,7 +472,7 @@
 @settings(max_examples=200, deadline=None)
 def test_the_endpoint_falls_over_exactly_where_the_auditor_says_so(sends: list[tuple[float, float]]) -> None:
     life = Life("e", 1, 1, 0, 0.0, 1.0, 0.13, 9000.0)
-    budget = ColdBudget(life, TERMS.fall_multiple, TERMS.fall_window, TERMS.heaviest[1])
+    budget = ColdBudget(life, RULES.fall_multiple, RULES.fall_window, RULES.heaviest[1])
     ledger, now = Ledger(lives=[life]), 0.0
     for i, (gap, work) in enumerate(sends):
         now += gap
@@ -487,6 +489,6 @@
     call = plain(made, "status")
     attempt = made.attempt(call, "a", Told.OK)
     call.end, call.closed, call.answered, call.status = End.LEFT, attempt.first - late, None, 0
-    finding = audit(made.ledger, TERMS).findings[0]
+    finding = audit(made.ledger, RULES).findings[0]
     found = [e for e in finding.evidence if "had left" in e.what]
     assert bool(found) == (late > 300.0)
