Rehearsal: scenario.py keeps the tables; checks, files and overrides have modules of their own

The tables stand where they were (docs/rehearsal.md names the file); scenario_checks has what no field alone can tell, scenario_files reads and writes TOML, scenario_overrides applies the command line.

--- a/benchmarks/rehearsal.py
+++ b/benchmarks/rehearsal.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 from typing import Any
 
-from millgw.rehearsal.scenario import shipped
+from millgw.rehearsal.scenario_files import shipped
 
 LADDER = ((17, 67, 170), (30, 150, 310), (45, 260, 465), (60, 365, 620))
 HEAD = (
--- a/benchmarks/services.py
+++ b/benchmarks/services.py
@@ -27,7 +27,8 @@
 from benchmarks.rehearsal import play
 from millgw.platform.config import Address
 from millgw.rehearsal.audit.lateness import quantile
-from millgw.rehearsal.scenario import Fault, load, to_toml
+from millgw.rehearsal.scenario import Fault
+from millgw.rehearsal.scenario_files import load, to_toml
 from millgw.standins.address import free_address
 from millgw.standins.caller import Desk
 from millgw.standins.http import Clock
--- a/benchmarks/tending.py
+++ b/benchmarks/tending.py
@@ -41,7 +41,7 @@
 from millgw.connections.opening import Place, Turns
 from millgw.platform.config import Address
 from millgw.rehearsal.audit.lateness import quantile
-from millgw.rehearsal.scenario import load, to_toml
+from millgw.rehearsal.scenario_files import load, to_toml
 from millgw.standins.address import free_address
 from millgw.standins.caller import Desk, ready
 from millgw.standins.endpoint import Build, ColdRule, Endpoint, Group, Task
--- a/millgw/cli/kinds.py
+++ b/millgw/cli/kinds.py
@@ -79,7 +79,7 @@
     def shell_complete(
         self, ctx: click.Context, param: click.Parameter, incomplete: str
     ) -> list[click.shell_completion.CompletionItem]:
-        from millgw.rehearsal.scenario import shipped
+        from millgw.rehearsal.scenario_files import shipped
 
         names = [click.shell_completion.CompletionItem(n) for n in shipped() if n.startswith(incomplete)]
         return names or [click.shell_completion.CompletionItem(incomplete, type="file")]
--- a/millgw/rehearsal/command.py
+++ b/millgw/rehearsal/command.py
@@ -27,7 +27,9 @@
 from millgw.rehearsal.fault_search import FaultSearch, SearchOutcome
 from millgw.rehearsal.page import page
 from millgw.rehearsal.report import Day, exit_code, judge, show, to_json
-from millgw.rehearsal.scenario import OPTIONAL, SCALES, Scenario, ScenarioError, changed, load, parse, shipped
+from millgw.rehearsal.scenario import Scenario, ScenarioError
+from millgw.rehearsal.scenario_files import load, parse, shipped
+from millgw.rehearsal.scenario_overrides import OPTIONAL, SCALES, changed
 from millgw.rehearsal.sidecars import DEFAULT_RUN, NotReady
 from millgw.rehearsal.testbed import Testbed
 
--- a/millgw/rehearsal/demo.py
+++ b/millgw/rehearsal/demo.py
@@ -10,7 +10,8 @@
 
 from millgw.platform.config import Address
 from millgw.rehearsal.report import Day, judge
-from millgw.rehearsal.scenario import Discovery, Fault, Fleet, Scenario, Traffic, check
+from millgw.rehearsal.scenario import Discovery, Fault, Fleet, Scenario, Traffic
+from millgw.rehearsal.scenario_checks import check
 from millgw.rehearsal.testbed import Testbed
 from millgw.standins.ledger import Told
 
--- a/millgw/rehearsal/fault_schedules.py
+++ b/millgw/rehearsal/fault_schedules.py
@@ -8,7 +8,8 @@
 
 from msgspec.structs import replace
 
-from millgw.rehearsal.scenario import Discovery, Fault, FaultKind, Fleet, Scenario, Traffic, check
+from millgw.rehearsal.scenario import Discovery, Fault, FaultKind, Fleet, Scenario, Traffic
+from millgw.rehearsal.scenario_checks import check
 
 KINDS: tuple[FaultKind, ...] = (
     "silence", "restart", "fast-failure", "slowdown", "resets", "spoilt", "drain", "replaced", "flapping",
--- a/millgw/rehearsal/fault_search.py
+++ b/millgw/rehearsal/fault_search.py
@@ -15,7 +15,8 @@
 from msgspec.structs import replace
 
 from millgw.rehearsal.fault_schedules import draw, one_at_a_time, shrink
-from millgw.rehearsal.scenario import Scenario, to_toml
+from millgw.rehearsal.scenario import Scenario
+from millgw.rehearsal.scenario_files import to_toml
 
 LOW_SERVICE = 0.75  # service of a day below which it is held against the same faults one at a time
 FAR_BELOW = 0.2  # of service that overlap alone must cost to be worth a file
--- a/millgw/rehearsal/report.py
+++ b/millgw/rehearsal/report.py
@@ -13,7 +13,8 @@
 from millgw.rehearsal.audit.findings import Audit, Verdict
 from millgw.rehearsal.audit.lateness import quantile
 from millgw.rehearsal.audit.rules import audit_rules
-from millgw.rehearsal.scenario import Scenario, to_toml
+from millgw.rehearsal.scenario import Scenario
+from millgw.rehearsal.scenario_files import to_toml
 from millgw.rehearsal.summary import Summary, Worth, summarize
 from millgw.rehearsal.testbed import Facts
 from millgw.standins.ledger import InjectedFault, Ledger, SentAway, Upgrade
--- /dev/null
+++ b/millgw/rehearsal/scenario_checks.py
@@ -0,0 +1,94 @@
+"""What no single field of a scenario can tell: how its tables fit together."""
+
+from __future__ import annotations
+
+from millgw.rehearsal.scenario import ON_ENDPOINTS, SIZES, Fault, Scenario
+
+
+def check(scenario: Scenario) -> Scenario:
+    """What no single field can tell; a ValueError says it as `path: what`."""
+    fleet = scenario.fleet
+    sizes = len(fleet.tiers)
+    if len(fleet.work) != sizes:
+        raise ValueError(f"fleet.work: has {len(fleet.work)} parts for {sizes} tiers")
+    if len(fleet.calls) < sizes - 1:
+        raise ValueError(f"fleet.calls: has {len(fleet.calls)} figures for the calls between {sizes} tiers")
+    if fleet.sidecars <= fleet.owned():
+        raise ValueError(
+            f"fleet.sidecars: {fleet.sidecars} leave none for the front: {fleet.owned()} belong to endpoints"
+        )
+    for path, names in (
+        ("classes", [c.name for c in scenario.classes]),
+        ("tenants", [t.name for t in scenario.tenants]),
+    ):
+        for i, name in enumerate(names):
+            if name in names[:i]:
+                raise ValueError(f"{path}[{i}].name: {name!r} is given twice")
+    for i, cls in enumerate(scenario.classes):
+        if cls.aim_ms > cls.deadline_ms:
+            raise ValueError(f"classes[{i}].aim_ms: is over the deadline_ms of {cls.deadline_ms:g}")
+        if cls.repeat == "dedup" and cls.window_ms <= 0:
+            raise ValueError(
+                f"classes[{i}].window_ms: a dedup class needs the time its repeats are known for"
+            )
+    _check_services(scenario)
+    for path, (low, high) in (
+        ("traffic.try_share", scenario.traffic.try_share),
+        ("traffic.wait_ms", scenario.traffic.wait_ms),
+        ("discovery.notice_s", scenario.discovery.notice_s),
+        ("discovery.silent_s", scenario.discovery.silent_s),
+        ("discovery.add_s", scenario.discovery.add_s),
+    ):
+        if low > high:
+            raise ValueError(f"{path}: {low:g} to {high:g} is no range")
+    for i, fault in enumerate(scenario.faults):
+        _check_fault(f"faults[{i}]", fault, scenario)
+    return scenario
+
+
+def _check_services(scenario: Scenario) -> None:
+    classes, seen = [c.name for c in scenario.classes], set[str]()
+    if scenario.services and scenario.coordinator is not None:
+        raise ValueError("coordinator: a day with services has a discovery server for each")
+    if scenario.services and len(scenario.fleet.tiers) != 1:
+        raise ValueError("fleet.tiers: a day with services has one tier")
+    for i, service in enumerate(scenario.services):
+        for j, name in enumerate(service.classes):
+            if name not in classes:
+                raise ValueError(f"services[{i}].classes[{j}]: there is no class {name!r}")
+            if name in seen:
+                raise ValueError(f"services[{i}].classes[{j}]: {name!r} has a service already")
+            seen.add(name)
+        if service.name in [s.name for s in scenario.services[:i]]:
+            raise ValueError(f"services[{i}].name: {service.name!r} is given twice")
+    if scenario.services and len(seen) < len(classes):
+        raise ValueError(f"services: class {next(c for c in classes if c not in seen)!r} has none")
+
+
+def _check_fault(path: str, fault: Fault, scenario: Scenario) -> None:
+    if fault.start_s >= scenario.seconds:
+        raise ValueError(f"{path}.start_s: {fault.start_s:g} is past the day's {scenario.seconds:g} seconds")
+    if fault.kind in SIZES:
+        most = SIZES[fault.kind][1]
+        if fault.size is not None and fault.size > most:
+            raise ValueError(f"{path}.size: {fault.kind} takes {most:g} at the most")
+        if fault.size is not None and fault.kind in ("slowdown", "crowd") and fault.size < 1:
+            raise ValueError(f"{path}.size: {fault.kind} takes 1 or more")
+    elif fault.size is not None:
+        raise ValueError(f"{path}.size: {fault.kind} has no size")
+    tiers = len(scenario.services) or len(scenario.fleet.tiers)
+    if fault.tier > tiers:
+        raise ValueError(f"{path}.tier: there are {tiers}")
+    if fault.cls is not None and (
+        fault.kind != "crowd" or fault.cls not in [c.name for c in scenario.classes]
+    ):
+        raise ValueError(
+            f"{path}.class: names a class of a crowd, which {fault.cls!r} of {fault.kind} is not"
+        )
+    named = fault.service in [s.name for s in scenario.services]
+    if (fault.kind == "reload") != named or (fault.service is not None and not named):
+        raise ValueError(f"{path}.service: a reload names one of the services, and nothing else does")
+    if fault.kind.startswith("zk-") and scenario.coordinator is None:
+        raise ValueError(f"{path}.kind: {fault.kind} hits a coordinator, and the day has none")
+    if fault.tier and fault.kind not in ON_ENDPOINTS:
+        raise ValueError(f"{path}.tier: {fault.kind} does not hit endpoints")
--- /dev/null
+++ b/millgw/rehearsal/scenario_files.py
@@ -0,0 +1,94 @@
+"""Scenarios as TOML files: shipped ones and others are read, any is written."""
+
+from __future__ import annotations
+
+from importlib import resources
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from millgw.checked import Table, read
+from millgw.rehearsal import former_names
+from millgw.rehearsal.scenario import Scenario, ScenarioError
+from millgw.rehearsal.scenario_checks import check
+
+
+def parse(text: str, name: str) -> Scenario:
+    """A scenario from its text; `name` is what errors call it."""
+    current = former_names.with_current_names(text)
+    return read(current, name, Scenario, check, ScenarioError)
+
+
+def shipped() -> dict[str, str]:
+    """The scenarios that come with the program: name and text."""
+    folder = resources.files("millgw.rehearsal") / "scenarios"
+    return {
+        entry.name.removesuffix(".toml"): entry.read_text(encoding="utf-8")
+        for entry in sorted(folder.iterdir(), key=lambda e: e.name)
+        if entry.name.endswith(".toml")
+    }
+
+
+def load(name: str) -> tuple[str, Scenario]:
+    """A scenario by its shipped name or its file, with the name to show."""
+    known = shipped()
+    name = former_names.SCENARIOS.get(name, name)
+    if name in known:
+        return name, parse(known[name], f"{name}.toml")
+    path = Path(name)
+    if not path.exists() and "/" not in name and not name.endswith(".toml"):
+        raise ScenarioError(f"{name}: neither a file nor a shipped scenario ({', '.join(known)})")
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise ScenarioError(f"{name}: {error}") from None
+    return path.stem, parse(text, name)
+
+
+def connections_toml(scenario: Scenario) -> str:
+    """How the day's sidecars tend connections, as a table of the operator's file; empty for not at all."""
+    told = scenario.connections
+    if told is None:
+        return ""
+    return "\n".join(["[connections]", *(f"{k} = {_toml(getattr(told, k))}" for k in told.__struct_fields__)])
+
+
+def to_toml(scenario: Scenario, comment: str = "") -> str:
+    """The file that `parse` reads back as this scenario; what stands at its default is left out."""
+    lines = [f"# {line}".rstrip() for line in comment.splitlines()]
+    tables: list[str] = []
+    standard = Scenario()
+    for field in Scenario.__struct_fields__:
+        value = getattr(scenario, field)
+        if value == getattr(standard, field):
+            continue
+        if isinstance(value, Table):
+            usual = getattr(standard, field) or type(value)()
+            inner = [
+                f"{key} = {_toml(getattr(value, key))}"
+                for key in value.__struct_fields__
+                if getattr(value, key) != getattr(usual, key)
+            ]
+            tables += ["", f"[{field}]", *inner]
+        elif isinstance(value, tuple):
+            for entry in value:
+                names = zip(entry.__struct_fields__, entry.__struct_encode_fields__, strict=True)
+                given = [(word, getattr(entry, name)) for name, word in names]
+                rows = [f"{word} = {_toml(v)}" for word, v in given if v is not None]
+                tables += ["", f"[[{field}]]", *rows]
+        else:
+            lines.append(f"{field} = {_toml(value)}")
+    return "\n".join([*lines, *tables]) + "\n"
+
+
+def _toml(value: Any) -> str:
+    if isinstance(value, bool):
+        return str(value).lower()
+    if isinstance(value, str):
+        return msgspec.json.encode(value).decode()
+    if isinstance(value, tuple):
+        return "[" + ", ".join(map(_toml, value)) + "]"
+    if isinstance(value, Table):
+        return "{ " + ", ".join(f"{k} = {_toml(getattr(value, k))}" for k in value.__struct_fields__) + " }"
+    return repr(value)
--- /dev/null
+++ b/millgw/rehearsal/scenario_overrides.py
@@ -0,0 +1,71 @@
+"""What a command line changes in a scenario."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import msgspec
+
+from millgw.rehearsal.scenario import Fault, Scenario, ScenarioError
+from millgw.rehearsal.scenario_checks import check
+
+OPTIONAL = ("connections", "peers", "store")
+"""Tables without which a day can be played too, to compare."""
+
+SCALES: dict[str, tuple[int, int, float]] = {"today": (17, 67, 170.0), "to-come": (60, 365, 620.0)}
+"""Endpoints of the first tier, sidecars, first tries a second."""
+
+
+def changed(
+    scenario: Scenario,
+    *,
+    seed: int | None = None,
+    seconds: float | None = None,
+    sidecars: int | None = None,
+    endpoints: int | None = None,
+    rate: float | None = None,
+    scale: str | None = None,
+    without: Sequence[str] = (),
+) -> Scenario:
+    """The scenario with what the command line says; faults keep their places in a day of another length.
+
+    `without` names tables of what sidecars are told beyond the platform, which are left out.
+    """
+    fleet, traffic = scenario.fleet, scenario.traffic
+    if scale is not None:
+        of_scale = SCALES[scale]
+        endpoints = of_scale[0] if endpoints is None else endpoints
+        sidecars = of_scale[1] if sidecars is None else sidecars
+        rate = of_scale[2] if rate is None else rate
+    if endpoints is not None:
+        front = fleet.sidecars - fleet.owned()
+        fleet = msgspec.structs.replace(fleet, endpoints=endpoints)
+        if sidecars is None:
+            sidecars = fleet.owned() + front
+    if sidecars is not None:
+        fleet = msgspec.structs.replace(fleet, sidecars=sidecars)
+    if rate is not None:
+        traffic = msgspec.structs.replace(traffic, rate=rate)
+    faults: Sequence[Fault] = scenario.faults
+    if seconds is not None:
+        part = seconds / scenario.seconds
+        faults = [
+            msgspec.structs.replace(
+                f, start_s=f.start_s * part, length_s=f.length_s * part, spacing_s=f.spacing_s * part
+            )
+            for f in faults
+        ]
+    try:
+        return check(
+            msgspec.structs.replace(
+                scenario,
+                fleet=fleet,
+                traffic=traffic,
+                faults=tuple(faults),
+                seed=scenario.seed if seed is None else seed,
+                seconds=scenario.seconds if seconds is None else seconds,
+                **dict.fromkeys(without),
+            )
+        )
+    except ValueError as error:
+        raise ScenarioError(f"command line: {error}") from None
--- a/millgw/rehearsal/testbed.py
+++ b/millgw/rehearsal/testbed.py
@@ -26,7 +26,8 @@
 from millgw.rehearsal.front import Clients, Front, ask
 from millgw.rehearsal.keeper import Keeper
 from millgw.rehearsal.sampler import Sampler, own_memory
-from millgw.rehearsal.scenario import AT_THE_DOOR, Scenario, connections_toml
+from millgw.rehearsal.scenario import AT_THE_DOOR, Scenario
+from millgw.rehearsal.scenario_files import connections_toml
 from millgw.rehearsal.sidecars import DEFAULT_RUN, NotReady, Sidecar, settings
 from millgw.settings import to_settings
 from millgw.standins.address import free_address
--- a/tests/test_rehearsal_command.py
+++ b/tests/test_rehearsal_command.py
@@ -19,7 +19,7 @@
 from millgw.cli.exits import INTERRUPTED
 from millgw.rehearsal.fault_schedules import draw
 from millgw.rehearsal.report import judge, to_json
-from millgw.rehearsal.scenario import parse, shipped
+from millgw.rehearsal.scenario_files import parse, shipped
 from millgw.rehearsal.testbed import Testbed
 from tests.kinds import aside
 from tests.rig import LIMIT
--- a/tests/test_rehearsal_pure.py
+++ b/tests/test_rehearsal_pure.py
@@ -16,19 +16,10 @@
 from millgw.rehearsal import fault_schedules
 from millgw.rehearsal.fault_plan import crowds, plan
 from millgw.rehearsal.page import page
-from millgw.rehearsal.scenario import (
-    OPTIONAL,
-    SCALES,
-    Fault,
-    Scenario,
-    ScenarioError,
-    changed,
-    check,
-    load,
-    parse,
-    shipped,
-    to_toml,
-)
+from millgw.rehearsal.scenario import Fault, Scenario, ScenarioError
+from millgw.rehearsal.scenario_checks import check
+from millgw.rehearsal.scenario_files import load, parse, shipped, to_toml
+from millgw.rehearsal.scenario_overrides import OPTIONAL, SCALES, changed
 from millgw.rehearsal.summary import Worth, hit_by_upgrades, summarize
 from millgw.rehearsal.testbed import schedule
 from millgw.standins.capacity import Processor, Room
--- a/tests/test_rehearsal_wrong.py
+++ b/tests/test_rehearsal_wrong.py
@@ -12,19 +12,10 @@
 from msgspec.structs import replace
 
 from millgw.rehearsal.report import Day, judge
-from millgw.rehearsal.scenario import (
-    Class,
-    Discovery,
-    Fault,
-    Fleet,
-    Rules,
-    Scenario,
-    Store,
-    Traffic,
-    changed,
-    check,
-    load,
-)
+from millgw.rehearsal.scenario import Class, Discovery, Fault, Fleet, Rules, Scenario, Store, Traffic
+from millgw.rehearsal.scenario_checks import check
+from millgw.rehearsal.scenario_files import load
+from millgw.rehearsal.scenario_overrides import changed
 from millgw.rehearsal.sidecars import DEFAULT_RUN
 from millgw.rehearsal.testbed import Testbed
 from tests.alone import alone
