Rehearsal, stand-ins: testbed.py and endpoint.py are split by job

The endpoint keeps its lives, connections and requests; its options, processor (cpu.py), deduplication of keyed requests and the check of attempts against what clients asked have modules of their own. Draws from seeds stay in their order.

--- a/benchmarks/tending.py
+++ b/benchmarks/tending.py
@@ -44,7 +44,9 @@
 from millgw.rehearsal.scenario_files import load, to_toml
 from millgw.standins.address import free_address
 from millgw.standins.caller import Desk, ready
-from millgw.standins.endpoint import Build, ColdRule, Endpoint, Group, Task
+from millgw.standins.deduplication import Group
+from millgw.standins.endpoint import Endpoint
+from millgw.standins.endpoint_options import Build, ColdRule, Task
 from millgw.standins.http import Clock
 from millgw.standins.ledger import Call, End, Ledger
 
--- /dev/null
+++ b/millgw/rehearsal/byzantine_peers.py
@@ -0,0 +1,58 @@
+"""Peers that hold the key and send false reports to the sidecars at the front."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from millgw.interface import Endpoint as Listing
+from millgw.peers.node import Peers, Terms
+from millgw.platform.discovery import endpoint_id
+from millgw.rehearsal.operator_files import OperatorFiles
+from millgw.rehearsal.scenario import Scenario
+from millgw.rehearsal.sidecars import settings
+from millgw.settings import to_settings
+from millgw.standins.address import free_address
+from millgw.standins.endpoint import Endpoint
+from millgw.standins.http import Clock
+from millgw.standins.liar import liar
+
+
+class ByzantinePeers:
+    """The false peers of one day, and the endpoints that they report on."""
+
+    def __init__(
+        self, scenario: Scenario, files: OperatorFiles, endpoints: dict[str, Endpoint], clock: Clock
+    ) -> None:
+        self.scenario = scenario
+        self.files = files
+        self.endpoints = endpoints
+        self.clock = clock
+        self.running: list[Peers] = []
+
+    async def start(self) -> None:
+        """Let them join the sidecars at the front."""
+        peers = self.scenario.peers
+        if peers is None:
+            return
+        front = len(self.files.peers[0])
+        for number in range(peers.liars):
+            made = to_settings(settings(self.scenario, 0, 0, front))
+            terms = Terms(free_address(), self.files.joined(0), (str(self.files.key),), 0.0)
+            self.running.append(liar(terms, made, self._first_tier, self.scenario.seed + number))
+            await self.running[-1].begin()
+
+    def stop(self) -> None:
+        for peer in self.running:
+            peer.stop()
+
+    def _first_tier(self) -> list[tuple[Listing, bool]]:
+        """The first tier's endpoints, and which of them are cold."""
+        up = (endpoint for endpoint in self.endpoints.values() if endpoint.build.tier == 1 and endpoint.up)
+        return list(self._with_coldness(up))
+
+    def _with_coldness(self, endpoints: Iterable[Endpoint]) -> Iterable[tuple[Listing, bool]]:
+        for endpoint in endpoints:
+            life = endpoint.ledger_life()
+            cold = life.cold_ms > 0 and self.clock() < life.start + life.cold_ms
+            since = float(endpoint.since_unix_ms())
+            yield Listing(endpoint_id(endpoint.build.name), since=since), cold
--- a/millgw/rehearsal/fault_injection.py
+++ b/millgw/rehearsal/fault_injection.py
@@ -16,7 +16,8 @@
 from millgw.rehearsal.sidecars import NotReady, Sidecar
 from millgw.standins.caller import says_yes
 from millgw.standins.discovery_server import Delays, DiscoveryServer
-from millgw.standins.endpoint import Build, Endpoint
+from millgw.standins.endpoint import Endpoint
+from millgw.standins.endpoint_options import Build
 from millgw.standins.http import Clock
 from millgw.standins.ledger import InjectedFault, Ledger, SentAway, Upgrade
 from millgw.standins.register import Entry
--- /dev/null
+++ b/millgw/rehearsal/operator_files.py
@@ -0,0 +1,73 @@
+"""The operator's files that a day's sidecars are started with."""
+
+from __future__ import annotations
+
+import json
+import random
+from pathlib import Path
+
+from millgw.platform.config import Address
+from millgw.rehearsal.scenario import Scenario
+from millgw.rehearsal.scenario_files import connections_toml
+from millgw.rehearsal.sidecars import Sidecar
+from millgw.standins.address import free_address
+from millgw.standins.discovery_server import DiscoveryServer
+
+DOMAIN = "rehearsal.example"  # of the services' hosts
+JOIN = 3  # sidecars of its stage that each is told to learn from
+
+
+class OperatorFiles:
+    """Writes the file of each sidecar: connections, services at the front, peers and store."""
+
+    def __init__(self, scenario: Scenario, discovery_server: DiscoveryServer, folder: Path) -> None:
+        self.scenario = scenario
+        self.discovery_server = discovery_server
+        self.peers: dict[int, dict[str, Address]] = {}  # where sidecars find each other, by stage
+        self.key = folder / "peers.key"
+        if scenario.peers is not None:
+            self.key.write_text(random.Random(f"key {scenario.seed}").randbytes(16).hex())
+
+    def add_peer(self, sidecar: Sidecar) -> None:
+        """Give a sidecar an address where its peers find it, on a day with peers."""
+        if self.scenario.peers is not None:
+            self.peers.setdefault(sidecar.stage, {})[sidecar.name] = free_address()
+
+    def joined(self, stage: int) -> tuple[Address, ...]:
+        """The peers that each sidecar of a stage is told to learn from."""
+        return tuple(list(self.peers[stage].values())[:JOIN])
+
+    def text(self, sidecar: Sidecar, without: str = "") -> str:
+        """The file of a sidecar, with all services but the one named by `without`."""
+        lines = [connections_toml(self.scenario), self._peers_toml(sidecar), self._store_toml(sidecar)]
+        for tier, service in enumerate(self.scenario.services, 1):
+            if service.name != without:
+                address = self.discovery_server.window(sidecar.name, tier)
+                classes = ", ".join(f'"{name}"' for name in service.classes)
+                lines += [f"[services.{service.name}]", f'discovery = "{address}"', f"classes = [{classes}]"]
+                lines += ["[[routes]]", f'to = "{service.name}"', f'host = "{service.name}.{DOMAIN}"']
+        return "\n".join(lines)
+
+    def _peers_toml(self, sidecar: Sidecar) -> str:
+        """How a sidecar learns from those of its stage."""
+        peers = self.scenario.peers
+        if peers is None:
+            return ""
+        joined = [str(address) for address in self.joined(sidecar.stage)]
+        return "\n".join(
+            [
+                "[peers]",
+                f'listen = "{self.peers[sidecar.stage][sidecar.name]}"',
+                f"join = {json.dumps(joined)}",
+                f"keys = {json.dumps([str(self.key)])}",
+                f"within_ms = {peers.within_ms:g}",
+            ]
+        )
+
+    def _store_toml(self, sidecar: Sidecar) -> str:
+        """Where a sidecar marks unsafe calls, through all its processes."""
+        store = self.scenario.store
+        if store is None:
+            return ""
+        directories = [str(sidecar.folder / f"store-{number}") for number in range(store.mirrors)]
+        return f'[store]\ndirectories = {json.dumps(directories)}\nsync = "{store.sync}"'
--- a/millgw/rehearsal/testbed.py
+++ b/millgw/rehearsal/testbed.py
@@ -4,45 +4,37 @@
 
 import asyncio
 import gc
-import json
 import os
 import random
 import shutil
 import tempfile
 from collections.abc import Callable
 from dataclasses import dataclass
-from functools import partial
 from pathlib import Path
 
-from millgw.interface import Endpoint as Listing
-from millgw.load import arrivals
-from millgw.peers.node import Peers as LyingPeer
-from millgw.peers.node import Terms as PeerTerms
 from millgw.platform.config import Address
-from millgw.platform.discovery import endpoint_id
+from millgw.rehearsal.byzantine_peers import ByzantinePeers
 from millgw.rehearsal.coordination import Coordination
 from millgw.rehearsal.fault_injection import FaultInjector
-from millgw.rehearsal.fault_plan import crowds, floods, plan
+from millgw.rehearsal.fault_plan import plan
+from millgw.rehearsal.fleet import builds_of_tier, is_last_tier, tasks_of_tier, tier_sizes
 from millgw.rehearsal.front import Clients, Front, ask
 from millgw.rehearsal.keeper import Keeper
+from millgw.rehearsal.operator_files import DOMAIN, OperatorFiles
 from millgw.rehearsal.sampler import Sampler, own_memory
 from millgw.rehearsal.scenario import AT_THE_DOOR, Scenario
-from millgw.rehearsal.scenario_files import connections_toml
 from millgw.rehearsal.sidecars import DEFAULT_RUN, NotReady, Sidecar, settings
-from millgw.settings import to_settings
-from millgw.standins.address import free_address
+from millgw.rehearsal.traffic import schedule
+from millgw.standins.deduplication import Group
 from millgw.standins.discovery_server import Capacity, Delays, DiscoveryServer
-from millgw.standins.endpoint import Build, ColdRule, Endpoint, Group, NextTier, Task
+from millgw.standins.endpoint import Endpoint, NextTier
+from millgw.standins.endpoint_options import Build, ColdRule, Task
 from millgw.standins.http import Clock, Message
 from millgw.standins.ledger import Attempt, Call, End, Ledger, shift
-from millgw.standins.liar import liar
 from millgw.standins.register import Entry
 
-DOMAIN = "rehearsal.example"  # of the services' hosts
 STARTS_AT_ONCE = 2  # sidecars started at the same time for each core: more only wait for each other
 SETTLE = 1.0  # s between the last sidecar's start and the day's first request
-FLOOD_NUMBERS = 1 << 24  # requests of one schedule at the most: the next one's numbers begin there
-JOIN = 3  # sidecars of its stage that each is told to learn from
 TAIL = 1.0  # s more than the longest deadline for which calls that are out are waited for
 
 
@@ -60,36 +52,6 @@
     cores: int
 
 
-def schedule(scenario: Scenario) -> list[arrivals.Arrival]:
-    """The day's arrivals."""
-    traffic, length = scenario.traffic, scenario.seconds * 1000
-    course = arrivals.shape(traffic.shape, traffic.swing, length, scenario.seed)
-    moments = arrivals.times(traffic.rate, course, crowds(scenario), traffic.swing, length, scenario.seed)
-    kinds = [arrivals.Kind(c.name, c.share, c.deadline_ms, c.repeat == "dedup") for c in scenario.classes]
-    habits = arrivals.Habits(
-        traffic.retries,
-        traffic.try_share,
-        traffic.wait_ms,
-        traffic.at_once,
-        traffic.honour,
-        traffic.impatient,
-    )
-    shares = [(t.name, t.share) for t in scenario.tenants]
-    planned = list(arrivals.arrivals(moments, kinds, shares, habits, scenario.seed))
-    for i, (name, crowd) in enumerate(floods(scenario), 1):
-        (kind,) = (k for k in kinds if k.name == name)
-        rate = traffic.rate * kind.share / sum(k.share for k in kinds)
-        more = arrivals.times(
-            rate, partial(_above, crowd), (), max(0.0, crowd.factor - 2), length, scenario.seed + i
-        )
-        planned += arrivals.arrivals(more, [kind], shares, habits, scenario.seed, i * FLOOD_NUMBERS)
-    return sorted(planned, key=lambda a: (a.at, a.number))
-
-
-def _above(crowd: arrivals.Crowd, t: float) -> float:
-    return crowd.at(t) - 1.0
-
-
 def _ms(seconds: tuple[float, float]) -> tuple[float, float]:
     return seconds[0] * 1000, seconds[1] * 1000
 
@@ -123,9 +85,8 @@
             )  # fmt: skip
         self.endpoints: dict[str, Endpoint] = {}
         self.sidecars: dict[str, Sidecar] = {}
-        self.peers: dict[int, dict[str, Address]] = {}  # where sidecars find each other, by stage
-        self.liars: list[LyingPeer] = []
         self.own: dict[str, Sidecar] = {}  # endpoints' own, by the endpoint's name
+        self.byzantine_peers: ByzantinePeers | None = None
         self.front: Front
         self.clients: Clients
         self.error: BaseException | None = None
@@ -166,11 +127,9 @@
 
     def _build(self, folder: Path, keeper: Keeper) -> None:
         scenario, fleet = self.scenario, self.scenario.fleet
-        self.key = folder / "peers.key"
-        if scenario.peers is not None:
-            self.key.write_text(random.Random(f"key {scenario.seed}").randbytes(16).hex())
-        # Services are tiers beside each other: no endpoint calls another's.
-        sizes = tuple(s.endpoints for s in scenario.services) or fleet.tier_sizes()
+        self.operator_files = OperatorFiles(scenario, self.discovery_server, folder)
+        self.byzantine_peers = ByzantinePeers(scenario, self.operator_files, self.endpoints, self.clock)
+        sizes = tier_sizes(scenario)
         self.tiers = [self._tier(i + 1, size) for i, size in enumerate(sizes)]
         front = fleet.sidecars - fleet.owned()
         for stage, siblings in enumerate([front] if scenario.services else [front, *sizes[:-1]]):
@@ -185,8 +144,7 @@
                 if self.listen is not None and not self.sidecars:
                     sidecar.listen_at(self.listen)
                 self.sidecars[name] = sidecar
-                if scenario.peers is not None:
-                    self.peers.setdefault(stage, {})[name] = free_address()
+                self.operator_files.add_peer(sidecar)
                 if stage:
                     self.own[self.tiers[stage - 1][index].build.name] = sidecar
         if self.coordination is None:
@@ -200,51 +158,14 @@
         )  # fmt: skip
 
     def _tier(self, tier: int, size: int) -> list[Endpoint]:
-        scenario, fleet = self.scenario, self.scenario.fleet
-        rng = random.Random(f"tier {scenario.seed} {tier}")
-        weights = [k.share for k in fleet.kinds]
-        last = bool(scenario.services) or tier == len(fleet.tiers)
-        part = scenario.work_shares()[tier - 1]
-        tasks = {
-            c.name: Task(
-                work=c.work_ms * part,
-                wait=c.wait_ms * part,
-                cv=c.cv,
-                deadline=c.deadline_ms,
-                keyed=c.repeat == "dedup",
-                window=c.window_ms,
-                calls=0.0 if last else fleet.calls[tier - 1],
-                answer=int(c.answer_kb * 1024) if tier == 1 else 0,
-                pace=c.pace_kb_s * 1024,
-            )
-            for c in scenario.classes
-        }
+        scenario = self.scenario
+        tasks = tasks_of_tier(scenario, tier)
         rule = ColdRule(scenario.rules.fall_multiple, scenario.rules.fall_ms)
         groups: dict[int, Group] = {}
         made = []
-        for i in range(size):
-            cell = i // fleet.group
-            build = Build(
-                name=f"s-{rng.getrandbits(32):08x}",
-                tier=tier,
-                cell=cell,
-                address=free_address(),
-                speed=rng.choices([k.speed for k in fleet.kinds], weights)[0] * rng.uniform(0.9, 1.1),
-                cores=fleet.cores,
-                slots=fleet.slots,
-                waiting=fleet.waiting,
-                connections=fleet.connections,
-                handshake_work=fleet.handshake_work_ms,
-                handshake_ms=fleet.handshake_ms,
-                idle=fleet.idle_s * fleet.idle_part * 1000,
-                idle_random=fleet.idle_random,
-                uses=fleet.uses,
-                cold_share=fleet.cold_share,
-                cold_ms=fleet.cold_s * 1000,
-                drops_waiting=fleet.drops_waiting,
-            )
-            group = groups.setdefault(cell, Group())
-            caller = None if last else self._caller(build.name, tier)
+        for build in builds_of_tier(scenario, tier, size):
+            group = groups.setdefault(build.cell, Group())
+            caller = None if is_last_tier(scenario, tier) else self._caller(build.name, tier)
             endpoint = Endpoint(
                 build, tasks, group, self.ledger, self.clock, rule, scenario.seed, caller, self._fell
             )
@@ -284,64 +205,6 @@
 
         return known
 
-    def operator(self, sidecar: str, without: str = "") -> str:
-        """The operator's file of a sidecar: services at the front, how connections are tended."""
-        lines = [connections_toml(self.scenario), self._peers_toml(sidecar), self._store_toml(sidecar)]
-        for tier, service in enumerate(self.scenario.services, 1):
-            if service.name != without:
-                address = self.discovery_server.window(sidecar, tier)
-                classes = ", ".join(f'"{name}"' for name in service.classes)
-                lines += [f"[services.{service.name}]", f'discovery = "{address}"', f"classes = [{classes}]"]
-                lines += ["[[routes]]", f'to = "{service.name}"', f'host = "{service.name}.{DOMAIN}"']
-        return "\n".join(lines)
-
-    def _peers_toml(self, sidecar: str) -> str:
-        """How a sidecar learns from those of its stage, as a table of the operator's file."""
-        told = self.scenario.peers
-        if told is None:
-            return ""
-        stage = self.sidecars[sidecar].stage
-        some = [str(address) for address in list(self.peers[stage].values())[:JOIN]]
-        return "\n".join(
-            [
-                "[peers]", f'listen = "{self.peers[stage][sidecar]}"', f"join = {json.dumps(some)}",
-                f"keys = {json.dumps([str(self.key)])}", f"within_ms = {told.within_ms:g}",
-            ]
-        )  # fmt: skip
-
-    def _store_toml(self, sidecar: str) -> str:
-        """Where a sidecar marks unsafe calls, through all its processes."""
-        told = self.scenario.store
-        if told is None:
-            return ""
-        folder = self.sidecars[sidecar].folder
-        directories = [str(folder / f"store-{number}") for number in range(told.mirrors)]
-        return f'[store]\ndirectories = {json.dumps(directories)}\nsync = "{told.sync}"'
-
-    async def _lie(self) -> None:
-        """Let the day's liars join the sidecars at the front."""
-        told = self.scenario.peers
-        if told is None:
-            return
-        front = len(self.peers[0])
-        for number in range(told.liars):
-            made = to_settings(settings(self.scenario, 0, 0, front))
-            join = tuple(list(self.peers[0].values())[:JOIN])
-            terms = PeerTerms(free_address(), join, (str(self.key),), 0.0)
-            self.liars.append(liar(terms, made, self._as_seen, self.scenario.seed + number))
-            await self.liars[-1].begin()
-
-    def _as_seen(self) -> list[tuple[Listing, bool]]:
-        """The first tier's endpoints, and which of them are cold."""
-        seen = []
-        for endpoint in self.endpoints.values():
-            if endpoint.build.tier == 1 and endpoint.up:
-                life = endpoint.ledger_life()
-                since = float(self.entry(endpoint, "in_service").since_ms)
-                cold = life.cold_ms > 0 and self.clock() < life.start + life.cold_ms
-                seen.append((Listing(endpoint_id(endpoint.build.name), since=since), cold))
-        return seen
-
     # Its parts, as targets of faults
 
     @property
@@ -349,9 +212,12 @@
         """Whether discovery knows of endpoints: sidecars may take them from a coordinator alone."""
         return self.scenario.coordinator is None or self.scenario.coordinator.membership != "alone"
 
+    def operator(self, sidecar: str, without: str = "") -> str:
+        """The operator's file of a sidecar, with all services but the one named by `without`."""
+        return self.operator_files.text(self.sidecars[sidecar], without)
+
     def entry(self, endpoint: Endpoint, status: str) -> Entry:
-        build, life = endpoint.build, endpoint.ledger_life()
-        since = self.clock.unix(life.start) if life.cold_ms > 0 else 0
+        build, since = endpoint.build, endpoint.since_unix_ms()
         return Entry(
             build.name, build.tier, endpoint.lives, str(build.address), build.cell, status, since_ms=since
         )
@@ -429,7 +295,8 @@
             for sidecar in self.sidecars.values():
                 own = self.coordination.operator(sidecar.name, sidecar.stage + 1)
                 sidecar.operator = f"{self.operator(sidecar.name)}\n{own}"
-        await self._lie()
+        if self.byzantine_peers is not None:
+            await self.byzantine_peers.start()
         for tier in self.tiers:
             for endpoint in tier:
                 endpoint.start(cold=False)
@@ -497,8 +364,8 @@
         )
 
     async def _down(self) -> None:
-        for lying in self.liars:
-            lying.stop()
+        if self.byzantine_peers is not None:
+            self.byzantine_peers.stop()
         for sidecar in self.sidecars.values():
             sidecar.kill()
             sidecar.desk.close()
@@ -517,4 +384,4 @@
                 shutil.copyfile(source, logs / f"{name}.log")
 
 
-__all__ = ["Facts", "NotReady", "Testbed", "schedule"]
+__all__ = ["Facts", "NotReady", "Testbed"]
--- /dev/null
+++ b/millgw/rehearsal/traffic.py
@@ -0,0 +1,41 @@
+"""The requests of a day: arrivals drawn from a scenario's traffic, crowds and floods. Pure."""
+
+from __future__ import annotations
+
+from functools import partial
+
+from millgw.load import arrivals
+from millgw.rehearsal.fault_plan import crowds, floods
+from millgw.rehearsal.scenario import Scenario
+
+FLOOD_NUMBERS = 1 << 24  # requests of one schedule at the most: the next one's numbers begin there
+
+
+def schedule(scenario: Scenario) -> list[arrivals.Arrival]:
+    """The day's arrivals."""
+    traffic, length = scenario.traffic, scenario.seconds * 1000
+    course = arrivals.shape(traffic.shape, traffic.swing, length, scenario.seed)
+    moments = arrivals.times(traffic.rate, course, crowds(scenario), traffic.swing, length, scenario.seed)
+    kinds = [arrivals.Kind(c.name, c.share, c.deadline_ms, c.repeat == "dedup") for c in scenario.classes]
+    habits = arrivals.Habits(
+        traffic.retries,
+        traffic.try_share,
+        traffic.wait_ms,
+        traffic.at_once,
+        traffic.honour,
+        traffic.impatient,
+    )
+    shares = [(t.name, t.share) for t in scenario.tenants]
+    planned = list(arrivals.arrivals(moments, kinds, shares, habits, scenario.seed))
+    for i, (name, crowd) in enumerate(floods(scenario), 1):
+        (kind,) = (k for k in kinds if k.name == name)
+        rate = traffic.rate * kind.share / sum(k.share for k in kinds)
+        more = arrivals.times(
+            rate, partial(_above, crowd), (), max(0.0, crowd.factor - 2), length, scenario.seed + i
+        )
+        planned += arrivals.arrivals(more, [kind], shares, habits, scenario.seed, i * FLOOD_NUMBERS)
+    return sorted(planned, key=lambda a: (a.at, a.number))
+
+
+def _above(crowd: arrivals.Crowd, t: float) -> float:
+    return crowd.at(t) - 1.0
--- a/millgw/standins/caller.py
+++ b/millgw/standins/caller.py
@@ -7,9 +7,9 @@
 
 from millgw.platform.config import Address
 from millgw.standins import http
-from millgw.standins.endpoint import stuff, token
 from millgw.standins.http import AnswerReader, Clock
 from millgw.standins.ledger import Call, End
+from millgw.standins.request_check import answer_token, filler
 
 PAST = 0.4  # s past its patience for which a caller listens, to tell a late answer from none
 CONNECT_TIME = 2.0  # s for a connection to a sidecar to come up
@@ -23,7 +23,7 @@
     """A request as the protocol page has it."""
     return http.ask(
         call.method, call.target, call.host, call.trace, call.cls, call.tenant, call.key, patience,
-        stuff(call.trace, call.body),
+        filler(call.trace, call.body),
     )  # fmt: skip
 
 
@@ -127,7 +127,7 @@
                 self.last.extra += 1
             return
         call.answered = self.desk.clock() if call.begun is None else call.begun
-        call.status, call.token = code, token(body)
+        call.status, call.token = code, answer_token(body)
         if call.sent is None:
             call.sent = call.answered  # answered before all of its body had gone
             self._end(End.ANSWERED)
--- a/millgw/standins/endpoint.py
+++ b/millgw/standins/endpoint.py
@@ -12,13 +12,14 @@
 import math
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
-from hashlib import blake2b
 
-from millgw.platform.config import Address
-from millgw.standins.capacity import ColdBudget, Processor, Room
+from millgw.standins.capacity import ColdBudget, Room
+from millgw.standins.cpu import Cpu
+from millgw.standins.deduplication import Group
+from millgw.standins.endpoint_options import Build, ColdRule, Ills, Task
 from millgw.standins.http import NEVER_RAN, Clock, Message, ServerConnection, listener, ok, status
-from millgw.standins.ledger import Attempt, Call, Handshake, Ledger, Life, Told
+from millgw.standins.ledger import Attempt, Handshake, Ledger, Life, Told
+from millgw.standins.request_check import answer_token, difference, filler
 
 HEAVIEST = 6.0  # times its class's mean that one request may need: the tail that is drawn ends there
 SWEEP = 0.1  # s between two looks for connections that have been idle too long
@@ -28,121 +29,10 @@
 LATER = 0.005  # s until the next piece where the reader is slower than that
 
 
-@dataclass(slots=True, frozen=True)
-class Task:
-    """What one class costs an endpoint of a tier. `work` in core-ms of the yardstick, times in ms."""
-
-    work: float
-    wait: float
-    cv: float
-    deadline: float
-    keyed: bool = False
-    window: float = 0.0
-    calls: float = 0.0  # calls to the next tier for each request, on average
-    answer: int = 0  # bytes of its answers' bodies; 0: a few hundred
-    pace: float = 0.0  # bytes a second at which such an answer is written; 0: as fast as it is taken
-
-
-@dataclass(slots=True, frozen=True)
-class Build:
-    """What an endpoint is made of; the same for each of its lives."""
-
-    name: str
-    tier: int
-    cell: int
-    address: Address
-    speed: float = 1.0
-    cores: int = 1
-    slots: int = 20
-    waiting: int = 20
-    connections: int = 600
-    handshake_work: float = 1.0  # core-ms
-    handshake_ms: float = 0.6
-    idle: float = 30_000.0
-    idle_random: bool = False  # each connection draws a part of that
-    uses: int = 0  # answers on a connection, after which it is closed without a word; 0 for no bound
-    cold_share: float = 0.2
-    cold_ms: float = 14_000.0
-    drops_waiting: bool = True  # waiting work whose connection has ended is dropped
-
-
-@dataclass(slots=True, frozen=True)
-class ColdRule:
-    """Past `multiple` times its present capacity within `window` ms, a cold endpoint falls over."""
-
-    multiple: float = 2.5
-    window: float = 1000.0
-
-
-class Group:
-    """The endpoints that drop each other's repeats: which keys they have begun, and what came of them."""
-
-    def __init__(self) -> None:
-        self.runs: dict[str, Run] = {}
-
-    def begin(self, key: str, now: float, window: float, trace: str) -> tuple[Run, bool]:
-        """The run of a key; tells also whether it is a repeat of one that is remembered."""
-        known = self.runs.get(key)
-        if known is not None and now < known.until:
-            return known, True
-        self.runs[key] = run = Run(trace, now + window)
-        return run, False
-
-
-@dataclass(eq=False)
-class Run:
-    """One run of a keyed request. `body` is None where it came to no answer."""
-
-    trace: str
-    until: float
-    ended: asyncio.Event = field(default_factory=asyncio.Event)
-    body: bytes | None = None
-
-
-@dataclass(slots=True)
-class Ills:
-    """What is wrong with an endpoint now. Shares are of its requests; `slowness` divides its speed."""
-
-    failing: float = 0.0
-    resetting: float = 0.0
-    spoiling: float = 0.0
-    slowness: float = 1.0
-
-
 NextTier = Callable[[Message, Attempt, Task, float], Awaitable[bool]]
 """Makes one call to the next tier for an attempt, with the ms left; tells whether it was served."""
 
 
-def _unlike(message: Message, asked: Call) -> str:
-    """How an attempt differs from what its client asked; empty where it does not (protocol page)."""
-    method, target = message.first.split()[:2]
-    if method != asked.method:
-        return f"the method is {method}, the client's {asked.method}"
-    if target != asked.target:
-        return f"the target is not the client's: {_shape(target)} for {_shape(asked.target)}"
-    if message.headers.get("idempotency-key", "") != asked.key:
-        return "Idempotency-Key is not the client's"
-    if message.body != stuff(asked.trace, asked.body):
-        return "the body is not the client's"
-    return ""
-
-
-def stuff(trace: str, size: int) -> bytes:
-    """So many bytes that tell whose they are wherever one looks."""
-    return (trace.encode() * (size // max(1, len(trace)) + 1))[:size]
-
-
-def _shape(target: str) -> str:
-    """A target without its query's values: the same for all requests that are wrong in the same way."""
-    path, question, query = target.partition("?")
-    return path + question + "&".join(part.partition("=")[0] + "=" for part in query.split("&") if part)
-
-
-def token(body: bytes) -> str:
-    """What names an answer: its whole body's digest."""
-    return blake2b(body, digest_size=8).hexdigest()
-
-
 class Endpoint:
     """One stand-in server, through all its lives."""
 
@@ -181,7 +71,6 @@
         self.works: set[asyncio.Task[None]] = set()
         self.of_connection: dict[ServerConnection, asyncio.Future[None]] = {}
         self.answers = itertools.count(1)
-        self.timer: asyncio.TimerHandle | None = None
         self.sweeper: asyncio.TimerHandle | None = None
         self.heaviest = max(t.work for t in tasks.values())
 
@@ -195,6 +84,11 @@
         """Its life, or the last one it had."""
         return self.life or self.last_life
 
+    def since_unix_ms(self) -> int:
+        """When its life began as discovery lists it: 0 of one that began warm."""
+        life = self.ledger_life()
+        return self.clock.unix(life.start) if life.cold_ms > 0 else 0
+
     def start(self, cold: bool) -> Life:
         """Begin a life; what was left of the one before is reset."""
         self.stop()
@@ -203,8 +97,7 @@
         share, ms = (b.cold_share, b.cold_ms) if cold else (1.0, 0.0)
         self.life = self.last_life = Life(b.name, self.lives, b.tier, b.cell, now, b.speed, share, ms)
         self.ledger.lives.append(self.life)
-        self.processor = Processor(self.life, b.cores)
-        self.processor.slowness = self.ills.slowness
+        self.cpu = Cpu(self.life, b.cores, self.ills.slowness, self.clock)
         self.room = Room(b.slots, b.waiting)
         self.budget = ColdBudget(self.life, self.rule.multiple, self.rule.window, self.heaviest)
         self.draining = self.quiet = False
@@ -239,20 +132,15 @@
     def slow(self, times: float) -> None:
         self.ills.slowness = times
         if self.life is not None:
-            self._settle(self.processor.advance(self.clock()))
-            self.processor.slowness = times
-            self._schedule()
+            self.cpu.slow(times)
 
     def _lose_work(self) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
         for work in self.works:
             work.cancel()
         self.works.clear()
         self.of_connection.clear()
         if self.life is not None:
-            self.processor.empty()
+            self.cpu.stop()
 
     # Connections
 
@@ -261,8 +149,7 @@
         self.ledger.handshakes.append(Handshake(self.build.name, self.lives, self.clock()))
         self.idle_times[connection] = self.build.idle * (self.rng.random() if self.build.idle_random else 1.0)
         if self.up and self.build.handshake_work > 0:
-            self._settle(self.processor.add(self.clock(), self.build.handshake_work, None))
-            self._schedule()
+            self.cpu.add(self.build.handshake_work)
 
     def bytes_came(self, connection: ServerConnection) -> bool:
         return True
@@ -310,7 +197,7 @@
         if not whole:
             attempt.why = ""
         elif asked is not None:
-            attempt.why = _unlike(message, asked)
+            attempt.why = difference(message, asked)
         elif attempt.cls not in self.tasks:
             attempt.why = "X-Trace-Id is that of no client's request, and X-Qos names no class"
         self.ledger.attempts.append(attempt)
@@ -392,9 +279,9 @@
         elif rng.random() < self.ills.spoiling:
             await self._spoil(connection, attempt, body, rng.choice(SPOILS))
         elif task.answer:
-            await self._pour(connection, attempt, body + stuff(attempt.trace, task.answer), task.pace)
+            await self._pour(connection, attempt, body + filler(attempt.trace, task.answer), task.pace)
         else:
-            attempt.token = token(body)
+            attempt.token = answer_token(body)
             self._tell(connection, attempt, Told.OK, ok(body))
 
     async def _answer_of(
@@ -418,7 +305,7 @@
         attempt.began = self.clock()
         sigma = math.sqrt(math.log(1 + task.cv**2))
         work = task.work * min(HEAVIEST, rng.lognormvariate(-sigma * sigma / 2, sigma))
-        await self._cpu(work / 2)
+        await self.cpu.run(work / 2)
         await asyncio.sleep(task.wait * rng.uniform(0.5, 1.5) * self.ills.slowness / 1000)
         served = True
         if self.next_tier is not None:
@@ -429,7 +316,7 @@
                     served = False
                     break
         if served:
-            await self._cpu(work / 2)
+            await self.cpu.run(work / 2)
         attempt.ended = self.clock()
         if not served:
             return None
@@ -446,32 +333,6 @@
             return asked.sent + asked.patience - self.clock()
         return task.deadline - (self.clock() - message.last_byte)
 
-    async def _cpu(self, work: float) -> None:
-        done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._settle(self.processor.add(self.clock(), work, done))
-        self._schedule()
-        await done
-
-    @staticmethod
-    def _settle(ended: list[object]) -> None:
-        for job in ended:
-            if isinstance(job, asyncio.Future) and not job.done():
-                job.set_result(None)
-
-    def _schedule(self) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-        due = self.processor.due()
-        if due is not None:
-            delay = max(0.0, due - self.clock()) / 1000
-            self.timer = asyncio.get_running_loop().call_later(delay, self._tick)
-
-    def _tick(self) -> None:
-        self.timer = None
-        self._settle(self.processor.advance(self.clock()))
-        self._schedule()
-
     # Answers
 
     def _tell(self, connection: ServerConnection, attempt: Attempt, told: Told, data: bytes) -> None:
@@ -488,7 +349,7 @@
 
     async def _pour(self, connection: ServerConnection, attempt: Attempt, body: bytes, pace: float) -> None:
         """Answer piece by piece, as fast as the reader takes it and no faster than the pace."""
-        attempt.token = token(body)
+        attempt.token = answer_token(body)
         data = ok(body)
         for at in range(0, len(data), PIECE):
             while connection.unsent > PIECE:
@@ -504,7 +365,7 @@
         whole = ok(body)
         if how == "doubled":
             # The first whole answer is right and counts; what is behind it is nobody's.
-            attempt.token = token(body)
+            attempt.token = answer_token(body)
             self._tell(connection, attempt, Told.OK, whole + ok(b"nobody's"))
             return
         data = {"short": whole[:-5], "garbled": b"HTTP/1.1 2x0 ?\r\n" + whole, "stalled": whole[:-9]}[how]
--- a/tests/test_rehearsal_pure.py
+++ b/tests/test_rehearsal_pure.py
@@ -21,7 +21,7 @@
 from millgw.rehearsal.scenario_files import load, parse, shipped, to_toml
 from millgw.rehearsal.scenario_overrides import OPTIONAL, SCALES, changed
 from millgw.rehearsal.summary import Worth, hit_by_upgrades, summarize
-from millgw.rehearsal.testbed import schedule
+from millgw.rehearsal.traffic import schedule
 from millgw.standins.capacity import Processor, Room
 from millgw.standins.ledger import Attempt, Call, End, InjectedFault, Ledger, Life, Told, Upgrade, shift
 from millgw.standins.register import Entry, Register
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -15,11 +15,14 @@
 from millgw.message import unconfirmed
 from millgw.standins.address import free_address
 from millgw.standins.caller import Desk, ready
+from millgw.standins.deduplication import Group
 from millgw.standins.discovery_server import Capacity, Delays, DiscoveryServer
-from millgw.standins.endpoint import Build, ColdRule, Endpoint, Group, Task, token
+from millgw.standins.endpoint import Endpoint
+from millgw.standins.endpoint_options import Build, ColdRule, Task
 from millgw.standins.http import Clock, Listener, Message, ok
 from millgw.standins.ledger import Call, End, Ledger, Told
 from millgw.standins.register import Entry
+from millgw.standins.request_check import answer_token
 from millgw.standins.scripted import ScriptedEndpoint, answering, read_message, silent
 from tests.kinds import once
 from tests.rig import run, until
@@ -72,7 +75,7 @@
         bench.endpoint.start(cold=False)
         answer = await bench.ask(bench.word(trace="abc"))
         (attempt,) = bench.ledger.attempts
-        assert answer.status == 200 and token(answer.body) == attempt.token
+        assert answer.status == 200 and answer_token(answer.body) == attempt.token
         assert (attempt.trace, attempt.told, attempt.endpoint) == ("abc", Told.OK, "e1")
         assert attempt.began is not None and attempt.ended is not None and attempt.last is not None
         assert attempt.first <= attempt.last <= attempt.began <= attempt.ended
