--- a/millgw/rehearsal/command.py
+++ b/millgw/rehearsal/command.py
@@ -22,14 +22,16 @@
 from millgw.cli.kinds import COUNT, DIRECTORY, RATE, SCENARIO, SEED, Duration
 from millgw.cli.report import FileReporting, Out, Reporting
 from millgw.rehearsal import demo
-from millgw.rehearsal.hunt import Hunt, Outcome
-from millgw.rehearsal.lateness import quantile
+from millgw.rehearsal.audit.lateness import quantile
+from millgw.rehearsal.fault_schedules import SMALL
+from millgw.rehearsal.fault_search import FaultSearch, SearchOutcome
 from millgw.rehearsal.page import page
 from millgw.rehearsal.report import Day, exit_code, judge, show, to_json
-from millgw.rehearsal.scenario import OPTIONAL, SCALES, Scenario, ScenarioError, changed, load, parse, shipped
-from millgw.rehearsal.search import SMALL
+from millgw.rehearsal.scenario import Scenario, ScenarioError
+from millgw.rehearsal.scenario_files import load, parse, shipped
+from millgw.rehearsal.scenario_overrides import OPTIONAL, SCALES, changed
 from millgw.rehearsal.sidecars import DEFAULT_RUN, NotReady
-from millgw.rehearsal.stage import Stage
+from millgw.rehearsal.testbed import Testbed
 
 T = TypeVar("T")
 
@@ -62,7 +64,7 @@
 def rehearse() -> None:
     """Play failures on stand-ins and audit the four rules.
 
-    Plays a day of stand-in servers, cadastro and clients round real sidecars, lets faults strike, and reports
+    Plays a day of stand-in servers, discovery and clients round real sidecars, injects faults, and reports
     for each of the four rules whether it held.
 
     Exit: 0 held, 1 a rule broke, 2 bad input, 3 inconclusive, 4 the rig itself failed.
@@ -194,17 +196,17 @@
         bar = progress.add_task(name, total=scenario.seconds, now="starting")
         if not console.is_terminal:
             print(f"{name}: {scenario.seconds:g} s", file=sys.stderr)
-        stage = Stage(scenario, run, lambda what: progress.update(bar, now=what), logs)
+        testbed = Testbed(scenario, run, lambda what: progress.update(bar, now=what), logs)
 
         async def advance() -> None:
             while True:
                 await asyncio.sleep(0.2)
-                if stage.zero:
-                    progress.update(bar, completed=(stage.clock() - stage.zero) / 1000)
+                if testbed.zero:
+                    progress.update(bar, completed=(testbed.clock() - testbed.zero) / 1000)
 
         advancing = asyncio.create_task(advance())
         try:
-            ledger, facts = await stage.play()
+            ledger, facts = await testbed.play()
         finally:
             advancing.cancel()
     return judge(name, scenario, ledger, facts)
@@ -216,9 +218,9 @@
     def say(what: str) -> None:
         print(what, file=sys.stderr, flush=True)
 
-    async def search() -> Outcome:
-        hunt = Hunt(base, args.run, args.jobs, Path(args.into), args.steps, say)
-        return await _interruptible(hunt.search(args.seed, args.count))
+    async def search() -> SearchOutcome:
+        fault_search = FaultSearch(base, args.run, args.jobs, Path(args.into), args.steps, say)
+        return await _interruptible(fault_search.search(args.seed, args.count))
 
     outcome = asyncio.run(search())
     if not outcome.played:
--- a/millgw/rehearsal/search.py
+++ b/millgw/rehearsal/fault_schedules.py
@@ -1,4 +1,4 @@
-"""Schedules that nobody wrote down, and the least of one that still does harm. No I/O."""
+"""Random fault schedules, and the smallest part of one that still does harm. No I/O."""
 
 from __future__ import annotations
 
@@ -8,11 +8,12 @@
 
 from msgspec.structs import replace
 
-from millgw.rehearsal.scenario import Cadastro, Fault, FaultKind, Fleet, Scenario, Traffic, check
+from millgw.rehearsal.scenario import Discovery, Fault, FaultKind, Fleet, Scenario, Traffic
+from millgw.rehearsal.scenario_checks import check
 
 KINDS: tuple[FaultKind, ...] = (
     "silence", "restart", "fast-failure", "slowdown", "resets", "spoilt", "drain", "replaced", "flapping",
-    "cadastro-outage", "cadastro-restart", "sidecar-killed", "sidecar-restart", "crowd", "connections",
+    "discovery-outage", "discovery-restart", "sidecar-killed", "sidecar-restart", "crowd", "connections",
 )  # fmt: skip
 SIZES: dict[str, tuple[float, float]] = {
     "fast-failure": (0.3, 0.9),
@@ -33,9 +34,9 @@
         endpoints=5, tiers=(1.0, 1.0), work=(0.5, 0.5), calls=(1.25,), sidecars=8, group=3, cold_s=5.0
     ),
     traffic=Traffic(rate=32.0),
-    cadastro=Cadastro(notice_s=(0.2, 1.5), silent_s=(1.0, 3.0), add_s=(0.1, 0.6)),
+    discovery=Discovery(notice_s=(0.2, 1.5), silent_s=(1.0, 3.0), add_s=(0.1, 0.6)),
 )
-"""The day that schedules are drawn into: a small fleet in two tiers, a cadastro that is not late for long."""
+"""The day that schedules are drawn into: a small fleet in two tiers, discovery not late for long."""
 
 
 def draw(base: Scenario, seed: int) -> Scenario:
@@ -62,7 +63,7 @@
     return check(replace(base, about=about, seed=seed, faults=tuple(faults)))
 
 
-def apart(scenario: Scenario) -> Scenario:
+def one_at_a_time(scenario: Scenario) -> Scenario:
     """The same faults one after another, in a day that is longer by as much."""
     part, at = scenario.seconds, 0.0
     faults = []
@@ -73,7 +74,7 @@
     return check(replace(scenario, about=about, seconds=at, faults=tuple(faults)))
 
 
-def smaller(scenario: Scenario) -> Iterator[Scenario]:
+def simpler(scenario: Scenario) -> Iterator[Scenario]:
     """Days that are a step simpler, the greatest steps first."""
     faults = scenario.faults
     for i in range(len(faults)):
@@ -105,7 +106,7 @@
     asked, again = 0, True
     while again:
         again = False
-        steps = list(smaller(scenario))
+        steps = list(simpler(scenario))
         while steps and not again:
             some, steps = steps[:at_once][: most - asked], steps[at_once:]
             if not some:
--- a/millgw/rehearsal/report.py
+++ b/millgw/rehearsal/report.py
@@ -9,12 +9,15 @@
 from rich.console import Console
 from rich.table import Table
 
-from millgw.rehearsal.auditor import Audit, Verdict, audit
-from millgw.rehearsal.lateness import quantile
-from millgw.rehearsal.scenario import Scenario, to_toml
-from millgw.rehearsal.stage import Facts, terms
+from millgw.rehearsal.audit.auditor import audit
+from millgw.rehearsal.audit.findings import Audit, Verdict
+from millgw.rehearsal.audit.lateness import quantile
+from millgw.rehearsal.audit.rules import audit_rules
+from millgw.rehearsal.scenario import Scenario
+from millgw.rehearsal.scenario_files import to_toml
 from millgw.rehearsal.summary import Summary, Worth, summarize
-from millgw.standins.ledger import Ledger, SentAway, Strike, Upgrade
+from millgw.rehearsal.testbed import Facts
+from millgw.standins.ledger import InjectedFault, Ledger, SentAway, Upgrade
 
 COLOURS = {Verdict.HELD: "green", Verdict.BROKEN: "bold red", Verdict.NOT_EXERCISED: "dim"}
 LEAST_WIDTH = 118  # columns of a table that goes to a file
@@ -31,7 +34,7 @@
     facts: Facts
     summary: Summary
     audit: Audit
-    strikes: tuple[Strike, ...]
+    injected: tuple[InjectedFault, ...]
     upgrades: tuple[Upgrade, ...] = ()
     sent_away: tuple[SentAway, ...] = ()
 
@@ -47,9 +50,9 @@
 def judge(name: str, scenario: Scenario, ledger: Ledger, facts: Facts) -> Day:
     """The day that a ledger tells of."""
     worths = {c.name: Worth(c.aim_ms, c.deadline_ms, c.worth, c.late_worth) for c in scenario.classes}
-    verdict = audit(ledger, terms(scenario))
+    verdict = audit(ledger, audit_rules(scenario))
     return Day(
-        name, scenario.about, scenario, facts, summarize(ledger, worths), verdict, tuple(ledger.strikes),
+        name, scenario.about, scenario, facts, summarize(ledger, worths), verdict, tuple(ledger.injected),
         tuple(ledger.upgrades), tuple(ledger.sent_away),
     )  # fmt: skip
 
@@ -173,7 +176,7 @@
         "hit_by_upgrades": s.hit_by_upgrades,
         "upgrades": [asdict(upgrade) for upgrade in day.upgrades],
         "sent_away": [asdict(away) for away in day.sent_away],
-        "faults": [asdict(strike) for strike in day.strikes],
+        "faults": [asdict(fault) for fault in day.injected],
         "rules": [
             {
                 "rule": f.rule, "title": f.title, "verdict": f.verdict.value, "checked": f.checked,
--- a/millgw/rehearsal/scenario.py
+++ b/millgw/rehearsal/scenario.py
@@ -1,4 +1,4 @@
-"""What a scenario file says: fleet, traffic, cadastro and faults, checked down to the line.
+"""What a scenario file says: fleet, traffic, discovery and faults, as typed tables.
 
 Shares are of 1, `_s` fields are seconds, `_ms` fields milliseconds. A file that can't be used raises a
 `ScenarioError` with its name, the line where that can be known, the key's path and what is wrong.
@@ -6,15 +6,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-from importlib import resources
-from pathlib import Path
-from typing import Annotated, Any, Literal
+from typing import Annotated, Literal
 
-import msgspec
 from msgspec import Meta
 
-from millgw.checked import FileError, Table, read
+from millgw.checked import FileError, Table
 from millgw.operator.file import Connections
 
 Share = Annotated[float, Meta(ge=0.0, le=1.0)]
@@ -35,8 +31,8 @@
     "drain",
     "replaced",
     "flapping",
-    "cadastro-outage",
-    "cadastro-restart",
+    "discovery-outage",
+    "discovery-restart",
     "watches-silent",
     "sidecar-killed",
     "sidecar-restart",
@@ -162,8 +158,8 @@
     insist: Share = 0.0
 
 
-class Cadastro(Table, frozen=True, kw_only=True):
-    """How late the cadastro is, and what it can do."""
+class Discovery(Table, frozen=True, kw_only=True):
+    """How late the discovery server is, and what it can do."""
 
     notice_s: Range = (0.5, 2.0)
     silent_s: Range = (3.0, 6.0)
@@ -176,7 +172,7 @@
 class Coordinator(Table, frozen=True, kw_only=True):
     """A ZooKeeper-style coordinator at which endpoints register, and sidecars' sessions at it.
 
-    `membership` is how sidecars use it: `alone`, or beside the cadastro as the operator's file words it.
+    `membership` is how sidecars use it: `alone`, or beside discovery as the operator's file words it.
     """
 
     faces: Annotated[int, Meta(ge=1, le=3)] = 3
@@ -293,7 +289,7 @@
         Tenant(name="transporte-lagoa", share=0.11),
         Tenant(name="padaria-nona", share=0.04),
     )
-    cadastro: Cadastro = Cadastro()
+    discovery: Discovery = Discovery()
     limits: Limits = Limits()
     rules: Rules = Rules()
     services: tuple[Service, ...] = ()
@@ -303,234 +299,6 @@
     store: Store | None = None
     faults: tuple[Fault, ...] = ()
 
-
-OPTIONAL = ("connections", "peers", "store")
-"""Tables without which a day can be played too, to compare."""
-
-SCALES: dict[str, tuple[int, int, float]] = {"today": (17, 67, 170.0), "to-come": (60, 365, 620.0)}
-"""Endpoints of the first tier, sidecars, first tries a second."""
-
-
-def check(scenario: Scenario) -> Scenario:
-    """What no single field can tell; a ValueError says it as `path: what`."""
-    fleet = scenario.fleet
-    sizes = len(fleet.tiers)
-    if len(fleet.work) != sizes:
-        raise ValueError(f"fleet.work: has {len(fleet.work)} parts for {sizes} tiers")
-    if len(fleet.calls) < sizes - 1:
-        raise ValueError(f"fleet.calls: has {len(fleet.calls)} figures for the calls between {sizes} tiers")
-    if fleet.sidecars <= fleet.owned():
-        raise ValueError(
-            f"fleet.sidecars: {fleet.sidecars} leave none for the front: {fleet.owned()} belong to endpoints"
-        )
-    for path, names in (
-        ("classes", [c.name for c in scenario.classes]),
-        ("tenants", [t.name for t in scenario.tenants]),
-    ):
-        for i, name in enumerate(names):
-            if name in names[:i]:
-                raise ValueError(f"{path}[{i}].name: {name!r} is given twice")
-    for i, cls in enumerate(scenario.classes):
-        if cls.aim_ms > cls.deadline_ms:
-            raise ValueError(f"classes[{i}].aim_ms: is over the deadline_ms of {cls.deadline_ms:g}")
-        if cls.repeat == "dedup" and cls.window_ms <= 0:
-            raise ValueError(
-                f"classes[{i}].window_ms: a dedup class needs the time its repeats are known for"
-            )
-    _check_services(scenario)
-    for path, (low, high) in (
-        ("traffic.try_share", scenario.traffic.try_share),
-        ("traffic.wait_ms", scenario.traffic.wait_ms),
-        ("cadastro.notice_s", scenario.cadastro.notice_s),
-        ("cadastro.silent_s", scenario.cadastro.silent_s),
-        ("cadastro.add_s", scenario.cadastro.add_s),
-    ):
-        if low > high:
-            raise ValueError(f"{path}: {low:g} to {high:g} is no range")
-    for i, fault in enumerate(scenario.faults):
-        _check_fault(f"faults[{i}]", fault, scenario)
-    return scenario
-
-
-def _check_services(scenario: Scenario) -> None:
-    classes, seen = [c.name for c in scenario.classes], set[str]()
-    if scenario.services and scenario.coordinator is not None:
-        raise ValueError("coordinator: a day with services has a cadastro for each")
-    if scenario.services and len(scenario.fleet.tiers) != 1:
-        raise ValueError("fleet.tiers: a day with services has one tier")
-    for i, service in enumerate(scenario.services):
-        for j, name in enumerate(service.classes):
-            if name not in classes:
-                raise ValueError(f"services[{i}].classes[{j}]: there is no class {name!r}")
-            if name in seen:
-                raise ValueError(f"services[{i}].classes[{j}]: {name!r} has a service already")
-            seen.add(name)
-        if service.name in [s.name for s in scenario.services[:i]]:
-            raise ValueError(f"services[{i}].name: {service.name!r} is given twice")
-    if scenario.services and len(seen) < len(classes):
-        raise ValueError(f"services: class {next(c for c in classes if c not in seen)!r} has none")
-
-
-def _check_fault(path: str, fault: Fault, scenario: Scenario) -> None:
-    if fault.start_s >= scenario.seconds:
-        raise ValueError(f"{path}.start_s: {fault.start_s:g} is past the day's {scenario.seconds:g} seconds")
-    if fault.kind in SIZES:
-        most = SIZES[fault.kind][1]
-        if fault.size is not None and fault.size > most:
-            raise ValueError(f"{path}.size: {fault.kind} takes {most:g} at the most")
-        if fault.size is not None and fault.kind in ("slowdown", "crowd") and fault.size < 1:
-            raise ValueError(f"{path}.size: {fault.kind} takes 1 or more")
-    elif fault.size is not None:
-        raise ValueError(f"{path}.size: {fault.kind} has no size")
-    tiers = len(scenario.services) or len(scenario.fleet.tiers)
-    if fault.tier > tiers:
-        raise ValueError(f"{path}.tier: there are {tiers}")
-    if fault.cls is not None and (
-        fault.kind != "crowd" or fault.cls not in [c.name for c in scenario.classes]
-    ):
-        raise ValueError(
-            f"{path}.class: names a class of a crowd, which {fault.cls!r} of {fault.kind} is not"
-        )
-    named = fault.service in [s.name for s in scenario.services]
-    if (fault.kind == "reload") != named or (fault.service is not None and not named):
-        raise ValueError(f"{path}.service: a reload names one of the services, and nothing else does")
-    if fault.kind.startswith("zk-") and scenario.coordinator is None:
-        raise ValueError(f"{path}.kind: {fault.kind} strikes a coordinator, and the day has none")
-    if fault.tier and fault.kind not in ON_ENDPOINTS:
-        raise ValueError(f"{path}.tier: {fault.kind} does not strike endpoints")
-
-
-# Reading
-
-
-def parse(text: str, name: str) -> Scenario:
-    """A scenario from its text; `name` is what errors call it."""
-    return read(text, name, Scenario, check, ScenarioError)
-
-
-def shipped() -> dict[str, str]:
-    """The scenarios that come with the program: name and text."""
-    folder = resources.files("millgw.rehearsal") / "scenarios"
-    return {
-        entry.name.removesuffix(".toml"): entry.read_text(encoding="utf-8")
-        for entry in sorted(folder.iterdir(), key=lambda e: e.name)
-        if entry.name.endswith(".toml")
-    }
-
-
-def load(name: str) -> tuple[str, Scenario]:
-    """A scenario by its shipped name or its file, with the name to show."""
-    known = shipped()
-    if name in known:
-        return name, parse(known[name], f"{name}.toml")
-    path = Path(name)
-    if not path.exists() and "/" not in name and not name.endswith(".toml"):
-        raise ScenarioError(f"{name}: neither a file nor a shipped scenario ({', '.join(known)})")
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise ScenarioError(f"{name}: {error}") from None
-    return path.stem, parse(text, name)
-
-
-def changed(
-    scenario: Scenario,
-    *,
-    seed: int | None = None,
-    seconds: float | None = None,
-    sidecars: int | None = None,
-    endpoints: int | None = None,
-    rate: float | None = None,
-    scale: str | None = None,
-    without: Sequence[str] = (),
-) -> Scenario:
-    """The scenario with what the command line says; faults keep their places in a day of another length.
-
-    `without` names tables of what sidecars are told beyond the platform, which are left out.
-    """
-    fleet, traffic = scenario.fleet, scenario.traffic
-    if scale is not None:
-        of_scale = SCALES[scale]
-        endpoints = of_scale[0] if endpoints is None else endpoints
-        sidecars = of_scale[1] if sidecars is None else sidecars
-        rate = of_scale[2] if rate is None else rate
-    if endpoints is not None:
-        front = fleet.sidecars - fleet.owned()
-        fleet = msgspec.structs.replace(fleet, endpoints=endpoints)
-        if sidecars is None:
-            sidecars = fleet.owned() + front
-    if sidecars is not None:
-        fleet = msgspec.structs.replace(fleet, sidecars=sidecars)
-    if rate is not None:
-        traffic = msgspec.structs.replace(traffic, rate=rate)
-    faults: Sequence[Fault] = scenario.faults
-    if seconds is not None:
-        part = seconds / scenario.seconds
-        faults = [
-            msgspec.structs.replace(
-                f, start_s=f.start_s * part, length_s=f.length_s * part, spacing_s=f.spacing_s * part
-            )
-            for f in faults
-        ]
-    try:
-        return check(
-            msgspec.structs.replace(
-                scenario,
-                fleet=fleet,
-                traffic=traffic,
-                faults=tuple(faults),
-                seed=scenario.seed if seed is None else seed,
-                seconds=scenario.seconds if seconds is None else seconds,
-                **dict.fromkeys(without),
-            )
-        )
-    except ValueError as error:
-        raise ScenarioError(f"command line: {error}") from None
-
-
-def connections_toml(scenario: Scenario) -> str:
-    """How the day's sidecars tend connections, as a table of the operator's file; empty for not at all."""
-    told = scenario.connections
-    if told is None:
-        return ""
-    return "\n".join(["[connections]", *(f"{k} = {_toml(getattr(told, k))}" for k in told.__struct_fields__)])
-
-
-def to_toml(scenario: Scenario, comment: str = "") -> str:
-    """The file that `parse` reads back as this scenario; what stands at its default is left out."""
-    lines = [f"# {line}".rstrip() for line in comment.splitlines()]
-    tables: list[str] = []
-    standard = Scenario()
-    for field in Scenario.__struct_fields__:
-        value = getattr(scenario, field)
-        if value == getattr(standard, field):
-            continue
-        if isinstance(value, Table):
-            usual = getattr(standard, field) or type(value)()
-            inner = [
-                f"{key} = {_toml(getattr(value, key))}"
-                for key in value.__struct_fields__
-                if getattr(value, key) != getattr(usual, key)
-            ]
-            tables += ["", f"[{field}]", *inner]
-        elif isinstance(value, tuple):
-            for entry in value:
-                names = zip(entry.__struct_fields__, entry.__struct_encode_fields__, strict=True)
-                given = [(word, getattr(entry, name)) for name, word in names]
-                rows = [f"{word} = {_toml(v)}" for word, v in given if v is not None]
-                tables += ["", f"[[{field}]]", *rows]
-        else:
-            lines.append(f"{field} = {_toml(value)}")
-    return "\n".join([*lines, *tables]) + "\n"
-
-
-def _toml(value: Any) -> str:
-    if isinstance(value, bool):
-        return str(value).lower()
-    if isinstance(value, str):
-        return msgspec.json.encode(value).decode()
-    if isinstance(value, tuple):
-        return "[" + ", ".join(map(_toml, value)) + "]"
-    if isinstance(value, Table):
-        return "{ " + ", ".join(f"{k} = {_toml(getattr(value, k))}" for k in value.__struct_fields__) + " }"
-    return repr(value)
+    def work_shares(self) -> tuple[float, ...]:
+        """The share of the work that each tier does; services beside each other do all of theirs."""
+        return self.fleet.work[:1] * len(self.services) or self.fleet.work
--- a/millgw/standins/ledger.py
+++ b/millgw/standins/ledger.py
@@ -99,7 +99,7 @@
 
 @dataclass(slots=True)
 class Word:
-    """One line on an endpoint, as the cadastro wrote it to a sidecar."""
+    """One line on an endpoint, as the discovery server wrote it to a sidecar."""
 
     sidecar: str
     endpoint: str
@@ -110,7 +110,7 @@
 
 @dataclass(slots=True)
 class Change:
-    """What became of an endpoint, when the cadastro knew."""
+    """What became of an endpoint, when the discovery server knew."""
 
     endpoint: str
     life: int
@@ -120,7 +120,7 @@
 
 @dataclass(slots=True)
 class Asked:
-    """A sidecar's time of asking and watching at the cadastro; `until` is None while the watch is open."""
+    """A sidecar's time of asking and watching at discovery; `until` is None while the watch is open."""
 
     sidecar: str
     at: float
@@ -130,7 +130,7 @@
 
 @dataclass(slots=True)
 class Outage:
-    """A time in which the cadastro was down; `until` is None while it is."""
+    """A time in which the discovery server was down; `until` is None while it is."""
 
     at: float
     until: float | None = None
@@ -224,7 +224,7 @@
 
 
 @dataclass(slots=True)
-class Strike:
+class InjectedFault:
     """A fault as it was carried out."""
 
     kind: str
@@ -248,7 +248,7 @@
     handshakes: list[Handshake] = field(default_factory=list)
     sidecars: list[SidecarLife] = field(default_factory=list)
     samples: list[Sample] = field(default_factory=list)
-    strikes: list[Strike] = field(default_factory=list)
+    injected: list[InjectedFault] = field(default_factory=list)
     sent_away: list[SentAway] = field(default_factory=list)
     upgrades: list[Upgrade] = field(default_factory=list)
     late: list[tuple[float, float]] = field(default_factory=list)  # arrivals: when due, ms sent late
@@ -271,7 +271,7 @@
     Handshake: ("at",),
     SidecarLife: ("start", "ready", "term", "kill", "ended"),
     Sample: ("at",),
-    Strike: ("at", "until"),
+    InjectedFault: ("at", "until"),
     SentAway: ("at", "no_at", "until", "yes_at", "judged"),
     Upgrade: ("at", "yes_at", "term", "ended"),
 }
@@ -282,7 +282,7 @@
     """Move all times by so many ms: the stand-ins run before the day's 0 is known."""
     for records in (
         ledger.attempts, ledger.calls, ledger.words, ledger.changes, ledger.asked, ledger.outages,
-        ledger.lives, ledger.handshakes, ledger.sidecars, ledger.samples, ledger.strikes,
+        ledger.lives, ledger.handshakes, ledger.sidecars, ledger.samples, ledger.injected,
         ledger.sent_away, ledger.upgrades,
     ):  # fmt: skip
         for record in records:
--- a/tests/test_rehearsal_pure.py
+++ b/tests/test_rehearsal_pure.py
@@ -13,26 +13,17 @@
 from msgspec.structs import replace
 
 from millgw.load import arrivals
-from millgw.rehearsal import search
-from millgw.rehearsal.faults import crowds, plan
+from millgw.rehearsal import fault_schedules
+from millgw.rehearsal.fault_plan import crowds, plan
 from millgw.rehearsal.page import page
-from millgw.rehearsal.scenario import (
-    OPTIONAL,
-    SCALES,
-    Fault,
-    Scenario,
-    ScenarioError,
-    changed,
-    check,
-    load,
-    parse,
-    shipped,
-    to_toml,
-)
-from millgw.rehearsal.stage import schedule
+from millgw.rehearsal.scenario import Fault, Scenario, ScenarioError
+from millgw.rehearsal.scenario_checks import check
+from millgw.rehearsal.scenario_files import load, parse, shipped, to_toml
+from millgw.rehearsal.scenario_overrides import OPTIONAL, SCALES, changed
 from millgw.rehearsal.summary import Worth, hit_by_upgrades, summarize
+from millgw.rehearsal.traffic import schedule
 from millgw.standins.capacity import Processor, Room
-from millgw.standins.ledger import Attempt, Call, End, Ledger, Life, Strike, Told, Upgrade, shift
+from millgw.standins.ledger import Attempt, Call, End, InjectedFault, Ledger, Life, Told, Upgrade, shift
 from millgw.standins.register import Entry, Register
 from tests.kinds import once
 
@@ -80,7 +71,7 @@
 def test_all_that_is_shipped_can_be_read_at_every_scale() -> None:
     assert set(shipped()) == {
         "calm", "silence", "cold-return", "fast-failure", "shared-slowdown", "silence-and-slowdown",
-        "overlap-three", "drain-wave", "cadastro-outage", "replaced-at-address", "sidecar-killed",
+        "overlap-three", "drain-wave", "discovery-outage", "replaced-at-address", "sidecar-killed",
         "rolling-restart", "flash-crowd", "connection-storm", "flood-one-pool", "pool-without-servers",
         "reload-under-flood", "cold-unheard", "zk-mass-expiry", "zk-lingering", "zk-lagging-face",
         "zk-restart-empty", "zk-reconnect-storm", "zk-both-sources", "stale-pools",
@@ -120,7 +111,7 @@
         ("seconds = 3\n[[faults]]\nkind = 'resets'\nstart_s = 4\n", 4, "past the day's 3"),
         ("[[faults]]\nkind = 'fast-failure'\nsize = 1.5\nstart_s = 4\n", 3, "takes 1 at the most"),
         ("[[faults]]\nkind = 'slowdown'\nsize = 0.5\nstart_s = 4\n", 3, "takes 1 or more"),
-        ("[[faults]]\nkind = 'crowd'\ntier = 1\nstart_s = 4\n", 3, "does not strike endpoints"),
+        ("[[faults]]\nkind = 'crowd'\ntier = 1\nstart_s = 4\n", 3, "does not hit endpoints"),
         ("[[faults]]\nkind = 'drain'\ntier = 4\nstart_s = 4\n", 3, "faults[0].tier: there are 3"),
         (SERVICES.replace("['codigo-acesso']", "['x']"), 5, "services[0].classes[0]: there is no class 'x'"),
         (SERVICES + "[[services]]\nname='b'\nclasses=['codigo-acesso']\n", 9, "has a service already"),
@@ -129,7 +120,9 @@
         ("[[faults]]\nkind = 'drain'\nstart_s = 1\nclass = 'x'\n", 4, "faults[0].class"),
         ("[fleet]\nsidecars = 12\n", 2, "none for the front"),
         ("[fleet]\ntiers = [1.0]\n", 1, "fleet.work"),
-        ("[cadastro]\nnotice_s = [3, 1]\n", 2, "is no range"),
+        ("[discovery]\nnotice_s = [3, 1]\n", 2, "is no range"),
+        ("[cadastro]\nnotice_s = [3, 1]\n", 2, "discovery.notice_s: 3 to 1 is no range"),
+        (FAULTS.replace("silence", "cadastro-reboot"), 2, "faults[0].kind"),
         (
             "[[classes]]\nname='a'\nshare=1\nrepeat='dedup'\nwork_ms=1\naim_ms=2\ndeadline_ms=3\n",
             1,
@@ -151,6 +144,15 @@
     assert said.startswith(f"day.toml:{line}: " if line else "day.toml: ")
 
 
+def test_former_names_are_read_as_the_current_ones() -> None:
+    current = "[discovery]\nsilent_s = [1, 2]\n[[faults]]\nkind = 'discovery-outage'\nstart_s = 1\n"
+    current += '[[faults]]\nkind = "discovery-restart"\nstart_s = 2\n'
+    former = current.replace("discovery", "cadastro")
+    assert parse(former, "day.toml") == parse(current, "day.toml")
+    assert "cadastro" not in to_toml(parse(former, "day.toml"))
+    assert load("cadastro-outage") == load("discovery-outage")
+
+
 def test_files_that_are_not_there_or_not_text(tmp_path: Path) -> None:
     (tmp_path / "x.toml").write_bytes(b"\xff\xfe")
     for name in (str(tmp_path / "x.toml"), str(tmp_path / "none.toml"), "no-such-scenario"):
@@ -161,9 +163,9 @@
 @given(SEEDS)
 @settings(max_examples=60, deadline=None)
 def test_what_is_written_is_read_back_the_same(seed: int) -> None:
-    day = search.draw(search.SMALL, seed)
+    day = fault_schedules.draw(fault_schedules.SMALL, seed)
     assert parse(to_toml(day, "found\nby chance"), "x") == day
-    for simpler in search.smaller(day):
+    for simpler in fault_schedules.simpler(day):
         assert parse(to_toml(simpler), "x") == check(simpler)
 
 
@@ -188,9 +190,9 @@
         Scenario(),
         faults=(Fault(kind="silence", start_s=1, share=share, tier=1), Fault(kind="crowd", start_s=2)),
     )
-    blows = plan(day, endpoints, ["n0"], seed)
-    assert blows == plan(day, endpoints, ["n0"], seed)
-    hit = {b.target for b in blows if b.kind == "silence"}
+    planned = plan(day, endpoints, ["n0"], seed)
+    assert planned == plan(day, endpoints, ["n0"], seed)
+    hit = {fault.target for fault in planned if fault.kind == "silence"}
     first = {name for name, tier in endpoints if tier == 1}
     assert hit and hit <= first and (share == 1 or hit < first)
     assert [c.factor for c in crowds(day)] == [3.0]
@@ -338,11 +340,11 @@
 
 
 def test_a_shift_moves_every_time_and_leaves_what_never_happened() -> None:
-    ledger = Ledger(lives=[Life("e", 1, 1, 0, 5.0, 1.0)], strikes=[Strike("x", 1.0, 2.0, (), 0.0)])
+    ledger = Ledger(lives=[Life("e", 1, 1, 0, 5.0, 1.0)], injected=[InjectedFault("x", 1.0, 2.0, (), 0.0)])
     ledger.calls.append(Call("a", "a", 0, "c", "t", "", "n0", 7.0))
     shift(ledger, -5.0)
     assert ledger.lives[0].start == 0.0 and ledger.lives[0].until is None
-    assert ledger.calls[0].due == 2.0 and ledger.calls[0].sent is None and ledger.strikes[0].until == -3.0
+    assert ledger.calls[0].due == 2.0 and ledger.calls[0].sent is None and ledger.injected[0].until == -3.0
 
 
 def test_a_page_without_days_is_a_page() -> None:
@@ -355,10 +357,12 @@
 @given(SEEDS)
 @settings(max_examples=80, deadline=None)
 def test_drawn_faults_all_overlap_and_apart_none_do(seed: int) -> None:
-    day = search.draw(search.SMALL, seed)
-    assert day == search.draw(search.SMALL, seed) and len(day.faults) >= search.FEWEST
+    day = fault_schedules.draw(fault_schedules.SMALL, seed)
+    assert (
+        day == fault_schedules.draw(fault_schedules.SMALL, seed) and len(day.faults) >= fault_schedules.FEWEST
+    )
     assert max(f.start_s for f in day.faults) < min(f.until_s for f in day.faults)
-    alone = search.apart(day)
+    alone = fault_schedules.one_at_a_time(day)
     for one, two in zip(alone.faults, alone.faults[1:], strict=False):
         assert one.until_s < two.start_s
     assert alone.seconds == pytest.approx(day.seconds * len(day.faults))
@@ -369,7 +373,7 @@
 def test_shrinking_keeps_the_harm_and_leaves_nothing_that_is_not_needed(
     seed: int, data: st.DataObject
 ) -> None:
-    day = search.draw(search.SMALL, seed)
+    day = fault_schedules.draw(fault_schedules.SMALL, seed)
     needed = set(data.draw(st.sets(st.integers(0, len(day.faults) - 1), min_size=1)))
     guilty = [day.faults[i].kind for i in needed]
 
@@ -377,7 +381,7 @@
         kinds = [f.kind for f in candidate.faults]
         return all(kinds.count(kind) >= guilty.count(kind) for kind in guilty)
 
-    least, plays = asyncio.run(search.shrink(day, harms, most=500))
+    least, plays = asyncio.run(fault_schedules.shrink(day, harms, most=500))
     assert sorted(f.kind for f in least.faults) == sorted(guilty) and plays <= 500
     check(least)
 
@@ -386,5 +390,5 @@
     async def harms(_: Scenario) -> bool:
         return False
 
-    day = search.draw(search.SMALL, 1)
-    assert asyncio.run(search.shrink(day, harms, most=2)) == (day, 2)
+    day = fault_schedules.draw(fault_schedules.SMALL, 1)
+    assert asyncio.run(fault_schedules.shrink(day, harms, most=2)) == (day, 2)
--- a/tests/test_rehearsal_wrong.py
+++ b/tests/test_rehearsal_wrong.py
@@ -12,21 +12,12 @@
 from msgspec.structs import replace
 
 from millgw.rehearsal.report import Day, judge
-from millgw.rehearsal.scenario import (
-    Cadastro,
-    Class,
-    Fault,
-    Fleet,
-    Rules,
-    Scenario,
-    Store,
-    Traffic,
-    changed,
-    check,
-    load,
-)
+from millgw.rehearsal.scenario import Class, Discovery, Fault, Fleet, Rules, Scenario, Store, Traffic
+from millgw.rehearsal.scenario_checks import check
+from millgw.rehearsal.scenario_files import load
+from millgw.rehearsal.scenario_overrides import changed
 from millgw.rehearsal.sidecars import DEFAULT_RUN
-from millgw.rehearsal.stage import Stage
+from millgw.rehearsal.testbed import Testbed
 from tests.alone import alone
 from tests.kinds import aside, once
 
@@ -50,7 +41,7 @@
         ),
         Class(name="codigo-acesso", share=0.35, repeat="fragile", work_ms=50, aim_ms=800, deadline_ms=3000),
     ),
-    cadastro=Cadastro(notice_s=(0.1, 0.2), silent_s=(0.5, 1.0), add_s=(0.05, 0.1)),
+    discovery=Discovery(notice_s=(0.1, 0.2), silent_s=(0.5, 1.0), add_s=(0.05, 0.1)),
     rules=Rules(drain_grace_ms=300.0),
 )  # fmt: skip
 
@@ -67,7 +58,7 @@
 LEAVING = replace(BASE.traffic, impatient=0.5)
 TRAFFIC = {"floods": CROWDED, "for-nobody": LEAVING}
 
-SHIPPED = ("silence-and-slowdown", "overlap-three", "drain-wave", "cadastro-outage", "sidecar-killed")
+SHIPPED = ("silence-and-slowdown", "overlap-three", "drain-wave", "discovery-outage", "sidecar-killed")
 CROSSING = ("callers-leave", "watches-silent")
 SERVICES = ("flood-one-pool", "reload-under-flood", "pool-without-servers")
 COORDINATED = (
@@ -98,9 +89,7 @@
     """All wrong sidecars' days, played side by side once: one day is mostly waiting."""
     days = {
         kind: (
-            check(
-                replace(BASE, faults=FAULTS.get(kind, ()), traffic=TRAFFIC.get(kind, BASE.traffic))
-            ),
+            check(replace(BASE, faults=FAULTS.get(kind, ()), traffic=TRAFFIC.get(kind, BASE.traffic))),
             f"exec {sys.executable} {SCRIPT} {kind}",
         )
         for kind in ["right", "bare", "misspells", *RULES]
@@ -155,7 +144,7 @@
 def asyncio_days(days: dict[str, tuple[Scenario, str]]) -> dict[str, Day]:
     async def play() -> list[Day]:
         async def one(name: str, scenario: Scenario, run: str) -> Day:
-            ledger, facts = await Stage(scenario, run).play()
+            ledger, facts = await Testbed(scenario, run).play()
             return judge(name, scenario, ledger, facts)
 
         return await asyncio.gather(*(one(name, *what) for name, what in days.items()))
