--- /dev/null
+++ b/millgw/configuration/log.py
@@ -0,0 +1,112 @@
+"""The replicated log in memory: a snapshot of what was compacted, and the entries behind it.
+
+A log *position* counts every entry. A document *index* counts only entries that carry a version: the barrier
+entry with which a leader begins its epoch has a position and no version, so document indexes have no gaps.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from millgw.configuration.document import Document, Version
+
+
+class LogError(RuntimeError):
+    """The log was asked for what it can't hold; going on would break an invariant of the protocol."""
+
+
+@dataclass(slots=True, frozen=True)
+class Entry:
+    """One entry of the log. `version` is None for a barrier, which changes nothing."""
+
+    position: int
+    epoch: int
+    version: Version | None
+
+
+@dataclass(slots=True, frozen=True)
+class Snapshot:
+    """The document as of a log position, with the epoch of the entry at that position."""
+
+    position: int
+    epoch: int
+    document: Document
+
+
+EMPTY = Snapshot(0, 0, Document())
+
+
+class Log:
+    """Entries with positions from `snapshot.position + 1` on, without gaps."""
+
+    def __init__(self, snapshot: Snapshot = EMPTY, entries: Iterable[Entry] = ()) -> None:
+        self.snapshot = snapshot
+        self.entries: list[Entry] = []
+        for entry in entries:
+            self.append(entry)
+
+    @property
+    def last_position(self) -> int:
+        return self.snapshot.position + len(self.entries)
+
+    @property
+    def last_epoch(self) -> int:
+        return self.entries[-1].epoch if self.entries else self.snapshot.epoch
+
+    @property
+    def last_index(self) -> int:
+        """The document index of the newest version in the log, committed or not."""
+        for entry in reversed(self.entries):
+            if entry.version is not None:
+                return entry.version.index
+        return self.snapshot.document.index
+
+    def epoch_at(self, position: int) -> int | None:
+        """The epoch of the entry at a position; None where the log does not reach, or no longer reaches."""
+        if position == self.snapshot.position:
+            return self.snapshot.epoch
+        if not self.snapshot.position < position <= self.last_position:
+            return None
+        return self.at(position).epoch
+
+    def at(self, position: int) -> Entry:
+        """The entry at a position that the log holds."""
+        return self.entries[position - self.snapshot.position - 1]
+
+    def slice(self, first: int, most: int) -> Sequence[Entry]:
+        """Up to `most` entries from position `first` on."""
+        start = first - self.snapshot.position - 1
+        return self.entries[start : start + most]
+
+    def append(self, entry: Entry) -> None:
+        """Add an entry at the end."""
+        if entry.position != self.last_position + 1:
+            raise LogError(f"entry {entry.position} does not follow {self.last_position}")
+        self.entries.append(entry)
+
+    def replace_from(self, entries: Sequence[Entry]) -> None:
+        """Put entries in the place of everything from the first one's position on."""
+        start = entries[0].position - self.snapshot.position - 1
+        if start < 0:
+            raise LogError(f"entry {entries[0].position} is compacted already")
+        del self.entries[start:]
+        for entry in entries:
+            self.append(entry)
+
+    def compact(self, snapshot: Snapshot) -> None:
+        """Drop everything up to a snapshot; also what is behind it, where the log does not contain it."""
+        behind = snapshot.position - self.snapshot.position
+        if self.epoch_at(snapshot.position) == snapshot.epoch and behind >= 0:
+            self.entries = self.entries[behind:]
+        else:
+            self.entries = []
+        self.snapshot = snapshot
+
+    def document_at(self, position: int) -> Document:
+        """A new document with every version up to a position."""
+        document = self.snapshot.document.copy()
+        for entry in self.entries[: position - self.snapshot.position]:
+            if entry.version is not None:
+                document.apply(entry.version.index, entry.version.epoch, entry.version.changes)
+        return document
--- /dev/null
+++ b/millgw/configuration/messages.py
@@ -0,0 +1,366 @@
+"""The messages between replicas, and their JSON form. No I/O.
+
+Every message carries its sender's epoch, its incarnation (how often its durable state was opened) and the
+last position of its log: peers notice by them an instance that came back with older state.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from millgw.configuration.document import (
+    Change,
+    Document,
+    DocumentError,
+    Version,
+    canonical,
+    decode_changes,
+    decode_count,
+)
+from millgw.configuration.log import Entry, Snapshot
+
+MAX_MESSAGE = 16 * 2**20  # bytes of one encoded message
+MAX_CHANGES = 256 * 2**10  # bytes of one version's changes, as canonical JSON
+MAX_DOCUMENT = 8 * 2**20  # bytes of a whole document, as canonical JSON
+MAX_ENTRIES = 256  # of one append
+MAX_BATCH = 512 * 2**10  # bytes of one append's changes; a single entry may always be sent
+MAX_TEXT = 1024  # characters of an author or a reason
+
+
+class MessageError(ValueError):
+    """Bytes that are no message; the text names the field."""
+
+
+@dataclass(slots=True, frozen=True)
+class Header:
+    """What every message carries of its sender."""
+
+    epoch: int
+    incarnation: int
+    log_end: int
+
+
+@dataclass(slots=True, frozen=True)
+class PreVoteRequest:
+    """Would you vote for me in the epoch after `header.epoch`? Changes nothing at either side."""
+
+    header: Header
+    last_epoch: int
+
+
+@dataclass(slots=True, frozen=True)
+class PreVoteReply:
+    """`asked` is the epoch of the request's header."""
+
+    header: Header
+    asked: int
+    granted: bool
+
+
+@dataclass(slots=True, frozen=True)
+class VoteRequest:
+    """Vote for me in epoch `header.epoch`; my log ends with an entry of `last_epoch`."""
+
+    header: Header
+    last_epoch: int
+
+
+@dataclass(slots=True, frozen=True)
+class VoteReply:
+    header: Header
+    granted: bool
+
+
+@dataclass(slots=True, frozen=True)
+class AppendRequest:
+    """Entries behind the one at `previous_position`; a heartbeat if there are none.
+
+    `sent` is the leader's clock, which the reply brings back for the leader's lease.
+    """
+
+    header: Header
+    previous_position: int
+    previous_epoch: int
+    committed: int
+    sent: float
+    entries: tuple[Entry, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class AppendReply:
+    """`position`: up to which the logs agree, or (not `success`) the one to try as the previous position."""
+
+    header: Header
+    success: bool
+    position: int
+    sent: float
+
+
+@dataclass(slots=True, frozen=True)
+class SnapshotRequest:
+    """A whole document for a follower that needs entries which the leader has compacted."""
+
+    header: Header
+    sent: float
+    snapshot: Snapshot
+
+
+@dataclass(slots=True, frozen=True)
+class SnapshotReply:
+    header: Header
+    position: int
+    sent: float
+
+
+Message = (
+    PreVoteRequest
+    | PreVoteReply
+    | VoteRequest
+    | VoteReply
+    | AppendRequest
+    | AppendReply
+    | SnapshotRequest
+    | SnapshotReply
+)
+
+Fields = Mapping[str, Any]
+
+
+# Encoding
+
+
+def encode(message: Message) -> bytes:
+    """A message as JSON; a MessageError where it is over the bound."""
+    data = canonical(
+        {"kind": KINDS[type(message)], **_header_fields(message.header), **_body_fields(message)}
+    )
+    if len(data) > MAX_MESSAGE:
+        raise MessageError(f"message: {len(data)} bytes are over {MAX_MESSAGE}")
+    return data
+
+
+def _header_fields(header: Header) -> dict[str, Any]:
+    return {"epoch": header.epoch, "incarnation": header.incarnation, "log_end": header.log_end}
+
+
+def _body_fields(message: Message) -> dict[str, Any]:
+    match message:
+        case PreVoteRequest() | VoteRequest():
+            return {"last_epoch": message.last_epoch}
+        case PreVoteReply():
+            return {"asked": message.asked, "granted": message.granted}
+        case VoteReply():
+            return {"granted": message.granted}
+        case AppendRequest():
+            return {
+                "previous_position": message.previous_position,
+                "previous_epoch": message.previous_epoch,
+                "committed": message.committed,
+                "sent": message.sent,
+                "entries": [entry_fields(entry) for entry in message.entries],
+            }
+        case AppendReply():
+            return {"success": message.success, "position": message.position, "sent": message.sent}
+        case SnapshotRequest():
+            return {"sent": message.sent, "snapshot": snapshot_fields(message.snapshot)}
+        case SnapshotReply():
+            return {"position": message.position, "sent": message.sent}
+
+
+def entry_fields(entry: Entry) -> dict[str, Any]:
+    """An entry of the log as a JSON value."""
+    return {
+        "position": entry.position,
+        "epoch": entry.epoch,
+        "version": None if entry.version is None else _version_fields(entry.version),
+    }
+
+
+def encoded_size(entry: Entry) -> int:
+    """The bytes of an entry as JSON."""
+    return len(canonical(entry_fields(entry)))
+
+
+def _version_fields(version: Version) -> dict[str, Any]:
+    return {
+        "index": version.index,
+        "changes": [{"name": change.name, "value": change.value} for change in version.changes],
+        "author": version.author,
+        "reason": version.reason,
+        "at": version.at,
+    }
+
+
+def snapshot_fields(snapshot: Snapshot) -> dict[str, Any]:
+    """A snapshot as a JSON value."""
+    document = snapshot.document
+    return {
+        "position": snapshot.position,
+        "epoch": snapshot.epoch,
+        "document": {"index": document.index, "epoch": document.epoch, "entries": document.entries},
+    }
+
+
+# Decoding
+
+
+def decode(data: bytes) -> Message:
+    """A message from its JSON; a MessageError names the field that can't be used."""
+    if len(data) > MAX_MESSAGE:
+        raise MessageError(f"message: {len(data)} bytes are over {MAX_MESSAGE}")
+    try:
+        fields = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise MessageError(f"message: {error}") from None
+    if not isinstance(fields, dict):
+        raise MessageError("message: not an object")
+    kind = fields.get("kind")
+    reader = READERS.get(kind) if isinstance(kind, str) else None
+    if reader is None:
+        raise MessageError("kind: not one of " + ", ".join(READERS))
+    try:
+        return reader(_read_header(fields), fields)
+    except DocumentError as error:
+        raise MessageError(str(error)) from None
+
+
+def _read_header(fields: Fields) -> Header:
+    return Header(
+        decode_count(fields, "epoch"), decode_count(fields, "incarnation"), decode_count(fields, "log_end")
+    )
+
+
+def _read_append(header: Header, fields: Fields) -> AppendRequest:
+    previous = decode_count(fields, "previous_position")
+    items = _read_list(fields, "entries")
+    if len(items) > MAX_ENTRIES:
+        raise MessageError(f"entries: {len(items)} are over {MAX_ENTRIES}")
+    entries = tuple(read_entry(item, f"entries[{number}]") for number, item in enumerate(items))
+    for number, entry in enumerate(entries):
+        if entry.position != previous + 1 + number:
+            raise MessageError(f"entries[{number}].position: does not follow the one before")
+    return AppendRequest(
+        header,
+        previous,
+        decode_count(fields, "previous_epoch"),
+        decode_count(fields, "committed"),
+        _read_number(fields, "sent"),
+        entries,
+    )
+
+
+READERS: dict[str, Callable[[Header, Fields], Message]] = {
+    "pre-vote": lambda header, fields: PreVoteRequest(header, decode_count(fields, "last_epoch")),
+    "pre-vote-reply": lambda header, fields: PreVoteReply(
+        header, decode_count(fields, "asked"), _read_flag(fields, "granted")
+    ),
+    "vote": lambda header, fields: VoteRequest(header, decode_count(fields, "last_epoch")),
+    "vote-reply": lambda header, fields: VoteReply(header, _read_flag(fields, "granted")),
+    "append": _read_append,
+    "append-reply": lambda header, fields: AppendReply(
+        header,
+        _read_flag(fields, "success"),
+        decode_count(fields, "position"),
+        _read_number(fields, "sent"),
+    ),
+    "snapshot": lambda header, fields: SnapshotRequest(
+        header, _read_number(fields, "sent"), read_snapshot(fields.get("snapshot"), "snapshot")
+    ),
+    "snapshot-reply": lambda header, fields: SnapshotReply(
+        header, decode_count(fields, "position"), _read_number(fields, "sent")
+    ),
+}
+KINDS: dict[type[Message], str] = {
+    PreVoteRequest: "pre-vote",
+    PreVoteReply: "pre-vote-reply",
+    VoteRequest: "vote",
+    VoteReply: "vote-reply",
+    AppendRequest: "append",
+    AppendReply: "append-reply",
+    SnapshotRequest: "snapshot",
+    SnapshotReply: "snapshot-reply",
+}
+
+
+def read_entry(value: Any, path: str) -> Entry:
+    """An entry of the log from its JSON value; a DocumentError or MessageError names the field."""
+    fields = _read_object(value, path)
+    position = _read_count(fields, "position", path)
+    epoch = _read_count(fields, "epoch", path)
+    version = fields.get("version")
+    if version is None:
+        return Entry(position, epoch, None)
+    return Entry(position, epoch, _read_version(version, epoch, f"{path}.version"))
+
+
+def _read_version(value: Any, epoch: int, path: str) -> Version:
+    fields = _read_object(value, path)
+    return Version(
+        _read_count(fields, "index", path),
+        epoch,
+        decode_changes(fields.get("changes"), f"{path}.changes"),
+        _read_text(fields, "author", path),
+        _read_text(fields, "reason", path),
+        _read_number(fields, "at", path),
+    )
+
+
+def read_snapshot(value: Any, path: str) -> Snapshot:
+    """A snapshot from its JSON value; a DocumentError or MessageError names the field."""
+    fields = _read_object(value, path)
+    inner = f"{path}.document"
+    document = _read_object(fields.get("document"), inner)
+    entries = _read_object(document.get("entries"), f"{inner}.entries")
+    changes = [{"name": name, "value": entry} for name, entry in entries.items()]
+    taken = Document()
+    taken.apply(
+        _read_count(document, "index", inner),
+        _read_count(document, "epoch", inner),
+        (Change(change.name, change.value or {}) for change in decode_changes(changes, f"{inner}.entries")),
+    )
+    return Snapshot(_read_count(fields, "position", path), _read_count(fields, "epoch", path), taken)
+
+
+def _read_count(fields: Fields, name: str, path: str) -> int:
+    try:
+        return decode_count(fields, name)
+    except DocumentError as error:
+        raise MessageError(f"{path}.{error}") from None
+
+
+def _read_object(value: Any, path: str) -> Fields:
+    if not isinstance(value, dict):
+        raise MessageError(f"{path}: not an object")
+    return value
+
+
+def _read_list(fields: Fields, name: str) -> list[Any]:
+    value = fields.get(name)
+    if not isinstance(value, list):
+        raise MessageError(f"{name}: not a list")
+    return value
+
+
+def _read_flag(fields: Fields, name: str) -> bool:
+    value = fields.get(name)
+    if not isinstance(value, bool):
+        raise MessageError(f"{name}: not true or false")
+    return value
+
+
+def _read_number(fields: Fields, name: str, path: str = "") -> float:
+    value = fields.get(name)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise MessageError(f"{path}.{name}: not a finite number".lstrip("."))
+    return float(value)
+
+
+def _read_text(fields: Fields, name: str, path: str) -> str:
+    value = fields.get(name)
+    if not isinstance(value, str) or len(value) > MAX_TEXT:
+        raise MessageError(f"{path}.{name}: not a string of at most {MAX_TEXT} characters")
+    return value
--- /dev/null
+++ b/millgw/configuration/replica.py
@@ -0,0 +1,606 @@
+"""The consensus state machine of one control instance: the Raft rules, without I/O, clock or threads.
+
+The same inputs give the same actions; `actions` says how they are to be carried out. Times are ms on the
+caller's monotonic clock, which need not agree with any other instance's.
+
+Rules beside those of plain Raft:
+
+- Pre-vote: an instance asks whether it would be elected before it begins an epoch, so one that was cut off
+  does not depose a working leader when it comes back.
+- Lease: a follower refuses votes for `election[0]` ms after it heard a leader, and after its own start, as
+  it may have heard one just before. A leader accepts proposals only for `lease` ms after the moment at which
+  it sent the newest requests that a majority answered. Options are refused if clocks whose rates are wrong
+  by `drift` could make the two overlap. No invariant of the log depends on the lease.
+- A leader begins its epoch with a barrier: a log entry without a version. Once it is committed, so is all
+  before it. It takes a position in the log but no document index, so document indexes have no gaps.
+- Compaction: entries further back than `keep` behind the committed position become a snapshot. A follower
+  that needs them is sent the snapshot.
+- A peer that came back with older state than it had acknowledged is refused (see `rollback`).
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from millgw.configuration.actions import (
+    Accepted,
+    Action,
+    Busy,
+    Committed,
+    Conflict,
+    Decided,
+    Installed,
+    Invalid,
+    NoQuorum,
+    NotLeader,
+    Outcome,
+    PeerRefused,
+    Persist,
+    Proposed,
+    Role,
+    RoleChanged,
+    Send,
+    Unknown,
+)
+from millgw.configuration.document import Change, Document, Version
+from millgw.configuration.leadership import Leadership, Progress
+from millgw.configuration.log import Entry, Log, Snapshot
+from millgw.configuration.messages import (
+    MAX_BATCH,
+    MAX_ENTRIES,
+    AppendReply,
+    AppendRequest,
+    Header,
+    Message,
+    PreVoteReply,
+    PreVoteRequest,
+    SnapshotReply,
+    SnapshotRequest,
+    VoteReply,
+    VoteRequest,
+    encoded_size,
+)
+from millgw.configuration.proposal import ProposalError, check_document, check_proposal
+from millgw.configuration.rollback import RollbackDetector
+from millgw.configuration.state import State
+
+KEEP_SLACK = 4  # a compaction is due once the log is longer than `keep` by a part of so many
+
+
+class ConsensusError(RuntimeError):
+    """An invariant of the protocol does not hold: the process must stop."""
+
+
+@dataclass(slots=True, frozen=True)
+class Options:
+    """One instance among the voters; times in ms, `drift` the most by which a clock's rate is wrong."""
+
+    name: str
+    voters: tuple[str, ...]
+    heartbeat: float = 250.0
+    election: tuple[float, float] = (1500.0, 3000.0)
+    lease: float = 1200.0
+    keep: int = 1000
+    drift: float = 0.05
+    max_proposals: int = 64
+
+    def __post_init__(self) -> None:
+        low, high = self.election
+        if self.name not in self.voters or len(set(self.voters)) != len(self.voters):
+            raise ValueError("voters: must name this instance, and each one once")
+        if not 0 < self.heartbeat < self.lease:
+            raise ValueError("heartbeat: must be over 0 and shorter than the lease")
+        if not low < high:
+            raise ValueError("election: the upper bound must be over the lower one")
+        if not 0 <= self.drift < 1 or self.lease / (1 - self.drift) > low / (1 + self.drift):
+            raise ValueError("lease: must end before a follower may vote again, with clocks that drift")
+        if self.keep < 1 or self.max_proposals < 1:
+            raise ValueError("keep, max_proposals: must be 1 or more")
+
+    @property
+    def majority(self) -> int:
+        return len(self.voters) // 2 + 1
+
+    @property
+    def peers(self) -> tuple[str, ...]:
+        return tuple(voter for voter in self.voters if voter != self.name)
+
+
+class Replica:
+    """One voter. Each input returns the actions that it leads to."""
+
+    def __init__(self, options: Options, state: State, seed: int, now: float) -> None:
+        self.options = options
+        self.log = Log(state.snapshot, state.entries)
+        self.epoch = state.epoch
+        self.voted_for = state.voted_for
+        self.committed = max(state.committed, state.snapshot.position)  # a log position
+        self.document: Document = self.log.document_at(self.committed)
+        self.role = Role.FOLLOWER
+        self.leader: str | None = None
+        self._incarnation = state.incarnation
+        self._random = random.Random(f"{seed} {options.name}")
+        self._peers = RollbackDetector()
+        self._leadership: Leadership | None = None
+        self._pre_votes: set[str] | None = None  # while a pre-vote is under way
+        self._votes: set[str] = set()
+        self._proposals = 0
+        self._now = now
+        self._heard = now  # a leader may have been heard just before the start
+        self._election_at = self._next_election()
+        self._actions: list[Action] = []
+        self._unsaved = False
+        self._unsaved_entries: tuple[Entry, ...] = ()
+        self._unsaved_snapshot: Snapshot | None = None
+        self._told = self._standing()
+
+    # Inputs
+
+    def tick(self, now: float) -> list[Action]:
+        """Time has passed; due no later than at `next_deadline`."""
+        self._begin(now)
+        if self._leadership is not None:
+            self._tick_leader(self._leadership)
+        elif self._now >= self._election_at:
+            self._start_pre_vote()
+        return self._finish()
+
+    def receive(self, now: float, sender: str, message: Message) -> list[Action]:
+        """A message has come. One from an instance that is no voter is ignored."""
+        self._begin(now)
+        if sender in self.options.peers:
+            cause = self._peers.check(sender, message)
+            if cause is None:
+                self._dispatch(sender, message)
+            elif cause:
+                self._emit(PeerRefused(sender, cause))
+        return self._finish()
+
+    def propose(
+        self,
+        now: float,
+        changes: Sequence[Change],
+        author: str,
+        reason: str,
+        if_index: int | None,
+        at: float,
+    ) -> Proposed:
+        """Propose a version. Its outcome comes as one `Decided`, now or from a later input.
+
+        With `if_index` it is refused unless that is the newest version in the leader's log, committed or not.
+        """
+        self._begin(now)
+        self._proposals += 1
+        refusal = self._refusal(changes, author, reason, if_index, at)
+        if refusal is not None:
+            self._emit(Decided(self._proposals, refusal))
+        else:
+            self._accept(tuple(changes), author, reason, at)
+        return Proposed(self._proposals, self._finish())
+
+    def next_deadline(self) -> float:
+        """When `tick` is due at the latest."""
+        if self._leadership is None:
+            return self._election_at
+        return min(self._leadership.heartbeat_at, self._deposed_at(self._leadership))
+
+    def has_quorum(self, now: float) -> bool:
+        """A leader: its lease holds. Others: a leader was heard lately."""
+        if self._leadership is not None:
+            return now < self._leadership.contact(now) + self.options.lease
+        return self.leader is not None and now < self._heard + self.options.election[1]
+
+    # Actions
+
+    def _begin(self, now: float) -> None:
+        self._now = max(self._now, now)
+        self._actions = []
+
+    def _emit(self, action: Action) -> None:
+        """Add an action, behind the persistence of all that it may rest on."""
+        self._save()
+        self._actions.append(action)
+
+    def _save(self) -> None:
+        if not self._unsaved:
+            return
+        entries, snapshot = self._unsaved_entries, self._unsaved_snapshot
+        self._unsaved, self._unsaved_entries, self._unsaved_snapshot = False, (), None
+        self._actions.append(Persist(self.epoch, self.voted_for, self.committed, entries, snapshot))
+
+    def _finish(self) -> list[Action]:
+        self._save()
+        if self._told != self._standing():
+            self._told = self._standing()
+            self._actions.append(self._told)
+        return self._actions
+
+    def _standing(self) -> RoleChanged:
+        return RoleChanged(self.role, self.epoch, self.leader)
+
+    def _send(self, to: str, message: Message) -> None:
+        self._emit(Send(to, message))
+
+    def _header(self) -> Header:
+        return Header(self.epoch, self._incarnation, self.log.last_position)
+
+    # Messages
+
+    def _dispatch(self, sender: str, message: Message) -> None:
+        match message:
+            case PreVoteRequest():
+                self._on_pre_vote_request(sender, message)
+            case PreVoteReply():
+                self._on_pre_vote_reply(sender, message)
+            case VoteRequest():
+                self._on_vote_request(sender, message)
+            case VoteReply():
+                self._on_vote_reply(sender, message)
+            case AppendRequest():
+                self._on_append_request(sender, message)
+            case AppendReply():
+                self._on_append_reply(sender, message)
+            case SnapshotRequest():
+                self._on_snapshot_request(sender, message)
+            case SnapshotReply():
+                self._on_snapshot_reply(sender, message)
+
+    # Epochs and roles
+
+    def _adopt(self, epoch: int) -> None:
+        """Enter a higher epoch, without a leader and without a vote in it."""
+        self._stop_leading()
+        self.role, self.leader = Role.FOLLOWER, None
+        self._pre_votes = None
+        self.epoch = epoch
+        self._set_vote("")
+        self._election_at = self._next_election()
+
+    def _set_vote(self, candidate: str) -> None:
+        self.voted_for = candidate
+        self._unsaved = True
+
+    def _follow(self, leader: str, epoch: int) -> None:
+        """Take note that a leader of this or a higher epoch was heard."""
+        if epoch > self.epoch:
+            self._adopt(epoch)
+        if self.role is Role.LEADER:
+            raise ConsensusError(f"{leader} and {self.options.name} both lead epoch {epoch}")
+        if self.leader not in (None, leader):
+            raise ConsensusError(f"{leader} and {self.leader} both lead epoch {epoch}")
+        self.role, self.leader = Role.FOLLOWER, leader
+        self._pre_votes = None
+        self._heard = self._now
+        self._election_at = self._next_election()
+
+    def _stop_leading(self) -> None:
+        if self._leadership is None:
+            return
+        proposals = self._leadership.proposals
+        self._leadership = None
+        self.role, self.leader = Role.FOLLOWER, None
+        for proposal in proposals.values():
+            self._emit(Decided(proposal, Unknown()))
+
+    def _next_election(self) -> float:
+        return self._now + self._random.uniform(*self.options.election)
+
+    def _hears_leader(self) -> bool:
+        """Whether a leader may hold its lease: votes are refused then."""
+        if self._leadership is not None:
+            return self.has_quorum(self._now)
+        return self._now < self._heard + self.options.election[0]
+
+    # Elections
+
+    def _start_pre_vote(self) -> None:
+        self.role, self.leader = Role.CANDIDATE, None
+        self._pre_votes = {self.options.name}
+        self._election_at = self._next_election()
+        for peer in self.options.peers:
+            self._send(peer, PreVoteRequest(self._header(), self.log.last_epoch))
+        self._count_pre_votes(self._pre_votes)
+
+    def _on_pre_vote_request(self, sender: str, request: PreVoteRequest) -> None:
+        granted = (
+            request.header.epoch >= self.epoch
+            and not self._hears_leader()
+            and self._is_up_to_date(request.last_epoch, request.header.log_end)
+        )
+        self._send(sender, PreVoteReply(self._header(), request.header.epoch, granted))
+
+    def _on_pre_vote_reply(self, sender: str, reply: PreVoteReply) -> None:
+        if reply.header.epoch > self.epoch:
+            self._adopt(reply.header.epoch)
+        elif reply.granted and reply.asked == self.epoch and self._pre_votes is not None:
+            self._pre_votes.add(sender)
+            self._count_pre_votes(self._pre_votes)
+
+    def _count_pre_votes(self, votes: set[str]) -> None:
+        if len(votes) >= self.options.majority:
+            self._start_election()
+
+    def _start_election(self) -> None:
+        self._adopt(self.epoch + 1)
+        self.role = Role.CANDIDATE
+        self._set_vote(self.options.name)
+        self._votes = {self.options.name}
+        for peer in self.options.peers:
+            self._send(peer, VoteRequest(self._header(), self.log.last_epoch))
+        self._count_votes()
+
+    def _on_vote_request(self, sender: str, request: VoteRequest) -> None:
+        if self._hears_leader():
+            self._send(sender, VoteReply(self._header(), False))
+            return
+        if request.header.epoch > self.epoch:
+            self._adopt(request.header.epoch)
+        granted = self._may_vote_for(sender, request)
+        if granted and self.voted_for != sender:
+            self._set_vote(sender)
+        if granted:
+            self._election_at = self._next_election()
+        self._send(sender, VoteReply(self._header(), granted))
+
+    def _may_vote_for(self, candidate: str, request: VoteRequest) -> bool:
+        return (
+            request.header.epoch == self.epoch
+            and self.voted_for in ("", candidate)
+            and self._is_up_to_date(request.last_epoch, request.header.log_end)
+        )
+
+    def _is_up_to_date(self, last_epoch: int, last_position: int) -> bool:
+        """Whether a log with such an end holds all that this one may know to be committed."""
+        return (last_epoch, last_position) >= (self.log.last_epoch, self.log.last_position)
+
+    def _on_vote_reply(self, sender: str, reply: VoteReply) -> None:
+        if reply.header.epoch > self.epoch:
+            self._adopt(reply.header.epoch)
+        elif reply.granted and reply.header.epoch == self.epoch and self._is_candidate():
+            self._votes.add(sender)
+            self._count_votes()
+
+    def _is_candidate(self) -> bool:
+        return self.role is Role.CANDIDATE and self._pre_votes is None
+
+    def _count_votes(self) -> None:
+        if len(self._votes) >= self.options.majority:
+            self._start_leading()
+
+    def _start_leading(self) -> None:
+        self.role, self.leader = Role.LEADER, self.options.name
+        self._leadership = Leadership(
+            self.options.peers, self.options.majority, self.log.last_position + 1, self._now
+        )
+        self._append_own(None)
+
+    # Leading
+
+    def _tick_leader(self, leadership: Leadership) -> None:
+        if self._now >= self._deposed_at(leadership):
+            self._stop_leading()
+            self._election_at = self._next_election()
+        elif self._now >= leadership.heartbeat_at:
+            self._send_appends(leadership)
+
+    def _deposed_at(self, leadership: Leadership) -> float:
+        """When a leader gives up that no majority answers."""
+        contact = max(leadership.since, leadership.contact(self._now))
+        return contact + self.options.election[1]
+
+    def _append_own(self, version: Version | None) -> None:
+        """Add an entry to the log as the leader, and send it."""
+        assert self._leadership is not None
+        entry = Entry(self.log.last_position + 1, self.epoch, version)
+        self.log.append(entry)
+        self._unsaved, self._unsaved_entries = True, (*self._unsaved_entries, entry)
+        self._send_appends(self._leadership)
+        self._advance_commit(self._leadership)
+
+    def _send_appends(self, leadership: Leadership) -> None:
+        leadership.heartbeat_at = self._now + self.options.heartbeat
+        for peer, progress in leadership.followers.items():
+            self._send_append(peer, progress)
+
+    def _send_append(self, peer: str, progress: Progress) -> None:
+        """Send what a follower lacks; a heartbeat if that is nothing, or a snapshot is on its way."""
+        snapshot = self.log.snapshot
+        if progress.next <= snapshot.position:
+            self._send_snapshot(peer, progress)
+            return
+        previous = progress.next - 1
+        previous_epoch = self.log.epoch_at(previous)
+        assert previous_epoch is not None
+        entries = () if progress.snapshot_sent is not None else self._batch(progress.next)
+        progress.next += len(entries)
+        self._send(
+            peer,
+            AppendRequest(self._header(), previous, previous_epoch, self.committed, self._now, entries),
+        )
+
+    def _batch(self, first: int) -> tuple[Entry, ...]:
+        """Entries from a position on, as many as one message may hold."""
+        entries: list[Entry] = []
+        size = 0
+        for entry in self.log.slice(first, MAX_ENTRIES):
+            size += encoded_size(entry)
+            if entries and size > MAX_BATCH:
+                break
+            entries.append(entry)
+        return tuple(entries)
+
+    def _send_snapshot(self, peer: str, progress: Progress) -> None:
+        snapshot = self.log.snapshot
+        progress.snapshot_sent = self._now
+        progress.next = snapshot.position + 1
+        self._send(peer, SnapshotRequest(self._header(), self._now, snapshot))
+
+    def _progress_of(self, sender: str, header: Header, sent: float) -> Progress | None:
+        """The follower that a reply is of; None if it says that a higher epoch began, or is out of date."""
+        if header.epoch > self.epoch:
+            self._adopt(header.epoch)
+        if self._leadership is None or header.epoch < self.epoch:
+            return None
+        progress = self._leadership.followers[sender]
+        progress.contact = max(progress.contact, min(sent, self._now))
+        return progress
+
+    def _on_append_reply(self, sender: str, reply: AppendReply) -> None:
+        progress = self._progress_of(sender, reply.header, reply.sent)
+        if progress is None:
+            return
+        if reply.success:
+            self._acknowledged(sender, progress, reply.position)
+        elif not self._awaits_snapshot(progress) and progress.reject(reply.position):
+            self._send_append(sender, progress)
+
+    def _awaits_snapshot(self, progress: Progress) -> bool:
+        """Whether a snapshot was sent lately; the follower rejects all else until it has come."""
+        if progress.snapshot_sent is None:
+            return False
+        return self._now < progress.snapshot_sent + self.options.election[1]
+
+    def _on_snapshot_reply(self, sender: str, reply: SnapshotReply) -> None:
+        progress = self._progress_of(sender, reply.header, reply.sent)
+        if progress is not None:
+            self._acknowledged(sender, progress, reply.position)
+
+    def _acknowledged(self, sender: str, progress: Progress, position: int) -> None:
+        assert self._leadership is not None
+        progress.acknowledge(position)
+        self._advance_commit(self._leadership)
+        if progress.next <= self.log.last_position:
+            self._send_append(sender, progress)
+
+    def _advance_commit(self, leadership: Leadership) -> None:
+        position = leadership.replicated(self.log.last_position)
+        if position > self.committed and self._may_commit(position):
+            self._commit_to(position)
+            self._send_appends(leadership)  # so that followers learn of it before the next heartbeat
+
+    def _may_commit(self, position: int) -> bool:
+        """Entries of earlier epochs are committed only by one of this epoch that follows them."""
+        return self.log.epoch_at(position) == self.epoch
+
+    # Proposals
+
+    def _refusal(
+        self, changes: Sequence[Change], author: str, reason: str, if_index: int | None, at: float
+    ) -> Outcome | None:
+        leadership = self._leadership
+        if leadership is None:
+            return NoQuorum() if self.leader is None else NotLeader(self.leader)
+        if not self.has_quorum(self._now):
+            return NoQuorum()
+        if if_index is not None and if_index != self.log.last_index:
+            return Conflict(self.log.last_index)
+        if len(leadership.proposals) >= self.options.max_proposals:
+            return Busy()
+        try:
+            size = check_proposal(changes, author, reason, at)
+            under_way = sum(encoded_size(self.log.at(position)) for position in leadership.proposals)
+            check_document(self.document, under_way + size)
+        except ProposalError as error:
+            return Invalid(str(error))
+        return None
+
+    def _accept(self, changes: tuple[Change, ...], author: str, reason: str, at: float) -> None:
+        assert self._leadership is not None
+        version = Version(self.log.last_index + 1, self.epoch, changes, author, reason, at)
+        self._leadership.proposals[self.log.last_position + 1] = self._proposals
+        self._append_own(version)
+
+    # Following
+
+    def _on_append_request(self, sender: str, request: AppendRequest) -> None:
+        if request.header.epoch < self.epoch:
+            self._send(sender, AppendReply(self._header(), False, 0, request.sent))
+            return
+        self._follow(sender, request.header.epoch)
+        if not self._log_matches(request.previous_position, request.previous_epoch):
+            hint = self._agreeing_position(request.previous_position)
+            self._send(sender, AppendReply(self._header(), False, hint, request.sent))
+            return
+        self._take_entries(request.entries)
+        position = request.previous_position + len(request.entries)
+        self._send(sender, AppendReply(self._header(), True, position, request.sent))
+        self._commit_to(min(request.committed, position))
+
+    def _log_matches(self, position: int, epoch: int) -> bool:
+        """Whether this log agrees with the leader's up to a position. What is compacted is committed."""
+        return position < self.log.snapshot.position or self.log.epoch_at(position) == epoch
+
+    def _agreeing_position(self, rejected: int) -> int:
+        """Up to where the logs may agree, after they were found not to agree at a position."""
+        if rejected > self.log.last_position:
+            return self.log.last_position
+        epoch = self.log.epoch_at(rejected)
+        position = rejected - 1
+        while position > self.committed and self.log.epoch_at(position) == epoch:
+            position -= 1
+        return position
+
+    def _take_entries(self, entries: Sequence[Entry]) -> None:
+        """Put in the log what it lacks; only a conflict drops what it holds, as requests may come late."""
+        for number, entry in enumerate(entries):
+            if entry.position <= self.log.snapshot.position:
+                continue
+            if self.log.epoch_at(entry.position) != entry.epoch:
+                self._replace_from(tuple(entries[number:]))
+                return
+
+    def _replace_from(self, entries: tuple[Entry, ...]) -> None:
+        if entries[0].position <= self.committed:
+            raise ConsensusError(f"entry {entries[0].position} is committed and would be replaced")
+        self.log.replace_from(entries)
+        self._unsaved, self._unsaved_entries = True, entries
+
+    def _on_snapshot_request(self, sender: str, request: SnapshotRequest) -> None:
+        if request.header.epoch < self.epoch:
+            self._send(sender, AppendReply(self._header(), False, 0, request.sent))
+            return
+        self._follow(sender, request.header.epoch)
+        if request.snapshot.position > self.committed:
+            self._install(request.snapshot)
+        self._send(sender, SnapshotReply(self._header(), request.snapshot.position, request.sent))
+
+    def _install(self, snapshot: Snapshot) -> None:
+        self.log.compact(snapshot)
+        self.committed = snapshot.position
+        self.document = snapshot.document.copy()
+        self._unsaved, self._unsaved_snapshot = True, snapshot
+        self._emit(Installed(self.document.copy()))
+
+    # Committing
+
+    def _commit_to(self, position: int) -> None:
+        while self.committed < position:
+            self.committed += 1
+            self._apply(self.log.at(self.committed))
+        self._compact()
+
+    def _apply(self, entry: Entry) -> None:
+        version = entry.version
+        if version is None:
+            return
+        if version.index != self.document.index + 1:
+            raise ConsensusError(f"version {version.index} follows version {self.document.index}")
+        self.document.apply(version.index, version.epoch, version.changes)
+        self._emit(Committed(version))
+        if self._leadership is not None and entry.position in self._leadership.proposals:
+            proposal = self._leadership.proposals.pop(entry.position)
+            self._emit(Decided(proposal, Accepted(version.index, version.epoch)))
+
+    def _compact(self) -> None:
+        keep = self.options.keep
+        if self.committed - self.log.snapshot.position <= keep + keep // KEEP_SLACK:
+            return
+        position = self.committed - keep
+        epoch = self.log.epoch_at(position)
+        assert epoch is not None
+        snapshot = Snapshot(position, epoch, self.log.document_at(position))
+        self._save()
+        self.log.compact(snapshot)
+        self._unsaved, self._unsaved_snapshot = True, snapshot
--- /dev/null
+++ b/millgw/configuration/state.py
@@ -0,0 +1,47 @@
+"""What an instance keeps through a restart. Pure; `durable` keeps it on a disk."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from millgw.configuration.actions import Persist
+from millgw.configuration.log import EMPTY, Entry, Log, LogError, Snapshot
+
+
+@dataclass(slots=True, frozen=True)
+class State:
+    """What an instance starts from; the default is one that never ran.
+
+    `committed` is a log position that is known to be committed; more may be. `incarnation` rises each time
+    the state is opened for a new run.
+    """
+
+    epoch: int = 0
+    voted_for: str = ""
+    committed: int = 0
+    incarnation: int = 1
+    snapshot: Snapshot = EMPTY
+    entries: tuple[Entry, ...] = ()
+
+    def after(self, persist: Persist) -> State:
+        """The state with what a replica asked to have made durable."""
+        entries = self.entries
+        if persist.entries:
+            kept = persist.entries[0].position - self.snapshot.position - 1
+            if not 0 <= kept <= len(entries):
+                raise LogError(f"entry {persist.entries[0].position} does not follow the log")
+            entries = entries[:kept] + persist.entries
+        made = replace(
+            self,
+            epoch=persist.epoch,
+            voted_for=persist.voted_for,
+            committed=persist.committed,
+            entries=entries,
+        )
+        return made if persist.snapshot is None else made.compacted(persist.snapshot)
+
+    def compacted(self, snapshot: Snapshot) -> State:
+        """The state with a snapshot in the place of what it covers."""
+        log = Log(self.snapshot, self.entries)
+        log.compact(snapshot)
+        return replace(self, snapshot=log.snapshot, entries=tuple(log.entries))
