Configuration: the replicas' epoch, vote and log on the store

A replica's votes and acknowledgements must outlive a crash. Refused are: no state (unless a new cluster is created), another instance's, and one that lacks what was acknowledged.

--- a/millgw/configuration/messages.py
+++ b/millgw/configuration/messages.py
@@ -7,19 +7,20 @@
 from __future__ import annotations
 
 import json
-import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
-from millgw.configuration.document import (
-    Change,
-    Document,
-    DocumentError,
-    Version,
-    canonical,
-    decode_changes,
-    decode_count,
+from millgw.configuration.document import DocumentError, canonical, decode_count
+from millgw.configuration.encoding import (
+    Fields,
+    entry_fields,
+    read_entry,
+    read_flag,
+    read_list,
+    read_number,
+    read_snapshot,
+    snapshot_fields,
 )
 from millgw.configuration.log import Entry, Snapshot
 
@@ -28,7 +29,6 @@
 MAX_DOCUMENT = 8 * 2**20  # bytes of a whole document, as canonical JSON
 MAX_ENTRIES = 256  # of one append
 MAX_BATCH = 512 * 2**10  # bytes of one append's changes; a single entry may always be sent
-MAX_TEXT = 1024  # characters of an author or a reason
 
 
 class MessageError(ValueError):
@@ -127,9 +127,6 @@
     | SnapshotReply
 )
 
-Fields = Mapping[str, Any]
-
-
 # Encoding
 
 
@@ -171,40 +168,6 @@
             return {"position": message.position, "sent": message.sent}
 
 
-def entry_fields(entry: Entry) -> dict[str, Any]:
-    """An entry of the log as a JSON value."""
-    return {
-        "position": entry.position,
-        "epoch": entry.epoch,
-        "version": None if entry.version is None else _version_fields(entry.version),
-    }
-
-
-def encoded_size(entry: Entry) -> int:
-    """The bytes of an entry as JSON."""
-    return len(canonical(entry_fields(entry)))
-
-
-def _version_fields(version: Version) -> dict[str, Any]:
-    return {
-        "index": version.index,
-        "changes": [{"name": change.name, "value": change.value} for change in version.changes],
-        "author": version.author,
-        "reason": version.reason,
-        "at": version.at,
-    }
-
-
-def snapshot_fields(snapshot: Snapshot) -> dict[str, Any]:
-    """A snapshot as a JSON value."""
-    document = snapshot.document
-    return {
-        "position": snapshot.position,
-        "epoch": snapshot.epoch,
-        "document": {"index": document.index, "epoch": document.epoch, "entries": document.entries},
-    }
-
-
 # Decoding
 
 
@@ -236,7 +199,7 @@
 
 def _read_append(header: Header, fields: Fields) -> AppendRequest:
     previous = decode_count(fields, "previous_position")
-    items = _read_list(fields, "entries")
+    items = read_list(fields, "entries")
     if len(items) > MAX_ENTRIES:
         raise MessageError(f"entries: {len(items)} are over {MAX_ENTRIES}")
     entries = tuple(read_entry(item, f"entries[{number}]") for number, item in enumerate(items))
@@ -248,7 +211,7 @@
         previous,
         decode_count(fields, "previous_epoch"),
         decode_count(fields, "committed"),
-        _read_number(fields, "sent"),
+        read_number(fields, "sent"),
         entries,
     )
 
@@ -256,22 +219,22 @@
 READERS: dict[str, Callable[[Header, Fields], Message]] = {
     "pre-vote": lambda header, fields: PreVoteRequest(header, decode_count(fields, "last_epoch")),
     "pre-vote-reply": lambda header, fields: PreVoteReply(
-        header, decode_count(fields, "asked"), _read_flag(fields, "granted")
+        header, decode_count(fields, "asked"), read_flag(fields, "granted")
     ),
     "vote": lambda header, fields: VoteRequest(header, decode_count(fields, "last_epoch")),
-    "vote-reply": lambda header, fields: VoteReply(header, _read_flag(fields, "granted")),
+    "vote-reply": lambda header, fields: VoteReply(header, read_flag(fields, "granted")),
     "append": _read_append,
     "append-reply": lambda header, fields: AppendReply(
         header,
-        _read_flag(fields, "success"),
+        read_flag(fields, "success"),
         decode_count(fields, "position"),
-        _read_number(fields, "sent"),
+        read_number(fields, "sent"),
     ),
     "snapshot": lambda header, fields: SnapshotRequest(
-        header, _read_number(fields, "sent"), read_snapshot(fields.get("snapshot"), "snapshot")
+        header, read_number(fields, "sent"), read_snapshot(fields.get("snapshot"), "snapshot")
     ),
     "snapshot-reply": lambda header, fields: SnapshotReply(
-        header, decode_count(fields, "position"), _read_number(fields, "sent")
+        header, decode_count(fields, "position"), read_number(fields, "sent")
     ),
 }
 KINDS: dict[type[Message], str] = {
@@ -284,83 +247,3 @@
     SnapshotRequest: "snapshot",
     SnapshotReply: "snapshot-reply",
 }
-
-
-def read_entry(value: Any, path: str) -> Entry:
-    """An entry of the log from its JSON value; a DocumentError or MessageError names the field."""
-    fields = _read_object(value, path)
-    position = _read_count(fields, "position", path)
-    epoch = _read_count(fields, "epoch", path)
-    version = fields.get("version")
-    if version is None:
-        return Entry(position, epoch, None)
-    return Entry(position, epoch, _read_version(version, epoch, f"{path}.version"))
-
-
-def _read_version(value: Any, epoch: int, path: str) -> Version:
-    fields = _read_object(value, path)
-    return Version(
-        _read_count(fields, "index", path),
-        epoch,
-        decode_changes(fields.get("changes"), f"{path}.changes"),
-        _read_text(fields, "author", path),
-        _read_text(fields, "reason", path),
-        _read_number(fields, "at", path),
-    )
-
-
-def read_snapshot(value: Any, path: str) -> Snapshot:
-    """A snapshot from its JSON value; a DocumentError or MessageError names the field."""
-    fields = _read_object(value, path)
-    inner = f"{path}.document"
-    document = _read_object(fields.get("document"), inner)
-    entries = _read_object(document.get("entries"), f"{inner}.entries")
-    changes = [{"name": name, "value": entry} for name, entry in entries.items()]
-    taken = Document()
-    taken.apply(
-        _read_count(document, "index", inner),
-        _read_count(document, "epoch", inner),
-        (Change(change.name, change.value or {}) for change in decode_changes(changes, f"{inner}.entries")),
-    )
-    return Snapshot(_read_count(fields, "position", path), _read_count(fields, "epoch", path), taken)
-
-
-def _read_count(fields: Fields, name: str, path: str) -> int:
-    try:
-        return decode_count(fields, name)
-    except DocumentError as error:
-        raise MessageError(f"{path}.{error}") from None
-
-
-def _read_object(value: Any, path: str) -> Fields:
-    if not isinstance(value, dict):
-        raise MessageError(f"{path}: not an object")
-    return value
-
-
-def _read_list(fields: Fields, name: str) -> list[Any]:
-    value = fields.get(name)
-    if not isinstance(value, list):
-        raise MessageError(f"{name}: not a list")
-    return value
-
-
-def _read_flag(fields: Fields, name: str) -> bool:
-    value = fields.get(name)
-    if not isinstance(value, bool):
-        raise MessageError(f"{name}: not true or false")
-    return value
-
-
-def _read_number(fields: Fields, name: str, path: str = "") -> float:
-    value = fields.get(name)
-    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
-        raise MessageError(f"{path}.{name}: not a finite number".lstrip("."))
-    return float(value)
-
-
-def _read_text(fields: Fields, name: str, path: str) -> str:
-    value = fields.get(name)
-    if not isinstance(value, str) or len(value) > MAX_TEXT:
-        raise MessageError(f"{path}.{name}: not a string of at most {MAX_TEXT} characters")
-    return value
--- a/millgw/configuration/proposal.py
+++ b/millgw/configuration/proposal.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 from millgw.configuration.document import MAX_NAME, Change, Document, canonical
-from millgw.configuration.messages import MAX_CHANGES, MAX_DOCUMENT, MAX_TEXT
+from millgw.configuration.encoding import MAX_TEXT
+from millgw.configuration.messages import MAX_CHANGES, MAX_DOCUMENT
 
 MAX_DEPTH = 64  # of nested objects and lists in one value
 
--- a/millgw/configuration/replica.py
+++ b/millgw/configuration/replica.py
@@ -45,6 +45,7 @@
     Unknown,
 )
 from millgw.configuration.document import Change, Document, Version
+from millgw.configuration.encoding import encoded_size
 from millgw.configuration.leadership import Leadership, Progress
 from millgw.configuration.log import Entry, Log, Snapshot
 from millgw.configuration.messages import (
@@ -60,7 +61,6 @@
     SnapshotRequest,
     VoteReply,
     VoteRequest,
-    encoded_size,
 )
 from millgw.configuration.proposal import ProposalError, check_document, check_proposal
 from millgw.configuration.rollback import RollbackDetector
--- /dev/null
+++ b/tests/test_configuration_durable.py
@@ -0,0 +1,286 @@
+"""The replicas' state on a disk: torn and lost writes, damage, another instance's, an older copy."""
+
+from __future__ import annotations
+
+import random
+import shutil
+from pathlib import Path
+
+import pytest
+
+from millgw.configuration.actions import Persist
+from millgw.configuration.document import Change, Document, Version
+from millgw.configuration.durable import (
+    PIECE,
+    DurableState,
+    DurableStateError,
+    StateIncomplete,
+    StateMissing,
+    StateOfAnother,
+)
+from millgw.configuration.log import Entry, Snapshot
+from millgw.configuration.state import State
+from millgw.store.faulty import Crash, FaultyFiles, FaultyHandle, Inode
+from millgw.store.mark import NAMES
+from tests.kinds import aside
+
+pytestmark = aside
+WALL = 1_800_000_000_000.0
+
+
+def entry(position: int, text: str = "", epoch: int = 1) -> Entry:
+    """An entry with a version, or a barrier at position 1."""
+    if position == 1:
+        return Entry(position, epoch, None)
+    changes = (Change("settings", {"value": position, "text": text}),)
+    return Entry(position, epoch, Version(position, epoch, changes, "author", "reason", 1.0))
+
+
+def persist(*entries: Entry, epoch: int = 1, committed: int = 0, snapshot: Snapshot | None = None) -> Persist:
+    return Persist(epoch, "a", committed, entries, snapshot)
+
+
+def opened(disk: FaultyFiles, create: bool = False, instance: str = "a", wall: float = WALL) -> DurableState:
+    return DurableState([disk], instance, create, lambda: wall, lambda: 0.0)
+
+
+def copied(disk: FaultyFiles, **other: bytes) -> FaultyFiles:
+    """The same files as they read now, with other bytes in some."""
+    made = FaultyFiles(random.Random(1))
+    for name, inode in disk.now.items():
+        made.now[name] = Inode(bytearray(other.get(name, inode.now)))
+        made.now[name].sync()
+    made.durable = dict(made.now)
+    return made
+
+
+def content(state: State) -> State:
+    """All but the incarnation, which is another in each run."""
+    return State(state.epoch, state.voted_for, state.committed, 0, state.snapshot, state.entries)
+
+
+def test_what_was_persisted_is_loaded(tmp_path: Path) -> None:
+    state = DurableState.open([tmp_path], "a", create=True)
+    first = state.load()
+    assert content(first) == State(incarnation=0)
+    state.persist(persist(epoch=1))
+    state.persist(persist(entry(1), entry(2)))
+    state.persist(persist(entry(2, "another", epoch=2), epoch=2, committed=2))
+    state.close()
+    again = DurableState.open([tmp_path], "a")
+    loaded = again.load()
+    again.close()
+    assert content(loaded) == State(2, "a", 2, 0, entries=(entry(1), entry(2, "another", epoch=2)))
+    assert loaded.entries[1].version is not None
+    assert loaded.incarnation > first.incarnation
+
+
+def test_a_snapshot_takes_the_place_of_what_it_covers() -> None:
+    disk = FaultyFiles(random.Random(1))
+    state = opened(disk, create=True)
+    state.persist(persist(*(entry(position) for position in range(1, 6)), committed=5))
+    document = Document(3, 1, {"settings": {"value": 3, "text": ""}})
+    state.persist(persist(committed=5, snapshot=Snapshot(3, 1, document)))
+    state.persist(persist(entry(6), committed=5))
+    expected = state.load()
+    loaded = opened(copied(disk)).load()
+    assert content(loaded) == content(expected)
+    assert loaded.snapshot.document == document
+    assert [each.position for each in loaded.entries] == [4, 5, 6]
+
+
+def test_state_larger_than_one_record_comes_back_whole() -> None:
+    disk = FaultyFiles(random.Random(1))
+    state = opened(disk, create=True)
+    document = Document(4, 1, {f"services.{n}": {"text": "x" * 4000} for n in range(400)})
+    state.persist(persist(committed=9, snapshot=Snapshot(9, 1, document)))
+    large = [entry(position, "y" * (PIECE // 2)) for position in (10, 11, 12)]
+    state.persist(persist(*large, committed=9))
+    assert opened(copied(disk)).load().entries == tuple(large)
+    assert opened(copied(disk)).load().snapshot.document == document
+
+
+def test_the_journal_ends_in_a_checkpoint_and_the_store_does_not_grow(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("millgw.configuration.durable.MAX_JOURNAL", 50)
+    disk = FaultyFiles(random.Random(1))
+    state = opened(disk, create=True)
+    for epoch in range(1, 3000):
+        state.persist(persist(epoch=epoch))
+    assert opened(copied(disk)).load().epoch == 2999
+    assert len(list(state._store.entries())) <= 2 * 60
+    assert sum(len(inode.now) for inode in disk.now.values()) < 500_000
+
+
+def test_a_write_torn_at_any_byte_leaves_the_state_before_it_or_after_it() -> None:
+    disk = FaultyFiles(random.Random(1))
+    state = opened(disk, create=True)
+    state.persist(persist(entry(1), entry(2), committed=1))
+    before = state.load()
+    segment = max(name for name in disk.now if name.startswith("seg-"))
+    start = len(disk.now[segment].now)
+    marks = {name: bytes(disk.now[name].now) for name in NAMES}
+    state.persist(persist(entry(3, "torn"), entry(4), epoch=2, committed=2))
+    whole = bytes(disk.now[segment].now)
+    assert len(whole) - start > 100
+    for end in range(start, len(whole) + 1):
+        found = opened(copied(disk, **{segment: whole[:end]}, **marks)).load()
+        expected = state.load() if end == len(whole) else before
+        assert content(found) == content(expected), f"cut at byte {end}"
+
+
+def test_a_record_that_was_acknowledged_and_cut_at_any_byte_is_refused_now_and_later() -> None:
+    disk = FaultyFiles(random.Random(1))
+    state = opened(disk, create=True)
+    segment = max(name for name in disk.now if name.startswith("seg-"))
+    start = len(disk.now[segment].now)
+    state.persist(persist(entry(1), entry(2), committed=1))
+    whole = bytes(disk.now[segment].now)
+    for end in range(start, len(whole)):
+        cut = copied(disk, **{segment: whole[:end]})
+        with pytest.raises(StateIncomplete):
+            opened(cut)
+        with pytest.raises(StateIncomplete):
+            opened(cut, wall=WALL + 30 * 24 * 3_600_000.0)
+        with pytest.raises(StateIncomplete):
+            opened(cut, create=True)
+
+
+def test_damage_in_the_middle_is_refused() -> None:
+    disk = FaultyFiles(random.Random(1))
+    state = opened(disk, create=True)
+    for position in range(1, 6):
+        state.persist(persist(entry(position)))
+    segment = max(name for name in disk.now if name.startswith("seg-"))
+    damaged = bytearray(disk.now[segment].now)
+    damaged[len(damaged) // 2] ^= 1
+    with pytest.raises(StateIncomplete, match="can't be read"):
+        opened(copied(disk, **{segment: bytes(damaged)}))
+
+
+def test_no_state_is_refused_unless_it_is_to_be_created(tmp_path: Path) -> None:
+    with pytest.raises(StateMissing):
+        DurableState.open([tmp_path], "a")
+    DurableState.open([tmp_path], "a", create=True).close()
+    with pytest.raises(DurableStateError, match="already"):
+        DurableState.open([tmp_path], "a", create=True)
+    with pytest.raises(StateOfAnother, match="of a, not of b"):
+        DurableState.open([tmp_path], "b")
+    held = DurableState.open([tmp_path], "a")
+    with pytest.raises(DurableStateError, match="another process"):
+        DurableState.open([tmp_path], "a")
+    held.close()
+    shutil.rmtree(tmp_path)
+    with pytest.raises(StateMissing):
+        DurableState.open([tmp_path], "a")
+
+
+def test_the_loss_of_one_of_two_directories_loses_nothing(tmp_path: Path) -> None:
+    directories = [tmp_path / "one", tmp_path / "two"]
+    state = DurableState.open(directories, "a", create=True)
+    state.persist(persist(entry(1), entry(2), committed=1))
+    expected = state.load()
+    state.close()
+    shutil.rmtree(directories[0])
+    again = DurableState.open(directories, "a")
+    assert content(again.load()) == content(expected)
+    again.close()
+
+
+def test_an_older_copy_opens_with_a_newer_incarnation_than_any_before_it() -> None:
+    disk = FaultyFiles(random.Random(1))
+    state = opened(disk, create=True, wall=WALL)
+    older = copied(disk)
+    later = opened(copied(disk), wall=WALL + 10).load().incarnation
+    assert state.load().incarnation < later < opened(older, wall=WALL + 20).load().incarnation
+    clock_set_back = opened(copied(disk), wall=WALL - 10_000).load().incarnation
+    assert clock_set_back == state.load().incarnation + 1
+
+
+def test_after_a_failed_write_nothing_more_is_persisted() -> None:
+    disk = FaultyFiles(random.Random(1))
+    state = opened(disk, create=True)
+    disk.fault = lambda kind, _: OSError(28, "no space") if kind == "write" else None
+    with pytest.raises(DurableStateError, match="no space"):
+        state.persist(persist(entry(1)))
+    disk.fault = lambda _, __: None
+    with pytest.raises(DurableStateError, match="it has failed"):
+        state.persist(persist(entry(1)))
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_a_power_cut_at_any_step_loses_nothing_that_was_persisted(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    play_power_cuts(seed, monkeypatch)
+
+
+def test_power_cuts_find_a_disk_that_is_never_synced(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(FaultyHandle, "sync", lambda handle: None)
+    found = 0
+    for seed in range(10):
+        try:
+            play_power_cuts(seed, monkeypatch)
+        except (AssertionError, DurableStateError):
+            found += 1
+    assert found >= 8
+
+
+def play_power_cuts(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Several power cuts, each at a drawn step, among appends, conflicts, snapshots and checkpoints."""
+    monkeypatch.setattr("millgw.configuration.durable.MAX_JOURNAL", 12)
+    monkeypatch.setattr("millgw.configuration.durable.PIECE", 200)
+    rng = random.Random(f"power cuts {seed}")
+    disk = FaultyFiles(rng)
+    possible = [content(State())]  # what may be found: the last that was persisted, or was under way
+    for _ in range(7):
+        disk, possible = run_to_power_cut(rng, disk, possible)
+    disk.fault = lambda _, __: None
+    assert content(opened(disk).load()) in possible
+
+
+def run_to_power_cut(
+    rng: random.Random, disk: FaultyFiles, possible: list[State]
+) -> tuple[FaultyFiles, list[State]]:
+    """One run on a disk; the disk after the power cut, and what may be found there."""
+    last_step = disk.steps + rng.randint(1, 250)
+    disk.fault = lambda _, step: Crash() if step >= last_step else None
+    try:
+        state = created_or_opened(disk, may_be_created=content(State()) in possible)
+        assert content(state.load()) in possible
+        while True:
+            action = drawn(rng, state.load())
+            possible = [content(state.load()), content(state.load().after(action))]
+            state.persist(action)
+            possible = possible[1:]
+    except Crash:
+        return disk.crash(), possible
+
+
+def created_or_opened(disk: FaultyFiles, may_be_created: bool) -> DurableState:
+    """The state; a power cut while it was made may have left none."""
+    try:
+        return opened(disk)
+    except StateMissing:
+        assert may_be_created
+        return opened(disk, create=True)
+
+
+def drawn(rng: random.Random, state: State) -> Persist:
+    """Something that a replica in such a state may ask for."""
+    last = state.snapshot.position + len(state.entries)
+    if rng.random() < 0.15 and last > state.committed:
+        committed = rng.randint(state.committed + 1, last)
+        at = state.entries[committed - state.snapshot.position - 1]
+        document = Document(committed, at.epoch, {"settings": {"value": committed}})
+        return persist(
+            epoch=state.epoch, committed=committed, snapshot=Snapshot(committed, at.epoch, document)
+        )
+    epoch = state.epoch + (rng.random() < 0.3)
+    first = rng.randint(max(state.committed, state.snapshot.position) + 1, last + 1)
+    entries = [
+        entry(position, "x" * rng.randint(0, 300), epoch)
+        for position in range(first, first + rng.randint(0, 3))
+    ]
+    return persist(*entries, epoch=epoch, committed=state.committed)
