--- a/millgw/configuration/encoding.py
+++ b/millgw/configuration/encoding.py
@@ -10,7 +10,6 @@
 from typing import Any
 
 from millgw.configuration.document import (
-    Change,
     Document,
     DocumentError,
     Version,
@@ -95,17 +94,23 @@
 def read_snapshot(value: Any, path: str) -> Snapshot:
     """A snapshot from its JSON value; a DocumentError names the field."""
     fields = read_object(value, path)
-    inner = f"{path}.document"
-    document = read_object(fields.get("document"), inner)
-    entries = read_object(document.get("entries"), f"{inner}.entries")
+    document = _read_document(fields.get("document"), f"{path}.document")
+    return Snapshot(read_count(fields, "position", path), read_count(fields, "epoch", path), document)
+
+
+def _read_document(value: Any, path: str) -> Document:
+    fields = read_object(value, path)
+    entries = read_object(fields.get("entries"), f"{path}.entries")
+    for name, entry in entries.items():
+        read_object(entry, f"{path}.entries.{name}")
     changes = [{"name": name, "value": entry} for name, entry in entries.items()]
-    taken = Document()
-    taken.apply(
-        read_count(document, "index", inner),
-        read_count(document, "epoch", inner),
-        (Change(change.name, change.value or {}) for change in decode_changes(changes, f"{inner}.entries")),
+    document = Document()
+    document.apply(
+        read_count(fields, "index", path),
+        read_count(fields, "epoch", path),
+        decode_changes(changes, f"{path}.entries"),
     )
-    return Snapshot(read_count(fields, "position", path), read_count(fields, "epoch", path), taken)
+    return document
 
 
 def read_count(fields: Fields, name: str, path: str) -> int:
--- a/millgw/configuration/proposal.py
+++ b/millgw/configuration/proposal.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import math
 from collections.abc import Sequence
 from typing import Any
@@ -47,6 +48,7 @@
 
 def _encoded(path: str, value: Any) -> bytes:
     try:
+        json.dumps(value, allow_nan=False)  # NaN and the infinities are no JSON
         return canonical(value)
     except (TypeError, ValueError) as error:
         raise ProposalError(f"{path}: {error}") from None
