Configuration: the replicas in random schedules, in an exhaustive search and in named hard cases

A cluster in virtual time (lost, late, repeated, overtaken messages, parted regions, stops between any two actions, drifting clocks) checks the invariants at every action. A model for the search over the module's own code, without time, looks at every order of messages and elections within its bounds.

--- a/millgw/configuration/leadership.py
+++ b/millgw/configuration/leadership.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from copy import copy
+from dataclasses import dataclass, replace
 
 
 @dataclass(slots=True)
@@ -39,6 +40,13 @@
         self.proposals: dict[int, int] = {}  # proposals under way, by position
         self.heartbeat_at = now
 
+    def copy(self) -> Leadership:
+        """An independent one in the same state."""
+        made = copy(self)
+        made.followers = {name: replace(progress) for name, progress in self.followers.items()}
+        made.proposals = self.proposals.copy()
+        return made
+
     def contact(self, now: float) -> float:
         """The latest time at which a majority, the leader among it, is known to have been in touch."""
         times = sorted([now, *(progress.contact for progress in self.followers.values())], reverse=True)
--- a/millgw/configuration/rollback.py
+++ b/millgw/configuration/rollback.py
@@ -13,7 +13,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from millgw.configuration.messages import AppendReply, Message, SnapshotReply
 
@@ -34,6 +34,12 @@
     def __init__(self) -> None:
         self._peers: dict[str, PeerState] = {}
 
+    def copy(self) -> RollbackDetector:
+        """An independent one in the same state."""
+        made = RollbackDetector()
+        made._peers = {name: replace(peer) for name, peer in self._peers.items()}
+        return made
+
     def check(self, sender: str, message: Message) -> str | None:
         """Take note of a message; the cause if it comes from older state. "" for one to drop unsaid."""
         peer = self._peers.setdefault(sender, PeerState())
--- a/tests/replica_cluster.py
+++ b/tests/replica_cluster.py
@@ -96,6 +96,7 @@
         self.outcomes: dict[tuple[str, int, int], Outcome] = {}
         self.refused: list[PeerRefused] = []
         self.roles: list[tuple[float, str, RoleChanged]] = []
+        self.stopping: dict[str, int] = {}  # instances that stop after so many actions
         for name in self.names:
             self.start(name)
 
@@ -112,9 +113,21 @@
         node.watched = replica.document.copy()
         return replica
 
+    def start_all(self) -> None:
+        """Start all that do not run; none is to stop any more."""
+        self.stopping.clear()
+        for name in self.names:
+            if self.nodes[name].replica is None:
+                self.start(name)
+
+    def stop_after(self, name: str, actions: int) -> None:
+        """Stop an instance before it has carried out one action more than so many."""
+        self.stopping[name] = actions
+
     def stop(self, name: str) -> None:
         node = self.nodes[name]
         node.replica = None
+        self.stopping.pop(name, None)
         node.state = self.next_incarnation(node.state)
 
     @staticmethod
@@ -152,6 +165,10 @@
         group = {name: number for number, names in enumerate(groups) for name in names}
         self.blocked = {(a, b) for a in self.names for b in self.names if group.get(a) != group.get(b)}
 
+    def cut(self, one: str, other: str) -> None:
+        """No messages pass between two instances; all others reach both."""
+        self.blocked |= {(one, other), (other, one)}
+
     def heal(self) -> None:
         self.blocked = set()
 
@@ -228,14 +245,21 @@
         proposed = replica.propose(node.clock(self.now), changes, "author", "reason", if_index, 1.0)
         key = (name, node.state.incarnation, proposed.proposal)
         self.proposals[key] = changes
+        if not any(isinstance(action, Decided) for action in proposed.actions):
+            self._check_accepted(name)
         self.carry_out(name, proposed.actions)
         return key
 
     # Actions
 
-    def carry_out(self, name: str, actions: list[Action], most: int | None = None) -> None:
-        """Do what a replica asked for; only the first `most` actions if it is stopped in between."""
-        for action in actions[:most]:
+    def carry_out(self, name: str, actions: list[Action]) -> None:
+        """Do what a replica asked for; only a part of it if the instance stops in between."""
+        for action in actions:
+            if name in self.stopping:
+                self.stopping[name] -= 1
+                if self.stopping[name] < 0:
+                    self.stop(name)
+                    return
             self._do(self.nodes[name], action)
 
     def _do(self, node: Node, action: Action) -> None:
@@ -261,10 +285,19 @@
     def _check_role(self, name: str, change: RoleChanged) -> None:
         if change.role is not Role.LEADER:
             return
+        for other in self.leading():
+            if other != name:
+                raise InvariantBroken(f"{name} is elected while {other} holds a lease")
         if self.leaders.setdefault(change.epoch, name) != name:
             raise InvariantBroken(f"{name} and {self.leaders[change.epoch]} both lead epoch {change.epoch}")
         self._check_complete(name)
 
+    def _check_accepted(self, name: str) -> None:
+        """Who accepts a proposal leads the newest epoch: its lease kept all others from being elected."""
+        epoch = self.replica(name).epoch
+        if epoch != max(self.leaders):
+            raise InvariantBroken(f"{name} accepts in epoch {epoch}, and {max(self.leaders)} has a leader")
+
     def _check_complete(self, name: str) -> None:
         """A leader's log holds every version that anybody has committed."""
         log = self.replica(name).log
