--- a/millgw/callers/connection.py
+++ b/millgw/callers/connection.py
@@ -358,8 +358,12 @@
         self._leave()
 
     def gone(self) -> bool:
-        """Whether the client has left and the loop can't tell, as nothing is read for now."""
-        return self.paused and self.transport is not None and gone(self.transport)
+        """Whether the client has left, as far as the kernel knows: the loop may not have told yet.
+
+        Guards against attempts for nobody: of a request that waited in the socket, until the connection was
+        accepted or the process went on, the loop reads the bytes first and the end in its next turn.
+        """
+        return self.transport is not None and gone(self.transport, self.poll)
 
     def look_for_end(self) -> None:
         """End what is served for a client that has left while nothing was read."""
@@ -416,7 +420,7 @@
         while queue and not self.unread_answers:
             if self.current is not None or self.flow is not None or self.resting is not None:
                 break
-            if self.gone():
+            if self.paused and self.gone():
                 self._leave()  # nobody waits for what is behind a request that was answered to nobody
                 break
             item = queue.popleft()
--- a/millgw/endpoints/attempt.py
+++ b/millgw/endpoints/attempt.py
@@ -31,6 +31,8 @@
 WRITTEN: Final = 3
 ENDED: Final = 4
 
+LOOK_AGAIN = 20.0  # ms after which it is asked again whether the caller has left: a fifth of what is allowed
+
 
 class Intent(Protocol):
     """What must be durable before the last byte of a call that may not run twice may leave."""
@@ -68,8 +70,8 @@
     """
 
     __slots__ = (
-        "began", "carrier", "dials", "ended", "intent", "payload", "repeat", "state", "trace", "until",
-        "upload",
+        "began", "carrier", "dials", "ended", "gone", "intent", "looked", "payload", "repeat", "state",
+        "trace", "until", "upload",
     )  # fmt: skip
 
     def __init__(
@@ -84,6 +86,8 @@
     ) -> None:
         self.trace = trace  # of its call, for the log
         self.until = math.inf  # ms, monotonic: its last byte may leave no later
+        self.gone: Callable[[], bool] | None = None  # whether its caller has left, as far as can be seen now
+        self.looked = -math.inf  # ms, monotonic, when that was last asked
         self.intent = intent
         self.payload = payload
         self.ended = ended
@@ -98,6 +102,16 @@
     def given_up(self) -> bool:
         return self.state == ENDED
 
+    def caller_left(self, now: float) -> bool:
+        """Whether nobody waits for it any more; `now` in ms, monotonic.
+
+        Guards against an attempt that waited, for its connection or its mark, past the end of its caller.
+        """
+        if self.gone is None or now < self.looked + LOOK_AGAIN:
+            return False
+        self.looked = now
+        return self.gone()
+
     def end(self, outcome: Outcome, content: Content) -> None:
         """Tell its outcome, once."""
         if self.state != ENDED:
--- a/millgw/endpoints/connection.py
+++ b/millgw/endpoints/connection.py
@@ -145,7 +145,7 @@
         assert self.transport is not None and self.core is not None
         self.core.begin()
         self.attempt, attempt.carrier = attempt, self
-        if now > attempt.until:
+        if now > attempt.until or attempt.caller_left(now):
             self._unsent()
             return
         payload = attempt.payload()
@@ -193,6 +193,9 @@
         if unread(self.transport, self.poll) if self.transport is not None else True:
             self._broken()
             return
+        if attempt.caller_left(time.monotonic() * 1000):
+            self._unsent()
+            return
         if attempt.intent is not None and not self._may_leave(attempt, attempt.intent):
             return
         attempt.state = WRITING
@@ -257,7 +260,8 @@
         elif self.last_byte and self.transport.get_write_buffer_size() == 0:
             attempt = self.attempt
             intent = None if attempt is None else attempt.intent
-            if attempt is not None and time.monotonic() * 1000 > attempt.until:
+            now = time.monotonic() * 1000
+            if attempt is not None and (now > attempt.until or attempt.caller_left(now)):
                 self._unsent()
                 return
             if attempt is not None and intent is not None and not self._may_leave(attempt, intent):
@@ -270,7 +274,7 @@
             self._written()
 
     def _unsent(self) -> None:
-        """Its last byte may not leave: its window ended meanwhile, or its mark is not durable."""
+        """Its last byte may not leave: its window ended, its caller left, or its mark is not durable."""
         self.abort()
         self._finish(Outcome.NOT_SENT)
 
--- a/millgw/message.py
+++ b/millgw/message.py
@@ -73,9 +73,9 @@
 
 
 def watcher(transport: asyncio.Transport) -> select.poll:
-    """What `unread` asks of one connection: made once for each, as it is asked for every request."""
+    """What `unread` and `gone` ask of one connection: made once for each, as they do for every request."""
     poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
     return poll
 
 
@@ -86,16 +86,17 @@
     return bool((poll or watcher(transport)).poll(0))
 
 
-def gone(transport: asyncio.Transport) -> bool:
+ENDED: Final = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+
+def gone(transport: asyncio.Transport, poll: select.poll | None = None) -> bool:
     """Whether the other side has ended or reset a connection, also where bytes before that are unread.
 
-    For connections that are not read for now, where the loop would not tell.
+    The loop tells later: it hands on what came before the end, and nothing of what is not read for now.
     """
     if transport.is_closing():
         return True
-    poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-    return bool(poll.poll(0))
+    return any(events & ENDED for _, events in (poll or watcher(transport)).poll(0))
 
 
 def waiting(transport: asyncio.Transport, most: int) -> bytes:
--- a/millgw/pool/driver.py
+++ b/millgw/pool/driver.py
@@ -373,7 +373,8 @@
         ended, began = partial(self._ended, call, number), partial(self._began, call, number)
         payload = partial(self._payload, call)
         attempt = Attempt(payload, ended, call.repeat, began, call.upload, call.intent, call.trace)
-        attempt.until = time.monotonic() * 1000 + until - now
+        attempt.gone, attempt.looked = call.gone, time.monotonic() * 1000
+        attempt.until = attempt.looked + until - now
         call.out[number] = Flight(endpoint, now, attempt)
         self.upstream.send(endpoint, attempt)
 
--- a/millgw/standins/scripted.py
+++ b/millgw/standins/scripted.py
@@ -111,7 +111,11 @@
         self.calls: asyncio.Queue[tuple[Message, asyncio.StreamWriter]] = asyncio.Queue()
 
     async def start(self) -> None:
-        await asyncio.start_server(self._serve, self.address.host, self.address.port)
+        self.server = await asyncio.start_server(self._serve, self.address.host, self.address.port)
+
+    def stop(self) -> None:
+        """Listen no longer: calls are refused."""
+        self.server.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with suppress(asyncio.IncompleteReadError, ConnectionError):
