The time told counts from when a request came to the machine, also where it waited unread

Cause: a request's time was counted from the moment its last byte was read.

Change: where bytes may have waited (since accepting was paused, or since the connection was), the kernel is asked how long ago they came (TCP_INFO, tcpi_last_data_recv), and at most that pause is counted. Nothing is asked on the ordinary way. Where the kernel can't tell, the time counts as before. A request whose time was over by then was already refused by the module without an attempt; that has a test now.

--- a/millgw/callers/connection.py
+++ b/millgw/callers/connection.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import select
 import time
 from collections.abc import Callable
@@ -13,7 +14,7 @@
 
 from millgw.callers.core import RequestCore, word_answer, word_begin
 from millgw.log.events import log_event
-from millgw.message import FAILED, SERVED, Answer, gone, unread, watcher
+from millgw.message import FAILED, SERVED, Answer, gone, since_received, unread, watcher
 from millgw.pool.call import Call
 from millgw.request import BadRequest, Head
 from millgw.streams.flow import Flow
@@ -75,8 +76,9 @@
     An asyncio buffered protocol, by its methods: no base class, so that it can be compiled.
     """
 
-    def __init__(self, server: Listening) -> None:
+    def __init__(self, server: Listening, unread_since: float = math.inf) -> None:
         self.server = server
+        self.unread_since = unread_since  # s, from when on bytes may have waited in the socket
         self.core = RequestCore(server.front.gate)
         self.transport: asyncio.Transport | None = None
         self.poll: select.poll | None = None
@@ -186,6 +188,8 @@
                 self.transport.pause_reading()  # guards against reading on what nobody needs
             return
         self.arrived = time.monotonic()
+        if self.unread_since < self.arrived:
+            self.arrived -= self._waited()
         self.rest += self.server.buffer[:nbytes]
         if self.server.lanes is None:
             self._read()
@@ -196,6 +200,15 @@
             self.waits = True
             self.server.lanes.wait(self.lane, self)
 
+    def _waited(self) -> float:
+        """For how long (s) the bytes that were just read had waited in the socket.
+
+        Guards against a wait of the client that is told anew: its time counts from when it sent, also while
+        its connection was not accepted, or not read as an answer before was due.
+        """
+        longest, self.unread_since = self.arrived - self.unread_since, math.inf
+        return 0.0 if self.transport is None else min(longest, since_received(self.transport))
+
     def turn(self) -> None:
         """Its lane's turn has come: work on what was read."""
         self.waits = False
@@ -240,6 +253,7 @@
             if self.paused:
                 self.paused = False
                 self.stopped += time.monotonic() - self.paused_at
+                self.unread_since = self.paused_at
                 transport.resume_reading()
             if core.begun and core.head is None and not self.busy:
                 self.server.kept[self] = None
--- a/millgw/callers/server.py
+++ b/millgw/callers/server.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 import time
 from contextlib import suppress
@@ -65,6 +66,7 @@
         self.accepting: set[asyncio.Task[object]] = set()
         self.buffer = bytearray(READ_SIZE)  # one for all: each read is taken out before the next
         self.paused: asyncio.TimerHandle | None = None
+        self.full_since = math.inf  # s, from when on connections may have waited to be accepted
         self.closed = False
         family = socket.AF_INET6 if ":" in listen.host else socket.AF_INET
         self.socket = socket.socket(family, socket.SOCK_STREAM)
@@ -103,25 +105,27 @@
             try:
                 connection = accept(self.socket)
             except BlockingIOError:
+                self.full_since = math.inf
                 return
             except OSError as error:
                 # Guards against an accept that fails (no descriptors, a client gone): it ends nothing.
                 log_event("accept-failed", cause=error)
                 self._pause()
                 return
-            task = self.loop.create_task(self._adopt(connection))
+            task = self.loop.create_task(self._adopt(connection, self.full_since))
             self.accepting.add(task)
             task.add_done_callback(self.accepting.discard)
 
-    async def _adopt(self, connection: socket.socket) -> None:
+    async def _adopt(self, connection: socket.socket, unread_since: float) -> None:
         try:
-            made = cast(asyncio.Protocol, CallerConnection(self))
+            made = cast(asyncio.Protocol, CallerConnection(self, unread_since))
             await self.loop.connect_accepted_socket(lambda: made, connection)
         except OSError as error:
             log_event("caller-lost", cause=error)
 
     def _pause(self) -> None:
         self.loop.remove_reader(self.socket)
+        self.full_since = min(self.full_since, time.monotonic())
         if self.paused is None:
             self.paused = self.loop.call_later(ACCEPT_PAUSE, self._resume)
 
--- a/millgw/message.py
+++ b/millgw/message.py
@@ -111,8 +111,26 @@
     return bytes(got)
 
 
-UNACKED: Final = struct.Struct("=I")
-UNACKED_AT: Final = 24  # of tcpi_unacked in Linux' struct tcp_info (tcp(7)): eight bytes, then four words
+WORD: Final = struct.Struct("=I")  # of Linux' struct tcp_info (tcp(7)): eight bytes, then such words
+RECEIVED_AT: Final = 52  # of tcpi_last_data_recv there, in ms
+
+
+def since_received(transport: asyncio.Transport) -> float:
+    """How long (s) ago the last bytes of a connection came to this machine; 0 where its kernel can't tell."""
+    if transport.is_closing():
+        return 0.0
+    sock = transport.get_extra_info("socket")
+    try:
+        info: bytes = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, RECEIVED_AT + WORD.size)
+    except OSError:
+        return 0.0
+    if len(info) < RECEIVED_AT + WORD.size:
+        return 0.0
+    (milliseconds,) = WORD.unpack_from(info, RECEIVED_AT)
+    return int(milliseconds) / 1000
+
+
+UNACKED_AT: Final = 24  # of tcpi_unacked there
 
 
 def unconfirmed(transport: asyncio.Transport) -> bool:
@@ -120,6 +138,6 @@
     if transport.is_closing():
         return True
     sock = transport.get_extra_info("socket")
-    info: bytes = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, UNACKED_AT + 4)
-    (unacked,) = UNACKED.unpack_from(info, UNACKED_AT)
+    info: bytes = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, UNACKED_AT + WORD.size)
+    (unacked,) = WORD.unpack_from(info, UNACKED_AT)
     return bool(unacked)
--- a/tests/test_standing_terms.py
+++ b/tests/test_standing_terms.py
@@ -27,9 +27,9 @@
 from millgw.platform.descriptors import Descriptors
 from millgw.settings import to_settings
 from millgw.standins.address import free_address
-from millgw.standins.http import ServerConnection, status
-from millgw.standins.scripted import STREAM, ScriptedCadastro, ScriptedEndpoint, chunk, line
-from tests.rig import SETTINGS, Rig, request, run, sidecar, until
+from millgw.standins.http import Message, ServerConnection, ok, status
+from millgw.standins.scripted import STREAM, ScriptedCadastro, ScriptedEndpoint, answering, chunk, line
+from tests.rig import PATIENCE, SETTINGS, Rig, request, run, sidecar, until
 from tests.test_crossings import SlowMark, leave, lossy, pool_of, raw
 from tests.test_sidecar_process import GOOD, start, write_config
 
@@ -265,6 +265,77 @@
     run(test)
 
 
+# The time that an attempt tells is at most what is left to the client
+
+TOLD_MORE = 150  # ms more than is left that an attempt may tell
+WAITED = 0.6  # s for which a request waits unread here, far over that
+
+
+def told(message: Message) -> int:
+    return int(message.headers["x-expires-in-ms"])
+
+
+def test_a_request_that_waited_to_be_accepted_tells_what_is_left(monkeypatch: pytest.MonkeyPatch) -> None:
+    full = False
+    monkeypatch.setattr(Descriptors, "full_of_callers", lambda _: full)
+
+    async def test() -> None:
+        nonlocal full
+        endpoint = ScriptedEndpoint("e1")
+        async with sidecar(endpoint) as rig:
+            await all_read(rig)
+            full = True
+            client = raw(rig.listen)
+            client.sendall(request("read", patience=5000, target=LEFT))
+            await asyncio.sleep(WAITED)
+            full = False
+            await until(lambda: len(endpoint.got) == 2)
+            assert told(endpoint.got[1]) <= 5000 - 1000 * WAITED + TOLD_MORE
+            client.close()
+            await all_read(rig)
+            assert told(endpoint.got[2]) > PATIENCE - 1000 * WAITED, "it did not wait itself"
+
+    run(test)
+
+
+def test_a_request_whose_time_was_over_before_it_was_accepted_is_not_sent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    full = False
+    monkeypatch.setattr(Descriptors, "full_of_callers", lambda _: full)
+
+    async def test() -> None:
+        nonlocal full
+        endpoint = ScriptedEndpoint("e1")
+        async with sidecar(endpoint) as rig:
+            await all_read(rig)
+            full = True
+            asked = asyncio.create_task(rig.ask(request("read", patience=300, target=LEFT)))
+            await asyncio.sleep(WAITED)
+            full = False
+            assert (await asked).status == 503
+            await nothing_begins(rig, endpoint)
+
+    run(test)
+
+
+def test_a_request_that_waited_unread_behind_another_tells_what_is_left() -> None:
+    async def test() -> None:
+        go = asyncio.Event()
+        endpoint = ScriptedEndpoint("e1", answering(ok(), after=go))
+        async with sidecar(endpoint) as rig:
+            client = await rig.connect()
+            client.writer.write(request("read") + request("read"))
+            await until(lambda: len(endpoint.got) == 1)
+            client.writer.write(request("read", patience=5000, target=LEFT))
+            await asyncio.sleep(WAITED)
+            go.set()
+            await until(lambda: len(endpoint.got) == 3)
+            assert told(endpoint.got[2]) <= 5000 - 1000 * WAITED + TOLD_MORE
+
+    run(test)
+
+
 # Idle clients fill the descriptors while discovery is down
 
 CROWDED_SOCKETS = 64  # descriptors that the process may hold, and is told that it may
