--- a/tests/test_standing_terms.py
+++ b/tests/test_standing_terms.py
@@ -28,7 +28,7 @@
 from millgw.settings import to_settings
 from millgw.standins.address import free_address
 from millgw.standins.http import Message, ServerConnection, ok, status
-from millgw.standins.scripted import STREAM, ScriptedCadastro, ScriptedEndpoint, answering, chunk, line
+from millgw.standins.scripted import STREAM, ScriptedDiscoveryServer, ScriptedEndpoint, answering, chunk, line
 from tests.rig import PATIENCE, SETTINGS, Rig, request, run, sidecar, until
 from tests.test_crossings import SlowMark, leave, lossy, pool_of, raw
 from tests.test_sidecar_process import GOOD, start, write_config
@@ -45,10 +45,10 @@
 ASK_LATE = to_settings(SETTINGS | {"rules": SETTINGS["rules"] | {"askWithin": 200_000.0}})
 
 
-async def end_calls(cadastro: ScriptedCadastro, how: str) -> None:
+async def end_calls(discovery: ScriptedDiscoveryServer, how: str) -> None:
     """Discovery has a change and tells it to nobody: each call ends this way."""
     while True:
-        _, writer = await cadastro.calls.get()
+        _, writer = await discovery.calls.get()
         if how == "turned away":
             writer.write(status(503))
         elif how == "reset":
@@ -398,13 +398,13 @@
     tmp_path: Path,
 ) -> None:
     async def test() -> None:
-        old, new, cadastro = ScriptedEndpoint("e1"), ScriptedEndpoint("e2"), ScriptedCadastro()
+        old, new, discovery = ScriptedEndpoint("e1"), ScriptedEndpoint("e2"), ScriptedDiscoveryServer()
         await old.start()
         await new.start()
         listen = free_address()
         known = {"index": 1, "snapshot": True, "endpoints": [old.entry()]}
         data: dict[str, Any] = GOOD | {
-            "listen": str(listen), "known": known, "discovery": str(cadastro.address),
+            "listen": str(listen), "known": known, "discovery": str(discovery.address),
             "limits": {"sockets": CROWDED_SOCKETS},
         }  # fmt: skip
         process = start_bounded(write_config(tmp_path, data))
@@ -413,9 +413,9 @@
             crowd = Crowd(listen)
             await until(lambda: crowd.shut > CROWD // 4)  # it holds what it can, and shuts others
             await served_within(listen, 5.0)
-            await cadastro.start()
+            await discovery.start()
             async with asyncio.timeout(10.0):
-                _, watch = await cadastro.calls.get()
+                _, watch = await discovery.calls.get()
             watch.write(STREAM + chunk(line(2, [old.entry("terminating"), new.entry()])))
             await asyncio.sleep(0.6)
             before = len(old.got)
@@ -460,12 +460,12 @@
 
     async def wave() -> None:
         nonlocal in_time
-        cadastro, started = ScriptedCadastro(), []
+        server, started = ScriptedDiscoveryServer(), []
         if discovery == "silent":
-            await cadastro.start()
+            await server.start()
         for _ in range(AT_ONCE):
             listen = free_address()
-            data = GOOD | {"known": known, "discovery": str(cadastro.address), "listen": str(listen)}
+            data = GOOD | {"known": known, "discovery": str(server.address), "listen": str(listen)}
             folder = tmp_path / str(listen.port)
             folder.mkdir()
             started.append((listen, start(write_config(folder, data))))
