Settings of a pool change in service: Balancer.reconfigure, with what was learned left as it is

A changed deadline, rate or limit took a new pool: its calls in flight went on in the old one and all that it had learned was gone.

Balancer.reconfigure takes other settings: requests keep the class they came in, tokens, medians and endpoints' records stay, waits and bounds are derived anew. Other numbers of classes, fewer tenants, another stage or way of asking discovery are refused. What stood in constructors stands in one place with it.

--- a/millgw/connections/attach.py
+++ b/millgw/connections/attach.py
@@ -6,7 +6,7 @@
 from millgw.connections.tended import Tended
 from millgw.connections.terms import Terms
 from millgw.decide import LOST_AFTER
-from millgw.interface import Endpoint
+from millgw.interface import Endpoint, Settings
 from millgw.platform.config import Config
 from millgw.platform.descriptors import CALLERS_PART
 from millgw.pool.pool import Pool
@@ -43,10 +43,14 @@
         self.pool.driver.show(endpoints)
 
 
+def place_of(settings: Settings) -> Place:
+    """Which of its siblings an instance is, and how endpoints warm up, by its settings."""
+    return Place(settings.index, max(1, settings.siblings), settings.cold_share, settings.cold_time)
+
+
 def tend(pool: Pool, terms: Terms, config: Config, seed: int) -> Tended:
     """Tend a pool's connections from now on; called before it is started."""
-    settings = pool.settings
-    place = Place(settings.index, max(1, settings.siblings), settings.cold_share, settings.cold_time)
+    place = place_of(pool.settings)
     tended = Tended(pool.upstream, terms, place, config.idle, seed, PoolSight(pool))
     pool.upstream.tend(tended)
     pool.driver.curtain = tended
--- a/millgw/connections/keeper.py
+++ b/millgw/connections/keeper.py
@@ -88,6 +88,11 @@
         self.tries = tries(self.place, terms.cold_rate, self.rng)
         self.standing.base, self.standing.most = terms.probe_base, terms.probe_most
 
+    def settle(self, place: Place) -> None:
+        """Go by another place among siblings; whoever knows when it started tells again, if it is cold."""
+        self.place = place
+        self.turns = None
+
     # What happens
 
     def starts(self, since: float, common: bool) -> None:
--- a/millgw/connections/tended.py
+++ b/millgw/connections/tended.py
@@ -212,6 +212,21 @@
             kept.keeper.change(terms, self.told_idle)
         self._arm(0.0)
 
+    def settle(self, place: Place, told_idle: float) -> None:
+        """Go by another place among siblings, and other promises of endpoints, from now on."""
+        if (place, told_idle) == (self.place, self.told_idle):
+            return
+        self.told_idle = told_idle
+        self.place = place
+        self.introduction.cold_time = place.cold_time
+        for kept in self.kept.values():
+            kept.keeper.settle(self._place_at(kept.endpoint))
+            self._note_cold(kept)
+        self.change(self.terms)
+
+    def _place_at(self, endpoint: int) -> Place:
+        return replace(self.place, index=(self.place.index + endpoint) % self.place.siblings)
+
     def stop(self) -> None:
         self.stopped = True
         if self.timer is not None:
@@ -245,8 +260,7 @@
         kept = self.kept.get(host)
         if kept is None:
             # Shifted by the endpoint: siblings are first at different ones, and one's turns are apart.
-            place = replace(self.place, index=(self.place.index + endpoint) % self.place.siblings)
-            keeper = Keeper(self.terms, place, self.told_idle, self.rng)
+            keeper = Keeper(self.terms, self._place_at(endpoint), self.told_idle, self.rng)
             kept = self.kept[host] = Kept(endpoint, host, keeper)
             self._note_cold(kept)
         return kept
--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -495,10 +495,15 @@
     """
 
     def __init__(self, settings: Settings) -> None:
+        self.tokens: list[float] = []
+        self.at = 0.0
+        self.reconfigure(settings)
+
+    def reconfigure(self, settings: Settings) -> None:
+        """Go by other rates; the tokens of tenants that were there before stay."""
         self.rates = [t.rate / 1000 / settings.siblings for t in settings.tenants]
         self.most = [max(1.0, rate * SHARE_BURST) for rate in self.rates]
-        self.tokens = list(self.most)
-        self.at = 0.0
+        self.tokens += self.most[len(self.tokens) :]
 
     def give_back(self, tenant: int) -> None:
         if tenant < len(self.rates):
@@ -524,22 +529,26 @@
     """
 
     def __init__(self, settings: Settings, rng: random.Random) -> None:
-        self.settings = settings
         self.backoff = Backoff(rng)
         self.rng = rng
-        within = settings.ask_within
-        self.crowd = min(ASK_SPREAD, ASK_SPREAD_PART * within)
-        self.retry = min(ASK_RETRY, ASK_RETRY_PART * within)
-        self.crowded = min(ASK_CROWDED, ASK_CROWDED_PART * within)
-        self.most = min(ASK_MOST, ASK_MOST_PART * within)
+        self.reconfigure(settings)
         self.wait = 0.0
         self.due = math.inf
         self.soonest = math.inf  # from when on a request for which no endpoint is sure may have it asked
-        self.later = min(TOLD_WITHIN, within) if settings.ask_discovery else TOLD_WITHIN
         self.alive = -math.inf  # when the last call was made, or last said something
         self.spoken = False  # whether it has said anything
         self.silent: list[tuple[float, float, bool]] = []  # what fell silent: from, until, whether a watch
 
+    def reconfigure(self, settings: Settings) -> None:
+        """Take the waits from the settings; what was heard, and the wait that is on, stay."""
+        self.settings = settings
+        within = settings.ask_within
+        self.crowd = min(ASK_SPREAD, ASK_SPREAD_PART * within)
+        self.retry = min(ASK_RETRY, ASK_RETRY_PART * within)
+        self.crowded = min(ASK_CROWDED, ASK_CROWDED_PART * within)
+        self.most = min(ASK_MOST, ASK_MOST_PART * within)
+        self.later = min(TOLD_WITHIN, within) if settings.ask_discovery else TOLD_WITHIN
+
     def start(self, now: float) -> float:
         self.due = now + self.rng.random() * self.crowd
         return self.due
@@ -644,6 +653,7 @@
         self.spent = [c.aim for c in settings.classes]
         self.quick, self.answered = list(self.spent), [0] * len(settings.classes)
         self.held: dict[int, Request] = {}
+        self.heard_siblings = 1
         self.looked = 0.0
         self.timers: dict[int, int | None] = {}
         self.next_timer = 0
@@ -675,6 +685,39 @@
             self._drop(event.request)
         return self.actions
 
+    # Other settings
+
+    def reconfigure(self, now: float, settings: Settings) -> list[Action]:
+        """Go by other settings from now on; what was learned stays, and requests keep the class they came in.
+
+        Classes are numbered by position, so they stay as many, and tenants may only be added at the end. A
+        ValueError names what takes a new balancer; nothing has changed then.
+        """
+        self.actions, before = [], self.settings
+        for field, fits in (
+            ("classes", len(settings.classes) == len(before.classes)),
+            ("tenants", len(settings.tenants) >= len(before.tenants)),
+            ("stage", settings.stage == before.stage),
+            ("ask_discovery", settings.ask_discovery == before.ask_discovery),
+        ):
+            if not fits:
+                raise ValueError(f"Settings.{field} can't be changed in service")
+        if settings == before:
+            return self.actions
+        self.settings = self.cold.settings = settings
+        self.cold.siblings = max(settings.siblings, self.heard_siblings)
+        self.rules = Rules(settings)
+        self.discovery.reconfigure(settings)
+        if self.shares is not None:
+            self.shares.reconfigure(settings)
+        for cls, answered in enumerate(self.answered):
+            if not answered:
+                self.quick[cls] = self.spent[cls] = settings.classes[cls].aim
+        self._arrange()
+        self._look_around(now)
+        self._serve_held(now)
+        return self.actions
+
     # Two processes of one sidecar
 
     def follow(self) -> None:
@@ -1034,6 +1077,11 @@
                 del self.servers[id]
         for info in event.endpoints:
             self._entry(now, info)
+        self._arrange()
+        self._look_around(now)
+        self._serve_held(now)
+
+    def _arrange(self) -> None:
         # Guards against a crowd that walks along the list: in one order for all, those that share an endpoint
         # would all turn to its neighbours. Each group of instances covers the list once, in its own order.
         me, siblings = self.settings.index, self.settings.siblings
@@ -1041,8 +1089,6 @@
         ids = sorted(self.servers, key=lambda id: (scatter(id, me % max(1, groups)), id))
         at = me * len(ids) // siblings
         self.ring = [self.servers[id] for id in ids[at:] + ids[:at]]
-        self._look_around(now)
-        self._serve_held(now)
 
     def _entry(self, now: float, info: Endpoint) -> None:
         """Rule 3: an endpoint that drains or is gone is forgotten at once, its grace unused."""
@@ -1085,6 +1131,7 @@
 
     def _hear(self, now: float, event: Hearsay) -> None:
         """Take siblings' word, as far as it asks for more care than is taken already."""
+        self.heard_siblings = event.siblings
         self.cold.siblings = max(self.settings.siblings, event.siblings)
         if self.admission is not None and self.admission.answers == 0:
             self.admission.each = max(1.0, min(self.admission.each, event.each))
--- a/millgw/endpoints/upstream.py
+++ b/millgw/endpoints/upstream.py
@@ -95,8 +95,7 @@
         self.log = BoundLogger(service=lane) if lane else BoundLogger()
         self.room = room
         self.room.endpoints = self.holds
-        self.connect_timeout = connect_timeout / 1000
-        self.idle_for = IDLE_PART * idle  # ms
+        self.reconfigure(connect_timeout, idle)
         self.hosts: dict[int, Host] = {}
         self.buffer = bytearray(READ)  # one for all: each read is taken out before the next
         self.streams = StreamRoom(memory)
@@ -113,6 +112,11 @@
         self.sweeping = self.loop.call_later(SWEEP, self._sweep)
         self.tending: Tending | None = None
 
+    def reconfigure(self, connect_timeout: float, idle: float) -> None:
+        """Other bounds (ms) for a handshake and for an endpoint's patience with an idle connection."""
+        self.connect_timeout = connect_timeout / 1000
+        self.idle_for = IDLE_PART * idle  # ms
+
     def tend(self, tending: Tending) -> None:
         """Have another part say which connection is used, kept and opened."""
         self.sweeping.cancel()
--- a/millgw/pool/driver.py
+++ b/millgw/pool/driver.py
@@ -37,6 +37,7 @@
     RequestWhole,
     Send,
     SetTimer,
+    Settings,
     TimerFired,
 )
 from millgw.message import FAILED, REFUSED, SERVED, UNUSABLE, Answer, Content
@@ -161,6 +162,11 @@
             if host is not None:
                 self.upstream.close(host)
 
+    def reconfigure(self, settings: Settings) -> None:
+        """Have the module go by other settings, between events; a ValueError names what can't change."""
+        if not self.ended:
+            self._work(self.balancer.reconfigure(self.clock(), settings))
+
     def hear(self, event: Hearsay) -> None:
         """Tell the module what siblings hold."""
         self._feed(event)
@@ -324,10 +330,15 @@
         if self.ended:
             return  # guards against what still goes on when its pool has ended, and would keep it in memory
         self.events.append(event)
-        if self.feeding:
-            return
+        if not self.feeding:
+            self._work(())
+
+    def _work(self, actions: Sequence[Action]) -> None:
+        """Carry out these actions, then all that events cause."""
         self.feeding = True
         try:
+            for action in actions:
+                self._carry_out(action)
             while self.events:
                 for action in self.balancer.handle(self.clock(), self.events.popleft()):
                     self._carry_out(action)
--- a/millgw/pool/pool.py
+++ b/millgw/pool/pool.py
@@ -75,6 +75,7 @@
         lanes: Lanes | None = None,
     ) -> None:
         self.name = name
+        self.config = config
         self.settings = config.settings
         self.share = share
         self.bodies = 0
@@ -106,6 +107,16 @@
         if not self.settings.ask_discovery:
             self.source.subscribe()
 
+    def reconfigure(self, config: Config) -> None:
+        """Go by another configuration from now on, with all that was learned and all calls as they are.
+
+        A ValueError names a setting that can't be changed in service; nothing has changed then.
+        """
+        self.driver.reconfigure(config.settings)
+        self.terms.reconfigure(config.settings)
+        self.upstream.reconfigure(config.connect_timeout, config.idle)
+        self.config, self.settings = config, config.settings
+
     # Requests
 
     def busy(self) -> Answer | None:
--- a/millgw/pool/terms.py
+++ b/millgw/pool/terms.py
@@ -18,8 +18,12 @@
     """Makes calls of requests; all are `owner`'s."""
 
     def __init__(self, settings: Settings, owner: Owner) -> None:
-        self.settings = settings
         self.owner = owner
+        self.reconfigure(settings)
+
+    def reconfigure(self, settings: Settings) -> None:
+        """Make calls by other settings; calls that are open keep the terms on which they were taken."""
+        self.settings = settings
         self.classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
         self.tenants = {t.name.encode(): i for i, t in enumerate(settings.tenants)}
 
