--- a/millgw/figures.py
+++ b/millgw/figures.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Protocol
 
 from millgw.message import REFUSED, SERVED
@@ -80,6 +80,6 @@
     return json.dumps({"out_of_rotation": rows[:most], "unnamed": max(0, len(rows) - most)}).encode() + b"\n"
 
 
-def worded(pools: Sequence[Counted]) -> bytes:
-    """The same as one line of JSON."""
-    return json.dumps(told(pools)).encode() + b"\n"
+def worded(pools: Sequence[Counted], more: Mapping[str, object] | None = None) -> bytes:
+    """The same as one line of JSON, with further figures after them."""
+    return json.dumps(told(pools) | dict(more or {})).encode() + b"\n"
--- a/millgw/log/table.py
+++ b/millgw/log/table.py
@@ -153,6 +153,39 @@
     ),
     "reload-refused": Kind(ERROR, ("cause",), "a file can't be used; all stays as it was"),
     "reload-takes-restart": Kind(WARNING, ("field",), "it has changed and is not applied"),
+    "control-up": Kind(
+        INFO,
+        ("instance", "index"),
+        "a control instance tells the distributed configuration (docs/configuration-sidecar.md)",
+    ),
+    "control-lost": Kind(
+        WARNING,
+        ("instance", "cause"),
+        "the watch of it is over; the version in force stays, and another instance is asked",
+    ),
+    "control-late": Kind(INFO, ("within_ms",), "no version came in time: this start goes by the files alone"),
+    "configuration-applied": Kind(
+        INFO,
+        ("index", "epoch", "took_ms"),
+        "a version is in force, as a whole",
+    ),
+    "configuration-refused": Kind(
+        WARNING,
+        ("index", "epoch", "cause"),
+        "a version can't be used here; the former stays in force",
+    ),
+    "configuration-contradicts": Kind(
+        ERROR,
+        ("instance", "cause"),
+        "an instance tells another history than was received: it is ignored, and another instance is asked",
+    ),
+    "last-good-read": Kind(INFO, ("index", "epoch"), "the last good version, with which this start begins"),
+    "last-good-unusable": Kind(
+        WARNING,
+        ("path", "cause"),
+        "the file is torn or another's: this start begins without it",
+    ),
+    "last-good-unwritten": Kind(WARNING, ("path", "cause"), "the last good version could not be kept"),
     "pool": Kind(
         INFO,
         ("pool", "endpoints", "calls", "connections", "bodies", "answers", "sends", "held_back"),
--- a/millgw/operator/file.py
+++ b/millgw/operator/file.py
@@ -158,6 +158,21 @@
     coordinator: Directory | None = None
 
 
+class Configuration(Table, frozen=True, kw_only=True):
+    """Following the fleet's configuration (docs/configuration-sidecar.md); the table switches it on.
+
+    `instances` are the control instances, any of which tells it; `relays` those that only serve a zone, which
+    the sidecars of this `zone` ask first. The last good version is kept in `directory`, where that is given.
+    `name` is the sidecar's in its reports, by default that of the configuration.
+    """
+
+    instances: Annotated[tuple[str, ...], Meta(min_length=1, max_length=64)]
+    relays: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    zone: str = ""
+    directory: str = ""
+    name: Annotated[str, Meta(max_length=256)] = ""
+
+
 class RouteEntry(Table, frozen=True, kw_only=True, rename={"cls": "class"}):
     """One route; what it leaves out may be anything."""
 
@@ -177,6 +192,7 @@
     connections: Connections | None = None
     peers: Peers | None = None
     store: Store | None = None
+    configuration: Configuration | None = None
 
     def tends(self, name: str = "") -> Terms | None:
         """How a service's connections are tended, or those of the one pool; None for the plain way."""
@@ -193,6 +209,8 @@
     _check_connections("connections", operator.connections)
     if operator.peers is not None:
         _check_peers(operator.peers)
+    if operator.configuration is not None:
+        _check_configuration(operator.configuration)
     for name, service in operator.services.items():
         path = f"services.{name}"
         _check_connections(f"{path}.connections", service.connections)
@@ -254,6 +272,15 @@
         _check_directory("peers.coordinator", told.coordinator)
 
 
+def _check_configuration(told: Configuration) -> None:
+    lists = {"instances": told.instances} | {f"relays.{zone}": told.relays[zone] for zone in told.relays}
+    for key, instances in lists.items():
+        for i, instance in enumerate(instances):
+            _address(f"configuration.{key}[{i}]", instance)
+            if read_address(instance).anywhere:
+                raise ValueError(f"configuration.{key}[{i}]: is no address to connect to")
+
+
 def _check_directory(path: str, told: Directory) -> None:
     for key, reads, value in (("connect", read_connect, told.connect), ("path", check_path, told.path)):
         try:
--- a/millgw/platform/config.py
+++ b/millgw/platform/config.py
@@ -5,7 +5,7 @@
 import ipaddress
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -77,7 +77,6 @@
         raise ConfigError(f"{PREFIX}CONFIG: {error}") from None
     if not isinstance(data, dict):
         raise ConfigError(f"{PREFIX}CONFIG: not a JSON object")
-    settings, limits = table(data, "settings"), table(table(data, "settings"), "limits")
     filed = data.get("discovery")
     if before is not None:
         unchanged = filed == before.filed_discovery
@@ -93,15 +92,39 @@
             sockets=int(number(table(data, "limits"), "sockets", "limits.", 1024)),
             memory=number(table(data, "limits"), "memory_mb", "limits.", 64.0) * 2**20,
             known=data.get("known"),
-            settings=to_settings(settings),
-            zones=tuple(map(str, items(settings, "localities"))),
-            connect_timeout=number(limits, "connectTimeout", "limits.", 250.0),
-            idle=number(limits, "connIdle", "limits.", 15_000.0),
+            **_by_settings(table(data, "settings")),
         )
     except SettingsError as error:
         raise ConfigError(str(error)) from None
 
 
+def with_settings(config: Config, settings: Mapping[str, Any]) -> Config:
+    """The same with other settings; a SettingsError names the field that can't be used."""
+    return replace(config, **_by_settings(dict(settings)))
+
+
+def _by_settings(settings: dict[str, Any]) -> dict[str, Any]:
+    """The fields of a configuration that its settings give."""
+    limits = table(settings, "limits")
+    return {
+        "settings": to_settings(settings),
+        "zones": tuple(map(str, items(settings, "localities"))),
+        "connect_timeout": number(limits, "connectTimeout", "limits.", 250.0),
+        "idle": number(limits, "connIdle", "limits.", 15_000.0),
+    }
+
+
+def read_settings_table(environ: Mapping[str, str]) -> Mapping[str, Any]:
+    """The configuration's settings as they are worded, for others to go over."""
+    try:
+        found = json.loads(Path(environ[PREFIX + "CONFIG"]).read_bytes())["settings"]
+    except (OSError, ValueError, LookupError, TypeError) as error:
+        raise ConfigError(f"{PREFIX}CONFIG: {error}") from None
+    if not isinstance(found, dict):
+        raise ConfigError(f"{PREFIX}CONFIG: settings is not an object")
+    return found
+
+
 def _address(environ: Mapping[str, str], data: dict[str, Any], field: str) -> Address:
     try:
         return read_address(environ.get(PREFIX + field.upper()) or data.get(field))
--- a/millgw/services/limits.py
+++ b/millgw/services/limits.py
@@ -29,6 +29,13 @@
         self.seen: dict[str, float] = dict.fromkeys(guaranteed, -math.inf)
         self.short: dict[str, float] = {}  # pools that found less than their guarantee, and when
 
+    def succeed(self, before: Allotment) -> None:
+        """Go on from what another one has seen of the pools that both have a part for."""
+        for name in self.guaranteed.keys() & before.guaranteed.keys():
+            self.need[name], self.seen[name] = before.need[name], before.seen[name]
+            if name in before.short:
+                self.short[name] = before.short[name]
+
     def most(self, pool: str, used: Mapping[str, int], now: float, gone: int = 0) -> int:
         """How much this pool may hold now, where all hold `used`; to be asked before each taking.
 
--- a/millgw/services/node.py
+++ b/millgw/services/node.py
@@ -4,9 +4,7 @@
 
 import asyncio
 import dataclasses
-import json
 from collections.abc import Callable, Mapping, Sequence
-from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from msgspec.structs import replace
@@ -16,8 +14,9 @@
 from millgw.life import Life
 from millgw.log.events import log_event
 from millgw.operator.file import KINDS, Limits, Operator, OperatorError, Service, load, table
+from millgw.operator.files import Files
 from millgw.operator.guarantees import parts
-from millgw.platform.config import Config, ConfigError, read_address, read_config
+from millgw.platform.config import Config, ConfigError, read_address, read_config, read_settings_table
 from millgw.platform.descriptors import Descriptors
 from millgw.pool.driver import Clock
 from millgw.pool.pool import Pool
@@ -61,12 +60,15 @@
         self.environ = environ
         self.path = path
         self.operator = _load(path)
+        self.filed = Files(config, read_settings_table(environ), self.operator)  # as they are on the disk
+        self.entries: Mapping[str, Mapping[str, Any]] = {}  # of the distributed document, over them
+        self.tended: Tended | None = None  # where there are no services: that of the one pool
         self.intents = intents(self.operator, config.memory)
 
     def open(self) -> tuple[Callable[[], Sequence[Server]], Callable[[], Sequence[Pool]], Callable[[], None]]:
         """Make the pools and the callers' sides; a ConfigError tells what can't be had."""
         self.shared = Descriptors(self.config.sockets)
-        raw = _settings(self.environ)
+        raw = self.filed.settings
         self.bounds = Bounds(self._allotments(self.operator), Clock())
         self.services = Services(self.life)
         self.served: dict[str, Served] = {}
@@ -150,24 +152,68 @@
             made[kind] = Allotment(totals[kind], guaranteed, LEND)
         return made
 
+    def reconfigure(self, entries: Mapping[str, Mapping[str, Any]]) -> None:
+        """Have entries of the distributed document go over the files, all at once and in service.
+
+        A RefusedVersionError names what can't be used or changed; everything is as it was then.
+        """
+        # Only here: without a distribution nothing of it is loaded.
+        from millgw.configuration import apply
+
+        after = apply.overlay(self.filed, entries)
+        plans = [apply.plan_service(after, n, s.pool, s.tended) for n, s in self.served.items()]
+        try:
+            allotments = self._allotments(after.operator)
+        except ConfigError as error:
+            raise apply.RefusedVersionError(apply.one_line(error)) from None
+        for plan in plans:
+            plan.carry_out()
+        if _bounds(after.operator) != _bounds(self.operator):
+            self._allot(allotments)
+        self.config, self.operator, self.entries = after.config, after.operator, entries
+        self._share_callers(self.operator)
+
+    def _allot(self, allotments: dict[str, Allotment]) -> None:
+        """Go by other bounds; what was seen of the pools' needs stays."""
+        for kind, allotment in allotments.items():
+            allotment.succeed(self.bounds.allotments[kind])
+        self.bounds.allotments = allotments
+
+    def _overlaid(self, filed: Files) -> Files:
+        """The files with the distributed entries over them; a ConfigError tells that they don't fit."""
+        if not self.entries:
+            return filed
+        from millgw.configuration.apply import RefusedVersionError, overlay
+
+        try:
+            return overlay(filed, self.entries)
+        except RefusedVersionError as error:
+            raise ConfigError(f"with the distributed configuration over it: {error}") from None
+
     def reload(self) -> None:
-        """Read both files again. What can't be used changes nothing; unchanged pools stay."""
+        """Read both files again, under the distributed entries. What can't be used changes nothing.
+
+        Pools of which the files say the same stay.
+        """
         fresh: list[Served] = []
         opened: dict[str, Listener] = {}
         try:
-            config = read_config(self.environ, self.config)
-            operator = _load(self.path)
-            raw = _settings(self.environ)
+            filed = Files(
+                read_config(self.environ, self.config), read_settings_table(self.environ), _load(self.path)
+            )
+            overlaid = self._overlaid(filed)
+            config, operator, raw = overlaid.config, overlaid.operator, overlaid.settings
             if not operator.services:
                 raise ConfigError(f"{self.path}: the last service can't be removed without a restart")
             allotments = self._allotments(operator)
             made: dict[str, Served] = {}
             for name in operator.services:
                 known = self.served.get(name)
-                if known is not None and self._same(known, operator, name, config, raw):
+                if known is not None and self._same(known, filed, name):
                     made[name] = known
                 else:
                     made[name] = self._pool(operator, name, config, raw)
+                    made[name].raw = filed.settings
                     fresh.append(made[name])
             wanted = {n: s.listen for n, s in operator.services.items() if s.listen is not None}
             now = {n: s.listen for n, s in self.operator.services.items() if n in self.listeners}
@@ -182,15 +228,15 @@
             for listener in opened.values():
                 listener.server.stop()
             return
-        for field in ("peers", "store"):
+        for field in ("peers", "store", "configuration"):
             if getattr(operator, field) != getattr(self.operator, field):
                 log_event("reload-takes-restart", field=field)
         old = [served.pool for name, served in self.served.items() if made.get(name) is not served]
-        self.bounds.allotments = allotments
+        self._allot(allotments)
         self.bounds.retired = [pool for pool in self.bounds.retired if pool.driver.calls] + old
         self.served = made
         for name, served in made.items():
-            served.service = operator.services[name]
+            served.service = filed.operator.services[name]
             terms = operator.tends(name)
             if served.tended is not None and terms is not None:
                 served.tended.change(terms)
@@ -202,7 +248,7 @@
             listener.server.start()
         for listener in self.listeners.values():
             listener.front.table = table(operator)
-        self.config, self.operator = config, operator
+        self.config, self.operator, self.filed = config, operator, filed
         self._share_callers(operator)
         for served in fresh:
             served.pool.start(config.known)
@@ -224,10 +270,9 @@
         else:
             self.closing.remove(server)
 
-    def _same(
-        self, served: Served, operator: Operator, name: str, config: Config, raw: Mapping[str, Any]
-    ) -> bool:
+    def _same(self, served: Served, filed: Files, name: str) -> bool:
         """Whether a pool is what the files want but for what changes in service: limits, connections."""
+        operator, config, raw = filed.operator, filed.config, filed.settings
         service = operator.services[name]
         plain = {"limits": Limits(), "listen": None, "connections": None}
         alike = replace(served.service, **plain) == replace(service, **plain)
@@ -248,13 +293,5 @@
         raise ConfigError(str(error)) from None
 
 
-def _settings(environ: Mapping[str, str]) -> Mapping[str, Any]:
-    """The configuration's settings as they are worded, for services to go over."""
-    path = environ["BALANCER_CONFIG"]
-    try:
-        found = json.loads(Path(path).read_bytes())["settings"]
-    except (OSError, ValueError, LookupError, TypeError) as error:
-        raise ConfigError(f"BALANCER_CONFIG: {error}") from None
-    if not isinstance(found, dict):
-        raise ConfigError("BALANCER_CONFIG: settings is not an object")
-    return found
+def _bounds(operator: Operator) -> dict[str, Limits]:
+    return {name: service.limits for name, service in operator.services.items()}
--- a/millgw/services/parts.py
+++ b/millgw/services/parts.py
@@ -4,19 +4,19 @@
 
 import asyncio
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import replace
 from hashlib import blake2b
+from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from millgw.interface import ListKind
 from millgw.membership.servers import read_connect
 from millgw.operator.file import Coordinator, Directory, Operator, Service
-from millgw.platform.config import Config, ConfigError, read_address
+from millgw.platform.config import Config, ConfigError, read_address, with_settings
 from millgw.platform.discovery import Discovery, Heard, Listed, of_platform, read_listing
 from millgw.pool.pool import Pool, Source, Witness
-from millgw.settings import to_settings
 
 if TYPE_CHECKING:
+    from millgw.configuration.client import Client
     from millgw.connections.tended import Tended
     from millgw.connections.terms import Terms
     from millgw.intents.log import Intents
@@ -161,6 +161,22 @@
     return Intents(Terms(told.directories, Sync(told.sync), keep, told.key.lower().encode(), most))
 
 
+def configuration(operator: Operator, config: Config) -> Client | None:
+    """What follows the fleet's distributed configuration, where the operator's file names who tells it."""
+    told = operator.configuration
+    if told is None:
+        return None
+    # Only here: without it nothing of the distribution is loaded.
+    from millgw.configuration.client import Client
+    from millgw.configuration.follower import preference
+    from millgw.configuration.last_good import LastGood
+
+    name = told.name or config.name
+    instances = preference(name, told.relays.get(told.zone, ()), told.instances)
+    last_good = LastGood(Path(told.directory), name) if told.directory else None
+    return Client(name, instances, last_good, pool_seed(config.seed, f"configuration {name}"))
+
+
 def static_list(service: Service, config: Config) -> tuple[Listed, ...]:
     """The endpoints that an operator's file names for a service."""
     entries = [
@@ -183,7 +199,7 @@
                 raise ConfigError(f"services.{name}.classes[{i}]: the configuration has no class {cls!r}")
         settings["classes"] = [named[cls] for cls in service.classes]
     try:
-        return replace(config, settings=to_settings(settings))
+        return with_settings(config, settings)
     except ValueError as error:
         raise ConfigError(f"services.{name}.settings: {error}") from None
 
--- a/millgw/sidecar/__main__.py
+++ b/millgw/sidecar/__main__.py
@@ -59,6 +59,8 @@
             await parts.intents.begin()
         if parts.peers is not None:
             await parts.peers.begin()
+        if parts.configuration is not None:
+            await parts.configuration.begin()
         for server in parts.servers():
             server.start()
         if operators is not None:
@@ -66,12 +68,14 @@
         watching = asyncio.create_task(watch(parts))
         log_event("serving", name=config.name, listen=config.listen, modules=compiled.describe())
         await stop.wait()
-        await leave(config, parts, operators)
+        await leave(parts, operators)
     finally:
         if watching is not None:
             watching.cancel()
         if parts.peers is not None:
             parts.peers.stop()
+        if parts.configuration is not None:
+            parts.configuration.stop()
         if parts.intents is not None:
             parts.intents.stop()
         if operators is not None:
@@ -85,7 +89,7 @@
         await asyncio.sleep(ABLE_EVERY)
 
 
-async def leave(config: Config, parts: Parts, operators: Operators | None) -> None:
+async def leave(parts: Parts, operators: Operators | None) -> None:
     """Serve on for a while, answer all that was taken, and be gone before SIGKILL.
 
     Serving on guards against a rolling restart whose next sidecar leaves before the last one is back: for
@@ -94,7 +98,7 @@
     """
     if parts.peers is not None:
         parts.peers.stop()
-    longest = max(c.deadline for c in config.settings.classes) / 1000
+    longest = max(c.deadline for pool in parts.pools() for c in pool.settings.classes) / 1000
     left = min(longest, LONGEST) + ANSWER_WITHIN
     life, servers = parts.life, parts.servers()
     succeeded = operators is not None and await operators.succeeded()
--- a/millgw/sidecar/operators.py
+++ b/millgw/sidecar/operators.py
@@ -36,7 +36,7 @@
         self.heir = Heir(self._snapshot, self._took_over)
         calls = Calls()
         calls.add("GET", "/-/ready", lambda _: said(life.ready(), "able to serve"))
-        calls.add("GET", "/-/metrics", lambda _: Answer(200, Content(JSON, worded(parts.pools()))))
+        calls.add("GET", "/-/metrics", lambda _: Answer(200, Content(JSON, self._metrics())))
         calls.add("GET", "/-/endpoints", lambda _: Answer(200, Content(JSON, rotation(parts.pools()))))
         calls.add("PUT", "/-/drain", lambda _: said(life.drain(time.monotonic()), "drained"))
         calls.add("PUT", "/-/resume", lambda _: said(life.resume(), "serving"))
@@ -48,6 +48,11 @@
         self.door = Door(control, calls)
         self.door.start()
 
+    def _metrics(self) -> bytes:
+        following = self.parts.configuration
+        more: dict[str, object] = {} if following is None else {"configuration": following.figures()}
+        return worded(self.parts.pools(), more)
+
     @property
     def steered(self) -> bool:
         """Whether the process that took over has all new connections."""
--- a/millgw/sidecar/parts.py
+++ b/millgw/sidecar/parts.py
@@ -19,6 +19,7 @@
 from millgw.pool.share import ANSWERS, BODIES, BODIES_PART, CALLS, CONNECTIONS, Whole
 
 if TYPE_CHECKING:
+    from millgw.configuration.client import Client
     from millgw.handover.state import State
     from millgw.intents.log import Intents
     from millgw.peers.node import Peers
@@ -42,6 +43,7 @@
     begin: Callable[[State | None], None]
     intents: Intents | None = None  # what marks unsafe calls before they are sent, where that is wanted
     peers: Peers | None = None  # what goes between this sidecar and others, where it does
+    configuration: Client | None = None  # what follows the distributed configuration, where that is wanted
 
 
 def one(
@@ -98,7 +100,7 @@
     # Only here: an operator's file that is not given must cost nothing.
     try:
         from millgw.services.node import Node
-        from millgw.services.parts import peers
+        from millgw.services.parts import configuration, peers
     except ModuleNotFoundError as missing:
         raise ConfigError(f"{OPERATOR}: needs {missing.name}: requirements-operator.txt") from None
 
@@ -108,18 +110,33 @@
     else:
         # Services start as any other process does: what their pools have learned does not go over yet.
         parts = Parts(*node.open(), life, node.shared, lambda _: None)
-    parts = replace(parts, peers=peers(node.operator, config, parts.pools), intents=node.intents)
-    for more in (parts.peers, parts.intents):
+    following = configuration(node.operator, config)
+    parts = replace(
+        parts,
+        peers=peers(node.operator, config, parts.pools),
+        intents=node.intents,
+        configuration=following,
+    )
+    for more in (parts.peers, parts.intents, following):
         if more is not None:
             parts.descriptors.reserve(more.descriptors)
-    return parts
+    if following is None:
+        return parts
+    if node.operator.services:
+        following.attach(node)
+        return parts
+    from millgw.configuration.single import SinglePool
+
+    single = SinglePool(node.filed, parts.pools()[0], node.tended, environ, node.path, parts.reload)
+    following.attach(single)
+    return replace(parts, reload=single.reload)
 
 
 def _equip(node: Node, config: Config, pool: Pool) -> None:
     """Give the one pool what the operator's file has for it."""
     from millgw.services.parts import attach
 
-    attach(pool, node.operator.tends(), config, config.seed)
+    node.tended = attach(pool, node.operator.tends(), config, config.seed)
     pool.intents = node.intents
 
 
--- /dev/null
+++ b/tests/control_instance.py
@@ -0,0 +1,79 @@
+"""A control instance for tests of the sidecar's side: one that follows its document, or is moved by hand."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Mapping
+from contextlib import suppress
+from typing import Any
+
+from millgw.configuration.document import Change, Document, Line, encode_line
+from millgw.platform.config import Address
+from millgw.standins.address import free_address
+from millgw.standins.http import Message
+from millgw.standins.scripted import STREAM, chunk, read_message
+
+HEARTBEAT = 2.0  # s
+TAKEN = b"HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n"
+
+
+def whole(document: Document) -> bytes:
+    """The document as a line."""
+    return encode_line(document.snapshot())
+
+
+class ControlInstance:
+    """Takes reports; a watch is answered by its document, or given to the test where `by_hand` is set."""
+
+    def __init__(self, by_hand: bool = False, document: Document | None = None) -> None:
+        self.address: Address = free_address()
+        self.by_hand = by_hand
+        self.document = Document() if document is None else document
+        self.watches: asyncio.Queue[tuple[Message, asyncio.StreamWriter]] = asyncio.Queue()
+        self.open: list[asyncio.StreamWriter] = []
+        self.asked: list[str] = []  # the target of each watch
+        self.reports: list[dict[str, Any]] = []
+        self.report_answer = TAKEN
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._serve, self.address.host, self.address.port)
+        if not self.by_hand:
+            self.beating = asyncio.create_task(self._beat())
+
+    async def _beat(self) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT)
+            for writer in self.open:
+                writer.write(chunk(b"\n"))
+
+    def stop(self) -> None:
+        """Vanish: the listener closes and every watch is reset."""
+        self.server.close()
+        for writer in self.open:
+            writer.transport.abort()
+        self.open.clear()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            message = await read_message(reader)
+            if message.first.startswith("POST /v1/configuration/reports "):
+                self.reports.append(json.loads(message.body))
+                writer.write(self.report_answer)
+                writer.close()
+                return
+            self.asked.append(message.first.split()[1])
+            self.open.append(writer)
+            if self.by_hand:
+                self.watches.put_nowait((message, writer))
+            else:
+                writer.write(STREAM + chunk(whole(self.document)))
+
+    def commit(self, entries: Mapping[str, Mapping[str, Any] | None], epoch: int | None = None) -> int:
+        """One more version, told on every watch; returns its index."""
+        changes = tuple(Change(name, value) for name, value in entries.items())
+        self.document.apply(self.document.index + 1, self.document.epoch if epoch is None else epoch, changes)
+        line = Line(self.document.index, self.document.epoch, False, self.document.digest(), changes)
+        for writer in self.open:
+            writer.write(chunk(encode_line(line)))
+        return self.document.index
--- a/tests/test_configuration_apply.py
+++ b/tests/test_configuration_apply.py
@@ -2,14 +2,23 @@
 
 from __future__ import annotations
 
+import asyncio
 import copy
+import gc
+import json
+from contextlib import suppress
 from dataclasses import replace
+from pathlib import Path
+from typing import Any
 
 import pytest
 from hypothesis import HealthCheck, given
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
+from millgw.configuration.apply import RefusedVersionError, in_service, one_line, overlay
+from millgw.configuration.last_good import LastGood
+from millgw.connections.tended import Tended
 from millgw.decide import Balancer
 from millgw.interface import (
     EndpointList,
@@ -27,8 +36,33 @@
     Tenant,
     TimerFired,
 )
+from millgw.operator.file import Connections, Limits, parse
+from millgw.operator.files import Files
+from millgw.platform.config import Address, read_address
+from millgw.pool.pool import Pool
+from millgw.pool.share import CALLS
+from millgw.services.parts import pool_config
+from millgw.services.shares import LentShare
+from millgw.standins.address import free_address
+from millgw.standins.http import ok
+from millgw.standins.scripted import (
+    STREAM,
+    ScriptedCadastro,
+    ScriptedEndpoint,
+    answering,
+    chunk,
+    line,
+    read_message,
+)
+from tests import rig
+from tests.control_instance import ControlInstance
+from tests.outside import loaded, refused
+from tests.rig import request, run, until
 from tests.support import KEYED, SAFE, SETTINGS, TENANTS, UNSAFE, Drive, drive, endpoints
+from tests.test_control import call, figures
 from tests.test_properties import overdue, step
+from tests.test_services import static, two
+from tests.test_sidecar_process import start
 
 STEADY = hypothesis_settings(
     derandomize=True, deadline=None, max_examples=120, suppress_health_check=[HealthCheck.too_slow]
@@ -300,3 +334,465 @@
     actions = made.balancer.reconfigure(made.now, replace(SETTINGS, cold_time=0.0))
     assert [a.request for a in actions if isinstance(a, Send)] == waiting
     assert not any(isinstance(a, Refuse) for a in actions)
+
+
+# A version over the files
+
+
+OPERATOR = """
+[services.login]
+classes = ["pay"]
+endpoints = [{ name = "l", address = "127.0.0.1:9001" }]
+[services.login.settings.limits]
+tryLimit = 2
+[services.login.connections]
+keep_least = 1
+[services.campaign]
+endpoints = [{ name = "c", address = "127.0.0.1:9002" }]
+[services.campaign.limits]
+calls = 0.5
+
+[[routes]]
+to = "login"
+host = "login.example.org"
+[[routes]]
+to = "campaign"
+"""
+
+
+def files(operator: str = OPERATOR) -> Files:
+    address = Address("127.0.0.1", 9)
+    made = rig.config([], address, known=None)
+    return Files(made, rig.SETTINGS, parse(operator, "o.toml"))
+
+
+def test_entries_go_over_the_files_table_by_table() -> None:
+    entries: dict[str, dict[str, Any]] = {
+        "settings": {
+            "limits": {"tryLimit": 5, "connIdle": 8000},
+            "projects": [{"name": "acme", "quotaRps": 7}],
+        },
+        "services.login": {"limits": {"maxRetryAfter": 100}},
+        "services.login.connections": {"keep_least": 3, "open_most": 9},
+        "services.campaign.limits": {"calls": 0.25, "bodies": 0.5},
+        "services.elsewhere": {"limits": {"tryLimit": 9}},
+        "something.else": {"x": []},
+    }
+    filed = files()
+    after = overlay(filed, entries)
+    assert after.config.idle == 8000 and after.config.settings.tenants == (Tenant("acme", 7.0),)
+    login = pool_config("login", after.operator.services["login"], after.config, after.settings)
+    campaign = pool_config("campaign", after.operator.services["campaign"], after.config, after.settings)
+    assert (login.settings.max_attempts, campaign.settings.max_attempts) == (2, 5)
+    assert (login.settings.retry_after_most, campaign.settings.retry_after_most) == (100.0, 2000.0)
+    assert after.operator.services["login"].connections == Connections(keep_least=3, open_most=9)
+    assert after.operator.services["campaign"].limits == Limits(calls=0.25, bodies=0.5)
+    assert overlay(filed, {}) == filed, "no entries change nothing"
+
+
+def over(entry: str = "settings", **words: Any) -> dict[str, dict[str, Any]]:
+    return {entry: words}
+
+
+@pytest.mark.parametrize(
+    ("entries", "cause"),
+    [
+        (over(limits={"tryLimit": 0}), "Settings.max_attempts must be 1 or more"),
+        (over(limits={"tryLimit": "3"}), "limits.tryLimit is missing or not a number"),
+        (over(limits={"trylimit": 3}), "settings.limits.trylimit: no such setting"),
+        (over(limits=None), "settings.limits: not an object"),
+        (over(retry={}), "settings.retry: no such setting"),
+        (over(listen="127.0.0.1:80"), "takes a restart: settings.listen"),
+        (over(classes={}), "settings.classes: not a list"),
+        (over(classes=[]), "classes is missing or empty"),
+        (over(classes=[{"name": "read", "deadline": -1, "repeat": "retryable"}]), "classes[0].deadline"),
+        (over(classes=[{"name": "read", "deadline": 1, "repeat": []}]), "settings.classes[0].repeat: is unk"),
+        (over(classes=[{"name": "read", "deadline": 1}]), "classes[0].repeat is missing or unknown"),
+        (over(classes=[{"name": "read", "keyScope": {}}]), "settings.classes[0].keyScope: is unknown"),
+        (over(projects=[{"name": "a"}, {"name": "a"}]), "settings.projects[1].name: 'a' is given twice"),
+        (over(rules={"coldShare": 2}), "Settings.cold_share must be 1 or less"),
+        (over("services.login", rules={"cold": -3}), "services.login.settings: settings: rules.cold must"),
+        (over("services.login", deadline=5), "services.login.deadline: no such setting"),
+        (over("services.login.limits", calls=0.9), "limits.calls: all together are 1.4 of the whole"),
+        (over("services.login.limits", calls=2), "services.login.limits.calls: Expected"),
+        (over("services.login.limits", cals=0.2), "services.login.limits: Object contains unknown field"),
+        (over("services.login.connections", keep_least=-1), "services.login.connections.keep_least: Exp"),
+        (over("services.campaign.connections"), "takes a restart: services.campaign.connections"),
+        (over("connections", keep_least=1), "takes a restart: connections"),
+    ],
+)
+def test_a_version_that_cannot_be_used_is_refused_in_one_line(
+    entries: dict[str, dict[str, Any]], cause: str
+) -> None:
+    with pytest.raises(RefusedVersionError) as caught:
+        after = overlay(files(), entries)
+        for name, service in after.operator.services.items():
+            try:
+                pool_config(name, service, after.config, after.settings)
+            except ValueError as error:
+                raise RefusedVersionError(one_line(error)) from None
+    assert cause in str(caught.value) and "\n" not in str(caught.value)
+
+
+JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-5, 5)
+    | st.floats(allow_nan=True)
+    | st.sampled_from(["", "a", "cell"]),
+    lambda inner: (
+        st.lists(inner, max_size=2)
+        | st.dictionaries(
+            st.sampled_from(
+                ["name", "deadline", "repeat", "tryLimit", "cold", "keyScope", "quotaRps", "calls", "x"]
+            ),
+            inner,
+            max_size=3,
+        )
+    ),
+    max_leaves=8,
+)
+ENTRY = st.dictionaries(
+    st.sampled_from(
+        [
+            "classes",
+            "projects",
+            "rules",
+            "limits",
+            "localities",
+            "me",
+            "siblings",
+            "stage",
+            "tick",
+            "registryMode",
+        ]
+    ),
+    JSON,
+    max_size=3,
+)
+
+
+@STEADY
+@given(
+    st.dictionaries(
+        st.sampled_from(
+            ["settings", "services.login", "services.login.limits", "services.login.connections"]
+        ),
+        ENTRY,
+        max_size=3,
+    )
+)
+def test_whatever_is_sent_is_refused_with_a_cause_or_usable(entries: dict[str, dict[str, Any]]) -> None:
+    with suppress(RefusedVersionError):
+        after = overlay(files(), entries)
+        in_service("settings", files().config.settings, after.config.settings)
+
+
+def test_classes_and_tenants_keep_their_numbers() -> None:
+    before = replace(SETTINGS, tenants=TENANTS)
+    tenants = (Tenant("c", 1.0), replace(TENANTS[1], rate=3.0))
+    turned = replace(before, classes=before.classes[::-1], tenants=tenants)
+    taken = in_service("settings", before, turned)
+    assert taken.classes == before.classes
+    assert taken.tenants == (Tenant("a", 0.0), Tenant("b", 3.0), Tenant("c", 1.0))
+
+
+@pytest.mark.parametrize(
+    ("changes", "field"),
+    [
+        ({"classes": SETTINGS.classes[:2]}, "settings.classes"),
+        ({"classes": (*SETTINGS.classes, replace(SETTINGS.classes[0], name="more"))}, "settings.classes"),
+        ({"classes": (*SETTINGS.classes[:2], replace(SETTINGS.classes[2], name="paid"))}, "settings.classes"),
+        ({"stage": 1}, "settings.stage"),
+        ({"index": 1}, "settings.me"),
+        ({"ask_discovery": False}, "settings.registryMode"),
+    ],
+)
+def test_what_takes_a_restart_is_named(changes: dict[str, Any], field: str) -> None:
+    with pytest.raises(RefusedVersionError) as caught:
+        in_service("settings", SETTINGS, replace(SETTINGS, **changes))
+    assert str(caught.value) == f"takes a restart: {field}"
+
+
+# A sidecar in service
+
+
+def pools() -> list[Pool]:
+    """Those in service."""
+    gc.collect()
+    return [o for o in gc.get_objects() if isinstance(o, Pool) and not o.retired]
+
+
+async def configured(control: ControlInstance, *services: str, more: str = "") -> str:
+    """An operator's file that follows a control instance."""
+    await control.start()
+    return "\n".join((*services, f'[configuration]\ninstances = ["{control.address}"]\n{more}'))
+
+
+async def connected(node: rig.Services) -> rig.Client:
+    """A caller's connection as soon as the sidecar listens: it waits for its first version before."""
+    while True:
+        with suppress(ConnectionRefusedError):
+            return await node.connect()
+        await asyncio.sleep(0.01)
+
+
+CLASSES: list[dict[str, Any]] = rig.SETTINGS["classes"]
+
+
+def test_versions_are_in_force_in_each_service_with_its_pool_and_what_it_learned(tmp_path: Path) -> None:
+    async def test() -> None:
+        login, campaign, control = ScriptedEndpoint("l"), ScriptedEndpoint("c"), ControlInstance()
+        text = await configured(control, await two(login, campaign))
+        async with rig.services(tmp_path, text) as node:
+            client = await connected(node)
+            for _ in range(20):
+                assert (await client.ask(request("pay", Host="login.example.org"))).status == 200
+            before = {pool.name: pool for pool in pools()}
+            balancer = before["login"].driver.balancer
+            assert balancer.answered == [0, 0, 20]
+            learned = (balancer.spent[2], balancer.quick[2], balancer.budget.tokens, balancer.servers.copy())
+            control.commit({
+                "settings": {"limits": {"tryLimit": 1, "connIdle": 30_000}},
+                "services.login": {"classes": [dict(c, slo=444.0) for c in CLASSES]},
+                "services.campaign.limits": {"calls": 0.75},
+            })  # fmt: skip
+            await until(lambda: bool(control.reports) and control.reports[-1]["index"] == 1)
+            assert control.reports[-1]["status"] == "applied"
+            assert {pool.name: pool for pool in pools()} == before, "no pool has begun anew"
+            settings = {name: pool.settings for name, pool in before.items()}
+            assert settings["login"].max_attempts == settings["campaign"].max_attempts == 1
+            assert [c.aim for c in settings["login"].classes] == [444.0] * 3
+            assert [c.aim for c in settings["campaign"].classes] == [500.0] * 3
+            assert before["login"].upstream.idle_for == 15_000
+            kept = (balancer.spent[2], balancer.quick[2], balancer.budget.tokens, balancer.servers)
+            assert before["login"].driver.balancer is balancer and kept == learned
+            share = before["campaign"].share
+            assert isinstance(share, LentShare)
+            assert (
+                share.bounds.allotments[CALLS].guaranteed["campaign"]
+                > 2 * share.bounds.allotments[CALLS].guaranteed["login"]
+            )
+            assert (await client.ask(request("pay", Host="login.example.org"))).status == 200
+            control.commit({"services.campaign.limits": None, "services.login": None, "settings": None})
+            await until(lambda: control.reports[-1]["index"] == 2)
+            assert (
+                before["login"].settings.max_attempts == 3
+                and before["login"].settings.classes[0].aim == 500.0
+            )
+
+    run(test)
+
+
+def test_a_refused_version_changes_no_service_and_the_next_one_does(tmp_path: Path) -> None:
+    async def test() -> None:
+        login, campaign, control = ScriptedEndpoint("l"), ScriptedEndpoint("c"), ControlInstance()
+        text = await configured(control, await two(login, campaign))
+        async with rig.services(tmp_path, text):
+            before = {pool.name: pool.settings for pool in pools()}
+            control.commit(
+                {"services.login": {"limits": {"tryLimit": 7}}, "services.campaign": {"classes": []}}
+            )
+            await until(lambda: bool(control.reports) and control.reports[-1]["index"] == 1)
+            assert control.reports[-1]["status"] == "refused"
+            assert control.reports[-1]["cause"].startswith("services.campaign.settings: settings: classes")
+            assert {pool.name: pool.settings for pool in pools()} == before, "nor the half that was good"
+            control.commit({"services.campaign": {"limits": {"tryLimit": 9}}})
+            await until(lambda: control.reports[-1]["index"] == 2)
+            assert {pool.name: pool.settings.max_attempts for pool in pools()} == {"login": 7, "campaign": 9}
+
+    run(test)
+
+
+def test_a_sighup_reads_the_files_and_the_version_goes_over_them_again(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level("INFO", "millgw")
+
+    async def test() -> None:
+        login, campaign, control = ScriptedEndpoint("l"), ScriptedEndpoint("c"), ControlInstance()
+        text = await configured(control, await two(login, campaign))
+        async with rig.services(tmp_path, text) as node:
+            control.commit({"services.login": {"limits": {"tryLimit": 7}}})
+            await until(lambda: bool(control.reports))
+            before = {pool.name: pool for pool in pools()}
+            await node.reload(text)
+            assert {pool.name: pool for pool in pools()} == before
+            assert before["login"].settings.max_attempts == 7
+            await node.reload(text + "\n[services.campaign.settings.limits]\ntryLimit = 4\n")
+            after = {pool.name: pool for pool in pools()}
+            assert after["login"] is before["login"] and after["campaign"] is not before["campaign"]
+            assert (after["login"].settings.max_attempts, after["campaign"].settings.max_attempts) == (7, 4)
+            control.commit({"services.login.limits": {"calls": 0.4}})
+            await until(lambda: control.reports[-1]["index"] == 2)
+            caplog.clear()
+            await node.reload(text + "\n[services.campaign.limits]\ncalls = 0.8\n")
+            assert (
+                "reload-refused" in caplog.text
+                and "with the distributed configuration over it" in caplog.text
+            )
+            assert {pool.name: pool for pool in pools()} == after
+
+    run(test)
+
+
+def test_one_pool_without_services_follows_and_reloads_in_place(tmp_path: Path) -> None:
+    async def test() -> None:
+        endpoint, control, discovery = ScriptedEndpoint("e"), ControlInstance(), ScriptedCadastro()
+        await endpoint.start()
+        await discovery.start()
+        text = await configured(control, more="[connections]\nkeep_least = 1\n")
+        async with rig.services(tmp_path, text, str(discovery.address)) as node:
+            _, writer = await discovery.calls.get()
+            writer.write(STREAM + chunk(line(1, [endpoint.entry()], snapshot=True)))
+            (pool,) = pools()
+            await until(lambda: bool(pool.driver.ready))
+            assert (await node.ask(request())).status == 200
+            control.commit({"settings": {"rules": {"cold": 9000.0}}, "connections": {"keep_least": 2}})
+            await until(lambda: bool(control.reports))
+            assert control.reports[-1]["status"] == "applied"
+            assert pool.settings.cold_time == 9000.0
+            tended = pool.upstream.tending
+            assert isinstance(tended, Tended)
+            assert tended.terms.keep_least == 2 and tended.place.cold_time == 9000.0
+            changed = copy.deepcopy(rig.SETTINGS)
+            changed["rules"] |= {"cold": 1.0, "fall": 77.0}
+            data = json.loads(node.config.read_text())
+            node.config.write_text(json.dumps(data | {"settings": changed}))
+            await node.reload(text)
+            assert (pool.settings.fall_window, pool.settings.cold_time) == (77.0, 9000.0)
+            assert pools() == [pool] and (await node.ask(request())).status == 200
+            control.commit({"settings": None})
+            await until(lambda: control.reports[-1]["index"] == 2)
+            assert pool.settings.cold_time == 1.0, "as the file says since the reload"
+
+    run(test)
+
+
+def test_without_the_table_nothing_of_it_is_loaded() -> None:
+    assert loaded("millgw.sidecar.__main__, millgw.services.node", "millgw.configuration") == []
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("[configuration]\n", "configuration: Object missing required field `instances`"),
+        ("[configuration]\ninstances = []\n", "configuration.instances: Expected"),
+        ('[configuration]\ninstances = ["control:1"]\n', "configuration.instances[0]"),
+        ('[configuration]\ninstances = ["0.0.0.0:1"]\n', "is no address to connect to"),
+        (
+            '[configuration]\ninstances = ["127.0.0.1:1"]\nrelays = { a = ["x"] }\n',
+            "configuration.relays.a[0]",
+        ),
+        ('[configuration]\ninstances = ["127.0.0.1:1"]\nzones = "a"\n', "configuration.zones: no such key"),
+    ],
+)
+def test_a_table_that_cannot_be_used_is_named(
+    text: str, says: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert says in refused(tmp_path, text, capsys)
+
+
+# A process
+
+
+def test_a_process_under_calls_goes_by_each_version_without_losing_one(tmp_path: Path) -> None:
+    """Deadline, attempts and a tenant's rate change under calls; control goes away; a bad version comes."""
+
+    async def test() -> None:
+        control = ControlInstance()
+        await control.start()
+        slow = asyncio.Event()
+        endpoints = [ScriptedEndpoint("e0"), ScriptedEndpoint("e1")]
+        stuck = ScriptedEndpoint("e2", script=answering(ok(), slow))
+        data = {
+            "name": "n3", "listen": str(free_address()), "control": str(free_address()),
+            "discovery": "127.0.0.1:9", "seed": "1", "limits": {"sockets": 256, "memory_mb": 32},
+            "settings": rig.SETTINGS,
+        }  # fmt: skip
+        (tmp_path / "config.json").write_text(json.dumps(data))
+        for endpoint in (*endpoints, stuck):
+            await endpoint.start()
+        text = static("main", *endpoints) + static("stuck", stuck) + '[[routes]]\nto = "main"\n'
+        text += '[[routes]]\nto = "stuck"\nhost = "stuck.example.org"\n'
+        text += f'[configuration]\ninstances = ["{control.address}"]\ndirectory = "{tmp_path}"\n'
+        (tmp_path / "operator.toml").write_text(text)
+        environ = {
+            "BALANCER_CONFIG": str(tmp_path / "config.json"),
+            "BALANCER_OPERATOR": str(tmp_path / "operator.toml"),
+        }
+        process = start(environ)
+        stderr = process.stderr
+        assert stderr is not None
+        seen: list[str] = []
+
+        def until_serving() -> None:
+            for text in stderr:
+                seen.append(text)
+                if "serving name=" in text:
+                    return
+
+        try:
+            await asyncio.to_thread(until_serving)
+            listen, door = read_address(data["listen"]), read_address(data["control"])
+            statuses: list[int] = []
+            stop = asyncio.Event()
+
+            async def calls() -> None:
+                reader, writer = await asyncio.open_connection(listen.host, listen.port)
+                while not stop.is_set():
+                    writer.write(request())
+                    statuses.append((await read_message(reader)).status)
+                writer.close()
+
+            async def standing() -> dict[str, Any]:
+                found = (await figures(door))["configuration"]
+                assert isinstance(found, dict)
+                return found
+
+            async def in_force(index: int) -> None:
+                while (await standing())["index"] != index:
+                    await asyncio.sleep(0.01)
+
+            callers = [asyncio.create_task(calls()) for _ in range(4)]
+            reader, writer = await asyncio.open_connection(listen.host, listen.port)
+            writer.write(request(Host="stuck.example.org"))
+            await until(lambda: len(stuck.got) == 1)
+            classes = [dict(c, deadline=25_000.0) for c in CLASSES]
+            for change in (
+                {"classes": classes},
+                {"limits": {"tryLimit": 2}},
+                {"projects": [{"name": "acme", "quotaRps": 50.0}]},
+                {"classes": [dict(c, deadline=300.0) for c in CLASSES]},
+            ):
+                await in_force(control.commit({"settings": change}))
+            # A call of before keeps its time; a new one has the new deadline.
+            late = await asyncio.open_connection(listen.host, listen.port)
+            late[1].write(request(Host="stuck.example.org"))
+            assert (await read_message(late[0])).status in (503, 504)
+            slow.set()
+            assert (await read_message(reader)).status == 200
+            await in_force(control.commit({"settings": {"limits": {"tryLimit": 1}}}))
+            bad = control.commit({"settings": {"limits": {"tryLimit": 0}}})
+            await until(lambda: control.reports[-1]["index"] == bad)
+            assert control.reports[-1]["cause"] == "Settings.max_attempts must be 1 or more"
+            found = await standing()
+            assert found["index"] == bad - 1 and found["refused"]["index"] == bad
+            assert found["bytes_in"] > 0 and found["bytes_out"] > 0
+            control.stop()
+            before = len(statuses)
+            while (await standing())["instance"]:
+                await asyncio.sleep(0.01)
+            await until(lambda: len(statuses) > before + 50)
+            code, _ = await call(door, "GET", "/-/ready")
+            assert code == 200, "it serves on without control"
+            stop.set()
+            await asyncio.gather(*callers)
+            assert set(statuses) == {200}, "no call was lost"
+            assert LastGood(tmp_path, "n3").read() is not None
+        finally:
+            process.terminate()
+            await asyncio.to_thread(process.wait)
+            stderr.close()
+
+    run(test)
--- /dev/null
+++ b/tests/test_configuration_client.py
@@ -0,0 +1,450 @@
+"""A sidecar's side of the distribution on loopback sockets, against scripted control instances."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from millgw.configuration import client as client_module
+from millgw.configuration import follower as follower_module
+from millgw.configuration.apply import RefusedVersionError
+from millgw.configuration.client import MAX_LINE, Client, quoted
+from millgw.configuration.document import Change, Document, Line, encode_line
+from millgw.configuration.last_good import LastGood
+from millgw.standins.address import free_address
+from millgw.standins.http import status
+from millgw.standins.scripted import STREAM, chunk
+from tests.control_instance import TAKEN, ControlInstance, whole
+from tests.rig import run, until
+
+
+class Settings:
+    """A target that takes everything but a `tick` below 0."""
+
+    def __init__(self) -> None:
+        self.taken: list[Mapping[str, Mapping[str, Any]]] = []
+
+    def reconfigure(self, entries: Mapping[str, Mapping[str, Any]]) -> None:
+        if entries.get("settings", {}).get("tick", 0) < 0:
+            raise RefusedVersionError("settings.tick: must not be negative")
+        self.taken.append({name: dict(value) for name, value in entries.items()})
+
+    @property
+    def ticks(self) -> list[int]:
+        return [entries["settings"]["tick"] for entries in self.taken]
+
+
+def versions(count: int, epoch: int = 1) -> list[Document]:
+    documents = [Document()]
+    for index in range(1, count + 1):
+        after = documents[-1].copy()
+        after.apply(index, epoch, [Change("settings", {"tick": index})])
+        documents.append(after)
+    return documents
+
+
+def delta(after: Document) -> bytes:
+    changes = tuple(Change(name, value) for name, value in after.entries.items())
+    return encode_line(Line(after.index, after.epoch, False, after.digest(), changes))
+
+
+VERSIONS = versions(9)
+
+
+def following(
+    *instances: ControlInstance | str, last_good: LastGood | None = None, name: str = "n3"
+) -> tuple[Client, Settings]:
+    addresses = tuple(i if isinstance(i, str) else str(i.address) for i in instances)
+    client, target = Client(name, addresses, last_good, 1), Settings()
+    client.attach(target)
+    return client, target
+
+
+def test_a_line_in_pieces_a_heartbeat_and_a_change_are_taken_and_reported() -> None:
+    async def test() -> None:
+        control = ControlInstance(by_hand=True)
+        await control.start()
+        client, target = following(control, name="n 3/é")
+        beginning = asyncio.create_task(client.begin())
+        _, writer = await control.watches.get()
+        data = STREAM + chunk(b"\n") + chunk(whole(VERSIONS[4])[:20]) + chunk(whole(VERSIONS[4])[20:])
+        for at in range(len(data)):
+            writer.write(data[at : at + 1])
+            await asyncio.sleep(0)
+        await beginning
+        await until(lambda: target.ticks == [4])
+        writer.write(chunk(delta(VERSIONS[5])))
+        await until(lambda: target.ticks == [4, 5])
+        assert control.asked == ["/v1/configuration?watch=1&name=n%203%2F%C3%A9"]
+        await until(lambda: bool(control.reports) and control.reports[-1]["index"] == 5)
+        assert control.reports[-1] == {
+            "name": "n 3/é", "index": 5, "digest": VERSIONS[5].digest(), "status": "applied",
+        }  # fmt: skip
+        await until(lambda: client.traffic.reports == len(control.reports))
+        figures = client.figures()
+        assert figures["index"] == 5 and figures["digest"] == VERSIONS[5].digest()
+        assert figures["bytes_in"] == len(data) + len(chunk(delta(VERSIONS[5]))) + len(TAKEN) * len(
+            control.reports
+        )
+        client.stop()
+
+    run(test)
+
+
+def test_many_lines_in_one_read_are_applied_once_as_the_newest() -> None:
+    async def test() -> None:
+        control = ControlInstance(by_hand=True)
+        await control.start()
+        client, target = following(control)
+        beginning = asyncio.create_task(client.begin())
+        _, writer = await control.watches.get()
+        writer.write(STREAM + chunk(whole(VERSIONS[2]) + b"".join(map(delta, VERSIONS[3:9]))))
+        await beginning
+        assert target.ticks == [8]
+        client.stop()
+
+    run(test)
+
+
+def test_a_list_that_is_older_than_what_is_applied_changes_nothing() -> None:
+    async def test() -> None:
+        control = ControlInstance(by_hand=True)
+        await control.start()
+        client, target = following(control)
+        beginning = asyncio.create_task(client.begin())
+        _, writer = await control.watches.get()
+        writer.write(STREAM + chunk(whole(VERSIONS[6])))
+        await beginning
+        writer.write(chunk(whole(VERSIONS[2])) + chunk(delta(VERSIONS[5])) + chunk(delta(VERSIONS[7])))
+        await until(lambda: target.ticks == [6, 7])
+        assert client.follower.contradictions == 0 and len(control.asked) == 1
+        client.stop()
+
+    run(test)
+
+
+def test_an_old_leader_s_history_is_not_taken_and_the_other_instance_is_asked() -> None:
+    async def test() -> None:
+        good = ControlInstance(document=versions(5, epoch=3)[5])
+        old = ControlInstance(document=versions(8, epoch=2)[8])
+        await good.start()
+        await old.start()
+        client, target = following(good, old)
+        await client.begin()
+        assert target.ticks == [5]
+        good.stop()
+        await until(lambda: bool(old.asked) and client.follower.contradictions > 0)
+        assert target.ticks == [5], "an older epoch's versions are no newer ones"
+        await until(lambda: bool(old.reports))
+        found = next(r for r in old.reports if r["status"] == "refused")
+        assert found["index"] == 5 and found["cause"].startswith("epoch: version 8 ")
+        good.address = old.address  # the old leader is replaced by the good one at its address
+        old.stop()
+        await good.start()
+        good.commit({"settings": {"tick": 6}})
+        await until(lambda: target.ticks == [5, 6])
+        client.stop()
+
+    run(test)
+
+
+def test_a_snapshot_with_a_wrong_digest_is_not_taken_and_another_instance_is_asked() -> None:
+    async def test() -> None:
+        wrong, good = ControlInstance(by_hand=True), ControlInstance(document=VERSIONS[4].copy())
+        await wrong.start()
+        await good.start()
+        client, target = following(wrong, good)
+        beginning = asyncio.create_task(client.begin())
+        _, writer = await wrong.watches.get()
+        spoilt = whole(VERSIONS[7]).replace(b'"tick":7', b'"tick":6')
+        writer.write(STREAM + chunk(spoilt))
+        await beginning
+        await until(lambda: target.ticks == [4])
+        client.stop()
+
+    run(test)
+
+
+def test_a_change_that_does_not_follow_has_the_whole_asked_for() -> None:
+    async def test() -> None:
+        control = ControlInstance(by_hand=True)
+        await control.start()
+        client, target = following(control)
+        beginning = asyncio.create_task(client.begin())
+        _, writer = await control.watches.get()
+        writer.write(STREAM + chunk(whole(VERSIONS[4])))
+        await beginning
+        missed = VERSIONS[5].copy()
+        missed.apply(6, 1, [Change("other", {"x": 1})])
+        writer.write(chunk(encode_line(Line(6, 1, False, missed.digest(), (Change("other", {"x": 1}),)))))
+        _, writer = await control.watches.get()
+        assert "from=" not in control.asked[-1]
+        writer.write(STREAM + chunk(whole(missed)))
+        await until(lambda: target.ticks == [4, 5])
+        client.stop()
+
+    run(test)
+
+
+END = STREAM + chunk(b"\n") + b"0\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "end",
+    [
+        status(503),
+        END,
+        STREAM + chunk(b"{broken\n"),
+        b"220 mail\r\n",
+        None,  # a reset
+        b"",  # it never answers
+        STREAM + chunk(b"\n"),  # and silence
+        STREAM + chunk(b"x" * (MAX_LINE + 1)),  # a line without an end
+    ],
+)
+def test_each_end_of_a_watch_has_another_instance_asked(
+    end: bytes | None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(follower_module, "SILENCE", 200.0)
+    monkeypatch.setattr(follower_module, "FIRST_LINE", 300.0)
+    monkeypatch.setattr(client_module, "START_WITHIN", 0.05)
+
+    async def test() -> None:
+        bad, good = ControlInstance(by_hand=True), ControlInstance(document=VERSIONS[3].copy())
+        await bad.start()
+        await good.start()
+        client, target = following(bad, good)
+        beginning = asyncio.create_task(client.begin())
+        _, writer = await bad.watches.get()
+        if end is None:
+            writer.transport.abort()
+        else:
+            writer.write(end)
+        await beginning
+        await until(lambda: target.ticks == [3])
+        assert len(bad.asked) == 1 and client.follower.instance == str(good.address)
+        client.stop()
+
+    run(test)
+
+
+def test_a_version_that_is_refused_is_reported_with_its_cause_and_the_next_is_taken() -> None:
+    async def test() -> None:
+        control = ControlInstance(document=VERSIONS[2].copy())
+        await control.start()
+        client, target = following(control)
+        await client.begin()
+        control.commit({"settings": {"tick": -1}})
+        await until(lambda: any(r["status"] == "refused" for r in control.reports))
+        found = control.reports[-1]
+        assert found["index"] == 3 and found["cause"] == "settings.tick: must not be negative"
+        figures = client.figures()
+        assert figures["index"] == 2
+        assert figures["refused"] == {"index": 3, "cause": "settings.tick: must not be negative"}
+        control.commit({"settings": {"tick": 9}})
+        await until(lambda: target.ticks == [2, 9])
+        assert client.figures()["refused"] == {}
+        client.stop()
+
+    run(test)
+
+
+def test_a_report_that_is_not_taken_is_sent_again() -> None:
+    async def test() -> None:
+        control = ControlInstance(document=VERSIONS[2].copy())
+        control.report_answer = status(503)
+        await control.start()
+        client, _ = following(control)
+        await client.begin()
+        await until(lambda: len(control.reports) == 1)
+        control.report_answer = ControlInstance().report_answer
+        await until(lambda: len(control.reports) == 2)
+        assert control.reports[0] == control.reports[1]
+        await until(lambda: client.traffic.reports == 1)
+        assert client.traffic.reports_failed == 1
+        client.stop()
+
+    run(test)
+
+
+def test_a_refused_change_by_one_in_ten_is_told_by_just_these() -> None:
+    """A fleet of ten: one cannot use a version, and says so; the others have it in force."""
+
+    async def test() -> None:
+        control = ControlInstance(document=VERSIONS[2].copy())
+        await control.start()
+        fleet = [following(control, name=f"n{i}") for i in range(10)]
+        for client, _ in fleet:
+            await client.begin()
+
+        def refuse(entries: Mapping[str, Mapping[str, Any]]) -> None:
+            raise RefusedVersionError("takes a restart: settings.classes")
+
+        fleet[4][1].reconfigure = refuse  # type: ignore[method-assign]
+        index = control.commit({"settings": {"tick": 50}})
+
+        def newest() -> dict[str, dict[str, Any]]:
+            return {report["name"]: report for report in control.reports if report["index"] == index}
+
+        await until(lambda: len(newest()) == 10)
+        refused = [name for name, report in newest().items() if report["status"] == "refused"]
+        assert refused == ["n4"] and newest()["n4"]["cause"] == "takes a restart: settings.classes"
+        assert [target.ticks[-1] for _, target in fleet] == [50] * 4 + [2] + [50] * 5
+        for client, _ in fleet:
+            client.stop()
+
+    run(test)
+
+
+# The start, and the last good version
+
+
+def test_a_start_with_no_control_goes_on_at_once_and_takes_a_version_when_it_is_there() -> None:
+    async def test() -> None:
+        control = ControlInstance(document=VERSIONS[3].copy())
+        client, target = following(control)
+        begun = asyncio.get_running_loop().time()
+        await client.begin()
+        assert asyncio.get_running_loop().time() - begun < 0.9 and target.taken == []
+        await control.start()
+        await until(lambda: target.ticks == [3])
+        client.stop()
+
+    run(test)
+
+
+def test_a_start_waits_for_a_control_that_never_answers_no_longer_than_its_bound() -> None:
+    async def test() -> None:
+        control = ControlInstance(by_hand=True)
+        await control.start()
+        client, target = following(control)
+        begun = asyncio.get_running_loop().time()
+        await client.begin()
+        assert 0.9 < asyncio.get_running_loop().time() - begun < 3.0 and target.taken == []
+        client.stop()
+
+    run(test)
+
+
+async def kept(last_good: LastGood, index: int) -> None:
+    def index_kept() -> int:
+        document = last_good.read()
+        return 0 if document is None else document.index
+
+    await until(lambda: index_kept() == index)
+
+
+def test_a_restart_with_no_control_begins_with_the_last_good_version(tmp_path: Path) -> None:
+    async def test() -> None:
+        last_good = LastGood(tmp_path / "state", "n3")
+        control = ControlInstance(document=VERSIONS[3].copy())
+        await control.start()
+        client, target = following(control, last_good=last_good)
+        await client.begin()
+        control.commit({"settings": {"tick": -4}})
+        await until(lambda: client.follower.refused == 4)
+        await kept(last_good, 3)
+        client.stop()
+        control.stop()
+        again, target = following(control, last_good=last_good)
+        assert target.ticks == [3], "before it asks anybody"
+        await again.begin()
+        control.by_hand = True
+        await control.start()
+        _, writer = await control.watches.get()
+        assert "from=3&" in control.asked[-1]
+        writer.write(STREAM + chunk(delta(VERSIONS[5])))
+        await until(lambda: target.ticks == [3, 5])
+        await kept(last_good, 5)
+        assert sorted(os.listdir(tmp_path / "state")) == [last_good.path.name], "nothing half written is left"
+        again.stop()
+
+    run(test)
+
+
+def as_file(document: Document, name: str = "n3") -> bytes:
+    return json.dumps({"sidecar": name, "line": json.loads(whole(document))}).encode()
+
+
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda data: b"",
+        lambda data: data[: len(data) // 2],
+        lambda data: data.replace(b'"tick": 4', b'"tick": 5'),
+        lambda data: data.replace(b"n3", b"n4"),
+        lambda data: data.replace(b'"snapshot": true', b'"snapshot": false'),
+        lambda data: b"[]",
+        lambda data: b"\xff\x00",
+    ],
+)
+def test_a_torn_or_foreign_file_is_ignored_and_told(
+    spoil: Callable[[bytes], bytes], tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    last_good = LastGood(tmp_path, "n3")
+    last_good.path.write_bytes(as_file(VERSIONS[4]))
+    assert last_good.read() == VERSIONS[4]
+    spoilt = spoil(as_file(VERSIONS[4]))
+    assert spoilt != as_file(VERSIONS[4])
+    last_good.path.write_bytes(spoilt)
+
+    async def test() -> None:
+        control = ControlInstance(document=VERSIONS[6].copy())
+        await control.start()
+        client, target = following(control, last_good=last_good)
+        assert target.taken == []
+        await client.begin()
+        assert target.ticks == [6]
+        await kept(last_good, 6)
+        client.stop()
+
+    run(test)
+    assert "last-good-unusable" in caplog.text
+
+
+def test_no_file_is_ordinary(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    assert LastGood(tmp_path / "none", "n3").read() is None
+    assert caplog.text == ""
+
+
+def test_a_directory_that_cannot_be_written_costs_the_file_only(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    (tmp_path / "taken").write_text("a file")
+
+    async def test() -> None:
+        control = ControlInstance(document=VERSIONS[3].copy())
+        await control.start()
+        client, target = following(control, last_good=LastGood(tmp_path / "taken", "n3"))
+        await client.begin()
+        await until(lambda: "last-good-unwritten" in caplog.text)
+        assert target.ticks == [3]
+        client.stop()
+
+    run(test)
+
+
+def test_names_in_a_query_and_in_a_file_s_name(tmp_path: Path) -> None:
+    assert quoted("n-3.a~b_c") == "n-3.a~b_c" and quoted("a&b=/") == "a%26b%3D%2F"
+    path = LastGood(tmp_path, "../../etc/x").path
+    assert path.parent == tmp_path
+
+
+def test_nothing_is_left_open_after_its_end() -> None:
+    async def test() -> None:
+        control = ControlInstance(document=VERSIONS[3].copy())
+        await control.start()
+        client, target = following(control, str(free_address()))
+        await client.begin()
+        client.stop()
+        control.commit({"settings": {"tick": 9}})
+        await asyncio.sleep(0.1)
+        assert target.ticks == [3] and len(control.asked) == 1
+
+    run(test)
