--- a/millgw/configuration/client.py
+++ b/millgw/configuration/client.py
@@ -29,7 +29,7 @@
 from millgw.events import tell
 from millgw.platform.config import read_address
 
-MAX_LINE = 4 * 1024 * 1024  # bytes of one line, far above the document of any fleet
+MAX_LINE = 10 * 1024 * 1024  # bytes of one line: control takes documents of 8 MB
 MAX_ANSWER = 64 * 1024  # bytes of the answer to a report
 REPORT_WITHIN = 2.0  # s that a report may take
 START_WITHIN = 1.0  # s that a start waits for its first version; it serves without one
--- a/millgw/configuration/last_good.py
+++ b/millgw/configuration/last_good.py
@@ -15,7 +15,7 @@
 from millgw.configuration.document import Document, DocumentError, canonical, decode_line, encode_line
 from millgw.events import tell
 
-MAX_FILE = 8 * 1024 * 1024  # bytes: far above the document of any fleet
+MAX_FILE = 11 * 1024 * 1024  # bytes: a line of the longest, and what stands round it
 NAME_BYTES = 64  # of a sidecar's name in the file's name
 
 
@@ -27,7 +27,7 @@
         self.name = name
         stem = name.encode().hex()[: 2 * NAME_BYTES] or "unnamed"
         self.path = directory / f"configuration-{stem}.json"
-        self.waiting: bytes | None = None
+        self.waiting: Document | None = None
         self.writing: asyncio.Task[None] | None = None
 
     def read(self) -> Document | None:
@@ -57,25 +57,26 @@
 
     def keep(self, document: Document) -> None:
         """Write a document, after the one that is being written, if any."""
-        line = json.loads(encode_line(document.snapshot()))
-        self.waiting = canonical({"sidecar": self.name, "line": line}) + b"\n"
+        self.waiting = document.copy()
         if self.writing is None:
             self.writing = asyncio.get_running_loop().create_task(self._write_waiting())
 
     async def _write_waiting(self) -> None:
         try:
             while self.waiting is not None:
-                data, self.waiting = self.waiting, None
+                document, self.waiting = self.waiting, None
                 try:
-                    await asyncio.to_thread(self.write, data)
+                    await asyncio.to_thread(self.write, document)
                 except OSError as error:
                     # Guards against a full or missing disk: the sidecar serves on, and may start without it.
                     tell("last-good-unwritten", path=self.path, cause=error)
         finally:
             self.writing = None
 
-    def write(self, data: bytes) -> None:
+    def write(self, document: Document) -> None:
         """Replace the file as a whole, and return when that is on the disk."""
+        line = json.loads(encode_line(document.snapshot()))
+        data = canonical({"sidecar": self.name, "line": line}) + b"\n"
         self.directory.mkdir(parents=True, exist_ok=True)
         temporary = self.path.with_name(f"{self.path.name}.{os.getpid()}")
         try:
--- a/millgw/operator/file.py
+++ b/millgw/operator/file.py
@@ -170,7 +170,7 @@
     relays: dict[str, tuple[str, ...]] = field(default_factory=dict)
     zone: str = ""
     directory: str = ""
-    name: Annotated[str, Meta(max_length=256)] = ""
+    name: Annotated[str, Meta(max_length=128)] = ""
 
 
 class RouteEntry(Table, frozen=True, kw_only=True, rename={"cls": "class"}):
