--- a/millgw/configuration/apply.py
+++ b/millgw/configuration/apply.py
@@ -41,6 +41,13 @@
 LIMITS = frozenset(("tryLimit", "parallelTries", "maxRetryAfter", "connectTimeout", "connIdle"))
 CLASS = frozenset(("name", "deadline", "repeat", "slo", "worth", "keyScope", "repeatWindow"))
 PROJECT = frozenset(("name", "quotaRps"))
+FIELD_WORDS = {
+    "Settings.max_attempts": "settings: limits.tryLimit",
+    "Settings.cold_share": "settings: rules.coldShare",
+    "Settings.siblings": "settings: siblings",
+}
+"""The fields that only the balancer's settings check, as operators word them."""
+
 OF_PROCESS = frozenset(("listen", "control", "discovery", "name", "seed", "known"))
 """Words of the configuration file that a process reads once, at its start."""
 
@@ -58,7 +65,7 @@
     try:
         config = with_settings(files.config, settings)
     except (ValueError, TypeError) as error:
-        raise RefusedVersionError(one_line(error)) from None
+        raise RefusedVersionError(in_words(error)) from None
     return Files(config, settings, _operator(files, settings, entries))
 
 
@@ -151,6 +158,14 @@
                 raise RefusedVersionError(f"{path}[{i}].{word}: is unknown")
 
 
+def in_words(error: Exception) -> str:
+    """A cause with the operators' word for a field of the settings."""
+    cause = one_line(error)
+    for name, word in FIELD_WORDS.items():
+        cause = cause.replace(name, word)
+    return cause
+
+
 def one_line(text: object) -> str:
     """A cause as one line, whatever was in the field that it quotes."""
     return " ".join(str(text).split())
@@ -219,7 +234,7 @@
     try:
         config = pool_config(name, service, files.config, files.settings)
     except (ValueError, TypeError) as error:
-        raise RefusedVersionError(one_line(error)) from None
+        raise RefusedVersionError(in_words(error)) from None
     two_sources = service.coordinator is not None and service.membership is not None
     if two_sources and config.settings.ask_within != pool.config.settings.ask_within:
         # The waits between tries at the two sources are worked out once.
--- a/tests/test_configuration_apply.py
+++ b/tests/test_configuration_apply.py
@@ -397,7 +397,7 @@
 @pytest.mark.parametrize(
     ("entries", "cause"),
     [
-        (over(limits={"tryLimit": 0}), "Settings.max_attempts must be 1 or more"),
+        (over(limits={"tryLimit": 0}), "settings: limits.tryLimit must be 1 or more"),
         (over(limits={"tryLimit": "3"}), "limits.tryLimit is missing or not a number"),
         (over(limits={"trylimit": 3}), "settings.limits.trylimit: no such setting"),
         (over(limits=None), "settings.limits: not an object"),
@@ -410,7 +410,7 @@
         (over(classes=[{"name": "read", "deadline": 1}]), "classes[0].repeat is missing or unknown"),
         (over(classes=[{"name": "read", "keyScope": {}}]), "settings.classes[0].keyScope: is unknown"),
         (over(projects=[{"name": "a"}, {"name": "a"}]), "settings.projects[1].name: 'a' is given twice"),
-        (over(rules={"coldShare": 2}), "Settings.cold_share must be 1 or less"),
+        (over(rules={"coldShare": 2}), "settings: rules.coldShare must be 1 or less"),
         (over("services.login", rules={"cold": -3}), "services.login.settings: settings: rules.cold must"),
         (over("services.login", deadline=5), "services.login.deadline: no such setting"),
         (over("services.login.limits", calls=0.9), "limits.calls: all together are 1.4 of the whole"),
@@ -775,7 +775,7 @@
             await in_force(control.commit({"settings": {"limits": {"tryLimit": 1}}}))
             bad = control.commit({"settings": {"limits": {"tryLimit": 0}}})
             await until(lambda: control.reports[-1]["index"] == bad)
-            assert control.reports[-1]["cause"] == "Settings.max_attempts must be 1 or more"
+            assert control.reports[-1]["cause"] == "settings: limits.tryLimit must be 1 or more"
             found = await standing()
             assert found["index"] == bad - 1 and found["refused"]["index"] == bad
             assert found["bytes_in"] > 0 and found["bytes_out"] > 0
