Configuration: a start begins with what is distributed, so that what takes a restart is there after one

Versions were applied to pools that the files had made: another class was refused in service, and again after each restart.

The client begins before the pools are made: with the version on the disk (a newer one that took a restart stands before the last good one there), or with the first that control tells within 1 s. It is checked against the files only; in service, versions change running pools as before. An upgrade's learned state is told by the classes in force.

--- a/millgw/configuration/apply.py
+++ b/millgw/configuration/apply.py
@@ -56,6 +56,13 @@
     """A version can't be used here; the text is one line that names the field. Nothing has changed."""
 
 
+class RestartNeededError(RefusedVersionError):
+    """A version can't be used in service: a start may begin with it."""
+
+    def __init__(self, field: str) -> None:
+        super().__init__(f"takes a restart: {field}")
+
+
 def overlay(files: Files, entries: Entries) -> Files:
     """The files with a document's entries over them; a RefusedVersionError names what can't be used."""
     settings = dict(files.settings)
@@ -99,9 +106,7 @@
 def _connections(told: Connections | None, entries: Entries, path: str) -> Connections | None:
     if path not in entries:
         return told
-    if told is None:
-        raise RefusedVersionError(f"takes a restart: {path}")
-    return _converted(path, told, entries[path], Connections)
+    return _converted(path, told or Connections(), entries[path], Connections)
 
 
 T = TypeVar("T", bound=msgspec.Struct)
@@ -123,7 +128,7 @@
     """
     for word in over:
         if word in OF_PROCESS:
-            raise RefusedVersionError(f"takes a restart: {path}.{word}")
+            raise RefusedVersionError(f"takes a restart: {path}.{word}, which only the file can say")
     _check_known(path, over, WORDS | base.keys())
     for word, known in (("rules", RULES), ("limits", LIMITS)):
         if word in over:
@@ -198,10 +203,10 @@
 def plan(path: str, pool: Pool, tended: Tended | None, config: Config, terms: Terms | None) -> PoolChange:
     """The change of a pool to a configuration; a RefusedVersionError names what can't change in service."""
     if (tended is None) != (terms is None):
-        raise RefusedVersionError(f"takes a restart: {path}{CONNECTIONS}")
+        raise RestartNeededError(f"{path}{CONNECTIONS}")
     settings = in_service(f"{path}{SETTINGS}", pool.config.settings, config.settings)
     if config.zones != pool.config.zones:
-        raise RefusedVersionError(f"takes a restart: {path}{SETTINGS}.localities")
+        raise RestartNeededError(f"{path}{SETTINGS}.localities")
     return PoolChange(pool, tended, replace(config, settings=settings), terms)
 
 
@@ -212,14 +217,14 @@
     """
     classes = {cls.name: cls for cls in after.classes}
     if len(classes) != len(after.classes) or classes.keys() != {cls.name for cls in before.classes}:
-        raise RefusedVersionError(f"takes a restart: {path}.classes")
+        raise RestartNeededError(f"{path}.classes")
     for word, same in (
         ("registryMode", after.ask_discovery == before.ask_discovery),
         ("stage", after.stage == before.stage),
         ("me", after.index == before.index),
     ):
         if not same:
-            raise RefusedVersionError(f"takes a restart: {path}.{word}")
+            raise RestartNeededError(f"{path}.{word}")
     told = {tenant.name: tenant for tenant in after.tenants}
     known = [tenant.name for tenant in before.tenants]
     tenants = [told.get(name, Tenant(name)) for name in known]
@@ -228,15 +233,19 @@
     return replace(after, classes=ordered, tenants=tuple(tenants))
 
 
-def plan_service(files: Files, name: str, pool: Pool, tended: Tended | None) -> PoolChange:
-    """The change of one service's pool to what the files say, with entries over them."""
-    service = files.operator.services[name]
+def service_config(files: Files, name: str) -> Config:
+    """The configuration of one service's pool; a RefusedVersionError names what can't be used."""
     try:
-        config = pool_config(name, service, files.config, files.settings)
+        return pool_config(name, files.operator.services[name], files.config, files.settings)
     except (ValueError, TypeError) as error:
         raise RefusedVersionError(in_words(error)) from None
+
+
+def plan_service(files: Files, name: str, pool: Pool, tended: Tended | None) -> PoolChange:
+    """The change of one service's pool to what the files say, with entries over them."""
+    service, config = files.operator.services[name], service_config(files, name)
     two_sources = service.coordinator is not None and service.membership is not None
     if two_sources and config.settings.ask_within != pool.config.settings.ask_within:
         # The waits between tries at the two sources are worked out once.
-        raise RefusedVersionError(f"takes a restart: {SERVICES}{name}.settings.rules.askWithin")
+        raise RestartNeededError(f"{SERVICES}{name}.settings.rules.askWithin")
     return plan(f"{SERVICES}{name}.", pool, tended, config, files.operator.tends(name))
--- a/millgw/configuration/last_good.py
+++ b/millgw/configuration/last_good.py
@@ -1,7 +1,8 @@
 """The last good document in a file, so that a sidecar that starts while all control is away begins with it.
 
-The file is one line: a snapshot as a watch would tell it, with its digest, and the name of the sidecar that
-wrote it. It is written under another name, synced and renamed, so that it is whole or the one before.
+The file is one line: the name of the sidecar that wrote it and snapshots as a watch would tell them, with
+their digests. Before the last good document stands a newer one that takes a restart, if there is one. The
+file is written under another name, synced and renamed, so that it is whole or the one before.
 """
 
 from __future__ import annotations
@@ -9,13 +10,14 @@
 import asyncio
 import json
 import os
+from collections.abc import Sequence
 from contextlib import suppress
 from pathlib import Path
 
 from millgw.configuration.document import Document, DocumentError, canonical, decode_line, encode_line
-from millgw.events import tell
+from millgw.log.events import log_event
 
-MAX_FILE = 11 * 1024 * 1024  # bytes: a line of the longest, and what stands round it
+MAX_FILE = 21 * 1024 * 1024  # bytes: two lines of the longest, and what stands round them
 NAME_BYTES = 64  # of a sidecar's name in the file's name
 
 
@@ -27,56 +29,54 @@
         self.name = name
         stem = name.encode().hex()[: 2 * NAME_BYTES] or "unnamed"
         self.path = directory / f"configuration-{stem}.json"
-        self.waiting: Document | None = None
+        self.waiting: tuple[Document, ...] = ()
         self.writing: asyncio.Task[None] | None = None
 
-    def read(self) -> Document | None:
-        """The document, if there is one that is whole and this sidecar's; what can't be used is logged."""
+    def read(self) -> tuple[Document, ...]:
+        """The documents to start with, the newest first; a file that is not whole or another's is logged."""
         try:
             with self.path.open("rb") as file:
                 data = file.read(MAX_FILE + 1)
             return self._decode(data)
         except FileNotFoundError:
-            return None
+            return ()
         except (OSError, ValueError) as error:
-            tell("last-good-unusable", path=self.path, cause=error)
-            return None
+            log_event("last-good-unusable", path=self.path, cause=error)
+            return ()
 
-    def _decode(self, data: bytes) -> Document:
+    def _decode(self, data: bytes) -> tuple[Document, ...]:
         if len(data) > MAX_FILE:
             raise DocumentError(f"file: longer than {MAX_FILE} bytes")
         fields = json.loads(data)
         if not isinstance(fields, dict) or fields.get("sidecar") != self.name:
             raise DocumentError("sidecar: the file is another's")
-        line = decode_line(canonical(fields.get("line")))
-        if not line.snapshot:
-            raise DocumentError("snapshot: the file holds no whole document")
-        document = Document()
-        document.load(line)
-        return document
+        lines = fields.get("documents")
+        if not isinstance(lines, list):
+            raise DocumentError("documents: not a list")
+        return tuple(map(_document, lines))
 
-    def keep(self, document: Document) -> None:
-        """Write a document, after the one that is being written, if any."""
-        self.waiting = document.copy()
+    def keep(self, *documents: Document) -> None:
+        """Write these, the newest first, after what is being written, if anything is."""
+        self.waiting = tuple(document.copy() for document in documents)
         if self.writing is None:
             self.writing = asyncio.get_running_loop().create_task(self._write_waiting())
 
     async def _write_waiting(self) -> None:
         try:
-            while self.waiting is not None:
-                document, self.waiting = self.waiting, None
+            while self.waiting:
+                documents, self.waiting = self.waiting, ()
                 try:
-                    await asyncio.to_thread(self.write, document)
+                    await asyncio.to_thread(self.write, documents)
                 except OSError as error:
                     # Guards against a full or missing disk: the sidecar serves on, and may start without it.
-                    tell("last-good-unwritten", path=self.path, cause=error)
+                    log_event("last-good-unwritten", path=self.path, cause=error)
         finally:
             self.writing = None
 
-    def write(self, document: Document) -> None:
+    def write(self, documents: Sequence[Document]) -> None:
         """Replace the file as a whole, and return when that is on the disk."""
-        line = json.loads(encode_line(document.snapshot()))
-        data = canonical({"sidecar": self.name, "line": line}) + b"\n"
+        lines = [json.loads(encode_line(document.snapshot())) for document in documents]
+        data = canonical({"sidecar": self.name, "documents": lines}) + b"\n"
         self.directory.mkdir(parents=True, exist_ok=True)
         temporary = self.path.with_name(f"{self.path.name}.{os.getpid()}")
         try:
@@ -94,3 +94,12 @@
             os.fsync(folder)
         finally:
             os.close(folder)
+
+
+def _document(fields: object) -> Document:
+    line = decode_line(canonical(fields))
+    if not line.snapshot:
+        raise DocumentError("snapshot: the file holds no whole document")
+    document = Document()
+    document.load(line)
+    return document
--- a/millgw/configuration/single.py
+++ b/millgw/configuration/single.py
@@ -6,10 +6,10 @@
 from typing import TYPE_CHECKING
 
 from millgw.configuration.apply import Entries, PoolChange, RefusedVersionError, overlay, plan
-from millgw.events import tell
+from millgw.log.events import log_event
 from millgw.operator.file import OperatorError, load
 from millgw.operator.files import Files
-from millgw.platform.config import ConfigError, read_config, read_settings_table
+from millgw.platform.config import Config, ConfigError, read_config, read_settings_table
 from millgw.pool.pool import Pool
 
 if TYPE_CHECKING:
@@ -17,25 +17,27 @@
 
 
 class SinglePool:
-    """One pool's files with a document's entries over them; `reload_rest` is the reload of all else."""
-
-    def __init__(
-        self,
-        filed: Files,
-        pool: Pool,
-        tended: Tended | None,
-        environ: Mapping[str, str],
-        path: str,
-        reload_rest: Callable[[], None],
-    ) -> None:
+    """One pool's files with a document's entries over them."""
+
+    def __init__(self, filed: Files, environ: Mapping[str, str], path: str) -> None:
         self.filed = filed
-        self.pool = pool
-        self.tended = tended
         self.environ = environ
         self.path = path
-        self.reload_rest = reload_rest
         self.entries: Entries = {}
 
+    def serve(
+        self, entries: Entries, pool: Pool, tended: Tended | None, reload_rest: Callable[[Config], None]
+    ) -> None:
+        """The pool is there, made with these entries; `reload_rest` applies what a SIGHUP changes beside."""
+        self.entries = entries
+        self.pool = pool
+        self.tended = tended
+        self.reload_rest = reload_rest
+
+    def check(self, entries: Entries) -> None:
+        """Whether a start could begin with these entries; a RefusedVersionError names what can't be used."""
+        overlay(self.filed, entries)
+
     def reconfigure(self, entries: Entries) -> None:
         """Go by these entries over the files; a RefusedVersionError leaves everything as it was."""
         self._plan(self.filed, entries).carry_out()
@@ -52,11 +54,12 @@
             filed = Files(config, read_settings_table(self.environ), load(self.path))
             change = self._plan(filed, self.entries)
         except (ConfigError, OperatorError, RefusedVersionError) as error:
-            tell("reload-refused", cause=str(error))
+            log_event("reload-refused", cause=str(error))
             return
         for field in ("peers", "store", "configuration", "services"):
             if getattr(filed.operator, field) != getattr(self.filed.operator, field):
-                tell("reload-takes-restart", field=field)
+                log_event("reload-takes-restart", field=field)
         change.carry_out()
         self.filed = filed
-        self.reload_rest()
+        log_event("reloaded")
+        self.reload_rest(config)
--- a/millgw/services/node.py
+++ b/millgw/services/node.py
@@ -62,20 +62,20 @@
         self.operator = _load(path)
         self.filed = Files(config, read_settings_table(environ), self.operator)  # as they are on the disk
         self.entries: Mapping[str, Mapping[str, Any]] = {}  # of the distributed document, over them
+        self.shared = Descriptors(config.sockets)
         self.tended: Tended | None = None  # where there are no services: that of the one pool
         self.intents = intents(self.operator, config.memory)
 
     def open(self) -> tuple[Callable[[], Sequence[Server]], Callable[[], Sequence[Pool]], Callable[[], None]]:
         """Make the pools and the callers' sides; a ConfigError tells what can't be had."""
-        self.shared = Descriptors(self.config.sockets)
-        raw = self.filed.settings
+        overlaid = self._overlaid(self.filed)
         self.bounds = Bounds(self._allotments(self.operator), Clock())
         self.services = Services(self.life)
         self.served: dict[str, Served] = {}
         self.turns = Spells()
         self.shared.endpoints = lambda: sum(p.upstream.holds() for p in self._all())
         for name in self.operator.services:
-            self.served[name] = self._pool(self.operator, name, self.config, raw)
+            self.served[name] = self._pool(self.filed, overlaid, name)
         self._publish()
         for served in self.served.values():
             served.pool.start(self.config.known)
@@ -124,15 +124,18 @@
     def _all(self) -> list[Pool]:
         return [*self.bounds.pools.values(), *self.bounds.retired]
 
-    def _pool(self, operator: Operator, name: str, config: Config, raw: Mapping[str, Any]) -> Served:
+    def _pool(self, filed: Files, overlaid: Files, name: str) -> Served:
+        """A service's pool, by the files with the distributed entries over them."""
+        operator, config = overlaid.operator, overlaid.config
         service = operator.services[name]
-        own = pool_config(name, service, config, raw)
+        own = pool_config(name, service, config, overlaid.settings)
         share = LentShare(name, self.bounds)
         room = PoolRoom(name, self.shared, self.bounds, share)
         seed = pool_seed(config.seed, name)
         made = Pool(name, own, seed, room, share, source(name, service, config), self.turns)
         made.intents = self.intents
-        return Served(made, service, raw, attach(made, operator.tends(name), own, seed))
+        tended = attach(made, operator.tends(name), own, seed)
+        return Served(made, filed.operator.services[name], filed.settings, tended)
 
     def _allotments(self, operator: Operator) -> dict[str, Allotment]:
         """What each pool may hold of each kind; sums that can't be kept are refused."""
@@ -152,20 +155,37 @@
             made[kind] = Allotment(totals[kind], guaranteed, LEND)
         return made
 
-    def reconfigure(self, entries: Mapping[str, Mapping[str, Any]]) -> None:
-        """Have entries of the distributed document go over the files, all at once and in service.
+    def start_with(self, entries: Mapping[str, Mapping[str, Any]]) -> None:
+        """Begin with entries of the distributed document over the files; called before `open`."""
+        self.entries = entries
+        overlaid = self._overlaid(self.filed)
+        self.config, self.operator = overlaid.config, overlaid.operator
 
-        A RefusedVersionError names what can't be used or changed; everything is as it was then.
-        """
+    def check(self, entries: Mapping[str, Mapping[str, Any]]) -> None:
+        """Whether a start could begin with these entries; a RefusedVersionError names what can't be used."""
+        self._checked(entries)
+
+    def _checked(self, entries: Mapping[str, Mapping[str, Any]]) -> tuple[Files, dict[str, Allotment]]:
         # Only here: without a distribution nothing of it is loaded.
         from millgw.configuration import apply
 
         after = apply.overlay(self.filed, entries)
-        plans = [apply.plan_service(after, n, s.pool, s.tended) for n, s in self.served.items()]
+        for name in after.operator.services:
+            apply.service_config(after, name)
         try:
-            allotments = self._allotments(after.operator)
+            return after, self._allotments(after.operator)
         except ConfigError as error:
             raise apply.RefusedVersionError(apply.one_line(error)) from None
+
+    def reconfigure(self, entries: Mapping[str, Mapping[str, Any]]) -> None:
+        """Have entries of the distributed document go over the files, all at once and in service.
+
+        A RefusedVersionError names what can't be used or changed; everything is as it was then.
+        """
+        from millgw.configuration.apply import plan_service
+
+        after, allotments = self._checked(entries)
+        plans = [plan_service(after, n, s.pool, s.tended) for n, s in self.served.items()]
         for plan in plans:
             plan.carry_out()
         if _bounds(after.operator) != _bounds(self.operator):
@@ -202,7 +222,7 @@
                 read_config(self.environ, self.config), read_settings_table(self.environ), _load(self.path)
             )
             overlaid = self._overlaid(filed)
-            config, operator, raw = overlaid.config, overlaid.operator, overlaid.settings
+            config, operator = overlaid.config, overlaid.operator
             if not operator.services:
                 raise ConfigError(f"{self.path}: the last service can't be removed without a restart")
             allotments = self._allotments(operator)
@@ -212,8 +232,7 @@
                 if known is not None and self._same(known, filed, name):
                     made[name] = known
                 else:
-                    made[name] = self._pool(operator, name, config, raw)
-                    made[name].raw = filed.settings
+                    made[name] = self._pool(filed, overlaid, name)
                     fresh.append(made[name])
             wanted = {n: s.listen for n, s in operator.services.items() if s.listen is not None}
             now = {n: s.listen for n, s in self.operator.services.items() if n in self.listeners}
--- a/millgw/services/parts.py
+++ b/millgw/services/parts.py
@@ -16,7 +16,7 @@
 from millgw.pool.pool import Pool, Source, Witness
 
 if TYPE_CHECKING:
-    from millgw.configuration.client import Client
+    from millgw.configuration.client import Client, Target
     from millgw.connections.tended import Tended
     from millgw.connections.terms import Terms
     from millgw.intents.log import Intents
@@ -161,7 +161,7 @@
     return Intents(Terms(told.directories, Sync(told.sync), keep, told.key.lower().encode(), most))
 
 
-def configuration(operator: Operator, config: Config) -> Client | None:
+def configuration(operator: Operator, config: Config, target: Target) -> Client | None:
     """What follows the fleet's distributed configuration, where the operator's file names who tells it."""
     told = operator.configuration
     if told is None:
@@ -174,7 +174,7 @@
     name = told.name or config.name
     instances = preference(name, told.relays.get(told.zone, ()), told.instances)
     last_good = LastGood(Path(told.directory), name) if told.directory else None
-    return Client(name, instances, last_good, pool_seed(config.seed, f"configuration {name}"))
+    return Client(name, instances, last_good, pool_seed(config.seed, f"configuration {name}"), target)
 
 
 def static_list(service: Service, config: Config) -> tuple[Listed, ...]:
--- a/millgw/sidecar/__main__.py
+++ b/millgw/sidecar/__main__.py
@@ -40,7 +40,7 @@
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     life = Life()
-    parts = several(config, environ, life) if environ.get(OPERATOR) else one(config, environ, life)
+    parts = await several(config, environ, life) if environ.get(OPERATOR) else one(config, environ, life)
     operators: Operators | None = None
     if config.control is not None:
         # Only here: without a door nothing of it is loaded.
@@ -59,8 +59,6 @@
             await parts.intents.begin()
         if parts.peers is not None:
             await parts.peers.begin()
-        if parts.configuration is not None:
-            await parts.configuration.begin()
         for server in parts.servers():
             server.start()
         if operators is not None:
--- a/millgw/sidecar/operators.py
+++ b/millgw/sidecar/operators.py
@@ -149,7 +149,7 @@
         source, driver = pools[0].source, pools[0].driver
         if len(pools) == 1 and isinstance(source, Discovery):
             index, endpoints = source.index, driver.entries()
-            learned = driver.balancer.export() | {"classes": class_names(self.config)}
+            learned = driver.balancer.export() | {"classes": class_names(pools[0].settings)}
         life, held = self.parts.life, self.parts.descriptors.held()
         return encode(
             State(time.time() * 1000, self.config.name, index, endpoints, life.drained, held, learned)
--- a/millgw/sidecar/parts.py
+++ b/millgw/sidecar/parts.py
@@ -10,6 +10,7 @@
 from millgw.callers.plain import PlainFront
 from millgw.callers.server import Server
 from millgw.endpoints.upstream import ANSWERS_PART
+from millgw.interface import Settings
 from millgw.life import Life
 from millgw.log.events import log_event
 from millgw.platform.config import Config, ConfigError, read_config
@@ -73,13 +74,14 @@
     return Parts(lambda: (server,), lambda: (pool,), reload, life, descriptors, begin)
 
 
-def class_names(config: Config) -> list[str]:
+def class_names(settings: Settings) -> list[str]:
     """The settings' classes in their order, by which what was learned of them is told."""
-    return [c.name for c in config.settings.classes]
+    return [c.name for c in settings.classes]
 
 
 def _begin(config: Config, pool: Pool, state: State | None) -> None:
-    if state is not None and state.learned.get("classes", class_names(config)) != class_names(config):
+    names = class_names(config.settings)
+    if state is not None and state.learned.get("classes", names) != names:
         # Guards against what was learned by other settings, or by another deployment's sidecar of this name.
         log_event("handover-unusable", cause="it is of other classes")
         state = None
@@ -96,40 +98,61 @@
         log_event("handover-unusable", cause=error)
 
 
-def several(config: Config, environ: Mapping[str, str], life: Life) -> Parts:
+async def several(config: Config, environ: Mapping[str, str], life: Life) -> Parts:
     # Only here: an operator's file that is not given must cost nothing.
     try:
         from millgw.services.node import Node
-        from millgw.services.parts import configuration, peers
     except ModuleNotFoundError as missing:
         raise ConfigError(f"{OPERATOR}: needs {missing.name}: requirements-operator.txt") from None
 
     node = Node(config, environ, environ[OPERATOR], life)
+    if node.operator.configuration is not None:
+        return await _following(node, config, environ, life)
     if not node.operator.services:
-        parts = one(config, environ, life, partial(_equip, node, config))
-    else:
-        # Services start as any other process does: what their pools have learned does not go over yet.
-        parts = Parts(*node.open(), life, node.shared, lambda _: None)
-    following = configuration(node.operator, config)
-    parts = replace(
-        parts,
-        peers=peers(node.operator, config, parts.pools),
-        intents=node.intents,
-        configuration=following,
-    )
-    for more in (parts.peers, parts.intents, following):
-        if more is not None:
-            parts.descriptors.reserve(more.descriptors)
-    if following is None:
-        return parts
-    if node.operator.services:
-        following.attach(node)
-        return parts
+        return _beside(node, config, one(config, environ, life, partial(_equip, node, config)))
+    return _beside(node, config, _opened(node, life))
+
+
+def _opened(node: Node, life: Life) -> Parts:
+    # Services start as any other process does: what their pools have learned does not go over yet.
+    return Parts(*node.open(), life, node.shared, lambda _: None)
+
+
+async def _following(node: Node, config: Config, environ: Mapping[str, str], life: Life) -> Parts:
+    """The same where the distributed configuration is followed, which comes before the pools."""
     from millgw.configuration.single import SinglePool
+    from millgw.services.parts import configuration
 
-    single = SinglePool(node.filed, parts.pools()[0], node.tended, environ, node.path, parts.reload)
-    following.attach(single)
-    return replace(parts, reload=single.reload)
+    single = None if node.operator.services else SinglePool(node.filed, environ, node.path)
+    client = configuration(node.operator, config, single or node)
+    assert client is not None, "the file has the table"
+    try:
+        entries = await client.begin()
+        node.start_with(entries)
+        if single is None:
+            parts = _opened(node, life)
+        else:
+            parts = one(node.config, environ, life, partial(_equip, node, node.config))
+            assert isinstance(parts.reload, Reload)
+            single.serve(entries, parts.pools()[0], node.tended, parts.reload.move)
+            parts = replace(parts, reload=single.reload)
+    except (ConfigError, OSError):
+        client.stop()
+        raise
+    client.serving = True
+    parts.descriptors.reserve(client.descriptors)
+    return replace(_beside(node, config, parts), configuration=client)
+
+
+def _beside(node: Node, config: Config, parts: Parts) -> Parts:
+    """With what the operator's file has beside the pools."""
+    from millgw.services.parts import peers
+
+    parts = replace(parts, peers=peers(node.operator, config, parts.pools), intents=node.intents)
+    for more in (parts.peers, parts.intents):
+        if more is not None:
+            parts.descriptors.reserve(more.descriptors)
+    return parts
 
 
 def _equip(node: Node, config: Config, pool: Pool) -> None:
@@ -160,4 +183,9 @@
             if getattr(self.config, name) != getattr(before, name):
                 log_event("reload-takes-restart", field=name)
         log_event("reloaded")
-        self.discovery.move(self.config.discovery)
+        self.move(self.config)
+
+    def move(self, config: Config) -> None:
+        """Go on at the discovery of another configuration."""
+        self.config = config
+        self.discovery.move(config.discovery)
