--- a/benchmarks/configuration_sidecar.py
+++ b/benchmarks/configuration_sidecar.py
@@ -33,7 +33,7 @@
 from benchmarks.flags import words
 from millgw.cli.tree import run as carry_out
 from millgw.platform.config import Address
-from millgw.rehearsal.lateness import quantile
+from millgw.rehearsal.audit.lateness import quantile
 from millgw.standins.address import free_address
 from tests.control_instance import ControlInstance
 
--- a/tests/test_configuration_apply.py
+++ b/tests/test_configuration_apply.py
@@ -47,7 +47,7 @@
 from millgw.standins.http import ok
 from millgw.standins.scripted import (
     STREAM,
-    ScriptedCadastro,
+    ScriptedDiscoveryServer,
     ScriptedEndpoint,
     answering,
     chunk,
@@ -665,7 +665,7 @@
 
 def test_one_pool_without_services_follows_and_reloads_in_place(tmp_path: Path) -> None:
     async def test() -> None:
-        endpoint, control, discovery = ScriptedEndpoint("e"), ControlInstance(), ScriptedCadastro()
+        endpoint, control, discovery = ScriptedEndpoint("e"), ControlInstance(), ScriptedDiscoveryServer()
         await endpoint.start()
         await discovery.start()
         text = await configured(control, more="[connections]\nkeep_least = 1\n")
