--- a/millgw/configuration/client.py
+++ b/millgw/configuration/client.py
@@ -203,7 +203,8 @@
             self.up = True
             log_event("control-up", instance=watch.step.instance, index=self.follower.held.index)
         if heard is Heard.CONTRADICTS and self.follower.last is not None:
-            log_event("configuration-contradicts", instance=watch.step.instance, cause=self.follower.last.cause)
+            cause = self.follower.last.cause
+            log_event("configuration-contradicts", instance=watch.step.instance, cause=cause)
         if heard is not Heard.HEARTBEAT:
             self.settled.set()
         return heard is Heard.NEWER
