--- a/tests/test_configuration_durable.py
+++ b/tests/test_configuration_durable.py
@@ -4,11 +4,12 @@
 
 import random
 import shutil
+from collections.abc import Iterable
 from pathlib import Path
 
 import pytest
 
-from millgw.configuration.actions import Persist
+from millgw.configuration.actions import Action, Persist
 from millgw.configuration.document import Change, Document, Version
 from millgw.configuration.durable import (
     PIECE,
@@ -23,6 +24,7 @@
 from millgw.store.faulty import Crash, FaultyFiles, FaultyHandle, Inode
 from millgw.store.mark import NAMES
 from tests.kinds import aside
+from tests.replica_cluster import Cluster, Node
 
 pytestmark = aside
 WALL = 1_800_000_000_000.0
@@ -209,6 +211,39 @@
         state.persist(persist(entry(1)))
 
 
+class DurableCluster(Cluster):
+    """Replicas whose states are also kept on disks."""
+
+    def __init__(self, names: Iterable[str], keep: int) -> None:
+        self.disks = {name: FaultyFiles(random.Random(1)) for name in names}
+        self.durable = {name: opened(disk, create=True, instance=name) for name, disk in self.disks.items()}
+        super().__init__(names, keep=keep)
+
+    def _do(self, node: Node, action: Action) -> None:
+        if isinstance(action, Persist):
+            self.durable[node.name].persist(action)
+        super()._do(node, action)
+
+
+def test_what_replicas_persist_comes_back_through_elections_and_snapshots() -> None:
+    cluster = DurableCluster(("a", "b", "c"), keep=4)
+    for number in range(12):
+        leader = cluster.settle()
+        cluster.propose(leader, [Change("settings", {"value": number})])
+        cluster.advance(20.0)
+        if number % 3 == 0:
+            cluster.part([leader], [name for name in cluster.names if name != leader])
+            cluster.advance(10_000.0)
+            cluster.propose(cluster.leading()[0], [Change("services.login", {"value": number})])
+            cluster.advance(20.0)
+            cluster.heal()
+    cluster.settle()
+    assert cluster.replica("a").document.index >= 12 and cluster.replica("a").epoch > 4
+    for name, disk in cluster.disks.items():
+        assert content(opened(copied(disk), instance=name).load()) == content(cluster.nodes[name].state)
+        assert cluster.nodes[name].state.snapshot.position > 0
+
+
 @pytest.mark.parametrize("seed", range(60))
 def test_a_power_cut_at_any_step_loses_nothing_that_was_persisted(
     seed: int, monkeypatch: pytest.MonkeyPatch
