--- a/tests/test_standing_terms.py
+++ b/tests/test_standing_terms.py
@@ -30,7 +30,7 @@
 from millgw.standins.http import Message, ServerConnection, ok, status
 from millgw.standins.scripted import STREAM, ScriptedDiscoveryServer, ScriptedEndpoint, answering, chunk, line
 from tests.rig import PATIENCE, SETTINGS, Rig, request, run, sidecar, until
-from tests.test_crossings import SlowMark, leave, lossy, pool_of, raw
+from tests.test_crossings import RETRIED, SlowMark, leave, lossy, pool_of, raw
 from tests.test_sidecar_process import GOOD, start, write_config
 
 TOLD_WITHIN = 6.0  # s after which a change counts as told that discovery had and could have been asked for
@@ -38,6 +38,7 @@
 READY_WITHIN = 10.0  # s in which nine in ten restarted processes are ready
 CALLER_GONE = 0.1  # s after a caller has left, from when on no attempt may begin for it
 LEAVES = ("close", "reset", "half")
+MOST_HELD_WHOLE = 1_000_000  # bytes of a body, far under what is passed on as it comes here
 
 
 # A change counts as told 6 s after discovery had it, whatever became of the calls
@@ -238,7 +239,7 @@
             client = raw(rig.listen)
             client.sendall(request("pay") + request("pay"))
             await until(lambda: endpoint.connections + other.connections == 1)
-            await asyncio.sleep(0.6)
+            await asyncio.sleep(RETRIED)
             assert endpoint.connections + other.connections == 1 and not endpoint.got and not other.got
             client.close()
 
@@ -253,12 +254,15 @@
         async with sidecar(endpoint) as rig:
             client = raw(rig.listen)
             client.sendall(
-                request("pay", Content_Length=str(length)) + bytes(length // 2 if length < 9999 else 70_000)
+                request("pay", target=LEFT, Content_Length=str(length))
+                + bytes(length // 2 if length < 9999 else 70_000)
             )
             await all_read(rig)
             begun = endpoint.connections
             leave(client, how)
-            await asyncio.sleep(0.6)
+            if length > MOST_HELD_WHOLE:
+                await until(lambda: endpoint.lost_connections == 1)  # the attempt that has begun is given up
+            await asyncio.sleep(RETRIED)
             assert not [m for m in endpoint.got if LEFT in m.first] and endpoint.connections == begun
             client.close()
 
