Audit: a cold endpoint stands N + 2 x root of N + 2 requests of mean work, as the term says

The stand-ins and the auditor let a cold endpoint fall past N and two requests of the heaviest class.

Both now use the term, with the mean over the classes that are asked of a tier or service by their shares. What sidecars send that were not told of the start counts still; the term would leave it out.

--- a/millgw/rehearsal/audit/cold_endpoints.py
+++ b/millgw/rehearsal/audit/cold_endpoints.py
@@ -11,7 +11,10 @@
 
 
 def audit_cold_endpoints(records: DayRecords) -> Finding:
-    """All sidecars together stay within what a cold endpoint stands, in every window."""
+    """All sidecars together stay within what a cold endpoint stands, in every window.
+
+    Also those that nobody told of its start, which the operators' term leaves out.
+    """
     finding = Finding(4, "a cold endpoint is not pushed over")
     sent: dict[tuple[str, int], list[Attempt]] = defaultdict(list)
     for attempt in records.ledger.attempts:
@@ -34,7 +37,7 @@
                 total -= window.popleft()[1]
             bound = cold_bound(
                 life, at, records.rules.fall_multiple, records.rules.fall_window,
-                records.rules.heaviest.get(life.tier, 0.0),
+                records.rules.mean_work.get(life.tier, 0.0),
             )  # fmt: skip
             finding.nearest = max(finding.nearest, total / bound)
             if total > bound:
--- a/millgw/rehearsal/fleet.py
+++ b/millgw/rehearsal/fleet.py
@@ -37,6 +37,7 @@
         calls=0.0 if last else scenario.fleet.calls[tier - 1],
         answer=int(cls.answer_kb * 1024) if tier == 1 else 0,
         pace=cls.pace_kb_s * 1024,
+        share=scenario.request_share(cls, tier),
     )
 
 
--- a/millgw/rehearsal/scenario.py
+++ b/millgw/rehearsal/scenario.py
@@ -302,3 +302,8 @@
     def work_shares(self) -> tuple[float, ...]:
         """The share of the work that each tier does; services beside each other do all of theirs."""
         return self.fleet.work[:1] * len(self.services) or self.fleet.work
+
+    def request_share(self, cls: Class, tier: int) -> float:
+        """The share of a tier's requests that are of a class, against the other classes'."""
+        elsewhere = self.services and cls.name not in self.services[tier - 1].classes
+        return 0.0 if elsewhere else cls.share
--- a/millgw/standins/endpoint_options.py
+++ b/millgw/standins/endpoint_options.py
@@ -20,6 +20,7 @@
     calls: float = 0.0  # calls to the next tier for each request, on average
     answer: int = 0  # bytes of its answers' bodies; 0: a few hundred
     pace: float = 0.0  # bytes a second at which such an answer is written; 0: as fast as it is taken
+    share: float = 1.0  # of the requests, against the other classes'
 
 
 @dataclass(slots=True, frozen=True)
