Metrics, lifecycle and the TOML schema stand in the packages that use them

They stood at the top of millgw as figures, life and checked. They are pool/metrics.py (AnswerCounts, metrics_json, out_of_rotation_json), callers/lifecycle.py (Lifecycle) and operator/toml_schema.py; what operators read is as before.

--- a/millgw/life.py
+++ b/millgw/callers/lifecycle.py
@@ -20,7 +20,7 @@
 LEAVE_IDLE_AFTER = 1.2  # s the same when another process has taken over: clients have nowhere else to be
 
 
-class Life:
+class Lifecycle:
     """`able` is set by whoever knows that calls can be served. `last`: every answer ends its connection."""
 
     def __init__(self) -> None:
--- a/millgw/callers/plain.py
+++ b/millgw/callers/plain.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from millgw.life import Life
+from millgw.callers.lifecycle import Lifecycle
 from millgw.message import REFUSED, Answer
 from millgw.pool.call import Call
 from millgw.pool.pool import Pool, read
@@ -14,7 +14,7 @@
 class PlainFront:
     """`life` says whether callers should come here."""
 
-    def __init__(self, pool: Pool, life: Life) -> None:
+    def __init__(self, pool: Pool, life: Lifecycle) -> None:
         self.pool = pool
         self.life = life
 
--- a/millgw/callers/server.py
+++ b/millgw/callers/server.py
@@ -14,7 +14,7 @@
 from typing import cast
 
 from millgw.callers.connection import CallerConnection, Front, Lanes
-from millgw.life import Life
+from millgw.callers.lifecycle import Lifecycle
 from millgw.log.events import log_event
 from millgw.message import REFUSED
 from millgw.platform.config import Address
@@ -52,7 +52,12 @@
     """
 
     def __init__(
-        self, listen: Address, descriptors: Descriptors, front: Front, life: Life, lanes: Lanes | None = None
+        self,
+        listen: Address,
+        descriptors: Descriptors,
+        front: Front,
+        life: Lifecycle,
+        lanes: Lanes | None = None,
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self.descriptors = descriptors
--- a/millgw/operator/file.py
+++ b/millgw/operator/file.py
@@ -11,9 +11,9 @@
 
 from msgspec import Meta, field
 
-from millgw.checked import FileError, Table, read
 from millgw.connections.terms import Order, Proving, Terms
 from millgw.membership.servers import check_path, read_connect
+from millgw.operator.toml_schema import FileError, Table, read
 from millgw.platform.config import read_address
 from millgw.routing.table import Route, RouteError
 from millgw.routing.table import Table as RouteTable
--- a/millgw/figures.py
+++ b/millgw/pool/metrics.py
@@ -1,7 +1,7 @@
-"""What the sidecar counts for its operators, and how it is told; docs/control.md says what each figure means.
+"""The metrics of pools and their JSON for operators; docs/control.md says what each one means.
 
 Reading them passes over the list of endpoints once for `out_of_rotation`: it is asked of the module as it
-stands, which costs some 0.1 µs an endpoint and needs no second book that could differ from it.
+stands, which costs some 0.1 µs an endpoint and needs no second count that could differ from it.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 MOST_NAMED = 200  # endpoints out of rotation that one answer names: some 16 kB
 
 
-class Book:
+class AnswerCounts:
     """Final answers by class of one pool."""
 
     __slots__ = ("classes", "faulted", "fulfilled", "throttled")
@@ -37,10 +37,10 @@
             self.faulted[cls] += 1
 
 
-class Counted(Protocol):
-    """A pool, as far as it is counted."""
+class MeasuredPool(Protocol):
+    """A pool, as far as its metrics need it."""
 
-    book: Book
+    answer_counts: AnswerCounts
 
     def relayed(self) -> int: ...
 
@@ -53,13 +53,15 @@
     def aside(self) -> list[tuple[str, str]]: ...
 
 
-def told(pools: Sequence[Counted]) -> dict[str, object]:
-    """The figures of all pools together; each class of the settings is there, with 0 too."""
+def metrics(pools: Sequence[MeasuredPool]) -> dict[str, object]:
+    """The metrics of all pools together; each class of the settings is there, with 0 too."""
     kinds: dict[str, dict[str, int]] = {"fulfilled": {}, "throttled": {}, "faulted": {}}
     for pool in pools:
-        book = pool.book
-        for counts, cells in zip((book.fulfilled, book.throttled, book.faulted), kinds.values(), strict=True):
-            for name, count in zip(book.classes, counts, strict=True):
+        counted = pool.answer_counts
+        for counts, cells in zip(
+            (counted.fulfilled, counted.throttled, counted.faulted), kinds.values(), strict=True
+        ):
+            for name, count in zip(counted.classes, counts, strict=True):
                 cells[name] = cells.get(name, 0) + count
     return {
         **kinds,
@@ -70,7 +72,7 @@
     }
 
 
-def rotation(pools: Sequence[Counted], most: int = MOST_NAMED) -> bytes:
+def out_of_rotation_json(pools: Sequence[MeasuredPool], most: int = MOST_NAMED) -> bytes:
     """The endpoints out of rotation, with the service and why, as one line of JSON; `most` are named."""
     rows = [
         {"service": pool.name, "endpoint": endpoint, "why": why}
@@ -80,6 +82,6 @@
     return json.dumps({"out_of_rotation": rows[:most], "unnamed": max(0, len(rows) - most)}).encode() + b"\n"
 
 
-def worded(pools: Sequence[Counted], more: Mapping[str, object] | None = None) -> bytes:
-    """The same as one line of JSON, with further figures after them."""
-    return json.dumps(told(pools) | dict(more or {})).encode() + b"\n"
+def metrics_json(pools: Sequence[MeasuredPool], more: Mapping[str, object] | None = None) -> bytes:
+    """The metrics of all pools together as one line of JSON, with further ones after them."""
+    return json.dumps(metrics(pools) | dict(more or {})).encode() + b"\n"
--- a/millgw/pool/pool.py
+++ b/millgw/pool/pool.py
@@ -11,7 +11,6 @@
 from millgw.decide import Balancer
 from millgw.endpoints.connection import Lanes
 from millgw.endpoints.upstream import Room, Upstream
-from millgw.figures import Book
 from millgw.interface import ListKind, Repeat
 from millgw.log.events import log_event
 from millgw.message import REFUSED, Answer
@@ -19,6 +18,7 @@
 from millgw.platform.discovery import Heard, Listed
 from millgw.pool.call import Call, Intent
 from millgw.pool.driver import Driver
+from millgw.pool.metrics import AnswerCounts
 from millgw.pool.share import ANSWERS, BODIES, CALLS, CONNECTIONS, Share
 from millgw.pool.terms import Terms
 from millgw.request import BadRequest, Head
@@ -87,7 +87,7 @@
         self.driver = Driver(Balancer(self.settings, seed), self.upstream, self.source.subscribe)
         self.terms = Terms(self.settings, self.driver)
         self.intents: Intents | None = None  # where what may not be sent again is marked
-        self.book = Book([c.name for c in self.settings.classes])
+        self.answer_counts = AnswerCounts([c.name for c in self.settings.classes])
 
     def seen(self, endpoint: int) -> tuple[float, float, float, float] | None:
         """What its connections to an endpoint tell (see `Upstream.seen`)."""
@@ -170,7 +170,7 @@
         """A caller was given the final answer to a request that had come whole."""
         cls = self.terms.classes.get(head.values.get(b"x-qos", b""))
         if cls is not None:
-            self.book.answered(cls, status)
+            self.answer_counts.answered(cls, status)
 
     def relayed(self) -> int:
         """Attempts whose last byte the kernel has taken."""
--- a/millgw/rehearsal/scenario.py
+++ b/millgw/rehearsal/scenario.py
@@ -10,8 +10,8 @@
 
 from msgspec import Meta
 
-from millgw.checked import FileError, Table
 from millgw.operator.file import Connections
+from millgw.operator.toml_schema import FileError, Table
 
 Share = Annotated[float, Meta(ge=0.0, le=1.0)]
 Part = Annotated[float, Meta(gt=0.0, le=1.0)]
--- a/millgw/rehearsal/scenario_files.py
+++ b/millgw/rehearsal/scenario_files.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from millgw.checked import Table, read
+from millgw.operator.toml_schema import Table, read
 from millgw.rehearsal import former_names
 from millgw.rehearsal.scenario import Scenario, ScenarioError
 from millgw.rehearsal.scenario_checks import check
--- a/millgw/services/front.py
+++ b/millgw/services/front.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Mapping
 from typing import Protocol
 
-from millgw.life import Life
+from millgw.callers.lifecycle import Lifecycle
 from millgw.message import REFUSED, Answer, plain
 from millgw.pool.call import Call
 from millgw.pool.pool import Pool, read
@@ -55,7 +55,7 @@
 class Services:
     """The pools by name, as a reload leaves them; shared by the fronts of all listeners."""
 
-    def __init__(self, life: Life) -> None:
+    def __init__(self, life: Lifecycle) -> None:
         self.pools: Mapping[str, Pool] = {}
         self.life = life
 
--- a/millgw/services/node.py
+++ b/millgw/services/node.py
@@ -9,9 +9,9 @@
 
 from msgspec.structs import replace
 
+from millgw.callers.lifecycle import Lifecycle
 from millgw.callers.server import Server
 from millgw.endpoints.upstream import ANSWERS_PART
-from millgw.life import Life
 from millgw.log.events import log_event
 from millgw.operator.file import KINDS, Limits, Operator, OperatorError, Service, load, table
 from millgw.operator.files import Files
@@ -54,7 +54,7 @@
 class Node:
     """Everything of a sidecar with services that a reload may change."""
 
-    def __init__(self, config: Config, environ: Mapping[str, str], path: str, life: Life) -> None:
+    def __init__(self, config: Config, environ: Mapping[str, str], path: str, life: Lifecycle) -> None:
         self.life = life
         self.config = config
         self.environ = environ
--- a/millgw/sidecar/__main__.py
+++ b/millgw/sidecar/__main__.py
@@ -13,7 +13,7 @@
 import uvloop
 
 from millgw import compiled
-from millgw.life import Life
+from millgw.callers.lifecycle import Lifecycle
 from millgw.log.events import log_event
 from millgw.log.start import start as start_log
 from millgw.platform.config import Config, ConfigError, read_config
@@ -39,7 +39,7 @@
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
-    life = Life()
+    life = Lifecycle()
     parts = await several(config, environ, life) if environ.get(OPERATOR) else one(config, environ, life)
     operators: Operators | None = None
     if config.control is not None:
--- a/millgw/sidecar/operators.py
+++ b/millgw/sidecar/operators.py
@@ -9,7 +9,6 @@
 from millgw.callers.steering import steer
 from millgw.control.calls import Calls, said
 from millgw.control.door import Door
-from millgw.figures import rotation, worded
 from millgw.handover import predecessor, terms
 from millgw.handover.heir import Heir
 from millgw.handover.state import State, encode
@@ -17,6 +16,7 @@
 from millgw.message import Answer, Content
 from millgw.platform.config import Address, Config
 from millgw.platform.discovery import Discovery, Listed
+from millgw.pool.metrics import metrics_json, out_of_rotation_json
 from millgw.sidecar.parts import Parts, class_names
 
 JSON = b"Content-Type: application/json\r\n"
@@ -37,7 +37,9 @@
         calls = Calls()
         calls.add("GET", "/-/ready", lambda _: said(life.ready(), "able to serve"))
         calls.add("GET", "/-/metrics", lambda _: Answer(200, Content(JSON, self._metrics())))
-        calls.add("GET", "/-/endpoints", lambda _: Answer(200, Content(JSON, rotation(parts.pools()))))
+        calls.add(
+            "GET", "/-/endpoints", lambda _: Answer(200, Content(JSON, out_of_rotation_json(parts.pools())))
+        )
         calls.add("PUT", "/-/drain", lambda _: said(life.drain(time.monotonic()), "drained"))
         calls.add("PUT", "/-/resume", lambda _: said(life.resume(), "serving"))
         self.heir.add_to(calls)
@@ -51,7 +53,7 @@
     def _metrics(self) -> bytes:
         following = self.parts.configuration
         more: dict[str, object] = {} if following is None else {"configuration": following.figures()}
-        return worded(self.parts.pools(), more)
+        return metrics_json(self.parts.pools(), more)
 
     @property
     def steered(self) -> bool:
--- a/millgw/sidecar/parts.py
+++ b/millgw/sidecar/parts.py
@@ -7,11 +7,11 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from millgw.callers.lifecycle import Lifecycle
 from millgw.callers.plain import PlainFront
 from millgw.callers.server import Server
 from millgw.endpoints.upstream import ANSWERS_PART
 from millgw.interface import Settings
-from millgw.life import Life
 from millgw.log.events import log_event
 from millgw.platform.config import Config, ConfigError, read_config
 from millgw.platform.descriptors import Descriptors
@@ -39,7 +39,7 @@
     servers: Callable[[], Sequence[Server]]
     pools: Callable[[], Sequence[Pool]]
     reload: Callable[[], None]
-    life: Life
+    life: Lifecycle
     descriptors: Descriptors
     begin: Callable[[State | None], None]
     intents: Intents | None = None  # what marks unsafe calls before they are sent, where that is wanted
@@ -48,7 +48,7 @@
 
 
 def one(
-    config: Config, environ: Mapping[str, str], life: Life, tend: Callable[[Pool], object] | None = None
+    config: Config, environ: Mapping[str, str], life: Lifecycle, tend: Callable[[Pool], object] | None = None
 ) -> Parts:
     descriptors = Descriptors(config.sockets)
     whole = Whole(
@@ -98,7 +98,7 @@
         log_event("handover-unusable", cause=error)
 
 
-async def several(config: Config, environ: Mapping[str, str], life: Life) -> Parts:
+async def several(config: Config, environ: Mapping[str, str], life: Lifecycle) -> Parts:
     # Only here: an operator's file that is not given must cost nothing.
     try:
         from millgw.services.node import Node
@@ -113,12 +113,12 @@
     return _beside(node, config, _opened(node, life))
 
 
-def _opened(node: Node, life: Life) -> Parts:
+def _opened(node: Node, life: Lifecycle) -> Parts:
     # Services start as any other process does: what their pools have learned does not go over yet.
     return Parts(*node.open(), life, node.shared, lambda _: None)
 
 
-async def _following(node: Node, config: Config, environ: Mapping[str, str], life: Life) -> Parts:
+async def _following(node: Node, config: Config, environ: Mapping[str, str], life: Lifecycle) -> Parts:
     """The same where the distributed configuration is followed, which comes before the pools."""
     from millgw.configuration.single import SinglePool
     from millgw.services.parts import configuration
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -16,10 +16,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from millgw.callers.lifecycle import DRAIN_IDLE_AFTER, Lifecycle
 from millgw.control.calls import Calls, said
 from millgw.control.core import Asked, CallCore
 from millgw.control.door import MOST_HELD, Door
-from millgw.life import DRAIN_IDLE_AFTER, Life
 from millgw.platform.config import Address, ConfigError, read_config
 from millgw.request import BadRequest
 from millgw.standins.address import free_address
@@ -61,7 +61,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.life = Life()
+        self.life = Lifecycle()
         self.now = 0.0
         self.drained_at: float | None = None
         self.told_to_end: float | None = None
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -23,11 +23,11 @@
 
 from millgw import decide
 from millgw.callers.connection import CallerConnection
+from millgw.callers.lifecycle import Lifecycle
 from millgw.callers.server import Server
 from millgw.endpoints.attempt import Attempt
 from millgw.endpoints.upstream import Upstream
 from millgw.interface import Condition, ListKind, Outcome, Repeat
-from millgw.life import Life
 from millgw.log import events
 from millgw.message import REFUSED, Answer, Content
 from millgw.platform import discovery as discovery_module
@@ -419,7 +419,7 @@
 def test_a_request_in_its_lane_s_queue_is_not_taken_for_a_caller_that_left(how: str) -> None:
     async def test() -> None:
         front, lanes, address = Taken(), Queue(), free_address()
-        server = Server(address, Descriptors(64), front, Life(), lanes)
+        server = Server(address, Descriptors(64), front, Lifecycle(), lanes)
         server.start()
         client = raw(address)
         client.sendall(request("pay"))
@@ -467,7 +467,7 @@
             clients[1].sendall(request("pay"))
 
         at_the_end(monkeypatch, act)
-        monkeypatch.setattr(Life, "closes_idle", lambda *_: False)
+        monkeypatch.setattr(Lifecycle, "closes_idle", lambda *_: False)
         async with sidecar(endpoint) as rig:
             clients.append(raw(rig.listen))
             clients[0].sendall(whole[:-1])
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -20,13 +20,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from millgw.callers.lifecycle import Lifecycle
 from millgw.callers.server import share_address
 from millgw.callers.steering import steer
 from millgw.handover import terms
 from millgw.handover.predecessor import FILE, find, leave_word
 from millgw.handover.state import FRESH, BadState, State, decode, encode
 from millgw.interface import Endpoint, Outcome
-from millgw.life import Life
 from millgw.platform.config import Address
 from millgw.platform.discovery import Discovery, Listed
 from millgw.sidecar.parts import one
@@ -112,7 +112,7 @@
     """What was learned is told by the classes' numbers, and those mean other classes there."""
 
     async def test() -> None:
-        parts = one(config([], Address("127.0.0.1", 9)), {}, Life())
+        parts = one(config([], Address("127.0.0.1", 9)), {}, Lifecycle())
         (pool,) = parts.pools()
         learned = drive(1).balancer.export() | {"classes": classes, "tokens": 77.0}
         parts.begin(replace(STATE, learned=json.loads(json.dumps(learned))))
--- a/tests/test_intents.py
+++ b/tests/test_intents.py
@@ -363,12 +363,12 @@
 
 ONE_POOL = """
 import asyncio, os
-from millgw.life import Life
+from millgw.callers.lifecycle import Lifecycle
 from millgw.platform.config import read_config
 from millgw.sidecar.parts import several
 
 async def look():
-    parts = several(read_config(os.environ), os.environ, Life())
+    parts = several(read_config(os.environ), os.environ, Lifecycle())
     print(parts.intents is not None and all(pool.intents is parts.intents for pool in parts.pools()))
 
 asyncio.run(look())
