--- a/millgw/callers/connection.py
+++ b/millgw/callers/connection.py
@@ -13,10 +13,10 @@
 from typing import Protocol
 
 from millgw.callers.core import RequestCore, word_answer, word_begin
+from millgw.http.message import FAILED, SERVED, Answer, gone, since_received, unread, watcher
+from millgw.http.request import BadRequest, Head
 from millgw.log.events import log_event
-from millgw.message import FAILED, SERVED, Answer, gone, since_received, unread, watcher
 from millgw.pool.call import Call
-from millgw.request import BadRequest, Head
 from millgw.streams.flow import Flow
 from millgw.streams.upload import Upload
 
--- a/millgw/callers/core.py
+++ b/millgw/callers/core.py
@@ -11,8 +11,8 @@
 
 import httptools
 
-from millgw.message import FRAMING_PART, MAX_HEAD, Answer
-from millgw.request import BadRequest, Head
+from millgw.http.message import FRAMING_PART, MAX_HEAD, Answer
+from millgw.http.request import BadRequest, Head
 
 REASONS: Final = {
     200: b"OK",
--- a/millgw/callers/plain.py
+++ b/millgw/callers/plain.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable
 
 from millgw.callers.lifecycle import Lifecycle
-from millgw.message import REFUSED, Answer
+from millgw.http.message import REFUSED, Answer
+from millgw.http.request import BadRequest, Head
 from millgw.pool.call import Call
 from millgw.pool.pool import Pool, read
-from millgw.request import BadRequest, Head
 
 
 class PlainFront:
--- a/millgw/callers/server.py
+++ b/millgw/callers/server.py
@@ -15,11 +15,11 @@
 
 from millgw.callers.connection import CallerConnection, Front, Lanes
 from millgw.callers.lifecycle import Lifecycle
+from millgw.http.message import REFUSED
+from millgw.http.request import BadRequest
 from millgw.log.events import log_event
-from millgw.message import REFUSED
 from millgw.platform.config import Address
 from millgw.platform.descriptors import Descriptors
-from millgw.request import BadRequest
 
 SILENT_TIME = 2.2  # s after connecting in which a first request must begin
 KEEP_TIME = 10.0  # s that a connection is kept between requests
--- a/millgw/connections/tended.py
+++ b/millgw/connections/tended.py
@@ -25,8 +25,8 @@
 from millgw.endpoints.attempt import WRITTEN, Attempt
 from millgw.endpoints.connection import Connection, Host
 from millgw.endpoints.upstream import Upstream
+from millgw.http.message import NOTHING
 from millgw.interface import Endpoint, ListKind, Outcome, Repeat
-from millgw.message import NOTHING
 
 TICK = 0.25  # s between two looks at what is open, where nothing is waited for
 QUICK_TICK = 0.05  # s where a turn may fall due, or an endpoint is down: shorter than a turn may be used
--- a/millgw/control/calls.py
+++ b/millgw/control/calls.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from millgw.control.core import Asked
-from millgw.message import Answer, plain
+from millgw.http.message import Answer, plain
 
 YES, NO = 200, 503
 
--- a/millgw/control/core.py
+++ b/millgw/control/core.py
@@ -6,7 +6,7 @@
 
 import httptools
 
-from millgw.request import BadRequest
+from millgw.http.request import BadRequest
 
 MOST = 8 * 1024  # bytes of a call with everything: none has use for a body
 
--- a/millgw/control/door.py
+++ b/millgw/control/door.py
@@ -13,10 +13,10 @@
 
 from millgw.callers.core import word_answer
 from millgw.control.core import Asked, CallCore
+from millgw.http.message import Answer
+from millgw.http.request import BadRequest
 from millgw.log.events import log_event
-from millgw.message import Answer
 from millgw.platform.config import Address, ConfigError
-from millgw.request import BadRequest
 
 MOST_HELD = 8  # connections at once: their descriptors are of those reserved for the process itself
 CALL_TIME = 6.0  # s for a call from connecting to its last byte
--- a/millgw/endpoints/attempt.py
+++ b/millgw/endpoints/attempt.py
@@ -20,8 +20,8 @@
 from collections.abc import Callable
 from typing import Final, Protocol
 
+from millgw.http.message import Content
 from millgw.interface import Outcome, Repeat
-from millgw.message import Content
 from millgw.streams.flow import Flow
 from millgw.streams.upload import Upload
 
--- a/millgw/endpoints/connection.py
+++ b/millgw/endpoints/connection.py
@@ -16,9 +16,9 @@
 from millgw.endpoints.attempt import CONNECTING, HELD, WRITING, WRITTEN, Attempt, Intent
 from millgw.endpoints.core import SPOILT, WHOLE, AnswerCore
 from millgw.endpoints.proof import HOLD_BACK, Proof
+from millgw.http.message import NOTHING, unconfirmed, unread, watcher
 from millgw.interface import Outcome
 from millgw.log.events import BoundLogger
-from millgw.message import NOTHING, unconfirmed, unread, watcher
 from millgw.platform.config import Address
 from millgw.streams.flow import Flow
 from millgw.streams.room import StreamRoom
--- a/millgw/endpoints/core.py
+++ b/millgw/endpoints/core.py
@@ -14,8 +14,8 @@
 
 import httptools
 
+from millgw.http.message import FRAMING_PART, MAX_HEAD, OWN_HEADERS, Content
 from millgw.interface import Outcome
-from millgw.message import FRAMING_PART, MAX_HEAD, OWN_HEADERS, Content
 from millgw.streams.room import LONG
 
 MORE: Final = 0  # the answer is not whole yet
--- a/millgw/endpoints/upstream.py
+++ b/millgw/endpoints/upstream.py
@@ -12,9 +12,9 @@
 from millgw.endpoints.attempt import CONNECTING, Attempt
 from millgw.endpoints.connection import Connection, Host, Lanes
 from millgw.endpoints.proof import DOUBT_TIME, REST
+from millgw.http.message import NOTHING
 from millgw.interface import Outcome
 from millgw.log.events import BoundLogger
-from millgw.message import NOTHING
 from millgw.platform.config import Address
 from millgw.streams.room import READ, StreamRoom
 
--- a/millgw/handover/heir.py
+++ b/millgw/handover/heir.py
@@ -14,8 +14,8 @@
 from millgw.control.calls import Calls, said
 from millgw.control.core import Asked
 from millgw.handover.predecessor import DOOR, STATE, STEERED, SUCCESSOR, TOKEN, answers
+from millgw.http.message import Answer, Content
 from millgw.log.events import log_event
-from millgw.message import Answer, Content
 from millgw.platform.config import Address, read_address
 
 IN_LOOP = 0.8  # s that the loop may take to carry out a call
--- a/millgw/request.py
+++ b/millgw/http/request.py
@@ -8,7 +8,7 @@
 
 from typing import Final, Protocol
 
-from millgw.message import MAX_BODY, MAX_HEAD, OWN_HEADERS, Answer, plain
+from millgw.http.message import MAX_BODY, MAX_HEAD, OWN_HEADERS, Answer, plain
 from millgw.streams.room import LONG
 from millgw.streams.upload import Upload
 
--- a/millgw/intents/log.py
+++ b/millgw/intents/log.py
@@ -10,10 +10,10 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from millgw.http.message import FAILED, Answer, plain
+from millgw.http.request import Head
 from millgw.intents.book import Book, Done, Intent, Refusal
 from millgw.log.events import log_event
-from millgw.message import FAILED, Answer, plain
-from millgw.request import Head
 from millgw.store.files import Locked, RealFiles
 from millgw.store.record import FormatError
 from millgw.store.store import Item, Options, Standing, Store
--- a/millgw/platform/discovery.py
+++ b/millgw/platform/discovery.py
@@ -12,9 +12,9 @@
 
 import httptools
 
+from millgw.http.message import waiting
 from millgw.interface import Condition, Endpoint, ListKind
 from millgw.log.events import log_event
-from millgw.message import waiting
 from millgw.platform.config import Address, Config, read_address
 from millgw.settings import number
 
--- a/millgw/pool/call.py
+++ b/millgw/pool/call.py
@@ -7,8 +7,8 @@
 
 from millgw.endpoints.attempt import Attempt
 from millgw.endpoints.attempt import Intent as Sent
+from millgw.http.message import Answer
 from millgw.interface import Repeat, SetTimer
-from millgw.message import Answer
 from millgw.pool.deadlines import Due
 from millgw.streams.flow import Flow
 from millgw.streams.upload import Upload
--- a/millgw/pool/driver.py
+++ b/millgw/pool/driver.py
@@ -18,6 +18,7 @@
 from millgw.endpoints.attempt import Attempt
 from millgw.endpoints.connection import Host
 from millgw.endpoints.upstream import Upstream
+from millgw.http.message import FAILED, REFUSED, SERVED, UNUSABLE, Answer, Content
 from millgw.interface import (
     NEVER_RAN,
     Action,
@@ -40,7 +41,6 @@
     Settings,
     TimerFired,
 )
-from millgw.message import FAILED, REFUSED, SERVED, UNUSABLE, Answer, Content
 from millgw.platform.discovery import Listed
 from millgw.pool.call import Call, Flight
 from millgw.pool.deadlines import Deadlines
--- a/millgw/pool/metrics.py
+++ b/millgw/pool/metrics.py
@@ -10,7 +10,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Protocol
 
-from millgw.message import REFUSED, SERVED
+from millgw.http.message import REFUSED, SERVED
 
 TURNED_AWAY = (429, REFUSED)
 MOST_NAMED = 200  # endpoints out of rotation that one answer names: some 16 kB
--- a/millgw/pool/pool.py
+++ b/millgw/pool/pool.py
@@ -11,9 +11,10 @@
 from millgw.decide import Balancer
 from millgw.endpoints.connection import Lanes
 from millgw.endpoints.upstream import Room, Upstream
+from millgw.http.message import REFUSED, Answer
+from millgw.http.request import BadRequest, Head
 from millgw.interface import ListKind, Repeat
 from millgw.log.events import log_event
-from millgw.message import REFUSED, Answer
 from millgw.platform.config import Config
 from millgw.platform.discovery import Heard, Listed
 from millgw.pool.call import Call, Intent
@@ -21,7 +22,6 @@
 from millgw.pool.metrics import AnswerCounts
 from millgw.pool.share import ANSWERS, BODIES, CALLS, CONNECTIONS, Share
 from millgw.pool.terms import Terms
-from millgw.request import BadRequest, Head
 
 COME_BACK = 500.0  # ms after which a client that is turned away at a bound may find room
 LOOK_FOR_END = 0.1  # s between two looks whether a retired pool's last call has ended
--- a/millgw/pool/terms.py
+++ b/millgw/pool/terms.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable
 from functools import partial
 
+from millgw.http.message import Answer
+from millgw.http.request import BadRequest, Head, word
 from millgw.interface import Repeat, Settings
-from millgw.message import Answer
 from millgw.pool.call import Call, Owner
-from millgw.request import BadRequest, Head, word
 
 MAX_PATIENCE_DIGITS = 9  # of X-Expires-In-Ms: enough for any wait, and a number that is cheap to read
 
--- a/millgw/services/front.py
+++ b/millgw/services/front.py
@@ -13,10 +13,10 @@
 from typing import Protocol
 
 from millgw.callers.lifecycle import Lifecycle
-from millgw.message import REFUSED, Answer, plain
+from millgw.http.message import REFUSED, Answer, plain
+from millgw.http.request import BadRequest, Head
 from millgw.pool.call import Call
 from millgw.pool.pool import Pool, read
-from millgw.request import BadRequest, Head
 from millgw.routing.table import Asked, NoRoute, Route, Table
 from millgw.routing.target import BadTarget, read_target
 from millgw.services.turns import Turns
--- a/millgw/sidecar/operators.py
+++ b/millgw/sidecar/operators.py
@@ -12,8 +12,8 @@
 from millgw.handover import predecessor, terms
 from millgw.handover.heir import Heir
 from millgw.handover.state import State, encode
+from millgw.http.message import Answer, Content
 from millgw.log.events import log_event
-from millgw.message import Answer, Content
 from millgw.platform.config import Address, Config
 from millgw.platform.discovery import Discovery, Listed
 from millgw.pool.metrics import metrics_json, out_of_rotation_json
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -20,8 +20,8 @@
 from millgw.control.calls import Calls, said
 from millgw.control.core import Asked, CallCore
 from millgw.control.door import MOST_HELD, Door
+from millgw.http.request import BadRequest
 from millgw.platform.config import Address, ConfigError, read_config
-from millgw.request import BadRequest
 from millgw.standins.address import free_address
 from millgw.standins.http import Message, ok, status
 from millgw.standins.scripted import STREAM, ScriptedEndpoint, chunk, line, read_message, silent
--- a/tests/test_cores.py
+++ b/tests/test_cores.py
@@ -13,11 +13,11 @@
 from millgw.endpoints.core import MORE, SPOILT, WHOLE, AnswerCore
 from millgw.endpoints.proof import DOUBT_TIME, HOLD_BACK, PROVEN_SAFE, REST, Proof
 from millgw.endpoints.upstream import rested
+from millgw.http.message import REFUSED, Answer, Content
+from millgw.http.request import BadRequest, Head, word
 from millgw.interface import Outcome, Repeat
-from millgw.message import REFUSED, Answer, Content
 from millgw.platform.config import Address
 from millgw.pool.deadlines import Deadlines, Due
-from millgw.request import BadRequest, Head, word
 from millgw.streams.room import LONG
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -27,14 +27,14 @@
 from millgw.callers.server import Server
 from millgw.endpoints.attempt import Attempt
 from millgw.endpoints.upstream import Upstream
+from millgw.http.message import REFUSED, Answer, Content
+from millgw.http.request import Head
 from millgw.interface import Condition, ListKind, Outcome, Repeat
 from millgw.log import events
-from millgw.message import REFUSED, Answer, Content
 from millgw.platform import discovery as discovery_module
 from millgw.platform.config import Address
 from millgw.platform.descriptors import Descriptors
 from millgw.platform.discovery import Discovery, Listed, endpoint_id
-from millgw.request import Head
 from millgw.settings import to_settings
 from millgw.sidecar import __main__ as main_module
 from millgw.standins.address import free_address
--- a/tests/test_sidecar_books.py
+++ b/tests/test_sidecar_books.py
@@ -16,10 +16,10 @@
 from millgw.endpoints import proof as proof_module
 from millgw.endpoints.attempt import Attempt
 from millgw.endpoints.connection import Connection, Host
+from millgw.http.request import Head
 from millgw.pool.call import Call
 from millgw.pool.driver import Driver
 from millgw.pool.pool import Pool
-from millgw.request import Head
 from millgw.settings import to_settings
 from millgw.standins.http import Message, ok
 from millgw.standins.scripted import STREAM, ScriptedEndpoint, chunk, line, read_message, silent
--- a/tests/test_sidecar_calls.py
+++ b/tests/test_sidecar_calls.py
@@ -16,12 +16,12 @@
 from millgw.endpoints.attempt import Attempt
 from millgw.endpoints.connection import Connection, Host
 from millgw.endpoints.upstream import Upstream
+from millgw.http.message import Content, unread
+from millgw.http.request import Head
 from millgw.interface import Outcome
-from millgw.message import Content, unread
 from millgw.platform.descriptors import Descriptors
 from millgw.pool import driver as driver_module
 from millgw.pool.driver import Clock
-from millgw.request import Head
 from millgw.settings import to_settings
 from millgw.standins.address import free_address
 from millgw.standins.http import Message, ok, status
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from millgw.message import unconfirmed
+from millgw.http.message import unconfirmed
 from millgw.standins.address import free_address
 from millgw.standins.caller import Desk, ready
 from millgw.standins.deduplication import Group
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -14,7 +14,7 @@
 from millgw.callers import connection as callers_connection
 from millgw.endpoints import connection as endpoints_connection
 from millgw.endpoints.core import MORE, WHOLE, AnswerCore
-from millgw.message import Content
+from millgw.http.message import Content
 from millgw.platform.config import Address
 from millgw.standins.address import free_address
 from millgw.standins.scripted import ScriptedEndpoint
