--- a/millgw/__main__.py
+++ b/millgw/__main__.py
@@ -5,14 +5,14 @@
 import sys
 from collections.abc import Sequence
 
-from millgw.plain import plain
+from millgw.sidecar.commands import run_daemon_command
 
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Carry out a command line. Exit: 0 held, 1 did not hold, 2 bad input, 3 inconclusive."""
     words = list(sys.argv[1:] if argv is None else argv)
     # The daemon must not load what only tools need.
-    code = plain(words)
+    code = run_daemon_command(words)
     if code is not None:
         return code
     try:
--- a/millgw/cli/own.py
+++ b/millgw/cli/own.py
@@ -16,8 +16,8 @@
 from millgw.cli.report import Out, Reporting, Serving
 from millgw.log.table import EVENTS
 from millgw.log.wording import KINDS
-from millgw.plain import describe
-from millgw.plain import serve as serve_now
+from millgw.sidecar.commands import describe
+from millgw.sidecar.commands import serve as serve_now
 
 
 @click.command(cls=Serving, examples=["serve --operator deploy/operator.toml --log json"])
--- a/millgw/plain.py
+++ b/millgw/sidecar/commands.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 
 
-def plain(words: Sequence[str]) -> int | None:
+def run_daemon_command(words: Sequence[str]) -> int | None:
     """Carry out `serve [--operator FILE] [--log KIND]` or `version`; None for any other command line.
 
     What is not plainly one of these (`serve --help`, a misspelt option) is left to the whole command line.
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -155,7 +155,9 @@
 
 def test_the_daemon_loads_nothing_of_the_command_line_and_needs_no_library_of_it() -> None:
     unwanted = ("click", "structlog", "rich", "argparse", "millgw.cli", "millgw.top")
-    assert loaded("millgw.plain, millgw.sidecar.__main__, millgw.sidecar.operators", *unwanted) == []
+    assert (
+        loaded("millgw.sidecar.commands, millgw.sidecar.__main__, millgw.sidecar.operators", *unwanted) == []
+    )
 
 
 def test_help_of_all_loads_no_command() -> None:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -12,9 +12,10 @@
 
 import pytest
 
-from millgw import Balancer, adapter, wire
+from millgw import Balancer
 from millgw import settings as reading
 from millgw.interface import Repeat, Scope
+from millgw.simulator import adapter, wire
 
 SETTINGS: dict[str, Any] = {
     "classes": [{"deadline": 900.0, "repeat": "retryable", "slo": 300.0, "surprise": 1}],
@@ -133,7 +134,7 @@
 )
 def test_malformed_input_ends_with_one_plain_line(data: bytes, says: str) -> None:
     run = subprocess.run(
-        [sys.executable, "-m", "millgw.adapter"],
+        [sys.executable, "-m", "millgw.simulator.adapter"],
         input=data,
         capture_output=True,
         cwd=Path(__file__).parent.parent,
@@ -144,6 +145,18 @@
     assert sum(len(r) + 8 for r in replies(out)) == len(out), "only whole replies are written"
 
 
+def test_the_adapter_starts_under_its_former_name_too() -> None:
+    data = frame(switch(1), boot(SETTINGS))
+    former, current = (
+        subprocess.run(
+            [sys.executable, "-m", module], input=data, capture_output=True, cwd=Path(__file__).parent.parent
+        )
+        for module in ("millgw.adapter", "millgw.simulator.adapter")
+    )
+    assert (former.returncode, former.stderr) == (0, b"")
+    assert former.stdout == current.stdout and current.returncode == 0
+
+
 def test_settings_defaults_are_cautious() -> None:
     read = reading.read_settings(json.dumps(SETTINGS).encode())
     assert read.classes[0].repeat is Repeat.SAFE and read.classes[0].scope is Scope.CELL
