Configuration: a start is ready soon whatever control does, tested at a sidecar

That was tested at the client alone.

Measured: with control that is silent, that begins an answer, and that is not there, the sidecar is ready and serves within its bound of 1 s and the test's own part; three tests green.

--- a/tests/test_configuration_apply.py
+++ b/tests/test_configuration_apply.py
@@ -17,6 +17,7 @@
 from hypothesis import strategies as st
 
 from millgw.configuration.apply import RefusedVersionError, in_service, one_line, overlay
+from millgw.configuration.client import START_WITHIN
 from millgw.configuration.last_good import LastGood
 from millgw.connections.tended import Tended
 from millgw.decide import Balancer
@@ -696,6 +697,28 @@
     run(test)
 
 
+@pytest.mark.parametrize("answers", [b"", STREAM, None])
+def test_a_start_is_ready_soon_whatever_control_does(answers: bytes | None, tmp_path: Path) -> None:
+    """It accepts and says nothing, begins an answer and says nothing, or is not there."""
+
+    async def test() -> None:
+        login, campaign, control = ScriptedEndpoint("l"), ScriptedEndpoint("c"), ControlInstance(by_hand=True)
+        text = await configured(control, await two(login, campaign))
+        if answers is None:
+            control.stop()
+        begun = asyncio.get_running_loop().time()
+        async with rig.services(tmp_path, text) as node:
+            if answers is not None:
+                _, writer = await control.watches.get()
+                writer.write(answers)
+            client = await connected(node)
+            assert (await client.ask(b"GET /ready HTTP/1.1\r\nHost: n1\r\n\r\n")).status == 200
+            assert asyncio.get_running_loop().time() - begun < START_WITHIN + 1.0, "and the test's own part"
+            assert (await client.ask(request("pay", Host="login.example.org"))).status == 200
+
+    run(test)
+
+
 def test_without_the_table_nothing_of_it_is_loaded() -> None:
     assert loaded("millgw.sidecar.__main__, millgw.services.node", "millgw.configuration") == []
 
