--- a/benchmarks/discovery_recovery.py
+++ b/benchmarks/discovery_recovery.py
@@ -1,10 +1,12 @@
 """How long a fleet is without its list after an outage of discovery, in virtual time.
 
     python -m benchmarks.discovery_recovery [--sidecars 60,200,670] [--answers 4,9,50,200] [--seeds 3]
+                                            [--overbooked 2]
 
 Discovery is one service that works through calls in turn, `answers` of them a second, and turns away those
-that wait longer than 2 s, for which it works all the same. All sidecars ask at once, each by its own module's
-waits. Printed are the seconds until half, nine in ten and all of them have been answered (inf: not within ten
+that wait longer than 2 s. It takes `overbooked` times the calls that it can answer by then: with 1 it works for
+none in vain, with more also for those that have been turned away. All sidecars ask at once, each by its own
+module's waits. Printed are the seconds until half, nine in ten and all of them have been answered (inf: not within ten
 minutes), and the calls that each made: medians over the seeds, with the least and the most.
 """
 
@@ -38,7 +40,6 @@
 
 STEP = 10.0  # ms between two looks at what discovery has answered
 PATIENCE = 2000.0  # ms that a call may wait
-OVERBOOKED = 2.0  # times the calls that can be answered in time, that discovery takes
 MOST_SECONDS = 600.0  # after which a run ends, whoever is left without a list
 CLASSES = (RequestClass("read", deadline=3000.0, repeat=Repeat.SAFE, aim=1000.0),)
 KNOWN = EndpointList(ListKind.CACHED, (Endpoint(1), Endpoint(2)))
@@ -136,13 +137,13 @@
     calls_each: float
 
 
-def recovery(sidecars: int, a_second: float, seed: int) -> Recovery:
+def recovery(sidecars: int, a_second: float, overbooked: float, seed: int) -> Recovery:
     """One outage's end."""
     settings = [
         Settings(CLASSES, 0.2, 10_000.0, 2.5, 1000.0, index=i, siblings=sidecars) for i in range(sidecars)
     ]
     balancers = [Balancer(own, seed * sidecars + i) for i, own in enumerate(settings)]
-    fleet = AskingFleet(balancers, BusyDiscovery(a_second, PATIENCE, OVERBOOKED))
+    fleet = AskingFleet(balancers, BusyDiscovery(a_second, PATIENCE, overbooked))
     fleet.run(MOST_SECONDS)
     heard = sorted(time / 1000 for time in fleet.heard)
     return Recovery(heard[sidecars // 2], heard[sidecars * 9 // 10], heard[-1], fleet.calls / sidecars)
@@ -152,13 +153,17 @@
 @click.option("--sidecars", default="60,200,670", show_default=True)
 @click.option("--answers", default="4,9,50,200", show_default=True)
 @click.option("--seeds", type=int, default=3, show_default=True)
+@click.option("--overbooked", type=float, default=2.0, show_default=True)
 def main(**given: Any) -> int:
     args = SimpleNamespace(**given)
     print("| sidecars | answers a second | half s | nine in ten s | all s | calls each |")
     print("| --- " * 6 + "|")
     for sidecars in map(int, args.sidecars.split(",")):
         for a_second in map(float, args.answers.split(",")):
-            runs = [astuple(recovery(sidecars, a_second, seed)) for seed in range(1, args.seeds + 1)]
+            runs = [
+                astuple(recovery(sidecars, a_second, args.overbooked, seed))
+                for seed in range(1, args.seeds + 1)
+            ]
             cells = [
                 f"{statistics.median(figures):.4g} ({min(figures):.4g} to {max(figures):.4g})"
                 for figures in zip(*runs, strict=True)
