--- a/benchmarks/discovery_recovery.py
+++ b/benchmarks/discovery_recovery.py
@@ -4,10 +4,10 @@
                                             [--overbooked 2]
 
 Discovery is one service that works through calls in turn, `answers` of them a second, and turns away those
-that wait longer than 2 s. It takes `overbooked` times the calls that it can answer by then: with 1 it works for
-none in vain, with more also for those that have been turned away. All sidecars ask at once, each by its own
-module's waits. Printed are the seconds until half, nine in ten and all of them have been answered (inf: not within ten
-minutes), and the calls that each made: medians over the seeds, with the least and the most.
+that wait longer than 2 s. It takes `overbooked` times the calls that it can answer by then: with 1 it works
+for none in vain, with more also for those that have been turned away. All sidecars ask at once, each by its
+own module's waits. Printed are the seconds until half, nine in ten and all of them have been answered (inf:
+not within ten minutes), and the calls that each made: medians over the seeds, with the least and the most.
 """
 
 from __future__ import annotations
