--- a/benchmarks/daily.py
+++ b/benchmarks/daily.py
@@ -35,7 +35,7 @@
 from millgw.rehearsal.audit.lateness import quantile
 from millgw.standins.address import free_address
 from millgw.standins.caller import DOOR_READY, ready
-from millgw.standins.crowd import Crowd
+from millgw.standins.repeating_clients import RepeatingClients
 from millgw.standins.scripted import (
     STREAM,
     ScriptedDiscoveryServer,
@@ -109,8 +109,8 @@
             await asyncio.sleep(0.02)
         return process, door
 
-    def crowd(self) -> Crowd:
-        return Crowd(self.listen, worded)
+    def crowd(self) -> RepeatingClients:
+        return RepeatingClients(self.listen, worded)
 
 
 @asynccontextmanager
--- a/millgw/rehearsal/byzantine_peers.py
+++ b/millgw/rehearsal/byzantine_peers.py
@@ -12,9 +12,9 @@
 from millgw.rehearsal.sidecars import settings
 from millgw.settings import to_settings
 from millgw.standins.address import free_address
+from millgw.standins.byzantine_peer import byzantine_peer
 from millgw.standins.endpoint import Endpoint
 from millgw.standins.http import Clock
-from millgw.standins.liar import liar
 
 
 class ByzantinePeers:
@@ -35,10 +35,10 @@
         if peers is None:
             return
         front = len(self.files.peers[0])
-        for number in range(peers.liars):
+        for number in range(peers.byzantine):
             made = to_settings(settings(self.scenario, 0, 0, front))
             terms = Terms(free_address(), self.files.joined(0), (str(self.files.key),), 0.0)
-            self.running.append(liar(terms, made, self._first_tier, self.scenario.seed + number))
+            self.running.append(byzantine_peer(terms, made, self._first_tier, self.scenario.seed + number))
             await self.running[-1].begin()
 
     def stop(self) -> None:
--- a/millgw/rehearsal/coordination.py
+++ b/millgw/rehearsal/coordination.py
@@ -14,9 +14,9 @@
 from millgw.rehearsal.scenario import Coordinator
 from millgw.standins.coordinator.ensemble import Ensemble
 from millgw.standins.endpoint import Endpoint
+from millgw.standins.endpoint_registry import Entry
 from millgw.standins.http import Clock
 from millgw.standins.ledger import Ledger, Word
-from millgw.standins.register import Entry
 
 
 def directory(tier: int) -> str:
--- a/millgw/rehearsal/fault_injection.py
+++ b/millgw/rehearsal/fault_injection.py
@@ -18,9 +18,9 @@
 from millgw.standins.discovery_server import Delays, DiscoveryServer
 from millgw.standins.endpoint import Endpoint
 from millgw.standins.endpoint_options import Build
+from millgw.standins.endpoint_registry import Entry
 from millgw.standins.http import Clock
 from millgw.standins.ledger import InjectedFault, Ledger, SentAway, Upgrade
-from millgw.standins.register import Entry
 
 SEED_PREFIX = "blows"  # the former name: a scenario's seed gives the same replacements as before
 RETURN_AFTER_DRAIN = 1.0  # s from the end of a drained process to its next start
--- a/millgw/rehearsal/scenario.py
+++ b/millgw/rehearsal/scenario.py
@@ -181,13 +181,13 @@
 
 
 class Peers(Table, frozen=True, kw_only=True):
-    """Sidecars of one stage learn from each other (docs/peers.md); so many `liars` hold the key as well.
+    """Sidecars of one stage learn from each other (docs/peers.md); `byzantine` others hold the key too.
 
     `within_ms` is what a start waits to learn.
     """
 
     within_ms: NotNegative = 300.0
-    liars: Annotated[int, Meta(ge=0, le=100)] = 0
+    byzantine: Annotated[int, Meta(ge=0, le=100)] = 0
 
 
 class Store(Table, frozen=True, kw_only=True):
--- a/millgw/rehearsal/sidecars.py
+++ b/millgw/rehearsal/sidecars.py
@@ -19,9 +19,9 @@
 from millgw.rehearsal.scenario import Scenario
 from millgw.standins.address import free_address
 from millgw.standins.caller import DOOR_READY, Desk, ready
+from millgw.standins.endpoint_registry import Entry
 from millgw.standins.http import Clock
 from millgw.standins.ledger import Ledger, SidecarLife, Upgrade
-from millgw.standins.register import Entry
 
 ROOT = Path(__file__).resolve().parents[2]
 DEFAULT_RUN = f"exec {sys.executable} -B -m millgw.sidecar"
--- a/millgw/rehearsal/testbed.py
+++ b/millgw/rehearsal/testbed.py
@@ -29,9 +29,9 @@
 from millgw.standins.discovery_server import Capacity, Delays, DiscoveryServer
 from millgw.standins.endpoint import Endpoint, NextTier
 from millgw.standins.endpoint_options import Build, ColdRule, Task
+from millgw.standins.endpoint_registry import Entry
 from millgw.standins.http import Clock, Message
 from millgw.standins.ledger import Attempt, Call, End, Ledger, shift
-from millgw.standins.register import Entry
 
 STARTS_AT_ONCE = 2  # sidecars started at the same time for each core: more only wait for each other
 SETTLE = 1.0  # s between the last sidecar's start and the day's first request
@@ -200,8 +200,8 @@
 
     def _known(self, tier: int) -> Callable[[], tuple[int, tuple[Entry, ...]]]:
         def known() -> tuple[int, tuple[Entry, ...]]:
-            register = self.discovery_server.register(tier)
-            return register.index, tuple(register.entries.values())
+            registry = self.discovery_server.registry(tier)
+            return registry.index, tuple(registry.entries.values())
 
         return known
 
--- a/millgw/standins/liar.py
+++ b/millgw/standins/byzantine_peer.py
@@ -1,4 +1,4 @@
-"""A peer that holds the key and lies: what is warm fails, drains and has just begun, what is cold is well."""
+"""A Byzantine peer: it holds the key, and reports warm endpoints as failing and cold ones as well."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 LONG_AGO = 3_600_000.0  # ms since which it claims that a cold endpoint runs
 
 
-class Liar:
+class ByzantinePool:
     """A pool's face towards its peers, with nothing behind it.
 
     `endpoints` are those of the day, each with whether it is cold.
@@ -54,9 +54,9 @@
         """It does not care."""
 
 
-def liar(
+def byzantine_peer(
     terms: Terms, settings: Settings, endpoints: Callable[[], Iterable[tuple[Endpoint, bool]]], seed: int
 ) -> Peers:
-    """A peer that lies, to be begun and stopped as any."""
-    face = cast(Pool, Liar(settings, endpoints))
+    """A peer with false reports, to be begun and stopped as any."""
+    face = cast(Pool, ByzantinePool(settings, endpoints))
     return Peers(terms, lambda: [face], seed)
--- a/millgw/standins/discovery_server.py
+++ b/millgw/standins/discovery_server.py
@@ -15,9 +15,9 @@
 
 from millgw.platform.config import Address
 from millgw.standins.address import free_address
+from millgw.standins.endpoint_registry import EndpointRegistry, Entry
 from millgw.standins.http import Clock, Listener, Message, ServerConnection, listener, ok, status
 from millgw.standins.ledger import Asked, Change, Ledger, Outage, Word
-from millgw.standins.register import Entry, Register
 
 HEARTBEAT = 2.0  # s between empty lines on a watch
 ORDER = {"in_service": 0, "terminating": 1, "terminated": 2}
@@ -49,7 +49,7 @@
     def __init__(self, discovery_server: DiscoveryServer, sidecar: str, tier: int) -> None:
         self.discovery_server = discovery_server
         self.tier = tier
-        self.register = discovery_server.register(tier)
+        self.registry = discovery_server.registry(tier)
         self.clock = discovery_server.clock
         self.sidecar = sidecar
         self.address: Address = free_address()
@@ -86,7 +86,7 @@
             self.watches[connection] = watch
         else:
             asked.until = asked.at
-        _, entries = self.register.since(index if watch else None)
+        _, entries = self.registry.since(index if watch else None)
         cost = self.discovery_server.capacity.call + len(entries)
         if not self.discovery_server.queue(cost, lambda: self._answer(connection, watch), call=True):
             connection.write(status(503))
@@ -100,7 +100,7 @@
             watch.flush(first=True)
             return
         body = json.dumps(
-            self.discovery_server.update_for(self, True, tuple(self.register.entries.values()))
+            self.discovery_server.update_for(self, True, tuple(self.registry.entries.values()))
         ).encode()
         connection.write(ok(body, "Content-Type: application/json\r\n"))
         connection.answered()
@@ -129,9 +129,9 @@
         discovery_server = self.window.discovery_server
         if self.connection.closed or discovery_server.down or self.muted:
             return
-        whole, entries = self.window.register.since(self.index)
+        whole, entries = self.window.registry.since(self.index)
         if first or whole or entries:
-            self.index = self.window.register.index
+            self.index = self.window.registry.index
             line = json.dumps(discovery_server.update_for(self.window, whole, entries)).encode() + b"\n"
             self._write(line)
         self._beat()
@@ -169,14 +169,14 @@
         self.rng = random.Random(f"{DELAY_SEED} {seed}")
         self.delays = delays
         self.capacity = capacity
-        self.registers: dict[int, Register] = {}
+        self.registries: dict[int, EndpointRegistry] = {}
         self.windows: dict[tuple[str, int], Window] = {}
         self.down = False
         self.free_at = 0.0
         self.ever: dict[str, Entry] = {}  # all that were listed, with the last word on each
 
-    def register(self, tier: int) -> Register:
-        return self.registers.setdefault(tier, Register())
+    def registry(self, tier: int) -> EndpointRegistry:
+        return self.registries.setdefault(tier, EndpointRegistry())
 
     def window(self, sidecar: str, tier: int) -> Address:
         """Where a sidecar asks for the endpoints of a tier; made at the first call."""
@@ -192,11 +192,11 @@
         """Know of a change now."""
         self.ever[entry.name] = entry
         self.ledger.changes.append(Change(entry.name, entry.life, entry.status, self.clock()))
-        register = self.register(entry.tier)
-        register.change(entry)
+        registry = self.registry(entry.tier)
+        registry.change(entry)
         if not self.down:
             for window in self.windows.values():
-                if window.register is register:
+                if window.registry is registry:
                     for watch in window.watches.values():
                         watch.changed()
 
@@ -219,10 +219,10 @@
         if whole:
             named = {entry.name for entry in entries}
             for last in self.ever.values():
-                if last.name not in named and self.register(last.tier) is window.register:
+                if last.name not in named and self.registry(last.tier) is window.registry:
                     book(Word(window.sidecar, last.name, last.life, "terminated", now))
         return {
-            "index": window.register.index,
+            "index": window.registry.index,
             "snapshot": whole,
             "endpoints": [entry.json() for entry in entries],
         }
@@ -253,8 +253,8 @@
     def come_back(self, history: bool = True) -> None:
         """Serve again, with all that became known meanwhile; a restart has lost its history of changes."""
         if not history:
-            for register in self.registers.values():
-                register.forget_history()
+            for registry in self.registries.values():
+                registry.forget_history()
         self.down = False
         self.ledger.outages[-1].until = self.clock()
         self.free_at = self.clock()
--- a/millgw/standins/register.py
+++ b/millgw/standins/endpoint_registry.py
@@ -30,7 +30,7 @@
         }  # fmt: skip
 
 
-class Register:
+class EndpointRegistry:
     """The list with its version, and the latest changes."""
 
     def __init__(self, index: int = 1) -> None:
--- a/millgw/standins/crowd.py
+++ b/millgw/standins/repeating_clients.py
@@ -10,7 +10,7 @@
 from millgw.standins.scripted import read_message
 
 
-class Crowd:
+class RepeatingClients:
     """`word` gives a request, told whether its connection is kept.
 
     `seen` counts answers by status, connections `refused`, and requests whose connection was `broken`.
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -31,8 +31,8 @@
 from millgw.platform.discovery import Discovery, Listed
 from millgw.sidecar.parts import one
 from millgw.standins.address import free_address
-from millgw.standins.crowd import Crowd
 from millgw.standins.http import ok
+from millgw.standins.repeating_clients import RepeatingClients
 from millgw.standins.scripted import (
     STREAM,
     ScriptedDiscoveryServer,
@@ -302,8 +302,8 @@
                 process.wait()
 
 
-def crowd_at(fleet: Platform) -> Crowd:
-    return Crowd(fleet.listen, lambda kept: request("pay", Connection="" if kept else "close"))
+def crowd_at(fleet: Platform) -> RepeatingClients:
+    return RepeatingClients(fleet.listen, lambda kept: request("pay", Connection="" if kept else "close"))
 
 
 def test_upgrades_under_load_hit_no_request_and_double_none(tmp_path: Path) -> None:
--- a/tests/test_rehearsal_pure.py
+++ b/tests/test_rehearsal_pure.py
@@ -23,8 +23,8 @@
 from millgw.rehearsal.summary import Worth, hit_by_upgrades, summarize
 from millgw.rehearsal.traffic import schedule
 from millgw.standins.capacity import Processor, Room
+from millgw.standins.endpoint_registry import EndpointRegistry, Entry
 from millgw.standins.ledger import Attempt, Call, End, InjectedFault, Ledger, Life, Told, Upgrade, shift
-from millgw.standins.register import Entry, Register
 from tests.kinds import once
 
 pytestmark = once
@@ -151,6 +151,7 @@
     assert parse(former, "day.toml") == parse(current, "day.toml")
     assert "cadastro" not in to_toml(parse(former, "day.toml"))
     assert load("cadastro-outage") == load("discovery-outage")
+    assert parse("[peers]\nliars = 1\n", "day.toml") == parse("[peers]\nbyzantine = 1\n", "day.toml")
 
 
 def test_files_that_are_not_there_or_not_text(tmp_path: Path) -> None:
@@ -279,25 +280,25 @@
 )
 @settings(max_examples=100, deadline=None)
 def test_changes_since_any_version_lead_to_the_whole_list(steps: list[tuple[str, str]]) -> None:
-    register = Register()
-    views: dict[int, dict[str, Entry]] = {register.index: {}}
+    registry = EndpointRegistry()
+    views: dict[int, dict[str, Entry]] = {registry.index: {}}
     for name, status in steps:
-        register.change(Entry(name, 1, 1, "127.0.0.1:1", 0, status))
-        views[register.index] = dict(register.entries)
+        registry.change(Entry(name, 1, 1, "127.0.0.1:1", 0, status))
+        views[registry.index] = dict(registry.entries)
     for index, view in views.items():
-        whole, entries = register.since(index)
+        whole, entries = registry.since(index)
         assert not whole
         for entry in entries:
             if entry.status == "terminated":
                 view.pop(entry.name, None)
             else:
                 view[entry.name] = entry
-        assert view == register.entries
-    for unknown in (None, register.index + 1):
-        assert register.since(unknown) == (True, tuple(register.entries.values()))
+        assert view == registry.entries
+    for unknown in (None, registry.index + 1):
+        assert registry.since(unknown) == (True, tuple(registry.entries.values()))
     if steps:
-        register.forget_history()
-        assert register.since(register.index - 1)[0] and not register.since(register.index)[0]
+        registry.forget_history()
+        assert registry.since(registry.index - 1)[0] and not registry.since(registry.index)[0]
 
 
 # Summary
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -19,9 +19,9 @@
 from millgw.standins.discovery_server import Capacity, Delays, DiscoveryServer
 from millgw.standins.endpoint import Endpoint
 from millgw.standins.endpoint_options import Build, ColdRule, Task
+from millgw.standins.endpoint_registry import Entry
 from millgw.standins.http import Clock, Listener, Message, ok
 from millgw.standins.ledger import Call, End, Ledger, Told
-from millgw.standins.register import Entry
 from millgw.standins.request_check import answer_token
 from millgw.standins.scripted import ScriptedEndpoint, answering, read_message, silent
 from tests.kinds import once
