Configuration: what watches are sent and what sidecars report, pure and in bounds

Needed by every control instance: a line is encoded once per version and the same bytes go to all watches; a watch that comes back gets the versions it missed from the last 256, or the whole. A watch that has not taken what it was sent gets nothing more until it has, then all it missed in one piece; one that takes nothing for 10 s is closed. Reports are one entry per sidecar, forgotten five minutes after its watch ended.

--- /dev/null
+++ b/millgw/configuration/reports.py
@@ -0,0 +1,249 @@
+"""What sidecars report: which version is in force at each, and which it refused. No I/O, no clock.
+
+One entry per sidecar, in bounded memory. One that neither watches nor reports is forgotten after a while.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any
+
+from millgw.configuration.document import DocumentError, decode_count
+
+MAX_SIDECARS = 4096
+MAX_SIDECAR_NAME = 128  # characters
+MAX_CAUSE = 300  # characters that are kept of why a version was refused
+MAX_REFUSALS = 20  # that a summary names
+FORGET_AFTER = 300.0  # s without a watch and without a report
+
+
+class Status(StrEnum):
+    """What became of a version at a sidecar."""
+
+    APPLIED = "applied"
+    REFUSED = "refused"
+
+
+class ReportsFullError(Exception):
+    """As many sidecars are known as may be."""
+
+
+@dataclass(slots=True, frozen=True)
+class Report:
+    """What one sidecar says of the newest version that it was sent."""
+
+    name: str
+    index: int
+    digest: str
+    status: Status
+    cause: str = ""
+
+
+@dataclass(slots=True)
+class Sidecar:
+    """What is known of one sidecar. `seen` is when it last reported or ended a watch, in s."""
+
+    name: str
+    seen: float
+    watches: int = 0
+    applied: int = 0
+    digest: str = ""
+    refused: int = 0
+    cause: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Refusal:
+    """A version that a sidecar refused, and why."""
+
+    name: str
+    index: int
+    cause: str
+
+
+@dataclass(slots=True)
+class Summary:
+    """How many sidecars have a version in force; `diverged` have one of its index with another digest."""
+
+    index: int
+    applied: int = 0
+    refused: int = 0
+    behind: int = 0
+    diverged: int = 0
+    oldest_index: int | None = None
+    refusals: list[Refusal] = field(default_factory=list)
+
+    @property
+    def known(self) -> int:
+        """All sidecars that were counted."""
+        return self.applied + self.refused + self.behind + self.diverged
+
+    def fields(self) -> dict[str, Any]:
+        """As it stands in a status: `in_force` of the wire form."""
+        return {
+            "applied": self.applied,
+            "refused": self.refused,
+            "behind": self.behind,
+            "diverged": self.diverged,
+            "oldest_index": self.oldest_index,
+        }
+
+    def refusal_fields(self) -> list[dict[str, Any]]:
+        """The refusals as they stand in a status."""
+        return [{"name": r.name, "index": r.index, "cause": r.cause} for r in self.refusals]
+
+
+class Reports:
+    """The newest report of each sidecar. Times are seconds of any clock that does not go back."""
+
+    def __init__(self, max_sidecars: int = MAX_SIDECARS, forget_after: float = FORGET_AFTER) -> None:
+        self.max_sidecars = max_sidecars
+        self.forget_after = forget_after
+        self.sidecars: dict[str, Sidecar] = {}
+
+    def take(self, now: float, report: Report) -> None:
+        """Keep a report in place of the sidecar's last one."""
+        sidecar = self._sidecar(now, report.name)
+        sidecar.seen = now
+        if report.status is Status.APPLIED:
+            sidecar.applied = report.index
+            sidecar.digest = report.digest
+            sidecar.refused = 0
+            sidecar.cause = ""
+        else:
+            sidecar.refused = report.index
+            sidecar.cause = report.cause[:MAX_CAUSE]
+
+    def watch_opened(self, now: float, name: str) -> None:
+        """A sidecar watches. Not counted where too many are known: it is served all the same."""
+        try:
+            sidecar = self._sidecar(now, name)
+        except ReportsFullError:
+            return
+        sidecar.watches += 1
+
+    def watch_closed(self, now: float, name: str) -> None:
+        """A sidecar's watch has ended; it may have opened another one before."""
+        sidecar = self.sidecars.get(name)
+        if sidecar is not None and sidecar.watches:
+            sidecar.watches -= 1
+            sidecar.seen = now
+
+    def forget_old(self, now: float) -> None:
+        """Forget sidecars that have been away for too long."""
+        for sidecar in list(self.sidecars.values()):
+            if not sidecar.watches and now - sidecar.seen >= self.forget_after:
+                del self.sidecars[sidecar.name]
+
+    def _sidecar(self, now: float, name: str) -> Sidecar:
+        sidecar = self.sidecars.get(name)
+        if sidecar is None:
+            if len(self.sidecars) >= self.max_sidecars:
+                self.forget_old(now)
+            if len(self.sidecars) >= self.max_sidecars:
+                raise ReportsFullError(f"{self.max_sidecars} sidecars are known already")
+            sidecar = self.sidecars[name] = Sidecar(name, now)
+        return sidecar
+
+
+def summarize(sidecars: Iterable[Sidecar], index: int, digests: Mapping[int, str]) -> Summary:
+    """Where a version is in force; `digests` has those of the versions that are remembered, by index."""
+    summary = Summary(index)
+    for sidecar in sidecars:
+        oldest = summary.oldest_index
+        summary.oldest_index = sidecar.applied if oldest is None else min(oldest, sidecar.applied)
+        if sidecar.applied and digests.get(sidecar.applied, sidecar.digest) != sidecar.digest:
+            summary.diverged += 1
+        elif sidecar.applied >= index:
+            summary.applied += 1
+        elif sidecar.refused >= index:
+            summary.refused += 1
+        else:
+            summary.behind += 1
+        if sidecar.refused and len(summary.refusals) < MAX_REFUSALS:
+            summary.refusals.append(Refusal(sidecar.name, sidecar.refused, sidecar.cause))
+    return summary
+
+
+def merge(told: Iterable[Iterable[Sidecar]]) -> list[Sidecar]:
+    """One entry per sidecar of what several instances know: where it watches, else where it was seen last.
+
+    `seen` must be on one clock.
+    """
+    merged: dict[str, Sidecar] = {}
+    for sidecars in told:
+        for sidecar in sidecars:
+            held = merged.get(sidecar.name)
+            if held is None or _newness(held) < _newness(sidecar):
+                merged[sidecar.name] = sidecar
+    return [merged[name] for name in sorted(merged)]
+
+
+def _newness(sidecar: Sidecar) -> tuple[bool, float]:
+    return bool(sidecar.watches), sidecar.seen
+
+
+def decode_report(data: bytes) -> Report:
+    """A report from its JSON; a DocumentError names the field that can't be used."""
+    try:
+        fields = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise DocumentError(f"report: {error}") from None
+    if not isinstance(fields, dict):
+        raise DocumentError("report: not an object")
+    name = fields.get("name")
+    if not isinstance(name, str) or not is_sidecar_name(name):
+        raise DocumentError(f"name: not a string of 1 to {MAX_SIDECAR_NAME} printable characters")
+    digest = fields.get("digest", "")
+    if not isinstance(digest, str) or len(digest) > MAX_SIDECAR_NAME:
+        raise DocumentError("digest: not a short string")
+    try:
+        status = Status(str(fields.get("status")))
+    except ValueError:
+        raise DocumentError("status: neither applied nor refused") from None
+    cause = fields.get("cause", "")
+    if not isinstance(cause, str):
+        raise DocumentError("cause: not a string")
+    return Report(name, decode_count(fields, "index"), digest, status, cause[:MAX_CAUSE])
+
+
+def is_sidecar_name(name: str) -> bool:
+    """Whether a sidecar may have this name."""
+    return 0 < len(name) <= MAX_SIDECAR_NAME and name.isprintable()
+
+
+def encode_sidecar(sidecar: Sidecar, now: float) -> dict[str, Any]:
+    """A sidecar as it stands in a status; its age takes the place of a time of this instance's clock."""
+    return {
+        "name": sidecar.name,
+        "watches": sidecar.watches,
+        "age_s": round(max(0.0, now - sidecar.seen), 3),
+        "applied": sidecar.applied,
+        "digest": sidecar.digest,
+        "refused": sidecar.refused,
+        "cause": sidecar.cause,
+    }
+
+
+def decode_sidecar(fields: Any, now: float) -> Sidecar:
+    """A sidecar from a status, `seen` on the clock of who asked; a DocumentError names the bad field."""
+    if not isinstance(fields, dict):
+        raise DocumentError("sidecar: not an object")
+    age = fields.get("age_s")
+    if isinstance(age, bool) or not isinstance(age, int | float):
+        raise DocumentError("age_s: not a number")
+    for name in ("name", "digest", "cause"):
+        if not isinstance(fields.get(name), str):
+            raise DocumentError(f"{name}: not a string")
+    return Sidecar(
+        name=fields["name"],
+        seen=now - age,
+        watches=decode_count(fields, "watches"),
+        applied=decode_count(fields, "applied"),
+        digest=fields["digest"],
+        refused=decode_count(fields, "refused"),
+        cause=fields["cause"],
+    )
--- /dev/null
+++ b/tests/test_configuration_watches.py
@@ -0,0 +1,391 @@
+"""What watches are sent and what sidecars report, without sockets."""
+
+from __future__ import annotations
+
+import itertools
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from millgw.configuration.document import Change, Document, DocumentError, Version, decode_line
+from millgw.configuration.history import History
+from millgw.configuration.reports import (
+    FORGET_AFTER,
+    MAX_CAUSE,
+    MAX_REFUSALS,
+    Report,
+    Reports,
+    ReportsFullError,
+    Sidecar,
+    Status,
+    decode_report,
+    decode_sidecar,
+    encode_sidecar,
+    merge,
+    summarize,
+)
+from millgw.configuration.request_reader import BadRequestError, Request, RequestReader
+from millgw.configuration.watchers import (
+    HEARTBEAT,
+    HEARTBEAT_GROUPS,
+    STALLED_AFTER,
+    TooManyWatchesError,
+    Watch,
+    Watchers,
+)
+from tests.kinds import aside
+
+pytestmark = aside
+
+
+def version(index: int, value: object = None) -> Version:
+    content = index if value is None else value
+    return Version(index, 1, (Change(f"services.s{index % 3}", {"n": content}),))
+
+
+def history_of(count: int, **bounds: int) -> History:
+    history = History(**bounds)
+    for index in range(1, count + 1):
+        history.append(version(index))
+    return history
+
+
+def lines_of(chunks: bytes) -> list[bytes]:
+    """The lines of a chunked body."""
+    lines = []
+    while chunks:
+        size, _, rest = chunks.partition(b"\r\n")
+        lines.append(rest[: int(size, 16)])
+        chunks = rest[int(size, 16) + 2 :]
+    return lines
+
+
+# History
+
+
+@given(st.integers(0, 12), st.integers(0, 14), st.integers(1, 6))
+def test_what_follows_any_version_leads_to_the_newest_one(count: int, start: int, kept: int) -> None:
+    history = history_of(count, max_lines=kept)
+    follower = history_of(min(start, count)).document
+    for line in lines_of(history.after(start)):
+        follower.load(decode_line(line))
+    assert follower.index == count
+    assert follower.digest() == history.document.digest()
+    if start >= count:
+        assert not history.after(start), "versions never go back"
+
+
+def test_a_line_is_encoded_once_and_a_version_too_old_gets_the_whole() -> None:
+    history = History(max_lines=2)
+    history.append(Version(1, 1, (Change("settings", {"long": "x" * 1000}),)))
+    for index in range(2, 6):
+        history.append(version(index))
+    assert history.after(4) is history.after(4)
+    assert history.after(0) is history.snapshot() is history.after(2)
+    assert len(history.digests) == 2
+    assert [decode_line(line).index for line in lines_of(history.after(3))] == [4, 5]
+
+
+def test_the_whole_is_sent_where_it_is_shorter_than_what_changed() -> None:
+    history = history_of(30)
+    assert history.after(1) is history.snapshot()
+
+
+def test_the_lines_kept_are_bounded_in_bytes() -> None:
+    history = History(max_bytes=1000)
+    for index in range(1, 20):
+        history.append(version(index, "x" * 200))
+    assert lines_of(history.after(18))
+    assert history.after(10) is history.snapshot()
+
+
+def test_a_version_out_of_order_is_refused_and_an_older_document_passed_over() -> None:
+    history = history_of(3)
+    with pytest.raises(ValueError, match="version 5 does not follow version 3"):
+        history.append(version(5))
+    history.replace(Document(2, 1, {}))
+    assert history.index == 3 and history.document.entries
+    history.replace(Document(9, 2, {"services.a": {}}))
+    assert history.index == 9
+    assert history.after(3) is history.snapshot()
+
+
+# Watchers
+
+
+class ChannelStub:
+    """Takes bytes, or leaves them unsent."""
+
+    def __init__(self) -> None:
+        self.taken: list[bytes] = []
+        self.reads = True
+        self.waiting = 0
+        self.closed = False
+
+    def write(self, data: bytes) -> None:
+        self.taken.append(data)
+        if not self.reads:
+            self.waiting += len(data)
+
+    def unsent(self) -> int:
+        return self.waiting
+
+    def close(self) -> None:
+        self.closed = True
+
+
+def opened(watchers: Watchers, channel: ChannelStub, name: str, position: int) -> Watch:
+    watch = watchers.add(channel, name, position)
+    watchers.begin(watch)
+    return watch
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def test_all_watches_are_written_the_same_bytes() -> None:
+    history = history_of(1)
+    watchers = Watchers(history, Clock())
+    channels = [ChannelStub() for _ in range(30)]
+    for number, channel in enumerate(channels):
+        opened(watchers, channel, f"n{number}", 1)
+    history.append(version(2))
+    watchers.publish()
+    assert {id(channel.taken[-1]) for channel in channels} == {id(history.after(1))}
+
+
+def test_a_watch_ahead_of_the_instance_gets_only_heartbeats_until_it_has_caught_up() -> None:
+    history = history_of(2)
+    watchers = Watchers(history, Clock())
+    channel = ChannelStub()
+    opened(watchers, channel, "n", 4)
+    for index in (3, 4):
+        history.append(version(index))
+        watchers.publish()
+    for _ in range(HEARTBEAT_GROUPS):
+        watchers.beat()
+    assert channel.taken == [HEARTBEAT, HEARTBEAT], "its first line comes at once"
+    history.append(version(5))
+    watchers.publish()
+    assert [decode_line(line).index for line in lines_of(channel.taken[2])] == [5]
+
+
+def test_a_slow_watch_gets_what_it_missed_in_one_piece_once_it_reads() -> None:
+    history, clock = history_of(1), Clock()
+    watchers = Watchers(history, clock)
+    channel = ChannelStub()
+    watch = opened(watchers, channel, "n", 1)
+    channel.taken.clear()
+    channel.reads = False
+    for index in (2, 3, 4):
+        history.append(version(index))
+        watchers.publish()
+    for _ in range(HEARTBEAT_GROUPS):
+        watchers.beat()
+    assert len(channel.taken) == 1, "nothing is added while bytes wait"
+    channel.reads, channel.waiting = True, 0
+    watchers.drained(watch)
+    assert channel.taken[1] == history.after(2)
+
+
+def test_a_watch_that_takes_nothing_is_closed_and_the_others_go_on() -> None:
+    history, clock = history_of(1), Clock()
+    watchers = Watchers(history, clock)
+    stuck, other = ChannelStub(), ChannelStub()
+    stuck.reads = False
+    opened(watchers, stuck, "stuck", 0)
+    opened(watchers, other, "other", 0)
+    clock.now += STALLED_AFTER - 0.1
+    watchers.beat()
+    assert not stuck.closed
+    clock.now += 0.1
+    watchers.beat()
+    assert stuck.closed and not other.closed
+    assert (watchers.count, watchers.cut) == (1, 1)
+
+
+def test_bytes_that_wait_for_slow_watches_are_bounded_together(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("millgw.configuration.watchers.MAX_UNSENT", 1000)
+    history = History()
+    history.append(version(1, "x" * 300))
+    watchers = Watchers(history, Clock())
+    channels = [ChannelStub() for _ in range(5)]
+    for channel in channels:
+        channel.reads = False
+        opened(watchers, channel, "n", 0)
+    left = [channel for channel in channels if not channel.closed]
+    assert left == channels[-2:], "those that have waited longest give way"
+    assert sum(channel.waiting for channel in left) <= 1000 < 3 * left[0].waiting
+
+
+def test_watches_are_bounded_and_closing_twice_counts_once() -> None:
+    watchers = Watchers(History(), Clock(), max_watches=1)
+    watch = opened(watchers, ChannelStub(), "a", 0)
+    with pytest.raises(TooManyWatchesError):
+        opened(watchers, ChannelStub(), "b", 0)
+    watchers.close(watch)
+    watchers.close(watch)
+    assert watchers.count == 0
+    opened(watchers, ChannelStub(), "b", 0)
+
+
+# Reports
+
+
+def applied(name: str, index: int, digest: str = "d") -> Report:
+    return Report(name, index, digest, Status.APPLIED)
+
+
+def test_a_summary_tells_who_has_it_who_refused_it_and_who_is_behind() -> None:
+    reports = Reports()
+    for number in range(10):
+        reports.take(0.0, applied(f"n{number}", 42))
+    for number in range(8):
+        reports.take(1.0, applied(f"n{number}", 43))
+    reports.take(1.0, Report("n8", 43, "d", Status.REFUSED, "limits.tryLimit: over 9"))
+    reports.watch_opened(1.0, "silent")
+    summary = summarize(reports.sidecars.values(), 43, {42: "d", 43: "d"})
+    assert (summary.applied, summary.refused, summary.behind, summary.diverged) == (8, 1, 2, 0)
+    assert summary.oldest_index == 0
+    assert summary.refusal_fields() == [{"name": "n8", "index": 43, "cause": "limits.tryLimit: over 9"}]
+    before = summarize(reports.sidecars.values(), 42, {})
+    assert (before.applied, before.refused, before.behind) == (10, 0, 1)
+
+
+def test_another_digest_of_the_same_version_is_told() -> None:
+    reports = Reports()
+    reports.take(0.0, applied("n", 43, "other"))
+    assert summarize(reports.sidecars.values(), 43, {43: "d"}).diverged == 1
+    assert summarize(reports.sidecars.values(), 43, {44: "d"}).diverged == 0, "what is not remembered"
+
+
+def test_a_sidecar_that_went_back_is_known_by_its_newest_report() -> None:
+    reports = Reports()
+    reports.take(0.0, applied("n", 43))
+    reports.take(1.0, applied("n", 42))
+    assert summarize(reports.sidecars.values(), 43, {}).behind == 1
+
+
+def test_a_sidecar_is_forgotten_once_its_watch_has_been_away() -> None:
+    reports = Reports()
+    reports.watch_opened(0.0, "n")
+    reports.take(0.0, applied("n", 1))
+    reports.forget_old(10 * FORGET_AFTER)
+    assert reports.sidecars, "it watches"
+    reports.watch_opened(10 * FORGET_AFTER, "n")  # its new watch comes before the old one's end
+    reports.watch_closed(10 * FORGET_AFTER, "n")
+    reports.forget_old(30 * FORGET_AFTER)
+    assert reports.sidecars
+    reports.watch_closed(30 * FORGET_AFTER, "n")
+    reports.forget_old(31 * FORGET_AFTER - 1)
+    assert reports.sidecars
+    reports.forget_old(31 * FORGET_AFTER)
+    assert not reports.sidecars
+
+
+def test_reports_are_bounded_in_number_and_length() -> None:
+    reports = Reports(max_sidecars=2)
+    reports.take(0.0, applied("a", 1))
+    reports.take(0.0, Report("b", 1, "", Status.REFUSED, "x" * 5000))
+    assert len(reports.sidecars["b"].cause) == MAX_CAUSE
+    with pytest.raises(ReportsFullError):
+        reports.take(1.0, applied("c", 1))
+    reports.watch_opened(1.0, "c")
+    assert len(reports.sidecars) == 2
+    reports.take(FORGET_AFTER + 1, applied("c", 1))
+    assert set(reports.sidecars) == {"c"}, "those that are away long enough give way"
+
+
+def test_refusals_named_are_bounded() -> None:
+    sidecars = [Sidecar(f"n{i}", 0.0, refused=3) for i in range(100)]
+    summary = summarize(sidecars, 3, {})
+    assert summary.refused == 100 and len(summary.refusals) == MAX_REFUSALS
+
+
+def test_merging_takes_the_instance_where_a_sidecar_watches_else_the_newest() -> None:
+    moved = [Sidecar("n", 5.0, watches=0, applied=42), Sidecar("m", 5.0, applied=42)]
+    now = [Sidecar("n", 1.0, watches=1, applied=43), Sidecar("m", 4.0, applied=41)]
+    for order in ((moved, now), (now, moved)):
+        merged = {sidecar.name: sidecar.applied for sidecar in merge(order)}
+        assert merged == {"n": 43, "m": 42}
+
+
+def test_a_sidecar_s_entry_survives_its_json() -> None:
+    sidecar = Sidecar("n", 90.0, 1, 43, "d", 44, "why")
+    fields = json.loads(json.dumps(encode_sidecar(sidecar, 100.0)))
+    assert decode_sidecar(fields, 50.0) == Sidecar("n", 40.0, 1, 43, "d", 44, "why")
+
+
+@pytest.mark.parametrize(
+    ("data", "names"),
+    [
+        (b"", "report"),
+        (b"[]", "report"),
+        (b"[" * 100_000, "report"),
+        (b'{"index":1,"status":"applied"}', "name"),
+        (b'{"name":"a\\nb","index":1,"status":"applied"}', "name"),
+        (b'{"name":"n","index":-1,"status":"applied"}', "index"),
+        (b'{"name":"n","index":true,"status":"applied"}', "index"),
+        (b'{"name":"n","index":1,"status":"done"}', "status"),
+        (b'{"name":"n","index":1,"status":["applied"]}', "status"),
+        (b'{"name":"n","index":1,"status":"refused","cause":1}', "cause"),
+        (b'{"name":"n","index":1,"status":"applied","digest":1}', "digest"),
+        (b"\xff", "report"),
+    ],
+)
+def test_a_report_that_can_t_be_read_names_its_field(data: bytes, names: str) -> None:
+    with pytest.raises(DocumentError, match=names):
+        decode_report(data)
+
+
+# Requests
+
+
+def read(data: bytes, limit: int = 100) -> list[Request]:
+    return RequestReader(lambda path: limit).feed(data)
+
+
+WHOLE = b"POST /v1/x?from=3&name=n%201 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
+
+
+@given(st.lists(st.integers(0, len(WHOLE)), max_size=6))
+def test_a_request_is_the_same_however_it_comes_in(cuts: list[int]) -> None:
+    reader, found = RequestReader(lambda path: 100), []
+    places = [0, *sorted(cuts), len(WHOLE)]
+    for start, end in itertools.pairwise(places):
+        found += reader.feed(WHOLE[start:end])
+    assert found == [Request("POST", "/v1/x", {"from": "3", "name": "n 1"}, b"abc", True)]
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", 400),
+        (b"GARBAGE\r\n\r\n", 400),
+        (b"GET /" + b"a" * 9000, 431),
+        (b"GET / HTTP/1.1\r\n" + b"A: b\r\n" * 2000, 431),
+        (b"POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n", 413),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nff\r\n" + b"b" * 255, 413),
+        (b"GET / HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: websocket\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\n\r\n" * 17, 400),
+    ],
+)
+def test_what_can_t_be_read_is_refused_with_its_status(data: bytes, status: int) -> None:
+    with pytest.raises(BadRequestError) as raised:
+        read(data)
+    assert raised.value.status == status
+
+
+@given(st.binary(max_size=300))
+def test_any_bytes_are_read_or_refused(data: bytes) -> None:
+    try:
+        read(data)
+    except BadRequestError as error:
+        assert error.status in (400, 413, 431)
