Configuration: control instances on sockets, with watches, proposals and reports

A control instance carries out a replica's actions in their order on its disk and its connections. The outcome of a proposal is told as it is: 200, 409, 421 with the leader, 503 where no majority is there, 504 where it is not known.

The operators' client of `top` takes a method, a body and a bound on the connecting, and tells whether a call that failed may have been received.

--- /dev/null
+++ b/millgw/configuration/instance.py
@@ -0,0 +1,251 @@
+"""One control instance that votes: the replica on a clock, a disk and sockets, behind the service's calls.
+
+The replica's actions are carried out in their order, and what must be durable is so before anything behind it
+is done. A write that fails ends the instance: the replica counts on it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from millgw.configuration.actions import (
+    Accepted,
+    Action,
+    Busy,
+    Committed,
+    Conflict,
+    Decided,
+    Installed,
+    Invalid,
+    NoQuorum,
+    NotLeader,
+    Outcome,
+    PeerRefused,
+    Persist,
+    RoleChanged,
+    Send,
+    Unknown,
+)
+from millgw.configuration.log import LogError
+from millgw.configuration.messages import Message, MessageError, decode, encode
+from millgw.configuration.replica import ConsensusError, Options, Replica
+from millgw.configuration.server import Response, Server, error_response, json_response
+from millgw.configuration.service import ControlService, Proposal, Reply, Standing
+from millgw.configuration.state import State
+from millgw.configuration.transport import Filter, PeerLink, allow_all
+from millgw.log.events import log_event
+from millgw.platform.config import Address
+
+PROPOSAL_TIME = 10.0  # s after which the outcome of a proposal counts as not known
+
+
+class StateKeeper(Protocol):
+    """Where a replica's state is kept: `durable.DurableState`, or a stand-in of it."""
+
+    def load(self) -> State:
+        """What the replica starts from."""
+
+    def persist(self, persist: Persist) -> None:
+        """Make it durable; an OSError tells that it may not be."""
+
+    def close(self) -> None: ...
+
+
+@dataclass(slots=True, frozen=True)
+class Pending:
+    """A proposal whose outcome is not known yet."""
+
+    reply: Reply
+    timer: asyncio.TimerHandle
+
+
+class Instance:
+    """One voter. `voters` has the addresses of all, its own among them, by name."""
+
+    def __init__(
+        self,
+        options: Options,
+        voters: Mapping[str, Address],
+        durable: StateKeeper,
+        seed: int,
+        allowed: Filter = allow_all,
+    ) -> None:
+        self.options = options
+        self.voters = dict(voters)
+        self.durable = durable
+        self.allowed = allowed
+        self.replica = Replica(options, durable.load(), seed, now_ms())
+        self.service = ControlService(options.name, self)
+        self.service.history.replace(self.replica.document)
+        self.server = Server(self.service, time.monotonic)
+        self.failed: asyncio.Future[Exception] = asyncio.get_running_loop().create_future()
+        self.links = {
+            peer: PeerLink(options.name, peer, self.voters[peer], self._receive, allowed)
+            for peer in options.peers
+        }
+        self._pending: dict[int, Pending] = {}
+        self._deadline: asyncio.TimerHandle | None = None
+        self._stopped = False
+
+    async def start(self) -> None:
+        """Listen and take part; an OSError tells why that can't be."""
+        await self.server.start(self.voters[self.options.name])
+        self.service.start()
+        self._schedule()
+
+    def stop(self) -> None:
+        """End all connections and let the disk go; proposals that are out are left unanswered."""
+        if self._stopped:
+            return
+        self._stopped = True
+        if self._deadline is not None:
+            self._deadline.cancel()
+        for pending in self._pending.values():
+            pending.timer.cancel()
+        for link in self.links.values():
+            link.stop()
+        self.service.stop()
+        self.server.stop()
+        self.durable.close()
+
+    # Backend of the service
+
+    def standing(self) -> Standing:
+        """What this instance knows of itself and of the others."""
+        leader = self.replica.leader
+        return Standing(
+            role=self.replica.role.value,
+            epoch=self.replica.epoch,
+            leader=None if leader is None else str(self.voters[leader]),
+            index=self.replica.log.last_index,
+            quorum=self.replica.has_quorum(now_ms()),
+        )
+
+    def propose(self, proposal: Proposal, reply: Reply) -> None:
+        """Propose a version; `reply` gets its outcome, once."""
+        proposed = self.replica.propose(
+            now_ms(), proposal.changes, proposal.author, proposal.reason, proposal.if_index, proposal.at
+        )
+        timer = asyncio.get_running_loop().call_later(PROPOSAL_TIME, self._expire, proposed.proposal)
+        self._pending[proposed.proposal] = Pending(reply, timer)
+        self._carry_out(proposed.actions)
+
+    def receive(self, sender: str, body: bytes) -> Response:
+        """A peer's message, answered by the reply to it if there is one."""
+        if sender not in self.links:
+            return error_response(404, "not from a voter")
+        if not self.allowed(sender, self.options.name):
+            return Response(204)
+        try:
+            message = decode(body)
+        except MessageError as error:
+            return error_response(400, str(error))
+        replies = self._carry_out(self._hand_on(sender, message), answering=sender)
+        if not replies or not self.allowed(self.options.name, sender):
+            return Response(204)
+        for reply in replies[1:]:
+            self.links[sender].send(reply)
+        return Response(200, encode(replies[0]))
+
+    # The replica
+
+    def _receive(self, sender: str, message: Message) -> None:
+        self._carry_out(self._hand_on(sender, message))
+
+    def _hand_on(self, sender: str, message: Message) -> Sequence[Action]:
+        if self._stopped:
+            return ()
+        try:
+            return self.replica.receive(now_ms(), sender, message)
+        except (ConsensusError, LogError) as error:
+            self._fail(error)
+            return ()
+
+    def _tick(self) -> None:
+        self._carry_out(self.replica.tick(now_ms()))
+
+    def _schedule(self) -> None:
+        if self._deadline is not None:
+            self._deadline.cancel()
+        if not self._stopped:
+            after = max(0.0, self.replica.next_deadline() - now_ms()) / 1000
+            self._deadline = asyncio.get_running_loop().call_later(after, self._tick)
+
+    def _carry_out(self, actions: Sequence[Action], answering: str = "") -> list[Message]:
+        """Do what the replica asks for, in order; messages to `answering` are returned, to be its answer."""
+        answers: list[Message] = []
+        before = self.service.history.index
+        for action in actions:
+            if self._stopped:
+                return []
+            match action:
+                case Persist():
+                    self._persist(action)
+                case Send(to, message) if to == answering:
+                    answers.append(message)
+                case Send(to, message):
+                    self.links[to].send(message)
+                case Committed(version):
+                    self.service.history.append(version)
+                case Installed(document):
+                    self.service.history.replace(document)
+                case Decided(proposal, outcome):
+                    self._decided(proposal, outcome)
+                case RoleChanged(role, epoch, leader):
+                    log_event("replica-role", role=role.value, epoch=epoch, leader=leader)
+                case PeerRefused(peer, cause):
+                    log_event("replica-refused", peer=peer, cause=cause)
+        if self.service.history.index != before:
+            self.service.watchers.publish()
+        self._schedule()
+        return answers
+
+    def _persist(self, action: Persist) -> None:
+        try:
+            self.durable.persist(action)
+        except OSError as error:
+            self._fail(error)
+
+    def _fail(self, error: Exception) -> None:
+        """End the instance: going on could break what it has promised to the others."""
+        log_event("instance-failed", cause=error)
+        self.stop()
+        if not self.failed.done():
+            self.failed.set_result(error)
+
+    # Proposals
+
+    def _decided(self, proposal: int, outcome: Outcome) -> None:
+        pending = self._pending.pop(proposal, None)
+        if pending is not None:
+            pending.timer.cancel()
+            pending.reply(self._response(outcome))
+
+    def _expire(self, proposal: int) -> None:
+        self._decided(proposal, Unknown())
+
+    def _response(self, outcome: Outcome) -> Response:
+        match outcome:
+            case Accepted(index, epoch):
+                return json_response(200, {"index": index, "epoch": epoch})
+            case Conflict(newest):
+                return json_response(409, {"cause": "if_index is not the newest version", "index": newest})
+            case NotLeader(leader):
+                return json_response(421, {"leader": str(self.voters[leader])})
+            case NoQuorum():
+                return error_response(503, "no quorum")
+            case Busy():
+                return error_response(503, "too many proposals")
+            case Invalid(cause):
+                return error_response(400, cause)
+            case Unknown():
+                return error_response(504, "the outcome is not known")
+
+
+def now_ms() -> float:
+    """The replica's clock."""
+    return time.monotonic() * 1000
--- /dev/null
+++ b/millgw/configuration/transport.py
@@ -0,0 +1,189 @@
+"""Messages between instances: each is posted to the other's server, whose answer brings the reply.
+
+One kept connection to each peer and one exchange at a time. Messages may be lost: the replica sends again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import cast
+from urllib.parse import quote
+
+import httptools
+
+from millgw.configuration.messages import MAX_MESSAGE, Message, MessageError, decode, encode
+from millgw.platform.config import Address
+
+REPLICA_PATH = "/v1/replica"
+MAX_QUEUED = 32  # messages that wait for one peer; the oldest go first
+CONNECT_TIME = 1.0  # s for a connection to come up
+EXCHANGE_TIME = 3.0  # s for a message and its answer
+RECONNECT_AFTER = 0.1  # s after a connection could not be had or was lost
+
+Receive = Callable[[str, Message], None]
+"""Takes a message and the name of its sender."""
+
+Filter = Callable[[str, str], bool]
+"""Whether a message from one instance may reach another one: tests part the network by it."""
+
+
+def allow_all(sender: str, receiver: str) -> bool:
+    """The filter of a whole network."""
+    return True
+
+
+class PeerLink:
+    """Messages from one instance to one peer, and the peer's replies."""
+
+    def __init__(
+        self, name: str, peer: str, address: Address, receive: Receive, allowed: Filter = allow_all
+    ) -> None:
+        self.name = name
+        self.peer = peer
+        self.address = address
+        self.receive = receive
+        self.allowed = allowed
+        self._queue: deque[Message] = deque(maxlen=MAX_QUEUED)
+        self._wire: PeerConnection | None = None
+        self._connecting: asyncio.Task[None] | None = None
+        self._retry: asyncio.TimerHandle | None = None
+        self._stopped = False
+
+    def send(self, message: Message) -> None:
+        """Send a message when its turn comes; it is lost if the peer can't be reached."""
+        if self._stopped or not self.allowed(self.name, self.peer):
+            return
+        self._queue.append(message)
+        if self._wire is not None:
+            self._wire.next()
+        elif self._connecting is None and self._retry is None:
+            self._connecting = asyncio.get_running_loop().create_task(self._connect())
+
+    def stop(self) -> None:
+        """Send nothing more."""
+        self._stopped = True
+        self._queue.clear()
+        if self._retry is not None:
+            self._retry.cancel()
+        if self._connecting is not None:
+            self._connecting.cancel()
+        if self._wire is not None:
+            self._wire.abort()
+
+    def take(self) -> bytes | None:
+        """The next request to write; None if nothing waits."""
+        while self._queue:
+            message = self._queue.popleft()
+            try:
+                return self._encode_request(encode(message))
+            except MessageError:
+                continue  # too large to be sent
+        return None
+
+    def answered(self, status: int, body: bytes) -> None:
+        """The peer has answered a message."""
+        if status != 200 or not self.allowed(self.peer, self.name):
+            return
+        try:
+            message = decode(body)
+        except MessageError:
+            return  # as if it were lost
+        self.receive(self.peer, message)
+
+    def ended(self) -> None:
+        """The connection is gone, and with it whatever waited: it will be outdated."""
+        self._wire = None
+        self._queue.clear()
+        if not self._stopped:
+            loop = asyncio.get_running_loop()
+            self._retry = loop.call_later(RECONNECT_AFTER, self._retry_now)
+
+    def _retry_now(self) -> None:
+        self._retry = None
+        if self._queue:
+            self._connecting = asyncio.get_running_loop().create_task(self._connect())
+
+    async def _connect(self) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIME):
+                _, wire = await loop.create_connection(
+                    lambda: PeerConnection(self), self.address.host, self.address.port
+                )
+        except (OSError, TimeoutError):
+            self._connecting = None
+            self.ended()
+            return
+        self._connecting = None
+        if wire.transport is not None:  # else it was lost at once, and `ended` has been told
+            self._wire = wire
+            wire.next()
+
+    def _encode_request(self, body: bytes) -> bytes:
+        head = (
+            f"POST {REPLICA_PATH}?from={quote(self.name)} HTTP/1.1\r\nHost: {self.address}\r\n"
+            f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        return head.encode() + body
+
+
+class PeerConnection(asyncio.Protocol):
+    """One connection to a peer."""
+
+    def __init__(self, link: PeerLink) -> None:
+        self.link = link
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpResponseParser(self)
+        self.body = bytearray()
+        self.timeout: asyncio.TimerHandle | None = None  # while an exchange is under way
+
+    def next(self) -> None:
+        """Begin the next exchange, if none is under way."""
+        if self.timeout is not None or self.transport is None or self.transport.is_closing():
+            return
+        request = self.link.take()
+        if request is not None:
+            self.transport.write(request)
+            self.timeout = asyncio.get_running_loop().call_later(EXCHANGE_TIME, self.abort)
+
+    def abort(self) -> None:
+        """Give the connection up."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    # asyncio
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        if self.timeout is not None:
+            self.timeout.cancel()
+            self.timeout = None
+        self.link.ended()
+
+    # httptools
+
+    def on_message_begin(self) -> None:
+        self.body.clear()
+
+    def on_body(self, body: bytes) -> None:
+        self.body += body
+        if len(self.body) > MAX_MESSAGE:
+            self.abort()
+
+    def on_message_complete(self) -> None:
+        if self.timeout is not None:
+            self.timeout.cancel()
+            self.timeout = None
+        self.link.answered(self.parser.get_status_code(), bytes(self.body))
+        self.next()
--- a/millgw/log/table.py
+++ b/millgw/log/table.py
@@ -146,6 +146,19 @@
     "registered": Kind(INFO, ("node", "times"), "`register`: the node is there"),
     "name-taken": Kind(WARNING, ("node",), "another process has a node of that name"),
     "register-refused": Kind(WARNING, ("node", "code"), "the coordinator refuses; tried again each second"),
+    "replica-role": Kind(
+        INFO, ("role", "epoch", "leader"), "a control instance's role, epoch or leader has changed"
+    ),
+    "replica-refused": Kind(
+        ERROR,
+        ("peer", "cause"),
+        "a control instance came back with older state than it had acknowledged: it is not heard",
+    ),
+    "instance-failed": Kind(
+        ERROR,
+        ("cause",),
+        "a control instance could not make its state durable, or found it broken: it ends",
+    ),
     "reloaded": Kind(
         INFO,
         ("services", "new", "removed"),
--- a/millgw/top/door.py
+++ b/millgw/top/door.py
@@ -19,7 +19,9 @@
 
 
 class Trouble(Exception):
-    """A door did not tell; its text is the cause in a few words."""
+    """A door did not tell; its text is the cause in a few words. `sent`: the call may have reached it."""
+
+    sent = False
 
 
 class Reading:
@@ -37,30 +39,50 @@
         self.whole = True
 
 
-async def ask(door: Address, path: str, within: float = WITHIN) -> tuple[int, bytes]:
-    """Status and body of `GET path`; `Trouble` where there is none in time."""
+async def ask(
+    door: Address,
+    path: str,
+    within: float = WITHIN,
+    method: str = "GET",
+    body: bytes = b"",
+    most: int = MOST,
+    connect_within: float | None = None,
+) -> tuple[int, bytes]:
+    """Status and body of an answer of at most `most` bytes; `Trouble` where there is none in time."""
+    sent = False
     try:
         async with asyncio.timeout(within):
-            reader, writer = await asyncio.open_connection(door.host, door.port)
+            async with asyncio.timeout(connect_within):
+                reader, writer = await asyncio.open_connection(door.host, door.port)
+            sent = True
             try:
-                return await _call(reader, writer, door, path)
+                writer.write(_request(door, path, method, body))
+                return await _answer(reader, most)
             finally:
                 writer.close()
     except TimeoutError:
-        raise Trouble(f"no answer within {within:g} s") from None
+        trouble = Trouble(f"no answer within {within:g} s")
     except OSError as error:
-        raise Trouble(os.strerror(error.errno).lower() if error.errno else str(error)) from None
+        trouble = Trouble(os.strerror(error.errno).lower() if error.errno else str(error))
+    except Trouble as error:
+        trouble = error
+    trouble.sent = sent
+    raise trouble
 
 
-async def _call(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, door: Address, path: str
-) -> tuple[int, bytes]:
-    writer.write(f"GET {path} HTTP/1.1\r\nHost: {door}\r\nConnection: close\r\n\r\n".encode())
+def _request(door: Address, path: str, method: str, body: bytes) -> bytes:
+    head = f"{method} {path} HTTP/1.1\r\nHost: {door}\r\nConnection: close\r\n"
+    if body:
+        head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
+    return head.encode() + b"\r\n" + body
+
+
+async def _answer(reader: asyncio.StreamReader, most: int) -> tuple[int, bytes]:
     reading, taken = Reading(), 0
     while not reading.whole:
         data = await reader.read(65_536)
         taken += len(data)
-        if not data or taken > MOST:
+        if not data or taken > most:
             raise Trouble("its answer is too long" if data else "its answer broke off")
         try:
             reading.parser.feed_data(data)
