Command configuration: run an instance, change the configuration, see where it is in force

`serve`, `set`, `get`, `status` and `wait`. `set` follows the leader and asks again only while nothing can have changed; an answer that is lost is told as not known and never repeated. `status` and `wait` ask all instances named and merge what they know: a sidecar counts once, where it watches. A voter whose store is lost, incomplete or another's is refused in one line.

--- a/millgw/cli/tree.py
+++ b/millgw/cli/tree.py
@@ -35,6 +35,9 @@
     "check": Lazy("millgw.operator.command", "check", "Check an operator's file.", OPERATOR),
     "route": Lazy("millgw.operator.command", "route", "Which route a request takes, and why.", OPERATOR),
     "store": Lazy("millgw.store.command", "store", "Check, show and repair a store.", OPERATOR),
+    "configuration": Lazy(
+        "millgw.configuration.command", "configuration", "The fleet's configuration.", OPERATOR
+    ),
     "top": Lazy("millgw.top.command", "top", "Running sidecars, by their operators' doors.", TOOLS),
     "coordinator": Lazy(
         "millgw.standins.coordinator.command", "coordinator", "A stand-in coordinator, with faults.", TOOLS
--- /dev/null
+++ b/millgw/configuration/command.py
@@ -0,0 +1,438 @@
+"""The command `configuration`: control instances, proposals, and where versions are in force."""
+
+from __future__ import annotations
+
+import asyncio
+import getpass
+import json
+import os
+import random
+import signal
+import sys
+import time
+from collections.abc import Callable, Coroutine, Sequence
+from pathlib import Path
+from typing import Any
+
+import click
+import uvloop
+
+from millgw.cli.exits import HELD, INCONCLUSIVE, NOT_HELD, BadInput
+from millgw.cli.kinds import ADDRESS, Duration
+from millgw.cli.log import start as start_log
+from millgw.cli.report import Out, Reporting, Serving
+from millgw.configuration.control_client import (
+    FleetStatus,
+    Outcome,
+    ProposalResult,
+    fetch_document,
+    fetch_status,
+    propose,
+)
+from millgw.configuration.document import MAX_NAME, Change
+from millgw.configuration.durable import DurableState, DurableStateError
+from millgw.configuration.instance import Instance
+from millgw.configuration.replica import Options
+from millgw.configuration.reports import Summary
+from millgw.log.events import log_event
+from millgw.log.wording import KINDS
+from millgw.platform.config import Address, read_address
+
+POLL_INTERVAL = 0.5  # s between two looks of `wait`
+WITHIN = 2.0  # s for an instance's answer
+MAX_INSTANCE_NAME = 64  # characters
+
+
+class AddressesKind(click.ParamType[tuple[Address, ...]]):
+    """`IP:PORT,...`, to addresses."""
+
+    name = "IP:PORT,..."
+
+    def convert(
+        self, value: Any, param: click.Parameter | None, ctx: click.Context | None
+    ) -> tuple[Address, ...]:
+        if isinstance(value, tuple):
+            return value
+        try:
+            return tuple(dict.fromkeys(read_address(part) for part in value.split(",")))
+        except ValueError as error:
+            self.fail(str(error), param, ctx)
+
+
+class VotersKind(click.ParamType[dict[str, Address]]):
+    """`NAME=IP:PORT,...`, to addresses by name."""
+
+    name = "NAME=IP:PORT,..."
+
+    def convert(
+        self, value: Any, param: click.Parameter | None, ctx: click.Context | None
+    ) -> dict[str, Address]:
+        if isinstance(value, dict):
+            return value
+        voters: dict[str, Address] = {}
+        for part in value.split(","):
+            name, _, address = part.partition("=")
+            if not _is_instance_name(name) or name in voters:
+                self.fail(f"{name!r} is no name, or stands twice", param, ctx)
+            try:
+                voters[name] = read_address(address)
+            except ValueError as error:
+                self.fail(str(error), param, ctx)
+        if len(set(voters.values())) != len(voters):
+            self.fail("an address stands twice", param, ctx)
+        return voters
+
+
+def _is_instance_name(name: str) -> bool:
+    return 0 < len(name) <= MAX_INSTANCE_NAME and name.isascii() and name.isprintable() and " " not in name
+
+
+INSTANCES = click.argument("instances", nargs=-1, required=True, type=ADDRESS, metavar="IP:PORT...")
+AT = click.option("--at", "instances", required=True, type=AddressesKind(), help="The control instances.")
+EACH = click.option(
+    "--each-within", type=Duration(0.01, 60), default=WITHIN, show_default=True, help="For one answer."
+)
+
+
+@click.group()
+def configuration() -> None:
+    """Control instances: run one, change the fleet's configuration, see where it is in force.
+
+    Exit: 0 it held, 1 it did not, 2 bad input, 3 it could not be told.
+    """
+
+
+# serve
+
+
+@configuration.command(
+    cls=Serving,
+    examples=[
+        "configuration serve --name a --voters a=127.0.0.1:7301 --store /var/lib/millgw/control --create",
+    ],
+)
+@click.option("--name", required=True, help="This instance's name.")
+@click.option("--voters", type=VotersKind(), required=True, help="All voters, this one among them.")
+@click.option(
+    "--store",
+    required=True,
+    multiple=True,
+    type=click.Path(file_okay=False, path_type=Path),
+    help="Its directory; twice for mirrors.",
+)
+@click.option("--create", is_flag=True, help="Make the state of a voter that never ran.")
+@click.option("--log", type=click.Choice(KINDS), default="text", show_default=True)
+def serve(
+    name: str,
+    voters: dict[str, Address],
+    store: Sequence[Path],
+    create: bool,
+    log: str,
+) -> int:
+    """Run one control instance.
+
+    A voter whose store is lost, incomplete or another's does not start: it could vote a committed version
+    away. --create is for the first start of a new cluster alone.
+
+    Exit: 0 told to end (SIGTERM), 1 it could not go on, 2 bad input, or a store that can't be used.
+    """
+    if not _is_instance_name(name):
+        raise BadInput(f"--name: {name!r} is no name of an instance")
+    start_log(log)
+    return _serve_voter(name, voters, store, create)
+
+
+def _serve_voter(name: str, voters: dict[str, Address], store: Sequence[Path], create: bool) -> int:
+    if name not in voters:
+        raise BadInput(f"--voters: {name} is not among them")
+    if len(store) > 2:
+        raise BadInput("--store: one directory, or two that mirror each other")
+    try:
+        if create:
+            for directory in store:
+                directory.mkdir(parents=True, exist_ok=True)
+        durable = DurableState.open(store, name, create)
+    except DurableStateError as error:
+        raise BadInput(f"--store: {error}") from None
+    except OSError as error:
+        raise BadInput(f"--store: {error}") from None
+    return uvloop.run(_run_voter(Options(name, tuple(sorted(voters))), voters, durable))
+
+
+async def _run_voter(options: Options, voters: dict[str, Address], durable: DurableState) -> int:
+    instance = Instance(options, voters, durable, random.randrange(2**32))
+    address = voters[options.name]
+    try:
+        await _start(instance.start, address)
+        told = _ending()
+        log_event("instance-serving", name=options.name, listen=address, index=instance.service.history.index)
+        ends: list[asyncio.Future[Any]] = [told, instance.failed]
+        await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        instance.stop()
+    if instance.failed.done():
+        print(f"millgw: {instance.failed.result()}", file=sys.stderr)
+        return NOT_HELD
+    return HELD
+
+
+async def _start(start: Callable[[], Coroutine[Any, Any, None]], address: Address) -> None:
+    try:
+        await start()
+    except OSError as error:
+        raise BadInput(f"{address}: {error.strerror or error}") from None
+
+
+def _ending() -> asyncio.Future[None]:
+    """Done once the process is told to end."""
+    loop = asyncio.get_running_loop()
+    told: asyncio.Future[None] = loop.create_future()
+
+    def tell_once() -> None:
+        if not told.done():
+            told.set_result(None)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, tell_once)
+    return told
+
+
+# set
+
+
+@configuration.command(
+    "set",
+    cls=Reporting,
+    examples=["""configuration set --at 127.0.0.1:7301 'services.login={"retry":{"maxAttempts":2}}'"""],
+)
+@AT
+@click.argument("changes", nargs=-1, metavar="NAME=JSON...")
+@click.option("--remove", multiple=True, metavar="NAME", help="Remove an entry; may stand several times.")
+@click.option("--if-index", type=click.IntRange(0), help="Only if this is the newest version.")
+@click.option("--author", default="", help="By default the user's name.")
+@click.option("--reason", default="")
+@click.option("--within", type=Duration(0.1, 600), default=10.0, show_default=True, help="For the outcome.")
+def set_(
+    out: Out,
+    instances: tuple[Address, ...],
+    changes: Sequence[str],
+    remove: Sequence[str],
+    if_index: int | None,
+    author: str,
+    reason: str,
+    within: float,
+) -> int:
+    """Propose one version with all these changes; FILE's content by NAME=@FILE.
+
+    Asks until an instance leads or the time is over. A version that may or may not be committed is never
+    proposed again by itself: look with `get`, and give --if-index.
+
+    Exit: 0 committed, 1 nothing changed (a conflict, no quorum), 2 bad input, 3 not known or nobody answered.
+    """
+    proposed = [_read_change(text) for text in changes] + [Change(name, None) for name in remove]
+    names = [change.name for change in proposed]
+    if not proposed:
+        raise BadInput("nothing to change: give NAME=JSON or --remove NAME")
+    for name in names:
+        if not 0 < len(name) <= MAX_NAME or names.count(name) > 1:
+            raise BadInput(f"{name!r} is no name of an entry, or stands twice")
+    result = asyncio.run(propose(instances, proposed, author or _user(), reason, if_index, within))
+    if result.outcome is Outcome.INVALID:
+        raise BadInput(f"refused: {result.cause}")
+    told = {"outcome": result.outcome.value, "index": result.index, "epoch": result.epoch}
+    return out.end(_exit_of(result), told | {"cause": result.cause}, [_describe(result)])
+
+
+def _read_change(text: str) -> Change:
+    name, equals, value = text.partition("=")
+    if not equals:
+        raise BadInput(f"{text!r} is not NAME=JSON")
+    try:
+        data = Path(value[1:]).read_text() if value.startswith("@") else value
+        decoded = json.loads(data)
+    except (OSError, ValueError) as error:
+        raise BadInput(f"{name}: {error}") from None
+    if not isinstance(decoded, dict):
+        raise BadInput(f"{name}: not a JSON object")
+    return Change(name, decoded)
+
+
+def _user() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return str(os.getuid())
+
+
+def _exit_of(result: ProposalResult) -> int:
+    if result.outcome is Outcome.COMMITTED:
+        return HELD
+    if result.outcome in (Outcome.CONFLICT, Outcome.NO_QUORUM):
+        return NOT_HELD
+    return INCONCLUSIVE
+
+
+def _describe(result: ProposalResult) -> str:
+    match result.outcome:
+        case Outcome.COMMITTED:
+            return f"committed: version {result.index} of epoch {result.epoch}"
+        case Outcome.CONFLICT:
+            return f"conflict: the newest version is {result.index}; nothing changed"
+        case Outcome.NO_QUORUM:
+            return f"no quorum: nothing changed ({result.cause})"
+        case Outcome.UNREACHABLE:
+            return f"no instance answered: nothing changed ({result.cause})"
+        case _:
+            return f"not known: it may be committed ({result.cause}); look with `get`, then use --if-index"
+
+
+# get
+
+
+@configuration.command(cls=Reporting, examples=["configuration get --at 127.0.0.1:7301 services.login"])
+@AT
+@click.argument("name", required=False)
+@EACH
+def get(out: Out, instances: tuple[Address, ...], name: str | None, each_within: float) -> int:
+    """The newest committed document that any instance has, or one entry of it.
+
+    Exit: 0 it is there, 1 there is no such entry, 2 bad input, 3 no instance answered.
+    """
+    line, troubles = asyncio.run(fetch_document(instances, each_within))
+    if line is None:
+        for address, trouble in sorted(troubles.items()):
+            print(f"millgw: {address}: {trouble}", file=sys.stderr)
+        return out.end(INCONCLUSIVE, {"troubles": troubles})
+    entries = {change.name: change.value for change in line.changes}
+    told: dict[str, Any] = {"index": line.index, "epoch": line.epoch, "digest": line.digest}
+    if name is not None:
+        found = entries.get(name)
+        if found is None:
+            return out.end(
+                NOT_HELD, told | {"entries": {}}, [f"version {line.index} has no entry named {name}"]
+            )
+        return out.end(HELD, told | {"entries": {name: found}}, [json.dumps(found, indent=2)])
+    lines = [
+        f"version {line.index} of epoch {line.epoch}, digest {line.digest}",
+        json.dumps(entries, indent=2),
+    ]
+    return out.end(HELD, told | {"entries": entries}, lines)
+
+
+# status
+
+
+@configuration.command(cls=Reporting, examples=["configuration status 127.0.0.1:7301 127.0.0.1:7302"])
+@INSTANCES
+@click.option("--index", type=click.IntRange(0), help="The version asked for; the newest by default.")
+@EACH
+def status(out: Out, instances: tuple[Address, ...], index: int | None, each_within: float) -> int:
+    """What all these instances know together, and at how many sidecars the newest version is in force.
+
+    Exit: 0 in force at all known sidecars and all instances have a quorum, 1 not so, 2 bad input, 3 some
+    instances did not answer.
+    """
+    fleet = asyncio.run(fetch_status(tuple(dict.fromkeys(instances)), each_within))
+    asked = fleet.committed if index is None else index
+    summary = fleet.summary(asked)
+    return out.end(_verdict(fleet, summary), _status_fields(fleet, summary), _status_lines(fleet, summary))
+
+
+def _verdict(fleet: FleetStatus, summary: Summary) -> int:
+    if fleet.troubles:
+        return INCONCLUSIVE
+    held = summary.applied == summary.known and not fleet.split_versions()
+    return HELD if held and all(instance.quorum for instance in fleet.instances) else NOT_HELD
+
+
+def _status_fields(fleet: FleetStatus, summary: Summary) -> dict[str, Any]:
+    return {
+        "index": summary.index,
+        "committed": fleet.committed,
+        "in_force": summary.fields(),
+        "refusals": summary.refusal_fields(),
+        "split_versions": fleet.split_versions(),
+        "instances": [instance.fields() for instance in fleet.instances],
+        "troubles": fleet.troubles,
+    }
+
+
+def _status_lines(fleet: FleetStatus, summary: Summary) -> list[str]:
+    lines = [
+        f"{instance.address}  {instance.name}  {instance.role}  epoch {instance.epoch}"
+        f"  version {instance.committed}  {instance.watchers} watchers"
+        + ("" if instance.quorum else "  no quorum")
+        for instance in fleet.instances
+    ]
+    lines += [f"{address}  {trouble}" for address, trouble in sorted(fleet.troubles.items())]
+    lines += [f"version {index}: instances differ in its content" for index in fleet.split_versions()]
+    lines.append(_summary_line(summary))
+    lines += [
+        f"    {refusal.name} refused version {refusal.index}: {refusal.cause}" for refusal in summary.refusals
+    ]
+    return lines
+
+
+def _summary_line(summary: Summary) -> str:
+    line = (
+        f"version {summary.index}: in force at {summary.applied} of {summary.known} known sidecars,"
+        f" {summary.refused} refused it, {summary.behind} behind"
+    )
+    if summary.diverged:
+        line += f", {summary.diverged} with another content"
+    if summary.oldest_index is not None:
+        line += f"; the oldest in force is {summary.oldest_index}"
+    return line
+
+
+# wait
+
+
+@configuration.command(
+    cls=Reporting, examples=["configuration wait --index 43 --all 127.0.0.1:7301 127.0.0.1:7302"]
+)
+@INSTANCES
+@click.option("--index", type=click.IntRange(1), required=True, help="The version to wait for.")
+@click.option("--all", "all_", is_flag=True, help="Until it is in force at every known sidecar.")
+@click.option("--sidecars", type=click.IntRange(1), help="Until it is in force at so many.")
+@click.option("--within", type=Duration(0.1, 3600), default=30.0, show_default=True, help="For all of it.")
+@EACH
+def wait(
+    out: Out,
+    instances: tuple[Address, ...],
+    index: int,
+    all_: bool,
+    sidecars: int | None,
+    within: float,
+    each_within: float,
+) -> int:
+    """Wait until a version is in force at the sidecars that these instances know.
+
+    With --all every instance named must answer, and at least one sidecar be known.
+
+    Exit: 0 in force, 1 refused by a sidecar, or one has it with another content, 2 bad input, 3 not known in
+    time.
+    """
+    if not all_ and sidecars is None:
+        raise BadInput("--all or --sidecars N is needed")
+    places = tuple(dict.fromkeys(instances))
+    fleet, code = asyncio.run(_wait(places, index, all_, sidecars or 1, within, each_within))
+    summary = fleet.summary(index)
+    return out.end(code, _status_fields(fleet, summary), _status_lines(fleet, summary))
+
+
+async def _wait(
+    instances: tuple[Address, ...], index: int, all_: bool, least: int, within: float, each_within: float
+) -> tuple[FleetStatus, int]:
+    deadline = time.monotonic() + within
+    while True:
+        fleet = await fetch_status(instances, min(each_within, max(0.01, deadline - time.monotonic())))
+        summary = fleet.summary(index)
+        if summary.refused or summary.diverged:
+            return fleet, NOT_HELD
+        everywhere = summary.applied == summary.known and not fleet.troubles
+        if summary.applied >= least and (everywhere or not all_):
+            return fleet, HELD
+        if time.monotonic() + POLL_INTERVAL >= deadline:
+            return fleet, INCONCLUSIVE
+        await asyncio.sleep(POLL_INTERVAL)
--- a/millgw/log/table.py
+++ b/millgw/log/table.py
@@ -146,6 +146,11 @@
     "registered": Kind(INFO, ("node", "times"), "`register`: the node is there"),
     "name-taken": Kind(WARNING, ("node",), "another process has a node of that name"),
     "register-refused": Kind(WARNING, ("node", "code"), "the coordinator refuses; tried again each second"),
+    "instance-serving": Kind(
+        INFO,
+        ("name", "listen", "index"),
+        "`configuration serve`: a control instance listens, with this version",
+    ),
     "replica-role": Kind(
         INFO, ("role", "epoch", "leader"), "a control instance's role, epoch or leader has changed"
     ),
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -32,7 +32,15 @@
 pytestmark = aside
 
 ROOT = Path(millgw.__file__).parent.parent
-NO_REPORT = {"serve", "register", "coordinator", "completion", "store dump", "load plan"}
+NO_REPORT = {
+    "serve",
+    "register",
+    "coordinator",
+    "completion",
+    "store dump",
+    "load plan",
+    "configuration serve",
+}
 """Commands that run until they are told to end, or whose output is data: any other one reports."""
 
 
@@ -113,6 +121,9 @@
             "version": [], "events": [], "build": ["--if-possible"], "check": [f"{folder}/o.toml"],
             "members": ["--connect", nobody, "--path", "/s", "--within-s", "0.2"],
             "route": [f"{folder}/o.toml", "--host", "a.example"],
+            "configuration set": ["--at", nobody, "--within", "200ms", "settings={}"],
+            "configuration get": ["--at", nobody], "configuration status": [nobody],
+            "configuration wait": [nobody, "--index", "1", "--all", "--within", "200ms"],
             "store check": [f"{folder}/store"], "store compact": [f"{folder}/store"],
             "store repair": [f"{folder}/store"], "store bench": [],
             "top": [nobody, "--once", "--within", "200ms"],
