--- a/millgw/configuration/command.py
+++ b/millgw/configuration/command.py
@@ -203,7 +203,7 @@
 @configuration.command(
     "set",
     cls=Reporting,
-    examples=["""configuration set --at 127.0.0.1:7301 'services.login={"retry":{"maxAttempts":2}}'"""],
+    examples=["""configuration set --at 127.0.0.1:7301 'services.login={"limits":{"tryLimit":2}}'"""],
 )
 @AT
 @click.argument("changes", nargs=-1, metavar="NAME=JSON...")
--- a/millgw/configuration/history.py
+++ b/millgw/configuration/history.py
@@ -6,6 +6,7 @@
 
 MAX_LINES = 256  # versions whose lines are kept for watches that come back
 MAX_LINE_BYTES = 1024 * 1024  # that these lines may have together
+NO_VERSION = -1
 NOTHING = b""
 
 
@@ -58,7 +59,12 @@
         return self._snapshot
 
     def after(self, index: int) -> bytes:
-        """What a watch lacks after version `index`: changes or the whole, and nothing where it is ahead."""
+        """What a watch lacks after version `index`: changes or the whole, and nothing where it is ahead.
+
+        The whole in any case after NO_VERSION: whoever asks without a version may hold anything.
+        """
+        if index == NO_VERSION:
+            return self.snapshot()
         if index >= self.index:
             return NOTHING
         if index == self.index - 1 and self.index in self._chunks:
--- a/millgw/configuration/service.py
+++ b/millgw/configuration/service.py
@@ -16,7 +16,7 @@
     decode_count,
     encode_line,
 )
-from millgw.configuration.history import History
+from millgw.configuration.history import NO_VERSION, History
 from millgw.configuration.messages import MAX_CHANGES, MAX_MESSAGE
 from millgw.configuration.reports import (
     Reports,
@@ -161,7 +161,7 @@
         if request.query.get("watch", "0") in ("", "0"):
             connection.reply(Response(200, encode_line(self.history.document.snapshot())))
             return
-        position = _query_count(request, "from", 0)
+        position = _query_count(request, "from", NO_VERSION)
         name = request.query.get("name", "")
         if name and not is_sidecar_name(name):
             raise DocumentError("name: not a sidecar's name")
--- a/tests/test_configuration_watches.py
+++ b/tests/test_configuration_watches.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from millgw.configuration.document import Change, Document, DocumentError, Version, decode_line
-from millgw.configuration.history import History
+from millgw.configuration.history import NO_VERSION, History
 from millgw.configuration.reports import (
     FORGET_AFTER,
     MAX_CAUSE,
@@ -112,6 +112,13 @@
     assert history.after(3) is history.snapshot()
 
 
+def test_whoever_asks_without_a_version_gets_the_whole_in_any_case() -> None:
+    for count in (0, 1, 5):
+        history = history_of(count)
+        assert history.after(NO_VERSION) is history.snapshot()
+        assert decode_line(lines_of(history.snapshot())[0]).snapshot
+
+
 # Watchers
 
 
