--- a/tests/test_configuration_instance.py
+++ b/tests/test_configuration_instance.py
@@ -17,7 +17,15 @@
 from millgw.configuration.instance import Instance
 from millgw.configuration.messages import MAX_CHANGES
 from millgw.platform.config import Address
-from tests.configuration_rig import Answer, Cluster, MemoryState, Watcher, address_of, call, propose
+from tests.configuration_rig import (
+    Answer,
+    Cluster,
+    MemoryState,
+    Watcher,
+    address_of,
+    call,
+    propose,
+)
 from tests.kinds import aside
 from tests.rig import run, until
 
@@ -131,15 +139,12 @@
 def test_a_leader_killed_while_a_proposal_is_out_loses_and_doubles_no_version() -> None:
     async def test() -> None:
         async with Cluster(3) as cluster:
-            leader = await cluster.leader()
             await propose_until_committed(cluster, "before", {"n": 1}, [])
             await cluster.committed(1)
+            leader, out = await _propose_to_one_cut_off(cluster)
             killed = leader.options.name
             rest = [name for name in cluster.voters if name != killed]
             watchers = await open_watchers([cluster.voters[name] for name in rest], 4)
-            cluster.network.part([killed], rest)
-            out = asyncio.create_task(propose(address_of(leader), "out", {"n": 2}))
-            await until(lambda: leader.replica.log.last_index == 2)
             cluster.stop(killed)
             with suppress(Exception):  # its connection ends without an answer: the outcome is not known
                 assert (await out).status == 504
@@ -157,6 +162,22 @@
     run(test)
 
 
+async def _propose_to_one_cut_off(cluster: Cluster) -> tuple[Instance, asyncio.Task[Answer]]:
+    """A leader that nobody hears and that has a proposal in its log, and the call that waits for it."""
+    while True:
+        cluster.network.join()
+        leader = await cluster.leader()
+        name = leader.options.name
+        log = leader.replica.log
+        before = log.last_index
+        cluster.network.part([name], [other for other in cluster.voters if other != name])
+        out = asyncio.create_task(propose(address_of(leader), "out", {"n": 2}))
+        while not out.done() and log.last_index == before:
+            await asyncio.sleep(0.005)
+        if not out.done():
+            return leader, out  # else its lease had ended before the call came: nothing has changed
+
+
 def test_a_proposal_that_was_replicated_before_its_leader_died_is_there_once() -> None:
     async def test() -> None:
         async with Cluster(3) as cluster:
--- /dev/null
+++ b/tests/test_configuration_transport.py
@@ -0,0 +1,176 @@
+"""Messages between instances: peers that are silent, gone, or answer what is no message."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from millgw.configuration.messages import Header, Message, VoteReply, VoteRequest, decode, encode
+from millgw.configuration.transport import MAX_QUEUED, PeerLink
+from millgw.standins.address import free_address
+from millgw.standins.http import Clock, Listener, ServerConnection, listener, ok, status
+from millgw.standins.http import Message as HttpMessage
+from tests.kinds import aside
+from tests.rig import run, until
+
+pytestmark = aside
+
+
+def request(epoch: int) -> VoteRequest:
+    return VoteRequest(Header(epoch, 1, 0), 0)
+
+
+def reply(epoch: int) -> VoteReply:
+    return VoteReply(Header(epoch, 1, 0), True)
+
+
+class Peer:
+    """Answers by a function of the message's epoch; None: never."""
+
+    def __init__(self, answer: Callable[[int], bytes | None]) -> None:
+        self.clock = Clock()
+        self.answer = answer
+        self.epochs: list[int] = []
+        self.paths: set[str] = set()
+        self.address = free_address()
+        self.listener: Listener = listener(self.address, self)
+
+    def opened(self, connection: ServerConnection) -> None: ...
+
+    def lost(self, connection: ServerConnection) -> None: ...
+
+    def bytes_came(self, connection: ServerConnection) -> bool:
+        return True
+
+    def asked(self, connection: ServerConnection, message: HttpMessage) -> None:
+        epoch = decode(message.body).header.epoch
+        self.epochs.append(epoch)
+        self.paths.add(message.first)
+        answer = self.answer(epoch)
+        if answer is not None:
+            connection.write(answer)
+            connection.answered()
+
+
+def answering(epoch: int) -> bytes:
+    return ok(encode(reply(epoch)))
+
+
+class Received:
+    """What a link's replica is handed."""
+
+    def __init__(self) -> None:
+        self.messages: list[tuple[str, Message]] = []
+
+    def __call__(self, sender: str, message: Message) -> None:
+        self.messages.append((sender, message))
+
+    @property
+    def epochs(self) -> list[int]:
+        return [message.header.epoch for _, message in self.messages]
+
+
+def test_a_message_is_posted_and_its_reply_handed_on_under_the_peer_s_name() -> None:
+    async def test() -> None:
+        peer, received = Peer(answering), Received()
+        peer.listener.open()
+        link = PeerLink("a", "b", peer.address, received)
+        for epoch in (1, 2, 3):
+            link.send(request(epoch))
+        await until(lambda: len(received.messages) == 3)
+        assert received.messages[0] == ("b", reply(1))
+        assert peer.epochs == [1, 2, 3] and peer.paths == {"POST /v1/replica?from=a HTTP/1.1"}
+        link.stop()
+        peer.listener.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [ok(b"{}"), ok(b"\xff\xfe"), status(204), status(500), b"no HTTP\r\n\r\n", b"HTTP/1.1 200 OK\r\n\r\n"],
+)
+def test_an_answer_that_is_no_message_counts_as_lost(bad: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("millgw.configuration.transport.EXCHANGE_TIME", 0.2)
+
+    async def test() -> None:
+        peer, received = Peer(lambda epoch: bad if epoch == 1 else answering(epoch)), Received()
+        peer.listener.open()
+        link = PeerLink("a", "b", peer.address, received)
+        link.send(request(1))
+        await until(lambda: peer.epochs == [1])
+        while not received.messages:
+            link.send(request(2))
+            await asyncio.sleep(0.05)
+        assert set(received.epochs) == {2}
+        link.stop()
+        peer.listener.close()
+
+    run(test)
+
+
+def test_a_peer_that_is_silent_is_given_up_and_tried_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("millgw.configuration.transport.EXCHANGE_TIME", 0.2)
+
+    async def test() -> None:
+        peer, received = Peer(lambda epoch: None if epoch == 1 else answering(epoch)), Received()
+        peer.listener.open()
+        link = PeerLink("a", "b", peer.address, received)
+        link.send(request(1))
+        await until(lambda: peer.epochs == [1])
+        for _ in range(10 * MAX_QUEUED):
+            link.send(request(1))
+        assert len(link._queue) == MAX_QUEUED, "what waits is bounded"
+        while not received.messages:
+            link.send(request(2))
+            await asyncio.sleep(0.05)
+        assert received.epochs[0] == 2
+        assert peer.epochs.count(1) == 1, "what waited went with the connection: it was outdated"
+        link.stop()
+        peer.listener.close()
+
+    run(test)
+
+
+def test_a_peer_that_is_not_there_is_reached_once_it_is() -> None:
+    async def test() -> None:
+        peer, received = Peer(answering), Received()
+        link = PeerLink("a", "b", peer.address, received)
+        for _ in range(5):
+            link.send(request(1))
+            await asyncio.sleep(0.02)
+        peer.listener.open()
+        while not received.messages:
+            link.send(request(2))
+            await asyncio.sleep(0.02)
+        link.stop()
+        link.send(request(3))
+        peer.listener.close()
+        assert 3 not in peer.epochs
+
+    run(test)
+
+
+def test_a_parted_network_lets_neither_messages_nor_replies_pass() -> None:
+    async def test() -> None:
+        closed: set[tuple[str, str]] = {("a", "b")}
+        peer, received = Peer(answering), Received()
+        peer.listener.open()
+        link = PeerLink("a", "b", peer.address, received, lambda sender, to: (sender, to) not in closed)
+        link.send(request(1))
+        closed.clear()
+        closed.add(("b", "a"))
+        link.send(request(2))
+        await until(lambda: peer.epochs == [2])
+        link.send(request(3))
+        await until(lambda: peer.epochs == [2, 3])
+        closed.clear()
+        link.send(request(4))
+        await until(lambda: 4 in received.epochs)
+        assert 1 not in received.epochs and 2 not in received.epochs
+        link.stop()
+        peer.listener.close()
+
+    run(test)
