Configuration: an instance ends whatever keeps it from doing what its replica counts on

A fault between two actions left the later ones undone and the instance running. Connections are bounded by the process's descriptors too, so that the store and the peers always have theirs.

--- a/millgw/configuration/instance.py
+++ b/millgw/configuration/instance.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -30,9 +30,8 @@
     Send,
     Unknown,
 )
-from millgw.configuration.log import LogError
 from millgw.configuration.messages import Message, MessageError, decode, encode
-from millgw.configuration.replica import ConsensusError, Options, Replica
+from millgw.configuration.replica import Options, Replica
 from millgw.configuration.server import Response, Server, error_response, json_response
 from millgw.configuration.service import ControlService, Proposal, Reply, Standing
 from millgw.configuration.state import State
@@ -127,12 +126,15 @@
 
     def propose(self, proposal: Proposal, reply: Reply) -> None:
         """Propose a version; `reply` gets its outcome, once."""
+        self._advance(lambda: self._propose(proposal, reply))
+
+    def _propose(self, proposal: Proposal, reply: Reply) -> Sequence[Action]:
         proposed = self.replica.propose(
             now_ms(), proposal.changes, proposal.author, proposal.reason, proposal.if_index, proposal.at
         )
         timer = asyncio.get_running_loop().call_later(PROPOSAL_TIME, self._expire, proposed.proposal)
         self._pending[proposed.proposal] = Pending(reply, timer)
-        self._carry_out(proposed.actions)
+        return proposed.actions
 
     def receive(self, sender: str, body: bytes) -> Response:
         """A peer's message, answered by the reply to it if there is one."""
@@ -144,7 +146,7 @@
             message = decode(body)
         except MessageError as error:
             return error_response(400, str(error))
-        replies = self._carry_out(self._hand_on(sender, message), answering=sender)
+        replies = self._advance(lambda: self.replica.receive(now_ms(), sender, message), answering=sender)
         if not replies or not self.allowed(self.options.name, sender):
             return Response(204)
         for reply in replies[1:]:
@@ -154,19 +156,20 @@
     # The replica
 
     def _receive(self, sender: str, message: Message) -> None:
-        self._carry_out(self._hand_on(sender, message))
+        self._advance(lambda: self.replica.receive(now_ms(), sender, message))
+
+    def _tick(self) -> None:
+        self._advance(lambda: self.replica.tick(now_ms()))
 
-    def _hand_on(self, sender: str, message: Message) -> Sequence[Action]:
+    def _advance(self, step: Callable[[], Sequence[Action]], answering: str = "") -> list[Message]:
+        """Carry out what an input leads to; messages to `answering` are returned, to be its answer."""
         if self._stopped:
-            return ()
+            return []
         try:
-            return self.replica.receive(now_ms(), sender, message)
-        except (ConsensusError, LogError) as error:
+            return self._carry_out(step(), answering)
+        except Exception as error:  # whatever it was, actions that the replica counts on were not done
             self._fail(error)
-            return ()
-
-    def _tick(self) -> None:
-        self._carry_out(self.replica.tick(now_ms()))
+            return []
 
     def _schedule(self) -> None:
         if self._deadline is not None:
@@ -175,16 +178,13 @@
             after = max(0.0, self.replica.next_deadline() - now_ms()) / 1000
             self._deadline = asyncio.get_running_loop().call_later(after, self._tick)
 
-    def _carry_out(self, actions: Sequence[Action], answering: str = "") -> list[Message]:
-        """Do what the replica asks for, in order; messages to `answering` are returned, to be its answer."""
+    def _carry_out(self, actions: Sequence[Action], answering: str) -> list[Message]:
         answers: list[Message] = []
         before = self.service.history.index
         for action in actions:
-            if self._stopped:
-                return []
             match action:
                 case Persist():
-                    self._persist(action)
+                    self.durable.persist(action)
                 case Send(to, message) if to == answering:
                     answers.append(message)
                 case Send(to, message):
@@ -204,12 +204,6 @@
         self._schedule()
         return answers
 
-    def _persist(self, action: Persist) -> None:
-        try:
-            self.durable.persist(action)
-        except OSError as error:
-            self._fail(error)
-
     def _fail(self, error: Exception) -> None:
         """End the instance: going on could break what it has promised to the others."""
         log_event("instance-failed", cause=error)
--- a/millgw/configuration/server.py
+++ b/millgw/configuration/server.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import resource
 import socket
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -18,6 +19,7 @@
 BACKLOG = 1024  # connections that wait to be accepted: a fleet that comes back at once
 MAX_CONNECTIONS = 4096
 MAX_TURNED_AWAY = 64  # connections over the bound that are told so; more are just ended
+RESERVED_DESCRIPTORS = 64  # for the store, the peers and the process itself
 REQUEST_TIME = 10.0  # s for a request to come in whole
 IDLE_TIME = 90.0  # s that a connection is kept between two requests
 LINGER_TIME = 2.0  # s that a connection waits for the peer's end after its last answer
@@ -208,15 +210,21 @@
             self.transport.resume_reading()
 
 
+def connections_allowed() -> int:
+    """How many connections the process's descriptors allow, less those that the instance itself needs."""
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return MAX_CONNECTIONS
+    return max(1, min(MAX_CONNECTIONS, descriptors - RESERVED_DESCRIPTORS - MAX_TURNED_AWAY))
+
+
 class Server:
     """Listens for one service."""
 
-    def __init__(
-        self, service: Service, now: Callable[[], float], max_connections: int = MAX_CONNECTIONS
-    ) -> None:
+    def __init__(self, service: Service, now: Callable[[], float]) -> None:
         self.service = service
         self.now = now
-        self.max_connections = max_connections
+        self.max_connections = connections_allowed()
         self.connections: dict[Connection, None] = {}
         self._listening: asyncio.Server | None = None
         self._sweeping: asyncio.TimerHandle | None = None
--- a/tests/test_configuration_instance.py
+++ b/tests/test_configuration_instance.py
@@ -16,6 +16,7 @@
 from millgw.configuration.durable import DurableState, StateIncomplete, StateMissing, StateOfAnother
 from millgw.configuration.instance import Instance
 from millgw.configuration.messages import MAX_CHANGES
+from millgw.configuration.server import connections_allowed
 from millgw.platform.config import Address
 from tests.configuration_rig import (
     Answer,
@@ -587,7 +588,15 @@
     run(test)
 
 
-def test_connections_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize(("descriptors", "connections"), [(1024, 896), (100, 1), (20_000, 4096), (-1, 4096)])
+def test_connections_leave_descriptors_for_the_store_and_the_peers(
+    descriptors: int, connections: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(resource, "getrlimit", lambda which: (descriptors, -1))
+    assert connections_allowed() == connections
+
+
+def test_connections_are_bounded() -> None:
     async def test() -> None:
         async with Cluster(1) as cluster:
             instance = await cluster.leader()
