Configuration: instances on sockets under random faults

Five instances, parted, ended and restarted by chance for 6 s while two callers propose: what was acknowledged is there once, what was refused is not, watches end at the same document.

--- /dev/null
+++ b/tests/test_configuration_faults.py
@@ -0,0 +1,141 @@
+"""Control instances under random faults: parted networks, ends and restarts, while versions are proposed."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from millgw.configuration.control_client import Outcome, propose
+from millgw.configuration.document import Change
+from tests.configuration_rig import Cluster, Watcher
+from tests.kinds import aside
+from tests.rig import run, until
+
+pytestmark = aside
+
+FAULT_TIME = 6.0  # s in which faults come and go
+PROPOSAL_WITHIN = 1.5  # s for one proposal
+
+
+class Proposer:
+    """Proposes numbered entries, one after another, and notes how each ended."""
+
+    def __init__(self, cluster: Cluster, first: int, step: int) -> None:
+        self.cluster = cluster
+        self.numbers = range(first, 1_000_000, step)
+        self.committed: dict[int, int] = {}
+        self.unchanged: set[int] = set()
+        self.unknown: set[int] = set()
+        self.stopped = False
+
+    async def run(self) -> None:
+        addresses = list(self.cluster.voters.values())
+        for number in self.numbers:
+            if self.stopped:
+                return
+            change = Change(f"e{number}", {"n": number})
+            result = await propose(addresses, [change], "a", "", None, PROPOSAL_WITHIN)
+            if result.outcome is Outcome.COMMITTED:
+                assert result.index is not None
+                self.committed[number] = result.index
+            elif result.outcome is Outcome.UNKNOWN:
+                self.unknown.add(number)
+            else:
+                self.unchanged.add(number)
+
+
+def parts(rng: random.Random, names: list[str]) -> Iterator[list[str]]:
+    """Two parts, of any size, drawn by chance."""
+    shuffled = rng.sample(names, len(names))
+    cut = rng.randrange(1, len(names))
+    yield shuffled[:cut]
+    yield shuffled[cut:]
+
+
+async def one_fault(rng: random.Random, cluster: Cluster) -> None:
+    """Part the network, make it whole, end an instance or start one again."""
+    names = list(cluster.voters)
+    ended = [name for name in names if name not in cluster.running]
+    match rng.choice(("part", "part", "join", "end", "start", "start")):
+        case "part":
+            cluster.network.part(*parts(rng, names))
+        case "join":
+            cluster.network.join()
+        case "end" if len(ended) < 2:
+            cluster.stop(rng.choice(sorted(cluster.running)))
+        case "start" if ended:
+            await cluster.restart(rng.choice(ended))
+    await asyncio.sleep(rng.uniform(0.1, 0.8))
+
+
+async def keep_watching(cluster: Cluster, rng: random.Random, watchers: list[Watcher]) -> None:
+    """Have each watch that ended go on at another instance from the document that it has."""
+    while True:
+        for number, watcher in enumerate(watchers):
+            if watcher.ended and cluster.running:
+                name = rng.choice(sorted(cluster.running))
+                again = Watcher(watcher.name, document=watcher.document)
+                try:
+                    await again.open(cluster.voters[name])
+                except OSError:
+                    continue
+                watchers[number] = again
+        await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_whatever_fails_acknowledged_versions_stay_and_none_is_there_twice(seed: int) -> None:
+    async def test() -> None:
+        rng = random.Random(seed)
+        async with Cluster(5, keep=20) as cluster:
+            await cluster.leader()
+            watchers = [await Watcher(f"n{n}").open(at) for n, at in enumerate(cluster.voters.values())]
+            watching = asyncio.create_task(keep_watching(cluster, rng, watchers))
+            proposers = [Proposer(cluster, first, 2) for first in (0, 1)]
+            proposing = [asyncio.create_task(proposer.run()) for proposer in proposers]
+            end = time.monotonic() + FAULT_TIME
+            while time.monotonic() < end:
+                await one_fault(rng, cluster)
+            cluster.network.join()
+            for name in cluster.voters:
+                if name not in cluster.running:
+                    await cluster.restart(name)
+            for proposer in proposers:
+                proposer.stopped = True
+            await asyncio.gather(*proposing)
+            last = await _settled(cluster)
+            await until(lambda: all(watcher.index == last for watcher in watchers))
+            watching.cancel()
+
+            committed = {number: index for p in proposers for number, index in p.committed.items()}
+            unknown = {number for p in proposers for number in p.unknown}
+            print(f"{len(committed)} committed, {len(unknown)} not known, last version {last}")
+            assert committed
+            assert len(set(committed.values())) == len(committed), "each index once"
+            document = next(iter(cluster.running.values())).service.history.document
+            there = {int(name[1:]) for name in document.entries}
+            assert set(committed) <= there, "none that was acknowledged is lost"
+            assert there <= set(committed) | unknown, "none that was refused is there"
+            assert document.index == len(there), "no version is there twice"
+            assert {watcher.document.digest() for watcher in watchers} == {document.digest()}
+            assert all(not instance.failed.done() for instance in cluster.running.values())
+
+    run(test)
+
+
+async def _settled(cluster: Cluster) -> int:
+    """The version at which all instances are, once a leader has committed one more and nothing is out."""
+    leader = await cluster.leader()
+
+    def same() -> bool:
+        histories = [instance.service.history for instance in cluster.running.values()]
+        logs = [instance.replica.log for instance in cluster.running.values()]
+        ends = {history.index for history in histories} | {log.last_index for log in logs}
+        return len(ends) == 1
+
+    await until(same)
+    return leader.service.history.index
