Configuration: relays, which follow the voters and serve on

A relay follows voters or other relays by the sidecars' own client, keeps the last good document, serves watches and collects reports; proposals to it are sent on to the instance that it follows. It listens once it has a first version or knows that none comes soon.

Tests: served as the voters commit, another voter once one is lost, served on without any and after a restart, never back; sidecars' own clients follow, refuse, report and move when the leader dies.

--- a/millgw/configuration/command.py
+++ b/millgw/configuration/command.py
@@ -109,10 +109,13 @@
     cls=Serving,
     examples=[
         "configuration serve --name a --voters a=127.0.0.1:7301 --store /var/lib/millgw/control --create",
+        "configuration serve --name r --follow 127.0.0.1:7301 --listen 127.0.0.1:7309 --store /tmp/r",
     ],
 )
 @click.option("--name", required=True, help="This instance's name.")
-@click.option("--voters", type=VotersKind(), required=True, help="All voters, this one among them.")
+@click.option("--voters", type=VotersKind(), help="All voters, this one among them.")
+@click.option("--follow", type=AddressesKind(), help="Be a relay of these instances.")
+@click.option("--listen", type=ADDRESS, help="Where a relay listens; a voter listens where --voters says.")
 @click.option(
     "--store",
     required=True,
@@ -124,12 +127,14 @@
 @click.option("--log", type=click.Choice(KINDS), default="text", show_default=True)
 def serve(
     name: str,
-    voters: dict[str, Address],
+    voters: dict[str, Address] | None,
+    follow: tuple[Address, ...] | None,
+    listen: Address | None,
     store: Sequence[Path],
     create: bool,
     log: str,
 ) -> int:
-    """Run one control instance.
+    """Run one control instance: a voter (--voters) or a relay (--follow).
 
     A voter whose store is lost, incomplete or another's does not start: it could vote a committed version
     away. --create is for the first start of a new cluster alone.
@@ -138,13 +143,24 @@
     """
     if not _is_instance_name(name):
         raise BadInput(f"--name: {name!r} is no name of an instance")
+    if (voters is None) == (follow is None):
+        raise BadInput("one of --voters and --follow is needed")
     start_log(log)
-    return _serve_voter(name, voters, store, create)
+    if voters is not None:
+        return _serve_voter(name, voters, listen, store, create)
+    assert follow is not None
+    if listen is None or create or len(store) != 1:
+        raise BadInput("a relay takes --listen and one --store, and no --create")
+    return uvloop.run(_run_relay(name, listen, follow, store[0]))
 
 
-def _serve_voter(name: str, voters: dict[str, Address], store: Sequence[Path], create: bool) -> int:
+def _serve_voter(
+    name: str, voters: dict[str, Address], listen: Address | None, store: Sequence[Path], create: bool
+) -> int:
     if name not in voters:
         raise BadInput(f"--voters: {name} is not among them")
+    if listen is not None:
+        raise BadInput("--listen: a voter listens where --voters says")
     if len(store) > 2:
         raise BadInput("--store: one directory, or two that mirror each other")
     try:
@@ -176,6 +192,20 @@
     return HELD
 
 
+async def _run_relay(name: str, listen: Address, follow: tuple[Address, ...], store: Path) -> int:
+    from millgw.configuration.relay import Relay  # a voter needs nothing of a sidecar's side
+
+    relay = Relay(name, listen, follow, store, random.randrange(2**32))
+    try:
+        await _start(relay.start, listen)
+        told = _ending()
+        log_event("instance-serving", name=name, listen=listen, index=relay.service.history.index)
+        await told
+    finally:
+        relay.stop()
+    return HELD
+
+
 async def _start(start: Callable[[], Coroutine[Any, Any, None]], address: Address) -> None:
     try:
         await start()
--- a/tests/test_configuration_command.py
+++ b/tests/test_configuration_command.py
@@ -184,6 +184,30 @@
         assert first.wait(LIMIT) == exits.HELD
 
 
+def test_a_relay_serves_as_a_process_and_proposals_to_it_reach_the_leader(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    with processes(tmp_path, 1) as fleet:
+        address = free_address()
+        words = ["configuration", "serve", "--name", "r", "--follow", fleet.words[0]]
+        words += ["--listen", str(address), "--store", f"{tmp_path}/r"]
+        relay = subprocess.Popen([sys.executable, "-m", "millgw", *words], cwd=ROOT)
+        try:
+            at = ["--at", str(address)]
+            code, told = report(capsys, "set", *at, 'a={"n":1}', "--within", f"{LIMIT}s")
+            assert (code, told["outcome"]) == (exits.HELD, "committed")
+            eventually(lambda: report(capsys, "get", *at)[1].get("entries") == {"a": {"n": 1}})
+            # The voter knows it as it knows a sidecar.
+            wait = ["wait", "--index", "1", "--all", fleet.words[0], str(address)]
+            code, told = report(capsys, *wait)
+            assert (code, told["in_force"]["applied"]) == (exits.HELD, 1)
+            relay.send_signal(signal.SIGTERM)
+            assert relay.wait(LIMIT) == exits.HELD
+        finally:
+            relay.kill()
+            relay.wait()
+
+
 def test_leaders_killed_while_proposals_are_out_lose_and_double_no_version(tmp_path: Path) -> None:
     acknowledged: dict[int, int] = {}
     unknown: list[int] = []
@@ -293,6 +317,10 @@
         ["serve", "--name", "a", "--voters", "a=127.0.0.1:1,a=127.0.0.1:2", "--store", "s"],
         ["serve", "--name", "a", "--voters", "a=127.0.0.1:1,b=127.0.0.1:1", "--store", "s"],
         ["serve", "--name", "a", "--voters", "a=localhost:1", "--store", "s"],
+        ["serve", "--name", "a", "--voters", "a=127.0.0.1:1", "--follow", "127.0.0.1:2", "--store", "s"],
+        ["serve", "--name", "a", "--voters", "a=127.0.0.1:1", "--listen", "127.0.0.1:2", "--store", "s"],
+        ["serve", "--name", "r", "--follow", "127.0.0.1:1", "--store", "s"],
+        ["serve", "--name", "r", "--follow", "127.0.0.1:1,x", "--listen", "127.0.0.1:2", "--store", "s"],
         ["set", "--at", "127.0.0.1:1"],
         ["set", "--at", "127.0.0.1:1", "a"],
         ["set", "--at", "127.0.0.1:1", "a=1"],
--- a/tests/test_configuration_instance.py
+++ b/tests/test_configuration_instance.py
@@ -13,12 +13,16 @@
 
 import pytest
 
+from millgw.configuration.apply import Entries, RefusedVersionError
+from millgw.configuration.client import Client
+from millgw.configuration.control_client import fetch_status
 from millgw.configuration.durable import DurableState, StateIncomplete, StateMissing, StateOfAnother
 from millgw.configuration.instance import Instance
 from millgw.configuration.messages import MAX_CHANGES
 from millgw.configuration.server import connections_allowed
 from millgw.platform.config import Address
 from tests.configuration_rig import (
+    ANSWER_TIME,
     Answer,
     Cluster,
     MemoryState,
@@ -447,6 +451,57 @@
     run(test)
 
 
+class RefusingTarget:
+    """A sidecar's settings: what it goes by, and which value it refuses."""
+
+    def __init__(self, refuses: int) -> None:
+        self.refuses = refuses
+        self.entries: Entries = {}
+
+    def check(self, entries: Entries) -> None: ...
+
+    def reconfigure(self, entries: Entries) -> None:
+        if entries["settings"]["n"] == self.refuses:
+            raise RefusedVersionError(f"settings.n: {self.refuses}")
+        self.entries = entries
+
+
+def test_sidecars_own_clients_follow_report_and_move_when_their_instance_dies() -> None:
+    async def test() -> None:
+        async with Cluster(3) as cluster:
+            await propose_until_committed(cluster, "settings", {"n": 1}, [])
+            places = [str(address) for address in cluster.voters.values()]
+            targets = [RefusingTarget(2 if number % 10 == 0 else 0) for number in range(20)]
+            clients = [
+                Client(f"n{number}", (places[number % 3], *places), None, number, target)
+                for number, target in enumerate(targets)
+            ]
+            for client in clients:
+                client.serving = True
+                await client.begin()
+            assert await propose_until_committed(cluster, "settings", {"n": 2}, []) == 2
+            await until(lambda: clients[0].follower.refused == clients[10].follower.refused == 2)
+            await until(lambda: sum(target.entries["settings"]["n"] == 2 for target in targets) == 18)
+            await until(lambda: all(client.follower.pending is None for client in clients))
+
+            async def counts() -> tuple[int, int, int]:
+                fleet = await fetch_status(list(cluster.voters.values()), ANSWER_TIME)
+                summary = fleet.summary(fleet.committed)
+                return summary.applied, summary.refused, summary.behind
+
+            while await counts() != (18, 2, 0):
+                await asyncio.sleep(0.05)
+            cluster.stop((await cluster.leader()).options.name)
+            assert await propose_until_committed(cluster, "settings", {"n": 3}, list(cluster.running)) == 3
+            await until(lambda: all(target.entries["settings"]["n"] == 3 for target in targets))
+            while await counts() != (20, 0, 0):
+                await asyncio.sleep(0.05)
+            for client in clients:
+                client.stop()
+
+    run(test)
+
+
 def test_a_watcher_that_does_not_read_is_closed_and_the_others_go_on(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("millgw.configuration.watchers.STALLED_AFTER", 0.5)
 
--- /dev/null
+++ b/tests/test_configuration_relay.py
@@ -0,0 +1,162 @@
+"""A relay: follows voters, serves watches and reports, and keeps the last good document."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from millgw.configuration.apply import Entries
+from millgw.configuration.client import Client
+from millgw.configuration.document import Document
+from millgw.configuration.history import History
+from millgw.configuration.relay import Relay, changes_between, take
+from millgw.platform.config import Address
+from millgw.standins.address import free_address
+from tests.configuration_rig import Answer, Cluster, Watcher, address_of, call, propose
+from tests.kinds import aside
+from tests.rig import run, until
+
+pytestmark = aside
+
+ENTRIES = st.dictionaries(st.sampled_from("abc"), st.fixed_dictionaries({"n": st.integers(0, 2)}))
+
+
+async def started(address: Address, cluster: Cluster, folder: Path) -> Relay:
+    relay = Relay("r1", address, list(cluster.voters.values()), folder, 1)
+    await relay.start()
+    return relay
+
+
+async def changed(cluster: Cluster, name: str, value: object) -> int:
+    answer = await propose(address_of(await cluster.leader()), name, value)
+    assert answer.status == 200
+    index = answer.fields["index"]
+    assert isinstance(index, int)
+    return index
+
+
+@given(st.lists(st.tuples(st.integers(1, 3), ENTRIES), max_size=6))
+def test_what_a_history_is_given_whole_its_watches_get_as_changes_or_whole(
+    steps: list[tuple[int, dict[str, dict[str, int]]]],
+) -> None:
+    history, index = History(), 0
+    for step, entries in steps:
+        index += step
+        take(history, Document(index, 1, dict(entries)))
+        assert (history.index, history.document.entries) == (index, entries)
+        assert history.digests[index] == history.document.digest()
+        assert (step == 1) == (history.after(index - 1) is not history.snapshot())
+
+
+def test_entries_that_differ_are_told_by_name() -> None:
+    before, after = Document(1, 1, {"a": {}, "b": {}}), Document(2, 1, {"b": {"n": 1}, "c": {}})
+    assert [(c.name, c.value) for c in changes_between(before, after)] == [
+        ("a", None), ("b", {"n": 1}), ("c", {}),
+    ]  # fmt: skip
+
+
+def test_a_relay_serves_what_the_voters_commit_and_what_its_sidecars_report(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Cluster(3) as cluster:
+            address = free_address()
+            await changed(cluster, "a", {"n": 1})
+            relay = await started(address, cluster, tmp_path)
+            watcher = await Watcher("n1").open(address)
+            await until(lambda: watcher.index == 1)
+            assert await changed(cluster, "b", {"n": 2}) == 2
+            await until(lambda: watcher.index == 2)
+            assert not watcher.lines[-1].snapshot, "one version goes on as its changes"
+            assert watcher.document.entries == {"a": {"n": 1}, "b": {"n": 2}}
+            report = {"name": "n1", "index": 2, "digest": watcher.lines[-1].digest, "status": "applied"}
+            assert (await call(address, "POST", "/v1/configuration/reports", report)).status == 204
+            status = (await call(address, "GET", "/v1/configuration/status")).fields
+            assert (status["role"], status["committed"], status["quorum"]) == ("relay", 2, True)
+            assert status["in_force"]["applied"] == 1
+            followed = status["leader"]
+            assert followed in map(str, cluster.voters.values())
+            assert await propose(address, "c", {}) == Answer(421, {"leader": followed})
+            assert (await call(address, "POST", "/v1/replica?from=c1", {})).status == 404
+            relay.stop()
+
+    run(test)
+
+
+def test_a_relay_goes_to_another_voter_and_serves_on_without_any(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Cluster(3) as cluster:
+            address = free_address()
+            await changed(cluster, "a", {"n": 1})
+            await cluster.committed(1)
+            relay = await started(address, cluster, tmp_path)
+            watcher = await Watcher("n1").open(address)
+            await until(lambda: watcher.index == 1)
+            followed = relay.client.follower.instance
+            cluster.stop(next(name for name, at in cluster.voters.items() if str(at) == followed))
+            assert await changed(cluster, "a", {"n": 2}) == 2
+            await until(lambda: watcher.index == 2)
+            for name in list(cluster.running):
+                cluster.stop(name)
+            await until(lambda: not relay.standing().quorum)
+            assert await propose(address, "c", {}) == Answer(421, {"leader": None})
+            await until(lambda: relay.client.last_good is not None and relay.client.last_good.writing is None)
+            relay.stop()
+            again = await started(address, cluster, tmp_path)
+            late = await Watcher("n2").open(address)
+            await until(lambda: late.index == 2)
+            assert late.document.entries == {"a": {"n": 2}}
+            again.stop()
+
+    run(test)
+
+
+def test_a_relay_that_is_behind_takes_no_watcher_back(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Cluster(1) as cluster:
+            address = free_address()
+            await changed(cluster, "a", {"n": 1})
+            relay = await started(address, cluster, tmp_path)
+            ahead = await Watcher("n1", document=Document(2, 1, {"a": {"n": 2}})).open(address)
+            await until(lambda: ahead.heartbeats > 1)
+            assert not ahead.lines
+            await changed(cluster, "a", {"n": 2})
+            await until(lambda: relay.service.history.index == 2)
+            assert await changed(cluster, "a", {"n": 3}) == 3
+            await until(lambda: ahead.index == 3)
+            assert [line.index for line in ahead.lines] == [3]
+            relay.stop()
+
+    run(test)
+
+
+def test_a_sidecar_follows_voters_and_relays_alike_and_is_known_where_it_watches(tmp_path: Path) -> None:
+    class Target:
+        def __init__(self) -> None:
+            self.entries: dict[str, object] = {}
+
+        def check(self, entries: Entries) -> None: ...
+
+        def reconfigure(self, entries: Entries) -> None:
+            self.entries = dict(entries)
+
+    async def test() -> None:
+        async with Cluster(3) as cluster:
+            address = free_address()
+            relay = await started(address, cluster, tmp_path)
+            target = Target()
+            client = Client("n1", (str(address),), None, 1, target)
+            client.serving = True
+            await client.begin()
+            await changed(cluster, "settings", {"n": 1})
+            await until(lambda: target.entries == {"settings": {"n": 1}})
+            sidecars = relay.service.reports.sidecars
+            await until(lambda: "n1" in sidecars and sidecars["n1"].applied == 1)
+            upstream = [i.service.reports.sidecars for i in cluster.running.values()]
+            await until(lambda: any("r1" in known and known["r1"].applied == 1 for known in upstream))
+            client.stop()
+            relay.stop()
+            await asyncio.sleep(0)
+
+    run(test)
