Rehearsal: an answer broken off in its first 64 KiB is audited as failed, not as lost

Cause: `test_long_bodies_and_answers_come_whole_within_the_memory` failed once with "its connection ended with no whole answer" for a report asked for at 5.222 s. The caller stand-in booked that an answer had begun only once over 64 KiB of its body had come, so the audit held it against the sidecar. The sidecar and the endpoint stand-in did right.

Change: the caller books the first bytes of any 200 whose rest is to come; the time of a long answer is that of its first bytes, as before. The audit excuses a broken-off answer however little of it had come, and is stricter in turn: only an endpoint that had made an answer counts as having broken one off, where any attempt's endpoint that ended meanwhile did.

The two new tests fail without it.

--- a/millgw/rehearsal/audit/answers.py
+++ b/millgw/rehearsal/audit/answers.py
@@ -135,11 +135,16 @@
 
 
 def _broken_off(records: DayRecords, call: Call) -> bool:
-    """Whether a long answer ended before its end because the endpoint that made it did."""
+    """Whether an answer that had begun to come ended before its end because its endpoint did.
+
+    It has failed and is not lost (protocol page, Figures), however little of it had come by then. Only an
+    endpoint that had made an answer can have begun one: one that ended before that breaks off nothing.
+    """
     closed = call.closed or math.inf
     return call.begun is not None and any(
         attempt.first <= life.until <= closed + SOCKET_MARGIN
         for attempt in records.attempts.get(call.trace, ())
+        if attempt.token
         for life in records.lives.get(attempt.endpoint, ())
         if life.number == attempt.life and life.until is not None
     )
--- a/millgw/standins/caller.py
+++ b/millgw/standins/caller.py
@@ -16,6 +16,7 @@
 PIECE = 1 << 14  # bytes of a long body that are written at once
 STALLED = 2.0  # s in which more of an answer that has begun must come, or of a body be taken
 DOOR_READY = "/-/ready"  # where a sidecar's door says that it can serve
+SERVED = 200  # the status of an answer that an endpoint made
 LONG = 1 << 16  # bytes beyond which an answer's first bytes are timed, and not its last
 
 
@@ -115,9 +116,10 @@
         if self.reader is None or not self.reader.feed(data):
             self._end(End.BROKEN)
             self.abort()
-        elif self.call is call and len(self.reader.body) > LONG:
-            call.begun = self.came
-            if call.pace:
+        elif self.call is call:
+            if self.reader.status == SERVED:
+                call.begun = self.came
+            if call.pace and len(self.reader.body) > LONG:
                 self._slow(len(data), call.pace)
 
     def _whole(self, code: int, headers: dict[bytes, bytes], body: bytes) -> None:
@@ -126,7 +128,7 @@
             if self.last is not None:
                 self.last.extra += 1
             return
-        call.answered = self.desk.clock() if call.begun is None else call.begun
+        call.answered = self.came if len(body) > LONG else self.desk.clock()
         call.status, call.token = code, answer_token(body)
         if call.sent is None:
             call.sent = call.answered  # answered before all of its body had gone
--- a/millgw/standins/ledger.py
+++ b/millgw/standins/ledger.py
@@ -88,7 +88,7 @@
     host: str = "app.svc"
     began: float | None = None  # when its first byte was written, where its last one came later
     body: int = 0  # bytes of its body
-    begun: float | None = None  # when the first bytes of a long answer came
+    begun: float | None = None  # when the first bytes of its 200 came, where the rest came later
     pace: float = 0.0  # bytes a second that its caller writes and reads; 0: at once
 
     @property
--- a/tests/test_rehearsal_auditor.py
+++ b/tests/test_rehearsal_auditor.py
@@ -295,7 +295,7 @@
 
 def long_answer_cut_off_by_the_sidecar(made: Books) -> None:
     call = plain(made, "status")
-    made.attempt(call, "a", Told.NOTHING, answered=False)
+    made.attempt(call, "a", Told.NOTHING, answered=False).token = "half"
     call.begun, call.closed = made.now, made.now + 100.0
     call.status, call.end, call.answered = 0, End.BROKEN, None
 
@@ -382,6 +382,19 @@
     assert broken(made.ledger) == {1}
 
 
+def test_an_answer_is_not_broken_off_by_an_endpoint_that_had_not_begun_one() -> None:
+    made = books(3, 5)
+    made.now += 1000.0
+    long_answer_cut_off_by_the_sidecar(made)
+    call = made.ledger.calls[-1]
+    made.ledger.attempts[-1].endpoint = "b"
+    made.attempt(call, "a", Told.NOTHING, answered=False)
+    (life,) = (x for x in made.ledger.lives if x.endpoint == "a")
+    life.until = (call.closed or 0.0) - 10.0
+    call.closed = made.now
+    assert broken(made.ledger) == {1}
+
+
 def test_a_crossed_close_is_the_callers_to_mend_unless_the_sidecar_had_read_the_request() -> None:
     for read, after, blamed in ((False, 5.0, False), (True, 5.0, True), (False, 500.0, True)):
         made = Books(random.Random(1))
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -13,6 +13,8 @@
 import pytest
 
 from millgw.http.message import unconfirmed
+from millgw.rehearsal.audit.auditor import audit
+from millgw.rehearsal.audit.rules import AuditRules, ClassRules, Repeats
 from millgw.standins.address import free_address
 from millgw.standins.caller import Desk, ready
 from millgw.standins.deduplication import Group
@@ -33,6 +35,7 @@
     "codigo": Task(work=2.0, wait=0.0, cv=0.0, deadline=5000.0),
     "campanha": Task(work=2.0, wait=20.0, cv=0.0, deadline=5000.0, keyed=True, window=300.0),
     "slow": Task(work=1.0, wait=2000.0, cv=0.0, deadline=5000.0),
+    "report": Task(work=1.0, wait=0.0, cv=0.0, deadline=5000.0, answer=1 << 21, pace=1 << 10),
 }
 
 
@@ -473,6 +476,27 @@
     run(test)
 
 
+def test_an_answer_broken_off_by_its_endpoint_at_its_first_bytes_is_not_held_against_the_sidecar() -> None:
+    """The endpoint ends after the first piece, of which the head is a part: under 64 KiB of the body come."""
+
+    async def test() -> None:
+        bench = Bench()
+        bench.endpoint.start(cold=False)
+        desk = Desk("n0", bench.endpoint.build.address, bench.clock)
+        made = call(patience=5000.0)
+        made.cls = "report"
+        bench.ledger.book(made)
+        asking = asyncio.create_task(desk.ask(made))
+        await until(lambda: any(line.any_bytes for line in desk.lines))
+        bench.endpoint.stop()
+        await asking
+        assert made.end is End.BROKEN and made.begun is not None
+        (answers, *_) = audit(bench.ledger, AuditRules({"report": ClassRules(Repeats.RETRYABLE)})).findings
+        assert answers.checked == 1 and not answers.broken, answers.evidence
+
+    run(test)
+
+
 def test_a_caller_tells_late_from_lost_and_a_second_answer_from_none() -> None:
     async def test() -> None:
         async def late(_: Message, __: ScriptedEndpoint) -> bytes:
