--- a/millgw/standins/caller.py
+++ b/millgw/standins/caller.py
@@ -195,6 +195,14 @@
             call.end = End.NOT_TAKEN
             return
         done = line.ask(call, word(call, max(1, int(call.patience))))
+        try:
+            await self._answer(line, call, done)
+        except asyncio.CancelledError:
+            line.leave(End.LEFT)
+            raise
+
+    async def _answer(self, line: Line, call: Call, done: asyncio.Future[None]) -> None:
+        """Wait for the answer in the caller's time, and for the rest of a long one that has begun by then."""
         try:
             if call.sent is None:
                 await self._stream(line, call, done)
@@ -205,9 +213,6 @@
                 await self._rest(line, done)
             else:
                 line.leave(End.LOST)
-        except asyncio.CancelledError:
-            line.leave(End.LEFT)
-            raise
 
     async def _stream(self, line: Line, call: Call, done: asyncio.Future[None]) -> None:
         """Wait for a call whose body goes out by and by; its patience counts from the last byte."""
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -497,6 +497,37 @@
     run(test)
 
 
+def test_a_caller_that_leaves_in_the_rest_of_a_long_answer_is_booked_as_having_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """As at the end of a day: its patience is over, more of the answer comes, and the rig ends the call."""
+
+    async def test() -> None:
+        bench, in_the_rest = Bench(), asyncio.Event()
+        bench.endpoint.start(cold=False)
+        desk = Desk("n0", bench.endpoint.build.address, bench.clock)
+        made = call()
+        made.cls = "report"
+        bench.ledger.book(made)
+
+        async def out_of_patience(made: Call, _: asyncio.Future[None]) -> None:
+            await until(lambda: made.begun is not None)
+            in_the_rest.set()
+            raise TimeoutError
+
+        monkeypatch.setattr(desk, "_patiently", out_of_patience)
+        asking = asyncio.create_task(desk.ask(made))
+        await in_the_rest.wait()
+        asking.cancel()
+        desk.close()
+        with pytest.raises(asyncio.CancelledError):
+            await asking
+        await until(lambda: not desk.lines)
+        assert made.end is End.LEFT
+
+    run(test)
+
+
 def test_a_caller_tells_late_from_lost_and_a_second_answer_from_none() -> None:
     async def test() -> None:
         async def late(_: Message, __: ScriptedEndpoint) -> bytes:
