Rehearsal: a pause of the rig is no stall of an answer that is passed on

Cause: a caller gives up the rest of a long answer of which nothing has come for 2 s, and the audit counts that as a connection that the sidecar ended. The time was the clock's: when the rig itself got no core for so long, neither its endpoints wrote nor its callers read, and the first thing to run after it was the look that gave up.

Change: five looks in a row at which nothing has moved, 0.4 s apart, make a stall: 2.0 to 2.4 s, as before, where the rig runs; a pause of the rig is one look, however long it is.

Measured: the new test holds the rig up for 2.5 s and then lets a real stall follow; without the change the call was given up at the first look. The stand-ins' tests pass.

--- a/millgw/standins/caller.py
+++ b/millgw/standins/caller.py
@@ -14,7 +14,7 @@
 PAST = 0.4  # s past its patience for which a caller listens, to tell a late answer from none
 CONNECT_TIME = 2.0  # s for a connection to a sidecar to come up
 PIECE = 1 << 14  # bytes of a long body that are written at once
-STALLED = 2.0  # s in which more of an answer that has begun must come, or of a body be taken
+STILL_LOOKS = 5  # looks in a row, `PAST` apart, at which nothing has moved: then a body or answer has stalled
 DOOR_READY = "/-/ready"  # where a sidecar's door says that it can serve
 SERVED = 200  # the status of an answer that an endpoint made
 LONG = 1 << 16  # bytes beyond which an answer's first bytes are timed, and not its last
@@ -43,6 +43,8 @@
         self.closed = False
         self.came = 0.0  # when the first bytes of the answer came
         self.moved = 0.0  # when bytes went or came last
+        self.moved_before = 0.0  # that, as it was at the last look
+        self.still = 0  # looks in a row since then
         self.slowing: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -84,9 +86,16 @@
         told = self.reader.headers.get(b"content-length", b"0")
         return max(len(self.reader.body), int(told)) > LONG
 
-    def stalled(self, now: float) -> bool:
-        """Whether neither a byte went nor one came for too long."""
-        return now > self.moved + STALLED * 1000
+    def stalled(self) -> bool:
+        """Whether at one look after the other no byte has gone or come.
+
+        Looks are counted, not time: however long the rig itself did not run, that is one look.
+        """
+        if self.moved != self.moved_before or self.slowing is not None:
+            self.moved_before, self.still = self.moved, 0
+        else:
+            self.still += 1
+        return self.still >= STILL_LOOKS
 
     def _slow(self, count: int, pace: float) -> None:
         """Read no more for as long as so many bytes take."""
@@ -218,7 +227,7 @@
         """Wait for a call whose body goes out by and by; its patience counts from the last byte."""
         while call.sent is None and not done.done():
             await asyncio.wait([done], timeout=PAST)
-            if line.stalled(self.clock()):
+            if line.stalled():
                 call.sent = self.clock()  # all that will ever go: it is the sidecar that takes no more
                 raise TimeoutError
         await self._patiently(call, done)
@@ -233,7 +242,7 @@
         """Wait for the rest of an answer that has begun, as long as more of it comes."""
         while not done.done():
             await asyncio.wait([done], timeout=PAST)
-            if not done.done() and line.slowing is None and line.stalled(self.clock()):
+            if not done.done() and line.stalled():
                 line.leave(End.BROKEN)
 
     def lately(self, within: float) -> tuple[int, int]:
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import time
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import replace
@@ -16,7 +17,7 @@
 from millgw.rehearsal.audit.auditor import audit
 from millgw.rehearsal.audit.rules import AuditRules, ClassRules, Repeats
 from millgw.standins.address import free_address
-from millgw.standins.caller import Desk, ready
+from millgw.standins.caller import PAST, STILL_LOOKS, Desk, ready
 from millgw.standins.deduplication import Group
 from millgw.standins.discovery_server import Capacity, Delays, DiscoveryServer
 from millgw.standins.endpoint import Endpoint
@@ -497,33 +498,52 @@
     run(test)
 
 
+class LongAnswer:
+    """A caller whose patience is over, with the first bytes of a long answer and minutes of it to come."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.bench, self.waits_on = Bench(), asyncio.Event()
+        self.bench.endpoint.start(cold=False)
+        self.desk = Desk("n0", self.bench.endpoint.build.address, self.bench.clock)
+        self.call = call()
+        self.call.cls = "report"
+        self.bench.ledger.book(self.call)
+        monkeypatch.setattr(self.desk, "_patiently", self._out_of_patience)
+        self.asking = asyncio.create_task(self.desk.ask(self.call))
+
+    async def _out_of_patience(self, made: Call, _: asyncio.Future[None]) -> None:
+        await until(lambda: made.begun is not None)
+        self.waits_on.set()
+        raise TimeoutError
+
+
 def test_a_caller_that_leaves_in_the_rest_of_a_long_answer_is_booked_as_having_left(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """As at the end of a day: its patience is over, more of the answer comes, and the rig ends the call."""
+    """As at the end of a day, when the rig ends what is still out."""
 
     async def test() -> None:
-        bench, in_the_rest = Bench(), asyncio.Event()
-        bench.endpoint.start(cold=False)
-        desk = Desk("n0", bench.endpoint.build.address, bench.clock)
-        made = call()
-        made.cls = "report"
-        bench.ledger.book(made)
+        long = LongAnswer(monkeypatch)
+        await long.waits_on.wait()
+        long.asking.cancel()
+        long.desk.close()
+        with pytest.raises(asyncio.CancelledError):
+            await long.asking
+        await until(lambda: not long.desk.lines)
+        assert long.call.end is End.LEFT
 
-        async def out_of_patience(made: Call, _: asyncio.Future[None]) -> None:
-            await until(lambda: made.begun is not None)
-            in_the_rest.set()
-            raise TimeoutError
+    run(test)
 
-        monkeypatch.setattr(desk, "_patiently", out_of_patience)
-        asking = asyncio.create_task(desk.ask(made))
-        await in_the_rest.wait()
-        asking.cancel()
-        desk.close()
-        with pytest.raises(asyncio.CancelledError):
-            await asking
-        await until(lambda: not desk.lines)
-        assert made.end is End.LEFT
+
+def test_a_pause_of_the_rig_is_no_stall_of_an_answer_and_a_stall_is(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        long = LongAnswer(monkeypatch)
+        await long.waits_on.wait()
+        time.sleep(STILL_LOOKS * PAST + 0.5)  # the rig gets no core
+        await asyncio.sleep(PAST / 2)
+        assert long.call.end is None
+        await long.asking
+        assert long.call.end is End.BROKEN
 
     run(test)
 
