Endpoints' connection split by job; an interim answer no longer ends the watch over a long body

The two new parts are made only for long bodies and answers. Comments that "guard against" something say plainly why the line is there.

Two faults that came to light where one timer and one field had served two jobs: - a 1xx answer while a body goes out stopped the watch over that body, and an endpoint that then read no more of it held the request and its caller for ever; - `answer-broken-off` was logged with `call=""`, as the attempt had ended before it; it names its call. The test of each fails on the code before. All else is as before.

--- a/millgw/connections/tended.py
+++ b/millgw/connections/tended.py
@@ -23,7 +23,8 @@
 from millgw.connections.standing import DOWN, panics
 from millgw.connections.terms import Proving, Terms
 from millgw.endpoints.attempt import WRITTEN, Attempt
-from millgw.endpoints.connection import Connection, Host
+from millgw.endpoints.connection import Connection
+from millgw.endpoints.host import Host
 from millgw.endpoints.upstream import Upstream
 from millgw.http.message import NOTHING
 from millgw.interface import Endpoint, ListKind, Outcome, Repeat
--- a/millgw/endpoints/connection.py
+++ b/millgw/endpoints/connection.py
@@ -8,46 +8,25 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import select
 import time
+from collections.abc import Callable
 from typing import Protocol
 
 from millgw.endpoints.attempt import CONNECTING, HELD, WRITING, WRITTEN, Attempt, Intent
 from millgw.endpoints.core import SPOILT, WHOLE, AnswerCore
-from millgw.endpoints.proof import HOLD_BACK, Proof
+from millgw.endpoints.host import Host
+from millgw.endpoints.proof import HOLD_BACK
+from millgw.endpoints.request_body import RequestBody
+from millgw.endpoints.streamed_answer import StreamedAnswer
 from millgw.http.message import NOTHING, unconfirmed, unread, watcher
 from millgw.interface import Outcome
 from millgw.log.events import BoundLogger
-from millgw.platform.config import Address
-from millgw.streams.flow import Flow
 from millgw.streams.room import StreamRoom
-from millgw.streams.upload import Upload
 
 ANSWER_TIME = 1.0  # s in which more of an answer must come: one that has stopped half-way is tried elsewhere
 OPEN_TIME = 0.3  # s after which an answer of unknown length is passed on, as it may become a long one
 STILL_COMES = 0.2  # s since its last bytes, up to which it has not stopped half-way
-STREAM_STALL = 15.0  # s in which an answer that is passed on must go on, unless its caller takes none of it
-
-
-class Host:
-    """One life of an endpoint at one address: kept connections, and attempts still connecting to it.
-
-    `missed` and `broken` are when (ms, monotonic) a connection last did not come up, or was ended by the
-    other side: what membership asks when an endpoint's registration has gone.
-    """
-
-    __slots__ = ("address", "broken", "connecting", "idle", "missed", "proof", "since", "used")
-
-    def __init__(self, address: Address, since: float) -> None:
-        self.address = address
-        self.since = since
-        self.used = True
-        self.idle: list[Connection] = []  # the last used at the end, which goes first
-        self.connecting: dict[Attempt, None] = {}  # attempts that wait for a connection, the oldest first
-        self.proof = Proof()
-        self.missed = -math.inf
-        self.broken = -math.inf
 
 
 class Lanes(Protocol):
@@ -113,13 +92,10 @@
         self.idle_since = 0.0  # ms
         self.opened = 0.0  # ms
         self.stalled: asyncio.TimerHandle | None = None
-        self.upload: Upload | None = None  # the body of its attempt, while that is passed on
+        self.body: RequestBody | None = None  # of its attempt, while that is passed on as it comes
         self.full = False  # the transport has enough for now
-        self.poured = 0  # bytes of bodies that were passed on
-        self.seen = (0, 0)  # of those, and those left in the transport, when last looked
-        self.flow: Flow | None = None  # its answer, while it is passed on
+        self.streamed: StreamedAnswer | None = None  # its answer, while that is passed on as it comes
         self.arrived = 0.0  # s, of the last bytes of an answer that was not whole
-        self.held = False  # nothing is read: the caller does not take it
         self.waits = False  # its answer is whole and waits for its lane's turn
 
     def abort(self) -> None:
@@ -127,7 +103,7 @@
             self.transport.abort()
 
     def usable(self) -> bool:
-        """Guards also against bytes that wait unread: they would be taken for the next request's answer."""
+        """Whether it is open and holds no bytes unread: they would be taken for the next request's answer."""
         return self.transport is not None and not unread(self.transport, self.poll)
 
     # The attempt
@@ -138,19 +114,20 @@
         With `prove` it waits for so long (ms) at the most until the other machine has confirmed all before
         it, and does not go if that does not come.
 
-        Guards against connections that look open and are not: the endpoint has closed them, or resets them
-        at the next request. A request whose last byte was not written has not run, so it may go again, also
-        one that may never run twice.
+        A connection that looks open may not be: the endpoint has closed it, or resets it at the next request.
+        A request whose last byte was not written has not run, so it may go again, also one that may never run
+        twice.
         """
         assert self.transport is not None and self.core is not None
         self.core.begin()
         self.attempt, attempt.carrier = attempt, self
         if now > attempt.until or attempt.caller_left(now):
-            self._unsent()
+            self.end_unsent()
             return
         payload = attempt.payload()
         if attempt.upload is not None:
-            self._send_head(attempt, attempt.upload, payload)
+            self.body = RequestBody(self, attempt, attempt.upload)
+            self.body.begin(payload)
             return
         hold = self.host.proof.hold(now, attempt.repeat, self.reused, self.idle_since, self.home.strays_until)
         if prove > 0:
@@ -162,84 +139,18 @@
             if attempt.intent is not None:
                 attempt.intent.begin()
             self.transport.write(payload[:-1])
-            self.holding = self.home.loop.call_later(hold / 1000, self._complete)
+            self.hold_back(hold, self._complete)
         else:
             attempt.state = WRITING
             self.transport.write(payload)
-            self._written()
-
-    # A body that is passed on as it comes
-
-    def _send_head(self, attempt: Attempt, upload: Upload, head: bytes) -> None:
-        """Write the head, and the body's first piece once the connection has stood that.
-
-        Guards against a dead connection: the first piece would be lost there, and the request with it.
-        """
-        assert self.transport is not None
-        attempt.state = HELD
-        if attempt.intent is not None:
-            attempt.intent.begin()
-        self.upload = upload
-        self.home.held_back += 1
-        self.transport.set_write_buffer_limits(high=upload.window)
-        self.transport.write(head)
-        self.holding = self.home.loop.call_later(HOLD_BACK / 1000, self._pour_first)
-
-    def _pour_first(self) -> None:
-        self.holding = None
-        upload, attempt = self.upload, self.attempt
-        if upload is None or attempt is None:
-            return
-        if unread(self.transport, self.poll) if self.transport is not None else True:
-            self._broken()
-            return
-        if attempt.caller_left(time.monotonic() * 1000):
-            self._unsent()
-            return
-        if attempt.intent is not None and not self._may_leave(attempt, attempt.intent):
-            return
-        attempt.state = WRITING
-        self.stalled = self.home.loop.call_later(STREAM_STALL, self._look_at_upload)
-        upload.taker = self
-        self.more()
-
-    def more(self) -> None:
-        """Write on what has come of the body, as far as the endpoint takes it."""
-        upload, attempt, transport = self.upload, self.attempt, self.transport
-        if upload is None or attempt is None or transport is None or self.full or transport.is_closing():
-            return
-        data = upload.take()
-        if upload.length is None:
-            data = b"%x\r\n%b\r\n" % (len(data), data) if data else b""
-            if upload.whole:
-                data += b"0\r\n\r\n"
-        if upload.whole:
-            self.upload = upload.taker = None
-            self._stop_timers()
-            # From here on the transport tells when the kernel has taken the last byte.
-            transport.set_write_buffer_limits(high=0)
-        if data:
-            self.poured += len(data)
-            transport.write(data)
-        if upload.whole:
-            self._written()
-
-    def _look_at_upload(self) -> None:
-        """Guards against an endpoint that stops reading, and a caller that would wait for it for ever."""
-        self.stalled = None
-        left = 0 if self.transport is None else self.transport.get_write_buffer_size()
-        if self.full and (self.poured, left) == self.seen:
-            self._give_up_upload("it takes no more of a body")
-            return
-        self.seen = (self.poured, left)
-        self.stalled = self.home.loop.call_later(STREAM_STALL, self._look_at_upload)
+            self.note_written()
 
-    def _give_up_upload(self, why: str) -> None:
-        self._tell("answer-spoilt", why)
-        self.abort()
-        self._finish(Outcome.CONNECT_FAILED)  # its last byte was never written
+    def hold_back(self, milliseconds: float, then: Callable[[], None]) -> None:
+        """Go on with the request after so long, unless the attempt is over by then."""
+        self.holding = self.home.loop.call_later(milliseconds / 1000, then)
 
-    def _written(self) -> None:
+    def note_written(self) -> None:
+        """Its last byte is written: it may have run once the kernel has taken that."""
         assert self.transport is not None
         # With a high-water mark of 0 the transport keeps only what the kernel did not take at once.
         if self.attempt is not None and not self.transport.get_write_buffer_size():
@@ -250,35 +161,35 @@
         self.holding = None
         assert self.transport is not None
         if unread(self.transport, self.poll):
-            self._broken()
+            self.leave_broken()
         elif self.last_byte and self.prove_until > 0 and unconfirmed(self.transport):
-            # Guards against a box on the way that has forgotten the connection: what is written vanishes.
+            # A box on the way may have forgotten the connection: what is written then vanishes.
             if time.monotonic() * 1000 < self.prove_until:
-                self.holding = self.home.loop.call_later(HOLD_BACK / 1000, self._complete)
+                self.hold_back(HOLD_BACK, self._complete)
             else:
-                self._broken()
+                self.leave_broken()
         elif self.last_byte and self.transport.get_write_buffer_size() == 0:
             attempt = self.attempt
             intent = None if attempt is None else attempt.intent
             now = time.monotonic() * 1000
             if attempt is not None and (now > attempt.until or attempt.caller_left(now)):
-                self._unsent()
+                self.end_unsent()
                 return
-            if attempt is not None and intent is not None and not self._may_leave(attempt, intent):
+            if attempt is not None and intent is not None and not self.may_leave(attempt, intent):
                 return
             last, self.last_byte = self.last_byte, b""
             self.prove_until = 0.0
             if attempt is not None:
                 attempt.state = WRITING
             self.transport.write(last)
-            self._written()
+            self.note_written()
 
-    def _unsent(self) -> None:
+    def end_unsent(self) -> None:
         """Its last byte may not leave: its window ended, its caller left, or its mark is not durable."""
         self.abort()
-        self._finish(Outcome.NOT_SENT)
+        self.finish(Outcome.NOT_SENT)
 
-    def _may_leave(self, attempt: Attempt, intent: Intent) -> bool:
+    def may_leave(self, attempt: Attempt, intent: Intent) -> bool:
         """Whether what must be durable is; else it goes on, or ends unsent, when that is known."""
         durable = intent.durable()
         if durable is None:
@@ -286,34 +197,34 @@
         elif durable:
             intent.leaves(attempt)
         else:
-            self._unsent()
+            self.end_unsent()
         return durable is True
 
     def _known(self, attempt: Attempt) -> None:
-        # Guards against one that was given up, went on elsewhere or was let go meanwhile: never twice.
+        # One that was given up, went on elsewhere or was let go meanwhile must not be written here.
         if self.attempt is not attempt or attempt.state != HELD or self.holding is not None:
             return
         if not self.host.used:
-            # Guards against a mark that took longer than the grace of a drain that came meanwhile.
+            # The mark may have taken longer than the grace of a drain that came meanwhile.
             self.abort()
-            self._finish(Outcome.CONNECT_FAILED)
+            self.finish(Outcome.CONNECT_FAILED)
             return
-        if self.upload is not None:
-            self._pour_first()
+        if self.body is not None:
+            self.body.write_first()
         else:
             self._complete()
 
-    def _broken(self) -> None:
+    def leave_broken(self) -> None:
         """The connection is of no use, and the request on it has not run: a kept one is made good for."""
         self.host.proof.broke(time.monotonic() * 1000)
         attempt = self.attempt
         self.abort()
         if attempt is None or not self.reused:
-            self._finish(Outcome.CONNECT_FAILED)
+            self.finish(Outcome.CONNECT_FAILED)
             return
         self._stop_timers()
         self.last_byte = b""
-        self._let_go_of_upload()
+        self._let_go_of_body()
         self.attempt = attempt.carrier = None
         attempt.state = CONNECTING
         self.home.again(self, attempt)
@@ -321,14 +232,14 @@
     def leave(self) -> None:
         """The attempt is given up."""
         self.attempt = None
-        self._let_go_of_upload()
+        self._let_go_of_body()
         self._stop_timers()
         self.abort()
 
-    def _let_go_of_upload(self) -> None:
-        if self.upload is not None:
-            self.upload.taker = None
-            self.upload = None
+    def _let_go_of_body(self) -> None:
+        if self.body is not None:
+            self.body.stop()
+            self.body = None
 
     def _stop_timers(self) -> None:
         if self.stalled is not None:
@@ -338,9 +249,10 @@
             self.holding.cancel()
             self.holding = None
 
-    def _finish(self, outcome: Outcome) -> None:
+    def finish(self, outcome: Outcome) -> None:
+        """Tell what came of the attempt."""
         self._stop_timers()
-        self._let_go_of_upload()
+        self._let_go_of_body()
         self.last_byte = b""
         self.home.held -= self.counted
         self.counted = 0
@@ -361,7 +273,7 @@
         self.home.open += 1
         attempt = self.attempt
         if not self.host.used if attempt is None else attempt.given_up:
-            # Guards against an attempt that was given up, or whose endpoint drains, while it was connecting.
+            # The attempt was given up, or its endpoint told to drain, while it was connecting.
             self.attempt = None
             self.abort()
             return
@@ -386,9 +298,9 @@
 
     def resume_writing(self) -> None:
         self.full = False
-        if self.upload is not None:
-            if self.upload.taker is self:
-                self.more()
+        if self.body is not None:
+            if self.body.upload.taker is self.body:
+                self.body.more()
             return
         if not self.last_byte:
             if self.attempt is not None and self.attempt.state == WRITING:
@@ -405,11 +317,11 @@
 
     def _received(self, data: bytes) -> None:
         attempt, core = self.attempt, self.core
-        if self.flow is not None and core is not None:
-            self._goes_on(core, data)
+        if self.streamed is not None and core is not None:
+            self.streamed.received(core, data)
             return
         if attempt is None or core is None:
-            # Guards against a late answer that would be taken for the next request's.
+            # A late answer would be taken for the next request's.
             after = time.monotonic() * 1000 - self.idle_since
             self.home.strayed()
             self.home.log.log_event(
@@ -418,10 +330,10 @@
             self.abort()
             return
         if self.last_byte or attempt.state == HELD:
-            self._broken()  # guards against bytes that can't be this request's answer
+            self.leave_broken()  # these bytes can't be this request's answer
             return
         if self.waits:
-            self.turn()  # guards against bytes behind an answer that would be read as a part of it
+            self.turn()  # bytes behind an answer would be read as a part of it
             self._received(data)
             return
         read = core.feed(data)
@@ -441,12 +353,12 @@
         elif read == SPOILT:
             self._spoilt(core.why)
         elif self.home.held > self.home.most_held():
-            # Guards against memory that fills with the answers of many calls, each within its bound.
+            # The answers of many calls, each within its bound, would fill the memory.
             self._spoilt("too much is being answered")
         elif not core.reading:
             self._stop_timers()  # a 1xx answer has ended: the next may take its time
         elif core.long and attempt.state == WRITTEN:
-            self._begin_flow()
+            self._begin_streaming()
         else:
             # What comes in one read is whole mostly: only what does not needs a timer.
             self.arrived = time.monotonic()
@@ -456,7 +368,7 @@
 
     def _early(self) -> bool:
         """Whether some of the request has yet to leave: no endpoint has begun it by then."""
-        return self.upload is not None or bool(self.transport and self.transport.get_write_buffer_size())
+        return self.body is not None or bool(self.transport and self.transport.get_write_buffer_size())
 
     def _look(self) -> None:
         """An answer is not whole yet: it has stopped half-way, or it goes on and may be a long one."""
@@ -465,16 +377,15 @@
             return
         quiet = time.monotonic() - self.arrived
         if self.core.open_ended and quiet <= STILL_COMES and self.attempt.state == WRITTEN:
-            self._begin_flow()
+            self._begin_streaming()
         elif quiet < ANSWER_TIME - 0.001:
             within = OPEN_TIME if self.core.open_ended else ANSWER_TIME - quiet
             self.stalled = self.home.loop.call_later(within, self._look)
         else:
             self._spoilt("it stopped half-way")
 
-    # An answer that is passed on as it comes
-
-    def _begin_flow(self) -> None:
+    def _begin_streaming(self) -> None:
+        """Pass the answer on as it comes: from now on it is its caller's, and the attempt is over."""
         attempt, core, home = self.attempt, self.core, self.home
         assert attempt is not None and core is not None
         if home.streams.full():
@@ -485,70 +396,9 @@
         core.body.clear()
         home.held -= self.counted
         self.counted = 0
-        flow = Flow(self, core.headers, None if core.length < 0 else core.length, home.streams.enter())
-        flow.over_calls.append(self._flow_over)
-        core.sink = flow.data
-        self.flow = flow
+        self.streamed = streamed = StreamedAnswer(self, core, attempt.trace)
         self.attempt = attempt.carrier = None
-        self.arrived = time.monotonic()
-        if attempt.begin(flow):
-            flow.data(first)
-            if not flow.over:
-                self.stalled = home.loop.call_later(STREAM_STALL, self._look_at_flow)
-        else:
-            flow.cancel()
-
-    def _flow_over(self, flow: Flow) -> None:
-        self.flow = None
-        self.go_on()  # guards against a kept connection that is never read again
-        self.home.streams.leave()
-        self._stop_timers()
-
-    def _goes_on(self, core: AnswerCore, data: bytes) -> None:
-        self.arrived = time.monotonic()
-        flow = self.flow
-        read = core.feed(data)
-        if flow is None or flow.over:
-            return  # its caller left at these bytes
-        if read == WHOLE:
-            self._give_back(core.reusable)
-            flow.end()
-        elif read == SPOILT:
-            self._break_flow(core.why)
-
-    def _break_flow(self, why: str) -> None:
-        flow = self.flow
-        self._tell("answer-broken-off", why)
-        self.abort()
-        if flow is not None:
-            flow.break_off()
-
-    def _look_at_flow(self) -> None:
-        self.stalled = None
-        quiet = time.monotonic() - self.arrived
-        if self.held:
-            self.stalled = self.home.loop.call_later(STREAM_STALL, self._look_at_flow)
-        elif quiet < STREAM_STALL - 0.001:
-            self.stalled = self.home.loop.call_later(STREAM_STALL - quiet, self._look_at_flow)
-        else:
-            self._break_flow("it stopped half-way")
-
-    def hold(self) -> None:
-        """The caller takes no more for now."""
-        if not self.held and self.transport is not None and not self.transport.is_closing():
-            self.held = True
-            self.transport.pause_reading()
-
-    def go_on(self) -> None:
-        if self.held and self.transport is not None:
-            self.held = False
-            self.arrived = time.monotonic()
-            if not self.transport.is_closing():
-                self.transport.resume_reading()
-
-    def abandon(self) -> None:
-        """Nobody waits for the rest of the answer."""
-        self.abort()
+        streamed.begin(attempt, first)
 
     def turn(self) -> None:
         """Its lane's turn has come: what its answer causes happens now."""
@@ -559,10 +409,10 @@
 
     def _whole(self, attempt: Attempt, core: AnswerCore) -> None:
         outcome = core.outcome()
-        self._give_back(core.reusable and attempt.state == WRITTEN)
-        self._finish(outcome)
+        self.give_back(core.reusable and attempt.state == WRITTEN)
+        self.finish(outcome)
 
-    def _give_back(self, reusable: bool) -> None:
+    def give_back(self, reusable: bool) -> None:
         """Its answer is out. Before what that causes, which may be sent on it at once."""
         if reusable:
             self.idle_since = time.monotonic() * 1000
@@ -571,43 +421,43 @@
         else:
             self.abort()
 
-    def _tell(self, event: str, why: str) -> None:
-        attempt = self.attempt
-        call = "" if attempt is None else attempt.trace.decode("ascii", "backslashreplace")
-        self.home.log.log_event(event, endpoint=self.host.address, call=call, cause=why)
+    def log_failure(self, event: str, why: str, call: bytes) -> None:
+        """Log what went wrong with an answer to this call."""
+        shown = call.decode("ascii", "backslashreplace")
+        self.home.log.log_event(event, endpoint=self.host.address, call=shown, cause=why)
 
     def _spoilt(self, why: str) -> None:
-        self._tell("answer-spoilt", why)
+        self.log_failure("answer-spoilt", why, b"" if self.attempt is None else self.attempt.trace)
         self.abort()
-        self._finish(Outcome.ERROR)
+        self.finish(Outcome.ERROR)
 
     def eof_received(self) -> None:
         self.host.broken = time.monotonic() * 1000
-        core, attempt, flow = self.core, self.attempt, self.flow
+        core, attempt, streamed = self.core, self.attempt, self.streamed
         if core is not None and not self.waits and core.reading and core.finish():
             self.abort()
-            if flow is not None:
-                flow.end()
+            if streamed is not None:
+                streamed.end()
             elif attempt is not None:
                 self._stop_timers()
-                self._finish(core.outcome())
+                self.finish(core.outcome())
             return
         self.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.turn()  # guards against a whole answer that would be told as a reset
-        if self.flow is not None:
-            self._break_flow("its connection broke")
+        self.turn()  # otherwise a whole answer would count as a reset
+        if self.streamed is not None:
+            self.streamed.break_off("its connection broke")
         if self.core is not None:
             self.core.close()
         self.home.lost(self)
         if exc is not None:
             self.host.broken = time.monotonic() * 1000
         if self.last_byte or (self.attempt is not None and self.attempt.state == HELD):
-            self._broken()
+            self.leave_broken()
         elif self.attempt is not None and self.attempt.state == WRITTEN:
             self.host.proof.broke(time.monotonic() * 1000)
-            self._finish(Outcome.RESET)
+            self.finish(Outcome.RESET)
         else:
-            self._finish(Outcome.CONNECT_FAILED)
+            self.finish(Outcome.CONNECT_FAILED)
         self.core = None
--- /dev/null
+++ b/millgw/endpoints/request_body.py
@@ -0,0 +1,111 @@
+"""A request's body on its way to an endpoint, written as it comes from the caller."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from millgw.endpoints.attempt import HELD, WRITING, Attempt
+from millgw.endpoints.proof import HOLD_BACK
+from millgw.interface import Outcome
+from millgw.streams.upload import Upload
+
+if TYPE_CHECKING:
+    from millgw.endpoints.connection import Connection
+
+BODY_STALL = 15.0  # s in which the endpoint must take more of a body
+
+
+class RequestBody:
+    """Takes what has come of an upload and writes it on the attempt's connection.
+
+    It stands between the two from the request's head until the body's last byte is written, or the attempt
+    is over.
+    """
+
+    __slots__ = ("attempt", "connection", "look_timer", "progress", "upload", "written")
+
+    def __init__(self, connection: Connection, attempt: Attempt, upload: Upload) -> None:
+        self.connection = connection
+        self.attempt = attempt
+        self.upload = upload
+        self.written = 0  # bytes of the body so far, with their framing
+        self.progress = (0, 0)  # of those, and those left in the transport, when last looked
+        self.look_timer: asyncio.TimerHandle | None = None
+
+    def begin(self, head: bytes) -> None:
+        """Write the head, and the body's first piece once the connection has stood that.
+
+        On a dead connection the first piece would be lost, and the request with it.
+        """
+        connection, attempt = self.connection, self.attempt
+        assert connection.transport is not None
+        attempt.state = HELD
+        if attempt.intent is not None:
+            attempt.intent.begin()
+        connection.home.held_back += 1
+        connection.transport.set_write_buffer_limits(high=self.upload.window)
+        connection.transport.write(head)
+        connection.hold_back(HOLD_BACK, self.write_first)
+
+    def write_first(self) -> None:
+        """Write the first piece, if the connection has stood the head and the attempt may leave."""
+        connection, attempt = self.connection, self.attempt
+        connection.holding = None
+        if connection.body is not self:
+            return
+        if not connection.usable():
+            connection.leave_broken()
+            return
+        if attempt.caller_left(time.monotonic() * 1000):
+            connection.end_unsent()
+            return
+        if attempt.intent is not None and not connection.may_leave(attempt, attempt.intent):
+            return
+        attempt.state = WRITING
+        self.look_timer = connection.home.loop.call_later(BODY_STALL, self._look)
+        self.upload.taker = self
+        self.more()
+
+    def more(self) -> None:
+        """Write on what has come of the body, as far as the endpoint takes it."""
+        connection, upload = self.connection, self.upload
+        transport = connection.transport
+        if connection.body is not self or transport is None or connection.full or transport.is_closing():
+            return
+        data = upload.take()
+        if upload.length is None:
+            data = b"%x\r\n%b\r\n" % (len(data), data) if data else b""
+            if upload.whole:
+                data += b"0\r\n\r\n"
+        if upload.whole:
+            connection.body = None
+            self.stop()
+            # From here on the transport tells when the kernel has taken the last byte.
+            transport.set_write_buffer_limits(high=0)
+        if data:
+            self.written += len(data)
+            transport.write(data)
+        if upload.whole:
+            connection.note_written()
+
+    def stop(self) -> None:
+        """Take no more of the upload: another attempt may."""
+        self.upload.taker = None
+        if self.look_timer is not None:
+            self.look_timer.cancel()
+            self.look_timer = None
+
+    def _look(self) -> None:
+        """End the attempt if the endpoint has stopped reading: its caller would wait for it for ever."""
+        self.look_timer = None
+        connection = self.connection
+        left = 0 if connection.transport is None else connection.transport.get_write_buffer_size()
+        if connection.full and (self.written, left) == self.progress:
+            connection.log_failure("answer-spoilt", "it takes no more of a body", self.attempt.trace)
+            connection.abort()
+            connection.finish(Outcome.CONNECT_FAILED)  # its last byte was never written
+            return
+        self.progress = (self.written, left)
+        self.look_timer = connection.home.loop.call_later(BODY_STALL, self._look)
--- a/millgw/endpoints/upstream.py
+++ b/millgw/endpoints/upstream.py
@@ -10,7 +10,8 @@
 from typing import Protocol, cast
 
 from millgw.endpoints.attempt import CONNECTING, Attempt
-from millgw.endpoints.connection import Connection, Host, Lanes
+from millgw.endpoints.connection import Connection, Lanes
+from millgw.endpoints.host import Host
 from millgw.endpoints.proof import DOUBT_TIME, REST
 from millgw.http.message import NOTHING
 from millgw.interface import Outcome
--- a/millgw/pool/driver.py
+++ b/millgw/pool/driver.py
@@ -16,7 +16,7 @@
 
 from millgw.decide import Balancer
 from millgw.endpoints.attempt import Attempt
-from millgw.endpoints.connection import Host
+from millgw.endpoints.host import Host
 from millgw.endpoints.upstream import Upstream
 from millgw.http.message import FAILED, REFUSED, SERVED, UNUSABLE, Answer, Content
 from millgw.interface import (
--- a/tests/test_cores.py
+++ b/tests/test_cores.py
@@ -9,8 +9,9 @@
 from hypothesis import strategies as st
 
 from millgw.callers.core import RequestCore, word_answer
-from millgw.endpoints.connection import Connection, Host
+from millgw.endpoints.connection import Connection
 from millgw.endpoints.core import MORE, SPOILT, WHOLE, AnswerCore
+from millgw.endpoints.host import Host
 from millgw.endpoints.proof import DOUBT_TIME, HOLD_BACK, PROVEN_SAFE, REST, Proof
 from millgw.endpoints.upstream import rested
 from millgw.http.message import REFUSED, Answer, Content
--- a/tests/test_sidecar_books.py
+++ b/tests/test_sidecar_books.py
@@ -15,7 +15,8 @@
 from millgw.decide import Request
 from millgw.endpoints import proof as proof_module
 from millgw.endpoints.attempt import Attempt
-from millgw.endpoints.connection import Connection, Host
+from millgw.endpoints.connection import Connection
+from millgw.endpoints.host import Host
 from millgw.http.request import Head
 from millgw.pool.call import Call
 from millgw.pool.driver import Driver
--- a/tests/test_sidecar_calls.py
+++ b/tests/test_sidecar_calls.py
@@ -14,7 +14,8 @@
 from millgw.endpoints import connection as connection_module
 from millgw.endpoints import proof as proof_module
 from millgw.endpoints.attempt import Attempt
-from millgw.endpoints.connection import Connection, Host
+from millgw.endpoints.connection import Connection
+from millgw.endpoints.host import Host
 from millgw.endpoints.upstream import Upstream
 from millgw.http.message import Content, unread
 from millgw.http.request import Head
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from millgw.callers import connection as callers_connection
-from millgw.endpoints import connection as endpoints_connection
+from millgw.endpoints import request_body, streamed_answer
 from millgw.endpoints.core import MORE, WHOLE, AnswerCore
 from millgw.http.message import Content
 from millgw.platform.config import Address
@@ -344,7 +344,7 @@
 
 
 def test_a_stream_that_stops_for_good_ends(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(endpoints_connection, "STREAM_STALL", 0.3)
+    monkeypatch.setattr(streamed_answer, "ANSWER_STALL", 0.3)
 
     async def test() -> None:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -360,6 +360,26 @@
     run(test)
 
 
+def test_an_answer_that_breaks_off_is_logged_with_its_call(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def test() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await begin_long(reader, writer)
+            await writer.drain()
+
+        async with serving(serve) as rig:
+            mine = await rig.connect()
+            mine.writer.write(request("read", X_Trace_Id="5ca1ab1e0ddba115"))
+            _, headers = await head_of(mine.reader)
+            with pytest.raises(asyncio.IncompleteReadError):
+                await body_of(mine.reader, headers)
+
+    run(test)
+    (broken_off,) = [r.getMessage() for r in caplog.records if "answer-broken-off" in r.getMessage()]
+    assert "call=5ca1ab1e0ddba115" in broken_off
+
+
 def test_a_drain_lets_a_long_answer_end_and_then_closes() -> None:
     async def test() -> None:
         rest = asyncio.Event()
@@ -463,6 +483,31 @@
     run(test)
 
 
+@pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 100 Continue\r\n\r\n"])
+def test_a_body_that_its_endpoint_takes_no_more_of_is_given_up(
+    monkeypatch: pytest.MonkeyPatch, interim: bytes
+) -> None:
+    """An interim answer while the body goes out does not end the watch over it."""
+    monkeypatch.setattr(request_body, "BODY_STALL", 0.3)
+
+    async def test() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await head_of(reader)
+            await reader.readexactly(1)  # before a body's first bytes no answer is taken
+            writer.write(interim)
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+            await asyncio.Event().wait()
+
+        async with serving(serve) as rig:
+            mine = await rig.connect()
+            size = 32 << 20  # far more than the kernel holds
+            mine.writer.write(request("pay", Content_Length=str(size)) + bytes(size))
+            line, _ = await head_of(mine.reader)
+            assert line.startswith("HTTP/1.1 503")
+
+    run(test)
+
+
 def test_a_body_that_nothing_was_passed_on_of_is_tried_elsewhere() -> None:
     async def test() -> None:
         tried = 0
