--- a/millgw/callers/connection.py
+++ b/millgw/callers/connection.py
@@ -9,11 +9,11 @@
 import math
 import select
 import time
-from collections.abc import Callable
-from typing import Protocol
 
-from millgw.callers.core import RequestCore, word_answer, word_begin
-from millgw.http.message import FAILED, SERVED, Answer, gone, since_received, unread, watcher
+from millgw.callers.core import RequestCore, word_answer
+from millgw.callers.interface import Listening
+from millgw.callers.streamed_answer import StreamedAnswer
+from millgw.http.message import Answer, gone, since_received, unread, watcher
 from millgw.http.request import BadRequest, Head
 from millgw.log.events import log_event
 from millgw.pool.call import Call
@@ -23,7 +23,6 @@
 SLICE = 1024  # bytes that are parsed before a request in them is served: what is behind it stays unparsed
 LINGER = 0.5  # s that a connection stays open after a last 4xx, so that a client still sending can read it
 STUCK_TIME = 3.0  # s in which the client of a closing connection must read more of the last answer
-STREAM_STALL = 15.0  # s in which a client must read more of an answer that is passed on to it
 MAX_DISCARD = 256 * 1024  # bytes read and thrown away in that time
 MAX_REST = 64 * 1024 * 1024  # bytes of a body's rest read and thrown away, for as long as it comes
 REST_TIME = 2.0  # s in which more of that must come
@@ -34,42 +33,6 @@
 NEW = ""  # the lane of connections that no request has come on yet
 
 
-class Front(Protocol):
-    """Whose a request is, and what becomes of it."""
-
-    def gate(self, head: Head) -> None:
-        """Say, once the headers have ended, whose a request is, or that it is nobody's or refused."""
-
-    def read(self, head: Head, answer: Callable[[Answer], None]) -> Call | Answer:
-        """The call that a whole request makes, or the answer to one that needs no endpoint."""
-
-
-class Lanes(Protocol):
-    """Whose turn it is to be worked on, where several pools share the core."""
-
-    def wait(self, lane: str, connection: CallerConnection) -> None:
-        """Call the connection's `turn` when its lane's has come."""
-
-
-class Listening(Protocol):
-    """What a connection needs of the server that accepted it."""
-
-    loop: asyncio.AbstractEventLoop
-    front: Front
-    lanes: Lanes | None
-    buffer: bytearray
-    connections: set[CallerConnection]
-    fresh: dict[CallerConnection, None]
-    kept: dict[CallerConnection, None]
-
-    @property
-    def stopping(self) -> bool: ...
-
-    def busy(self, connection: CallerConnection) -> None: ...
-
-    def left(self, connection: CallerConnection) -> None: ...
-
-
 class CallerConnection:
     """One request at a time; what comes early waits its turn, unparsed.
 
@@ -89,10 +52,8 @@
         self.waits = False
         self.current: Call | None = None
         self.serves: Head | None = None  # the request that `current` is of
-        self.flow: Flow | None = None  # the answer that is being passed on
-        self.chunked = False  # it goes out in chunks
+        self.streamed: StreamedAnswer | None = None  # the answer that is being passed on
         self.left_to_read = 0  # bytes of answers that were not taken when last looked
-        self.moved = 0.0  # s, when the client last took some
         self.bad = 0
         self.discarded = 0
         self.most_discarded = MAX_DISCARD
@@ -109,7 +70,7 @@
 
     @property
     def busy(self) -> bool:
-        open = self.current is not None or self.flow is not None
+        open = self.current is not None or self.streamed is not None
         return open or self.resting is not None or bool(self.core.queue)
 
     @property
@@ -120,7 +81,7 @@
     def quiet(self, least: float) -> bool:
         """Whether it has been between requests for so long, and has none waiting to be read.
 
-        Guards against losing a request: a client whose request crosses the close sends it again, but once
+        Otherwise a request could be lost: a client whose request crosses the close sends it again, but once
         only, and under many connections the next one may be closed as well. One that has been read and waits
         for its turn counts too.
         """
@@ -145,7 +106,7 @@
             self.lingering = self.server.loop.call_later(STUCK_TIME, self._linger)
 
     def _linger(self) -> None:
-        """Guards against a client that does not read its last answer, and would hold it for ever."""
+        """End it if its client does not read its last answer: it would be held for ever."""
         self.lingering = None
         transport = self.transport
         if transport is None:
@@ -185,7 +146,7 @@
         if self.ended:
             self.discarded += nbytes
             if self.discarded > self.most_discarded and self.transport is not None:
-                self.transport.pause_reading()  # guards against reading on what nobody needs
+                self.transport.pause_reading()  # nobody needs what still comes
             return
         self.arrived = time.monotonic()
         if self.unread_since < self.arrived:
@@ -195,7 +156,7 @@
             self._read()
         elif self.waits:
             if self.transport is not None:
-                self._pause()  # guards against memory that fills while it waits
+                self._pause()  # otherwise memory would fill while it waits
         else:
             self.waits = True
             self.server.lanes.wait(self.lane, self)
@@ -203,8 +164,8 @@
     def _waited(self) -> float:
         """For how long (s) the bytes that were just read had waited in the socket.
 
-        Guards against a wait of the client that is told anew: its time counts from when it sent, also while
-        its connection was not accepted, or not read as an answer before was due.
+        The client's time counts from when it sent, also while its connection was not accepted, or not read as
+        an answer before was due.
         """
         longest, self.unread_since = self.arrived - self.unread_since, math.inf
         return 0.0 if self.transport is None else min(longest, since_received(self.transport))
@@ -218,7 +179,7 @@
     def _read(self) -> None:
         """Read on until a request is there to be served.
 
-        Guards against floods: what is behind it costs no work and no memory but its bytes, one read at most.
+        What is behind it costs no work and no memory but its bytes, one read at most, as it may be a flood.
         """
         core = self.core
         while self.rest and not self.ended:
@@ -328,8 +289,8 @@
     def _end_early(self, answer: Answer) -> None:
         """Answer a request whose body still comes. Its rest is read and dropped, for as long as it comes.
 
-        Guards against an answer that is lost: a connection that is closed while its client still sends is
-        reset, and what the client has not read by then is gone.
+        The answer would be lost otherwise: a connection that is closed while its client still sends is reset,
+        and what the client has not read by then is gone.
         """
         self.upload = None
         self._served()
@@ -356,16 +317,16 @@
         self.resting = self.server.loop.call_later(REST_TIME, self._drop_more)
 
     def pause_writing(self) -> None:
-        """Guards against a client that asks and never reads its answers."""
+        """Read no further: otherwise a client that never reads its answers could ask without end."""
         self.unread_answers = True
-        if self.flow is not None:
-            self.flow.hold()
+        if self.streamed is not None:
+            self.streamed.hold()
         self._read()
 
     def resume_writing(self) -> None:
         self.unread_answers = False
-        if self.flow is not None:
-            self.flow.go_on()
+        if self.streamed is not None:
+            self.streamed.go_on()
         self._go_on()
 
     def eof_received(self) -> None:
@@ -374,8 +335,9 @@
     def gone(self) -> bool:
         """Whether the client has left, as far as the kernel knows: the loop may not have told yet.
 
-        Guards against attempts for nobody: of a request that waited in the socket, until the connection was
-        accepted or the process went on, the loop reads the bytes first and the end in its next turn.
+        Otherwise there would be attempts for nobody: of a request that waited in the socket, until the
+        connection was accepted or the process went on, the loop reads the bytes first and the end in its next
+        turn.
         """
         return self.transport is not None and gone(self.transport, self.poll)
 
@@ -396,13 +358,13 @@
         self.core.queue.clear()
         self.core.head = None
         call, self.current = self.current, None
-        flow, self.flow = self.flow, None
+        streamed, self.streamed = self.streamed, None
         if call is not None:
             self._served()
             call.owner.left(call)
-        if flow is not None:
+        if streamed is not None:
             self._served()
-            flow.cancel()
+            streamed.cancel()
 
     def _served(self) -> None:
         head, self.serves = self.serves, None
@@ -432,7 +394,7 @@
         self.serving = True
         queue = self.core.queue
         while queue and not self.unread_answers:
-            if self.current is not None or self.flow is not None or self.resting is not None:
+            if self.current is not None or self.streamed is not None or self.resting is not None:
                 break
             if self.paused and self.gone():
                 self._leave()  # nobody waits for what is behind a request that was answered to nobody
@@ -478,9 +440,7 @@
             return
         self._served()
         self._write(answer)
-        self._after()
-        if not self.serving:
-            self._go_on()
+        self.go_on_after()
 
     # An answer that is passed on as it comes
 
@@ -490,52 +450,28 @@
             flow.cancel()
             return
         head.release()
-        self.flow = flow
-        self.chunked = flow.length is None and head.version == "1.1"
-        if (flow.length is None and not self.chunked) or self.upload is not None:
+        self.streamed = streamed = StreamedAnswer(self, flow, head.version)
+        if streamed.until_close or self.upload is not None:
             self.keep = False  # its end is the connection's, or the request's body still comes
-        transport.set_write_buffer_limits(high=flow.window)
-        self.moved = time.monotonic()
-        transport.write(word_begin(answer, flow.length, self.chunked, not self.keep or self.server.stopping))
-        flow.sink = self
-
-    def pass_on(self, data: bytes) -> None:
-        if data and self.transport is not None:
-            self.transport.write(b"%x\r\n%b\r\n" % (len(data), data) if self.chunked else data)
-
-    def finished(self) -> None:
-        if self.chunked and self.transport is not None:
-            self.transport.write(b"0\r\n\r\n")
-        self._passed(SERVED)
-        self._after()
-        if not self.serving:
-            self._go_on()
+        streamed.begin(transport, answer, not self.keep or self.server.stopping)
 
-    def broken_off(self) -> None:
-        """The rest won't come: the connection ends in its midst, which the client can tell."""
-        until_close = self.flow is not None and self.flow.length is None and not self.chunked
-        self._passed(FAILED)
-        if until_close and self.transport is not None:
-            self.transport.abort()
-        self.close()
-        self.core.queue.clear()
-
-    def _passed(self, status: int) -> None:
-        """Its answer has ended."""
-        self.flow = None
+    def streamed_to_end(self, status: int) -> None:
+        """The answer that was passed on has ended."""
+        self.streamed = None
         self._count(self.serves, status)
         self._served()
         if self.transport is not None and not self.transport.is_closing():
             self.transport.set_write_buffer_limits()
 
+    def go_on_after(self) -> None:
+        """A request is answered: serve the next one, or end the connection."""
+        self._after()
+        if not self.serving:
+            self._go_on()
+
     def stuck(self, now: float) -> bool:
         """Whether its client takes nothing of an answer that is passed on, for too long."""
-        if self.flow is None or self.transport is None:
-            return False
-        left = self.transport.get_write_buffer_size()
-        if left != self.left_to_read or not left:
-            self.left_to_read, self.moved = left, now
-        return now > self.moved + STREAM_STALL
+        return self.streamed is not None and self.streamed.stuck(now)
 
     def _rested(self) -> None:
         self.resting = None
@@ -554,7 +490,7 @@
     def _turn_away(self, bad: BadRequest) -> None:
         """Answer a request that is read but can't be taken.
 
-        Guards against a client that asks the same again as soon as it is answered: it is made to rest.
+        Its client is made to rest: otherwise it could ask the same again as soon as it is answered.
         """
         self.bad += 1
         if self.bad >= MAX_BAD:
--- a/millgw/callers/server.py
+++ b/millgw/callers/server.py
@@ -13,7 +13,8 @@
 from contextlib import suppress
 from typing import cast
 
-from millgw.callers.connection import CallerConnection, Front, Lanes
+from millgw.callers.connection import CallerConnection
+from millgw.callers.interface import Front, Lanes
 from millgw.callers.lifecycle import Lifecycle
 from millgw.http.message import REFUSED
 from millgw.http.request import BadRequest
--- /dev/null
+++ b/millgw/callers/streamed_answer.py
@@ -0,0 +1,91 @@
+"""An answer on its way to a caller, passed on as it comes from an endpoint."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from millgw.callers.core import word_begin
+from millgw.http.message import FAILED, SERVED, Answer
+from millgw.streams.flow import Flow
+
+if TYPE_CHECKING:
+    from millgw.callers.connection import CallerConnection
+
+ANSWER_STALL = 15.0  # s in which a client must read more of an answer that is passed on to it
+
+
+class StreamedAnswer:
+    """The caller's side of a flow. `until_close` tells that its end is that of the connection."""
+
+    __slots__ = ("chunked", "connection", "flow", "left_to_read", "moved", "until_close")
+
+    def __init__(self, connection: CallerConnection, flow: Flow, version: str) -> None:
+        self.connection = connection
+        self.flow: Flow | None = flow  # until it is over: each would keep the other until the collector comes
+        self.chunked = flow.length is None and version == "1.1"
+        self.until_close = flow.length is None and not self.chunked
+        self.left_to_read = 0  # bytes that were not taken when last looked
+        self.moved = time.monotonic()  # s, when the client last took some
+
+    def begin(self, transport: asyncio.Transport, answer: Answer, close: bool) -> None:
+        """Write the head; `close` tells that it is the last answer on the connection."""
+        flow = self.flow
+        assert flow is not None
+        transport.set_write_buffer_limits(high=flow.window)
+        transport.write(word_begin(answer, flow.length, self.chunked, close))
+        flow.sink = self
+
+    def hold(self) -> None:
+        """The client takes no more for now."""
+        if self.flow is not None:
+            self.flow.hold()
+
+    def go_on(self) -> None:
+        """The client takes more."""
+        if self.flow is not None:
+            self.flow.go_on()
+
+    def cancel(self) -> None:
+        """The client has left."""
+        flow, self.flow = self.flow, None
+        if flow is not None:
+            flow.cancel()
+
+    def stuck(self, now: float) -> bool:
+        """Whether its client takes nothing of it for too long."""
+        transport = self.connection.transport
+        if transport is None:
+            return False
+        left = transport.get_write_buffer_size()
+        if left != self.left_to_read or not left:
+            self.left_to_read, self.moved = left, now
+        return now > self.moved + ANSWER_STALL
+
+    # The flow's sink
+
+    def pass_on(self, data: bytes) -> None:
+        """Write on what has come of it."""
+        transport = self.connection.transport
+        if data and transport is not None:
+            transport.write(b"%x\r\n%b\r\n" % (len(data), data) if self.chunked else data)
+
+    def finished(self) -> None:
+        """It is whole."""
+        transport = self.connection.transport
+        if self.chunked and transport is not None:
+            transport.write(b"0\r\n\r\n")
+        self.flow = None
+        self.connection.streamed_to_end(SERVED)
+        self.connection.go_on_after()
+
+    def broken_off(self) -> None:
+        """The rest won't come: the connection ends in its midst, which the client can tell."""
+        connection = self.connection
+        self.flow = None
+        connection.streamed_to_end(FAILED)
+        if self.until_close:
+            connection.abort()
+        connection.close()
+        connection.core.queue.clear()
--- a/millgw/compiled.py
+++ b/millgw/compiled.py
@@ -50,6 +50,8 @@
     "pool.share",
     "pool.pool",
     "callers.core",
+    "callers.interface",
+    "callers.streamed_answer",
     "callers.connection",
     "callers.plain",
     "routing.target",
