--- a/millgw/configuration/reports.py
+++ b/millgw/configuration/reports.py
@@ -8,25 +8,18 @@
 import json
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from enum import StrEnum
 from typing import Any
 
 from millgw.configuration.document import DocumentError, decode_count
+from millgw.configuration.follower import CAUSE_MOST as MAX_CAUSE
+from millgw.configuration.follower import Status
 
 MAX_SIDECARS = 4096
 MAX_SIDECAR_NAME = 128  # characters
-MAX_CAUSE = 300  # characters that are kept of why a version was refused
 MAX_REFUSALS = 20  # that a summary names
 FORGET_AFTER = 300.0  # s without a watch and without a report
 
 
-class Status(StrEnum):
-    """What became of a version at a sidecar."""
-
-    APPLIED = "applied"
-    REFUSED = "refused"
-
-
 class ReportsFullError(Exception):
     """As many sidecars are known as may be."""
 
--- a/tests/test_configuration_watches.py
+++ b/tests/test_configuration_watches.py
@@ -9,17 +9,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from millgw.configuration import follower
 from millgw.configuration.document import Change, Document, DocumentError, Version, decode_line
+from millgw.configuration.follower import CAUSE_MOST, Status
 from millgw.configuration.history import NO_VERSION, History
 from millgw.configuration.reports import (
     FORGET_AFTER,
-    MAX_CAUSE,
     MAX_REFUSALS,
     Report,
     Reports,
     ReportsFullError,
     Sidecar,
-    Status,
     decode_report,
     decode_sidecar,
     encode_sidecar,
@@ -301,7 +301,7 @@
     reports = Reports(max_sidecars=2)
     reports.take(0.0, applied("a", 1))
     reports.take(0.0, Report("b", 1, "", Status.REFUSED, "x" * 5000))
-    assert len(reports.sidecars["b"].cause) == MAX_CAUSE
+    assert len(reports.sidecars["b"].cause) == CAUSE_MOST
     with pytest.raises(ReportsFullError):
         reports.take(1.0, applied("c", 1))
     reports.watch_opened(1.0, "c")
@@ -352,6 +352,12 @@
         decode_report(data)
 
 
+@given(st.integers(0, 2**40), st.sampled_from(Status), st.text(max_size=2 * CAUSE_MOST))
+def test_what_a_sidecar_words_is_read_as_it_is_meant(index: int, status: Status, cause: str) -> None:
+    worded = follower.Report(index, "d", status, cause).encode("n1")
+    assert decode_report(worded) == Report("n1", index, "d", status, cause[:CAUSE_MOST])
+
+
 # Requests
 
 
