--- a/millgw/rehearsal/front.py
+++ b/millgw/rehearsal/front.py
@@ -37,7 +37,7 @@
         self._later(NOTICE, lambda: self._notice(sidecar.desk))
 
     def _notice(self, desk: Desk) -> None:
-        """Guards against one that is back before it was missed: nobody would put it back again."""
+        """Otherwise one that is back before it was missed would never be put back."""
         if desk in self.dead:
             self._drop(desk)
 
--- a/millgw/rehearsal/sidecars.py
+++ b/millgw/rehearsal/sidecars.py
@@ -26,8 +26,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 DEFAULT_RUN = f"exec {sys.executable} -B -m millgw.sidecar"
 HELD_BACK = 'read -r go && exec /bin/sh -c "$1" </dev/null'
-"""Guards against a rig that is killed between a start and the keeper's word of it: with no word to go on, the
-process ends by itself."""
+"""Waits for a line before it becomes the sidecar. Where the rig is killed before the keeper knows of the
+process, nothing comes and the process ends by itself."""
 READY_EVERY = 0.05  # s between two looks whether a sidecar serves
 READY_TIME = 60.0  # s for a sidecar to serve after its start
 LOG_TAIL = 400  # bytes of a log that a message quotes
