--- a/millgw/cli/tree.py
+++ b/millgw/cli/tree.py
@@ -44,6 +44,7 @@
     ),
     "load": Lazy("millgw.load.command", "load", "Open-loop load, and reports that compare.", TOOLS),
     "rehearse": Lazy("millgw.rehearsal.command", "rehearse", "Play failures, audit the four rules.", TOOLS),
+    "scale": Lazy("millgw.scale.command", "scale", "A large fleet, held to its targets.", TOOLS),
 }  # fmt: skip
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -132,6 +132,7 @@
             "rehearse list": [], "rehearse run": ["no-such-day"], "rehearse all": ["--sidecars", "1"],
             "rehearse search": ["--count", "1", "--run", "exit 7", "--out", f"{folder}/found"],
             "rehearse demo": ["--port", "65535", "--once"],
+            "scale run": ["--sidecars", "3"], "scale compare": ["--sidecars", "3"],
         }  # fmt: skip
 
 
