--- a/millgw/scale/chain.py
+++ b/millgw/scale/chain.py
@@ -36,7 +36,7 @@
     TimerFired,
 )
 
-DEADLINE = 2000.0  # of a call at the first tier
+DEADLINE = 2000.0  # of a call at the first tier, where a shape says nothing else
 HOP = 20.0  # of each tier's deadline that is kept for the way back
 WAIT = 8.0  # of an endpoint on average
 TRIES = 3
@@ -54,6 +54,7 @@
     rate: float = 60.0  # calls a second at the first tier
     seconds: float = 10.0
     slow: int = 4
+    deadline: float = DEADLINE  # of a call at the first tier
     slowness: float = 12.0  # times the usual wait
     failing: float = 0.5  # of the calls at the slow tier
     ill_from: float = 0.3  # of the time, before which all is well
@@ -129,7 +130,7 @@
         self.tier = tier
         self.clock = chain.clock
         settings = Settings(
-            (RequestClass("read", DEADLINE, Repeat.SAFE, DEADLINE / 2),),
+            (RequestClass("read", chain.shape.deadline, Repeat.SAFE, chain.shape.deadline / 2),),
             0.2,
             10_000.0,
             2.5,
@@ -280,6 +281,8 @@
 def _first_call(chain: Chain, by: int, answers: list[tuple[bool, bool]]) -> Callable[[], None]:
     def make() -> None:
         ill = chain.ill()
-        chain.call(0, by, chain.clock.now + DEADLINE, lambda served: answers.append((ill, served)))
+        chain.call(
+            0, by, chain.clock.now + chain.shape.deadline, lambda served: answers.append((ill, served))
+        )
 
     return make
