--- a/benchmarks/deep_calls.py
+++ b/benchmarks/deep_calls.py
@@ -3,9 +3,9 @@
     python -m benchmarks.deep_calls [--tiers 6,12,25] [--deadline 2000,8000] [--seeds 3]
 
 Each tier's callers decide by the daemon's own module (`millgw.scale.chain`). The slow tier is the last but
-one: it answers 12 times as slowly as before and fails half of its calls for half of the time. Printed are the
-parts of the calls that were served before and meanwhile, and the attempts at the slow tier and at the last one
-for each call of the first, meanwhile: medians over the seeds, with the least and the most.
+one: it answers 12 times as slowly as before and fails half of its calls for half of the time. Printed are
+the parts of the calls that were served before and meanwhile, and the attempts at the slow tier and at the
+last one for each call of the first, meanwhile: medians over the seeds, with the least and the most.
 """
 
 from __future__ import annotations
@@ -48,9 +48,7 @@
 @click.option("--seeds", type=int, default=3, show_default=True)
 def main(**given: Any) -> int:
     args = SimpleNamespace(**given)
-    print(
-        "| tiers | deadline ms | served, all well | served, one slow | attempts there | attempts at the last |"
-    )
+    print("| tiers | deadline ms | served, all well | served, one slow | attempts there | at the last |")
     print("| --- " * 6 + "|")
     for tiers in map(int, args.tiers.split(",")):
         for deadline in map(float, args.deadline.split(",")):
