--- a/millgw/log/table.py
+++ b/millgw/log/table.py
@@ -157,7 +157,7 @@
     "replica-refused": Kind(
         ERROR,
         ("peer", "cause"),
-        "a control instance came back with older state than it had acknowledged: it is not heard",
+        "a control instance came back with older state than it had acknowledged: restart it once it is level",
     ),
     "instance-failed": Kind(
         ERROR,
--- a/tests/test_configuration_instance.py
+++ b/tests/test_configuration_instance.py
@@ -16,6 +16,7 @@
 from millgw.configuration.apply import Entries, RefusedVersionError
 from millgw.configuration.client import Client
 from millgw.configuration.control_client import fetch_status
+from millgw.configuration.document import Document
 from millgw.configuration.durable import DurableState, StateIncomplete, StateMissing, StateOfAnother
 from millgw.configuration.instance import Instance
 from millgw.configuration.messages import MAX_CHANGES
@@ -317,7 +318,7 @@
     run(test)
 
 
-def test_an_instance_that_comes_back_with_older_state_is_not_heard_and_takes_no_watcher_back() -> None:
+def test_an_instance_that_comes_back_with_older_state_is_brought_up_and_takes_no_watcher_back() -> None:
     async def test() -> None:
         async with Cluster(3) as cluster:
             leader = await cluster.leader()
@@ -331,10 +332,14 @@
             cluster.stop(name)
             cluster.states[name] = older
             back = await cluster.restart(name)
-            (watcher,) = await open_watchers([cluster.voters[name]], 1, position=3)
-            await propose_until_committed(cluster, "e", {"n": 3}, [])
-            await until(lambda: watcher.heartbeats > 1)
-            assert not watcher.lines or watcher.lines[0].index > 3
+            (watcher,) = await open_watchers(
+                [cluster.voters[name]], 1, document=Document(3, 1, {"e": {"n": 2}})
+            )
+            assert await propose_until_committed(cluster, "e", {"n": 3}, []) == 4
+            await cluster.committed(4)
+            await until(lambda: bool(watcher.lines))
+            assert watcher.lines[0].index == 4
+            assert len(documents(cluster)) == 1
             assert back.replica.role.value != "leader"
 
     run(test)
