The test of logged events knows the endpoints' failures, which go through one function

Since connection.py was split, answer-spoilt and answer-broken-off are logged through Connection.log_failure, and the scan of the sources missed both. It reads those calls too, and holds the fields that the function writes, so it is as strict as before. tests/test_log.py passes.

--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -293,6 +293,9 @@
 # The table
 
 
+FAILURE_FIELDS = {"endpoint", "cause", "call"}  # what `Connection.log_failure` writes with each event
+
+
 def tellings() -> Iterator[tuple[str, str, set[str]]]:
     """File, event and fields of every call that tells one, as the sources have them."""
     for path in sorted((ROOT / "millgw").rglob("*.py")):
@@ -301,8 +304,14 @@
                 continue
             name = node.func.attr if isinstance(node.func, ast.Attribute) else getattr(node.func, "id", "")
             first = node.args[0]
-            if name in ("log_event", "word", "_tell") and isinstance(first, ast.Constant):
+            if name == "log_event" and path.match("endpoints/connection.py"):
+                assert {k.arg for k in node.keywords} == FAILURE_FIELDS
+            if not isinstance(first, ast.Constant):
+                continue
+            if name in ("log_event", "word", "_tell"):
                 yield str(path), str(first.value), {k.arg for k in node.keywords if k.arg}
+            elif name == "log_failure":
+                yield str(path), str(first.value), FAILURE_FIELDS
 
 
 def test_every_event_that_is_told_stands_in_the_table_with_its_fields_and_no_other() -> None:
