--- a/millgw/rehearsal/audit/auditor.py
+++ b/millgw/rehearsal/audit/auditor.py
@@ -1,5 +1,7 @@
 """The auditor of the four rules: ledgers in, a verdict for each rule with evidence out. Pure.
 
+Days with a distributed configuration have a fifth finding beside them.
+
 It believes only what stand-ins saw. A rule that a day never put to the test is `not exercised`, not held.
 Where the rig's own lateness could explain a breach of a time limit, it is counted as excused, not as broken.
 """
@@ -10,10 +12,11 @@
 
 from millgw.rehearsal.audit.answers import audit_answers
 from millgw.rehearsal.audit.cold_endpoints import audit_cold_endpoints
+from millgw.rehearsal.audit.configuration_versions import audit_configuration
 from millgw.rehearsal.audit.day_records import DayRecords
 from millgw.rehearsal.audit.drains import audit_drains
 from millgw.rehearsal.audit.effects import audit_effects
-from millgw.rehearsal.audit.findings import Audit
+from millgw.rehearsal.audit.findings import Audit, Finding
 from millgw.rehearsal.audit.rules import AuditRules
 from millgw.standins.ledger import End, Ledger, Told
 
@@ -23,12 +26,14 @@
 def audit(ledger: Ledger, rules: AuditRules) -> Audit:
     """The verdict on one day."""
     records = DayRecords(ledger, rules)
-    findings = (
+    findings: tuple[Finding, ...] = (
         audit_answers(records),
         audit_effects(records),
         audit_drains(records),
         audit_cold_endpoints(records),
     )
+    if rules.distributed:
+        findings += (audit_configuration(records),)
     return Audit(findings, records.lateness.measure(), _why_unserved(records))
 
 
--- a/millgw/rehearsal/audit/rules.py
+++ b/millgw/rehearsal/audit/rules.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from millgw.rehearsal.scenario import Scenario
+from millgw.rehearsal.scenario import Scenario, refusing_sidecars
 from millgw.standins.capacity import mean_work
 
 
@@ -38,6 +38,8 @@
     ask_within: float = 6000.0
     most_attempts: int = 3
     mean_work: Mapping[int, float] = field(default_factory=dict)
+    distributed: bool = False  # whether sidecars follow a distributed configuration
+    refusing: frozenset[str] = frozenset()  # sidecars that can't apply some of its versions
 
 
 def audit_rules(scenario: Scenario) -> AuditRules:
@@ -55,4 +57,6 @@
             )
             for tier, part in enumerate(scenario.work_shares(), 1)
         },
+        distributed=scenario.configuration is not None,
+        refusing=refusing_sidecars(scenario),
     )
--- /dev/null
+++ b/millgw/rehearsal/control_instances.py
@@ -0,0 +1,135 @@
+"""A day's control instances: real processes on loopback, each with its store in the run's folder."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import shlex
+import signal
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+from millgw.configuration.control_client import FleetStatus, fetch_status
+from millgw.platform.config import Address
+from millgw.rehearsal.keeper import Keeper
+from millgw.rehearsal.processes import spawn
+from millgw.rehearsal.sidecars import READY_EVERY, READY_TIME, ROOT, NotReady
+from millgw.standins.address import free_address
+from millgw.standins.configuration_ledger import ControlLife
+from millgw.standins.http import Clock
+from millgw.standins.ledger import Ledger
+
+ANSWER_TIME = 1.0  # s for an instance's status
+LEADER = "leader"
+
+
+@dataclass(slots=True, eq=False)
+class ControlProcess:
+    """One process of a control instance."""
+
+    process: asyncio.subprocess.Process
+    life: ControlLife
+    waiter: asyncio.Task[None]
+
+
+class ControlInstances:
+    """The voters of one day. They are ended by SIGKILL only, and start again on the stores that they had."""
+
+    def __init__(self, count: int, folder: Path, keeper: Keeper, ledger: Ledger, clock: Clock) -> None:
+        self.addresses = {f"control-{number}": free_address() for number in range(1, count + 1)}
+        self.folder = folder
+        self.keeper = keeper
+        self.ledger = ledger
+        self.clock = clock
+        self.running: dict[str, ControlProcess] = {}
+        self.known: set[str] = set()  # those that were started before: their stores are made
+
+    @property
+    def all(self) -> tuple[Address, ...]:
+        """Where all instances are found, also those that don't run."""
+        return tuple(self.addresses.values())
+
+    async def start_all(self) -> None:
+        """Start those that don't run and wait until one leads; a NotReady tells that none does."""
+        await asyncio.gather(*(self.start(name) for name in self.addresses))
+        try:
+            async with asyncio.timeout(READY_TIME):
+                while await self.leader() is None:
+                    await asyncio.sleep(READY_EVERY)
+        except TimeoutError:
+            raise NotReady(f"no control instance leads after {READY_TIME:.0f} s") from None
+
+    async def start(self, name: str) -> None:
+        """Start an instance, unless it runs, and wait until it answers or is killed."""
+        if name in self.running:
+            return
+        directory = self.folder / name
+        directory.mkdir(parents=True, exist_ok=True)
+        life = ControlLife(name, self.clock())
+        process = await spawn(self._command(name), self._environ(), directory / "log", self.keeper)
+        self.known.add(name)
+        self.ledger.control.append(life)
+        waiter = asyncio.get_running_loop().create_task(self._wait(name, process))
+        self.running[name] = ControlProcess(process, life, waiter)
+        await self._until_ready(name, life)
+
+    def _command(self, name: str) -> str:
+        voters = ",".join(f"{voter}={address}" for voter, address in self.addresses.items())
+        words = [
+            sys.executable, "-B", "-m", "millgw", "configuration", "serve", "--name", name,
+            "--voters", voters, "--store", str(self.folder / name / "store"), "--log", "json",
+        ]  # fmt: skip
+        if name not in self.known:
+            words.append("--create")
+        return f"exec {shlex.join(words)}"
+
+    @staticmethod
+    def _environ() -> dict[str, str]:
+        paths = [str(ROOT), *filter(None, [os.environ.get("PYTHONPATH")])]
+        return os.environ | {"PYTHONPATH": os.pathsep.join(paths)}
+
+    async def _until_ready(self, name: str, life: ControlLife) -> None:
+        end = self.clock() + READY_TIME * 1000
+        while life.kill is None:
+            status = await fetch_status([self.addresses[name]], ANSWER_TIME)
+            if status.instances and life.kill is None:
+                life.ready = self.clock()
+                return
+            if name not in self.running or self.clock() > end:
+                raise NotReady(f"{name} does not serve")
+            await asyncio.sleep(READY_EVERY)
+
+    async def _wait(self, name: str, process: asyncio.subprocess.Process) -> None:
+        await process.wait()
+        self.keeper.ended(process.pid)
+        self.running.pop(name, None)
+
+    async def leader(self) -> str | None:
+        """The name of the instance that leads with a quorum, if one says so."""
+        status = await self.status()
+        leading = [each.name for each in status.instances if each.role == LEADER and each.quorum]
+        return leading[0] if leading else None
+
+    async def status(self) -> FleetStatus:
+        """What those that run tell together."""
+        running = [self.addresses[name] for name in self.running]
+        return await fetch_status(running, ANSWER_TIME)
+
+    async def kill(self, name: str) -> None:
+        """SIGKILL, and its end."""
+        killed = self.running.get(name)
+        if killed is None:
+            return
+        if killed.life.kill is None:
+            killed.life.kill = self.clock()
+        with contextlib.suppress(ProcessLookupError):
+            os.killpg(killed.process.pid, signal.SIGKILL)
+        await asyncio.wait([killed.waiter])
+
+    async def kill_all(self) -> list[str]:
+        """SIGKILL to all that run; returns their names."""
+        names = list(self.running)
+        await asyncio.gather(*(self.kill(name) for name in names))
+        return names
--- a/millgw/rehearsal/fault_injection.py
+++ b/millgw/rehearsal/fault_injection.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
+from millgw.rehearsal.control_instances import ControlInstances
 from millgw.rehearsal.coordination import Coordination
 from millgw.rehearsal.fault_plan import PlannedFault
 from millgw.rehearsal.front import Front
@@ -62,6 +63,7 @@
     endpoints: dict[str, Endpoint]
     sidecars: dict[str, Sidecar]
     coordination: Coordination | None
+    control: ControlInstances | None
     say: Callable[[str], None]
 
     def failed(self, error: BaseException) -> None: ...
@@ -113,6 +115,8 @@
             "zk-freeze": self._freeze,
             "zk-restart-empty": self._restart_empty,
             "middlebox": self._middlebox,
+            "control-instance-lost": self._control_instance_lost,
+            "control-all-lost": self._control_all_lost,
         }
         for kind in DEGRADATION_FIELDS:
             self.injections[kind] = self._degrade
@@ -311,6 +315,28 @@
             await asyncio.sleep((fault.until - fault.at) / 1000 / len(serving))
             self._again_registered(name)
 
+    # Control instances
+
+    @property
+    def _control(self) -> ControlInstances:
+        assert self.targets.control is not None  # the scenario's check
+        return self.targets.control
+
+    async def _control_instance_lost(self, fault: PlannedFault) -> None:
+        """The leader is killed, and started again later on the store that it had."""
+        leader = await self._control.leader()
+        if leader is None:  # there is none to lose: another fault took it, or an election is on
+            return
+        await self._control.kill(leader)
+        await self._rest(fault)
+        await self._control.start(leader)
+
+    async def _control_all_lost(self, fault: PlannedFault) -> None:
+        """All instances are killed, and start again later on the stores that they had."""
+        killed = await self._control.kill_all()
+        await self._rest(fault)
+        await asyncio.gather(*(self._control.start(name) for name in killed))
+
     # Sidecars
 
     async def _sidecar_killed(self, fault: PlannedFault) -> None:
--- a/millgw/rehearsal/operator_files.py
+++ b/millgw/rehearsal/operator_files.py
@@ -4,6 +4,7 @@
 
 import json
 import random
+from collections.abc import Sequence
 from pathlib import Path
 
 from millgw.platform.config import Address
@@ -18,10 +19,20 @@
 
 
 class OperatorFiles:
-    """Writes the file of each sidecar: connections, services at the front, peers and store."""
+    """Writes the file of each sidecar: connections, services at the front, peers, store, configuration.
 
-    def __init__(self, scenario: Scenario, discovery_server: DiscoveryServer, folder: Path) -> None:
+    `control` are the control instances of a day that has some.
+    """
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        discovery_server: DiscoveryServer,
+        folder: Path,
+        control: Sequence[Address] = (),
+    ) -> None:
         self.scenario = scenario
+        self.control = tuple(control)
         self.discovery_server = discovery_server
         self.peers: dict[int, dict[str, Address]] = {}  # where sidecars find each other, by stage
         self.key = folder / "peers.key"
@@ -39,7 +50,12 @@
 
     def text(self, sidecar: Sidecar, without: str = "") -> str:
         """The file of a sidecar, with all services but the one named by `without`."""
-        lines = [connections_toml(self.scenario), self._peers_toml(sidecar), self._store_toml(sidecar)]
+        lines = [
+            connections_toml(self.scenario),
+            self._peers_toml(sidecar),
+            self._store_toml(sidecar),
+            self._configuration_toml(sidecar),
+        ]
         for tier, service in enumerate(self.scenario.services, 1):
             if service.name != without:
                 address = self.discovery_server.window(sidecar.name, tier)
@@ -71,3 +87,11 @@
             return ""
         directories = [str(sidecar.folder / f"store-{number}") for number in range(store.mirrors)]
         return f'[store]\ndirectories = {json.dumps(directories)}\nsync = "{store.sync}"'
+
+    def _configuration_toml(self, sidecar: Sidecar) -> str:
+        """Whose versions a sidecar follows, and where it keeps the last good one."""
+        if not self.control:
+            return ""
+        instances = [str(address) for address in self.control]
+        directory = str(sidecar.folder / "configuration")
+        return f"[configuration]\ninstances = {json.dumps(instances)}\ndirectory = {json.dumps(directory)}"
--- a/millgw/rehearsal/page.py
+++ b/millgw/rehearsal/page.py
@@ -44,17 +44,19 @@
 
 
 def _overview(days: Sequence[Day]) -> str:
+    judged = max((d.audit.findings for d in days), key=len, default=())
     rows = "".join(
         f"<tr><td><a href='#{escape(d.name)}'>{escape(d.name)}</a>"
         + "".join(
             f"<td class={CLASSES[f.verdict]}>{f.verdict.value}{f' ({f.broken})' if f.broken else ''}"
             for f in d.audit.findings
         )
+        + "<td>" * (len(judged) - len(d.audit.findings))
         + f"<td class=num>{d.summary.service:.3f}<td class=num>{d.summary.worst:.3f}"
         f"<td>{escape(d.conclusion)}"
         for d in days
     )
-    heads = "".join(f"<th>{f.rule}. {escape(f.title)}" for f in days[0].audit.findings) if days else ""
+    heads = "".join(f"<th>{f.rule}. {escape(f.title)}" for f in judged)
     return f"<table><tr><th>day{heads}<th>service<th>worst 5 s<th>{rows}</table>"
 
 
--- /dev/null
+++ b/millgw/rehearsal/processes.py
@@ -0,0 +1,29 @@
+"""How the rig starts a process that never outlives it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from pathlib import Path
+
+from millgw.rehearsal.keeper import Keeper
+
+HELD_BACK = 'read -r go && exec /bin/sh -c "$1" </dev/null'
+"""Waits for a line before it becomes the program. Where the rig is killed before the keeper knows of the
+process, nothing comes and the process ends by itself."""
+
+
+async def spawn(
+    command: str, environ: Mapping[str, str], log: Path, keeper: Keeper
+) -> asyncio.subprocess.Process:
+    """Start a shell command as a process group of its own that the keeper knows of; `log` is appended to."""
+    with log.open("ab") as output:
+        process = await asyncio.create_subprocess_exec(
+            "/bin/sh", "-c", HELD_BACK, "rig", command, env=environ, stdin=asyncio.subprocess.PIPE,
+            stdout=output, stderr=output, start_new_session=True,
+        )  # fmt: skip
+    keeper.started(process.pid)
+    assert process.stdin is not None
+    process.stdin.write(b"go\n")
+    process.stdin.close()
+    return process
--- a/millgw/rehearsal/report.py
+++ b/millgw/rehearsal/report.py
@@ -10,6 +10,8 @@
 from rich.table import Table
 
 from millgw.rehearsal.audit.auditor import audit
+from millgw.rehearsal.audit.configuration_versions import NUMBER, Distribution, distribution
+from millgw.rehearsal.audit.day_records import DayRecords
 from millgw.rehearsal.audit.findings import Audit, Verdict
 from millgw.rehearsal.audit.lateness import quantile
 from millgw.rehearsal.audit.rules import audit_rules
@@ -37,6 +39,7 @@
     injected: tuple[InjectedFault, ...]
     upgrades: tuple[Upgrade, ...] = ()
     sent_away: tuple[SentAway, ...] = ()
+    distribution: Distribution | None = None
 
     @property
     def conclusion(self) -> str:
@@ -50,10 +53,12 @@
 def judge(name: str, scenario: Scenario, ledger: Ledger, facts: Facts) -> Day:
     """The day that a ledger tells of."""
     worths = {c.name: Worth(c.aim_ms, c.deadline_ms, c.worth, c.late_worth) for c in scenario.classes}
-    verdict = audit(ledger, audit_rules(scenario))
+    rules = audit_rules(scenario)
+    verdict = audit(ledger, rules)
+    distributed = distribution(DayRecords(ledger, rules)) if rules.distributed else None
     return Day(
         name, scenario.about, scenario, facts, summarize(ledger, worths), verdict, tuple(ledger.injected),
-        tuple(ledger.upgrades), tuple(ledger.sent_away),
+        tuple(ledger.upgrades), tuple(ledger.sent_away), distributed,
     )  # fmt: skip
 
 
@@ -64,7 +69,10 @@
         console = Console(width=LEAST_WIDTH)
     table = Table()
     table.add_column("day", no_wrap=True)
-    for title in ("1 answers", "2 effects", "3 drains", "4 cold"):
+    titles = ["1 answers", "2 effects", "3 drains", "4 cold"]
+    if any(day.distribution is not None for day in days):
+        titles.append(f"{NUMBER} versions")
+    for title in titles:
         table.add_column(title)
     for title in ("service", "worst 5 s", "tries", "attempts", "p99 ms"):
         table.add_column(title, justify="right")
@@ -74,6 +82,7 @@
             f"[{COLOURS[f.verdict]}]{f.verdict.value}[/]" + (f" ({f.broken})" if f.broken else "")
             for f in day.audit.findings
         ]
+        cells += [""] * (len(titles) - len(cells))
         latencies = [ms for c in s.classes.values() for ms in c.latencies]
         table.add_row(
             day.name, *cells, f"{s.service:.3f}", f"{s.worst:.3f}", str(s.tries),
@@ -114,6 +123,8 @@
             f"{day.name}: {day.summary.hit_by_upgrades} requests hit by {len(day.upgrades)} upgrades",
             markup=False,
         )
+    if day.distribution is not None:
+        console.print(f"{day.name}: {_distributed(day.distribution)}", markup=False)
     for away in day.sent_away:
         console.print(f"{day.name}: {_worded(away)}", markup=False)
     if day.facts.sidecar_memory > day.scenario.limits.memory_mb * 1024:
@@ -125,6 +136,17 @@
         console.print(f"{day.name}: the rig can't vouch for this day: {reason}", markup=False)
 
 
+def _distributed(found: Distribution) -> str:
+    """What became of the versions that were proposed."""
+    told = f"{found.committed} of {found.proposed} versions were committed"
+    if not found.delays:
+        return told
+    return (
+        f"{told}; in force at the last sidecar after {quantile(found.delays, 0.5):.0f} ms (median),"
+        f" {max(found.delays):.0f} ms (worst)"
+    )
+
+
 def _worded(away: SentAway) -> str:
     """How long a sidecar took to say no, and to say yes again."""
     no = "never" if away.no_at is None else f"after {away.no_at - away.at:.0f} ms"
@@ -176,6 +198,7 @@
         "hit_by_upgrades": s.hit_by_upgrades,
         "upgrades": [asdict(upgrade) for upgrade in day.upgrades],
         "sent_away": [asdict(away) for away in day.sent_away],
+        "configuration": None if day.distribution is None else asdict(day.distribution),
         "faults": [asdict(fault) for fault in day.injected],
         "rules": [
             {
--- a/millgw/rehearsal/scenario.py
+++ b/millgw/rehearsal/scenario.py
@@ -47,6 +47,8 @@
     "zk-freeze",
     "zk-restart-empty",
     "middlebox",
+    "control-instance-lost",
+    "control-all-lost",
 ]
 ON_ENDPOINTS: frozenset[str] = frozenset(
     {
@@ -55,6 +57,7 @@
     }
 )  # fmt: skip
 AT_THE_DOOR: frozenset[str] = frozenset({"sidecar-upgrade", "sidecar-drain"})
+ON_CONTROL: frozenset[str] = frozenset({"control-instance-lost", "control-all-lost"})
 ON_SIDECARS: frozenset[str] = frozenset({"sidecar-killed", "sidecar-restart", "connections"}) | AT_THE_DOOR
 
 
@@ -197,6 +200,17 @@
     mirrors: Annotated[int, Meta(ge=1, le=2)] = 1
 
 
+class Configuration(Table, frozen=True, kw_only=True):
+    """Control instances whose versions all sidecars follow (docs/configuration.md), and changes to them.
+
+    Some sidecars at the front (`refusing`) can't apply a version that names the classes.
+    """
+
+    instances: Annotated[int, Meta(ge=1, le=7)] = 3
+    changes_per_minute: Annotated[float, Meta(gt=0.0, le=600.0)] = 30.0
+    refusing: Annotated[int, Meta(ge=0, le=100)] = 0
+
+
 class Limits(Table, frozen=True, kw_only=True):
     """What each sidecar is given."""
 
@@ -297,6 +311,7 @@
     connections: Connections | None = None
     peers: Peers | None = None
     store: Store | None = None
+    configuration: Configuration | None = None
     faults: tuple[Fault, ...] = ()
 
     def work_shares(self) -> tuple[float, ...]:
@@ -307,3 +322,9 @@
         """The share of a tier's requests that are of a class, against the other classes'."""
         elsewhere = self.services and cls.name not in self.services[tier - 1].classes
         return 0.0 if elsewhere else cls.share
+
+
+def refusing_sidecars(scenario: Scenario) -> frozenset[str]:
+    """The sidecars at the front that can't apply a version that names the classes."""
+    count = 0 if scenario.configuration is None else scenario.configuration.refusing
+    return frozenset(f"n0-{number}" for number in range(count))
--- a/millgw/rehearsal/scenario_checks.py
+++ b/millgw/rehearsal/scenario_checks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from millgw.rehearsal.scenario import ON_ENDPOINTS, SIZES, Fault, Scenario
+from millgw.rehearsal.scenario import ON_CONTROL, ON_ENDPOINTS, SIZES, Fault, Scenario
 
 
 def check(scenario: Scenario) -> Scenario:
@@ -32,6 +32,7 @@
                 f"classes[{i}].window_ms: a dedup class needs the time its repeats are known for"
             )
     _check_services(scenario)
+    _check_configuration(scenario)
     for path, (low, high) in (
         ("traffic.try_share", scenario.traffic.try_share),
         ("traffic.wait_ms", scenario.traffic.wait_ms),
@@ -65,6 +66,17 @@
         raise ValueError(f"services: class {next(c for c in classes if c not in seen)!r} has none")
 
 
+def _check_configuration(scenario: Scenario) -> None:
+    told = scenario.configuration
+    if told is None or not told.refusing:
+        return
+    if scenario.services:
+        raise ValueError("configuration.refusing: a day with services has no sidecar with a class of its own")
+    front = scenario.fleet.sidecars - scenario.fleet.owned()
+    if told.refusing >= front:
+        raise ValueError(f"configuration.refusing: {told.refusing} leave none of the front's {front}")
+
+
 def _check_fault(path: str, fault: Fault, scenario: Scenario) -> None:
     if fault.start_s >= scenario.seconds:
         raise ValueError(f"{path}.start_s: {fault.start_s:g} is past the day's {scenario.seconds:g} seconds")
@@ -90,5 +102,7 @@
         raise ValueError(f"{path}.service: a reload names one of the services, and nothing else does")
     if fault.kind.startswith("zk-") and scenario.coordinator is None:
         raise ValueError(f"{path}.kind: {fault.kind} hits a coordinator, and the day has none")
+    if fault.kind in ON_CONTROL and scenario.configuration is None:
+        raise ValueError(f"{path}.kind: {fault.kind} hits control instances, and the day has none")
     if fault.tier and fault.kind not in ON_ENDPOINTS:
         raise ValueError(f"{path}.tier: {fault.kind} does not hit endpoints")
--- a/millgw/rehearsal/sidecars.py
+++ b/millgw/rehearsal/sidecars.py
@@ -16,6 +16,7 @@
 
 from millgw.platform.config import Address
 from millgw.rehearsal.keeper import Keeper
+from millgw.rehearsal.processes import spawn
 from millgw.rehearsal.scenario import Scenario
 from millgw.standins.address import free_address
 from millgw.standins.caller import DOOR_READY, Desk, ready
@@ -25,11 +26,9 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 DEFAULT_RUN = f"exec {sys.executable} -B -m millgw.sidecar"
-HELD_BACK = 'read -r go && exec /bin/sh -c "$1" </dev/null'
-"""Waits for a line before it becomes the sidecar. Where the rig is killed before the keeper knows of the
-process, nothing comes and the process ends by itself."""
 READY_EVERY = 0.05  # s between two looks whether a sidecar serves
 READY_TIME = 60.0  # s for a sidecar to serve after its start
+OWN_CLASS = "of-its-own"  # a class that one sidecar alone has
 LOG_TAIL = 400  # bytes of a log that a message quotes
 
 
@@ -37,6 +36,17 @@
     """A sidecar that does not come up: the run line or the machine is at fault, no rule is judged."""
 
 
+def class_settings(scenario: Scenario) -> list[dict[str, Any]]:
+    """The classes of all sidecars, as the platform words them."""
+    return [
+        {
+            "name": c.name, "repeat": c.repeat, "deadline": c.deadline_ms, "slo": c.aim_ms,
+            "worth": c.worth, "keyScope": "cell", "repeatWindow": c.window_ms,
+        }
+        for c in scenario.classes
+    ]  # fmt: skip
+
+
 def settings(scenario: Scenario, stage: int, index: int, siblings: int) -> dict[str, Any]:
     """The settings object of one sidecar, as the platform words it."""
     limits, rules, fleet = scenario.limits, scenario.rules, scenario.fleet
@@ -45,13 +55,7 @@
         "siblings": siblings,
         "stage": stage,
         "tick": 5.0,
-        "classes": [
-            {
-                "name": c.name, "repeat": c.repeat, "deadline": c.deadline_ms, "slo": c.aim_ms,
-                "worth": c.worth, "keyScope": "cell", "repeatWindow": c.window_ms,
-            }
-            for c in scenario.classes
-        ],
+        "classes": class_settings(scenario),
         "projects": [
             {"name": t.name, "quotaRps": 1.5 * t.share * scenario.traffic.rate} for t in scenario.tenants
         ],
@@ -70,6 +74,12 @@
     }  # fmt: skip
 
 
+def with_class_of_its_own(settings: dict[str, Any]) -> dict[str, Any]:
+    """The settings with one more class, so that a version that names the others can't be applied here."""
+    own = {**settings["classes"][0], "name": OWN_CLASS}
+    return settings | {"classes": [*settings["classes"], own]}
+
+
 @dataclass(eq=False)
 class Process:
     """One process of a sidecar, from its start to its end. `door` is where operators find it, if anywhere."""
@@ -77,6 +87,7 @@
     process: asyncio.subprocess.Process
     life: SidecarLife
     door: Address | None
+    number: int  # 1 for the first one of its sidecar
     ended: asyncio.Event = field(default_factory=asyncio.Event)
 
 
@@ -155,19 +166,12 @@
 
     async def _spawn(self) -> Process:
         self.starts += 1
+        number = self.starts
         door = free_address() if self.door else None
         life = SidecarLife(self.name, self.stage, self.clock())
         environ = self._environ(door)
-        with (self.folder / "log").open("ab") as log:
-            process = await asyncio.create_subprocess_exec(
-                "/bin/sh", "-c", HELD_BACK, "rig", self.run, env=environ, stdin=asyncio.subprocess.PIPE,
-                stdout=log, stderr=log, start_new_session=True,
-            )  # fmt: skip
-        self.keeper.started(process.pid)
-        assert process.stdin is not None
-        process.stdin.write(b"go\n")
-        process.stdin.close()
-        started = Process(process, life, door)
+        process = await spawn(self.run, environ, self.folder / "log", self.keeper)
+        started = Process(process, life, door, number)
         self.ledger.sidecars.append(life)
         self.waiters.append(asyncio.get_running_loop().create_task(self._wait(started)))
         return started
--- a/millgw/rehearsal/testbed.py
+++ b/millgw/rehearsal/testbed.py
@@ -14,6 +14,9 @@
 
 from millgw.platform.config import Address
 from millgw.rehearsal.byzantine_peers import ByzantinePeers
+from millgw.rehearsal.configuration_changes import Proposer
+from millgw.rehearsal.configuration_looks import ConfigurationLooks
+from millgw.rehearsal.control_instances import ControlInstances
 from millgw.rehearsal.coordination import Coordination
 from millgw.rehearsal.fault_injection import FaultInjector
 from millgw.rehearsal.fault_plan import plan
@@ -22,8 +25,8 @@
 from millgw.rehearsal.keeper import Keeper
 from millgw.rehearsal.operator_files import DOMAIN, OperatorFiles
 from millgw.rehearsal.sampler import Sampler, own_memory
-from millgw.rehearsal.scenario import AT_THE_DOOR, Scenario
-from millgw.rehearsal.sidecars import DEFAULT_RUN, NotReady, Sidecar, settings
+from millgw.rehearsal.scenario import AT_THE_DOOR, Scenario, refusing_sidecars
+from millgw.rehearsal.sidecars import DEFAULT_RUN, NotReady, Sidecar, settings, with_class_of_its_own
 from millgw.rehearsal.traffic import schedule
 from millgw.standins.deduplication import Group
 from millgw.standins.discovery_server import Capacity, Delays, DiscoveryServer
@@ -83,6 +86,7 @@
             self.coordination = Coordination(
                 scenario.coordinator, self.ledger, self.clock, scenario.seed
             )  # fmt: skip
+        self.control: ControlInstances | None = None
         self.endpoints: dict[str, Endpoint] = {}
         self.sidecars: dict[str, Sidecar] = {}
         self.own: dict[str, Sidecar] = {}  # endpoints' own, by the endpoint's name
@@ -127,11 +131,16 @@
 
     def _build(self, folder: Path, keeper: Keeper) -> None:
         scenario, fleet = self.scenario, self.scenario.fleet
-        self.operator_files = OperatorFiles(scenario, self.discovery_server, folder)
+        if scenario.configuration is not None:
+            count = scenario.configuration.instances
+            self.control = ControlInstances(count, folder, keeper, self.ledger, self.clock)
+        addresses = () if self.control is None else self.control.all
+        self.operator_files = OperatorFiles(scenario, self.discovery_server, folder, addresses)
         self.byzantine_peers = ByzantinePeers(scenario, self.operator_files, self.endpoints, self.clock)
         sizes = tier_sizes(scenario)
         self.tiers = [self._tier(i + 1, size) for i, size in enumerate(sizes)]
         front = fleet.sidecars - fleet.owned()
+        refusing = refusing_sidecars(scenario)
         for stage, siblings in enumerate([front] if scenario.services else [front, *sizes[:-1]]):
             for index in range(siblings):
                 name = f"n{stage}-{index}"
@@ -140,7 +149,11 @@
                     settings(scenario, stage, index, siblings), scenario, self._known(stage + 1), self.run,
                     folder, keeper, self.ledger, self.clock,
                 )  # fmt: skip
-                sidecar.door = stage == 0 and any(f.kind in AT_THE_DOOR for f in scenario.faults)
+                sidecar.door = self.control is not None or (
+                    stage == 0 and any(f.kind in AT_THE_DOOR for f in scenario.faults)
+                )
+                if name in refusing:
+                    sidecar.settings = with_class_of_its_own(sidecar.settings)
                 if self.listen is not None and not self.sidecars:
                     sidecar.listen_at(self.listen)
                 self.sidecars[name] = sidecar
@@ -290,6 +303,9 @@
     # The day
 
     async def _start(self) -> None:
+        if self.control is not None:
+            await self.control.start_all()
+            self.say(f"{len(self.control.all)} control instances serve")
         if self.coordination is not None:
             await self.coordination.start(list(self.sidecars), len(self.tiers))
             for sidecar in self.sidecars.values():
@@ -334,6 +350,7 @@
         sampler = asyncio.create_task(Sampler(self.ledger, self.clock, list(self.sidecars.values())).run())
         playing = asyncio.create_task(self.clients.play(planned, self.zero))
         stopped = asyncio.create_task(self.over.wait())
+        distributing = self._distribute()
         longest = max(c.deadline_ms for c in scenario.classes) / 1000 + TAIL
         try:
             await asyncio.wait([playing, stopped], return_when=asyncio.FIRST_COMPLETED)
@@ -343,11 +360,26 @@
             if self.clients.journeys and not self.over.is_set():
                 await asyncio.wait(list(self.clients.journeys), timeout=longest)
         finally:
-            for task in (sampler, playing, stopped, *self.clients.journeys):
+            for task in (sampler, playing, stopped, *distributing, *self.clients.journeys):
                 task.cancel()
             injector.close()
             gc.enable()
 
+    def _distribute(self) -> list[asyncio.Task[None]]:
+        """Propose versions and look where they are in force, on a day with control instances."""
+        if self.control is None:
+            return []
+        proposer = Proposer(self.scenario, self.control, self.ledger, self.clock)
+        looks = ConfigurationLooks(self.control, self.sidecars, self.ledger, self.clock)
+        tasks = [asyncio.create_task(proposer.run()), asyncio.create_task(looks.run())]
+        for task in tasks:
+            task.add_done_callback(self._distribution_ended)
+        return tasks
+
+    def _distribution_ended(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self.failed(error)
+
     def _facts(self, start_s: float) -> Facts:
         for sidecar in self.sidecars.values():
             sidecar.note_memory()
@@ -370,6 +402,8 @@
             sidecar.kill()
             sidecar.desk.close()
         await asyncio.gather(*(w for s in self.sidecars.values() for w in s.waiters))
+        if self.control is not None:
+            await self.control.kill_all()
         for endpoint in self.endpoints.values():
             endpoint.stop()
         self.discovery_server.close()
@@ -378,7 +412,8 @@
 
     def _keep_logs(self, folder: Path, logs: Path) -> None:
         logs.mkdir(parents=True, exist_ok=True)
-        for name in self.sidecars:
+        control = () if self.control is None else self.control.addresses
+        for name in (*self.sidecars, *control):
             source = folder / name / "log"
             if source.exists():
                 shutil.copyfile(source, logs / f"{name}.log")
--- a/millgw/standins/ledger.py
+++ b/millgw/standins/ledger.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from millgw.standins.configuration_ledger import ControlLife, ProposedVersion, VersionLook, VersionReport
+
 
 class Told(Enum):
     """What an endpoint let the sidecar know of an attempt."""
@@ -251,6 +253,10 @@
     injected: list[InjectedFault] = field(default_factory=list)
     sent_away: list[SentAway] = field(default_factory=list)
     upgrades: list[Upgrade] = field(default_factory=list)
+    control: list[ControlLife] = field(default_factory=list)
+    proposed: list[ProposedVersion] = field(default_factory=list)
+    version_looks: list[VersionLook] = field(default_factory=list)
+    version_reports: list[VersionReport] = field(default_factory=list)
     late: list[tuple[float, float]] = field(default_factory=list)  # arrivals: when due, ms sent late
     asked_for: dict[str, Call] = field(default_factory=dict)  # the last call booked under each trace
 
@@ -274,6 +280,10 @@
     InjectedFault: ("at", "until"),
     SentAway: ("at", "no_at", "until", "yes_at", "judged"),
     Upgrade: ("at", "yes_at", "term", "ended"),
+    ControlLife: ("start", "ready", "kill"),
+    ProposedVersion: ("at", "answered"),
+    VersionLook: ("asked", "answered"),
+    VersionReport: ("at",),
 }
 """The fields of each record that are times."""
 
@@ -283,7 +293,8 @@
     for records in (
         ledger.attempts, ledger.calls, ledger.words, ledger.changes, ledger.asked, ledger.outages,
         ledger.lives, ledger.handshakes, ledger.sidecars, ledger.samples, ledger.injected,
-        ledger.sent_away, ledger.upgrades,
+        ledger.sent_away, ledger.upgrades, ledger.control, ledger.proposed, ledger.version_looks,
+        ledger.version_reports,
     ):  # fmt: skip
         for record in records:
             for name in TIMES[type(record)]:
--- a/tests/test_rehearsal_pure.py
+++ b/tests/test_rehearsal_pure.py
@@ -77,7 +77,8 @@
         "zk-restart-empty", "zk-reconnect-storm", "zk-both-sources", "stale-pools",
         "cold-handshake-storm", "silent-middlebox", "upgrade", "drain-and-resume", "long-bodies",
         "join-during-cold-start", "peer-lies", "peer-vanishes", "all-restart",
-        "login-codes-survive", "callers-leave", "watches-silent",
+        "login-codes-survive", "callers-leave", "watches-silent", "configuration-changes",
+        "configuration-control-lost",
     }  # fmt: skip
     for name in shipped():
         scenario = load(name)[1]
