Scale run: sidecars prefer control instances of their own region

With one list of instances a sidecar may watch one across a parting; it takes 5 s to see the silence, and a version came 7.2 s after its proposal to the last sidecar of the majority's region (200 sidecars, loops woken 0.3 s late at p99). With the own region's instances first it came after 0.14 s (60 sidecars).

tests/test_scale.py: regions-parted, interrupted runs and bad input, 12 passed.

--- a/millgw/scale/fleet.py
+++ b/millgw/scale/fleet.py
@@ -202,13 +202,19 @@
             Setup(
                 sidecars=[specs[sidecar.name] for sidecar in sidecars],
                 places=self._places(specs),
-                control=list(self.control.values()),
+                control=self._control_by_region(),
                 siblings=sizes,
                 zones=[zone.name for zone in self.layout.zones],
                 seed=self.seed,
             )
         )
 
+    def _control_by_region(self) -> dict[str, list[str]]:
+        by_region: dict[str, list[str]] = {}
+        for machine in self.layout.control:
+            by_region.setdefault(machine.zone.region, []).append(self.control[machine.name])
+        return by_region
+
     def _places(self, specs: dict[str, SidecarSpec]) -> list[Place]:
         """What control finds where. Each region has a discovery of its own: it is reached from everywhere."""
         regions = {machine.name: machine.zone.region for machine in self.layout.control}
--- a/millgw/scale/messages.py
+++ b/millgw/scale/messages.py
@@ -35,7 +35,7 @@
 
     sidecars: list[SidecarSpec]
     places: list[Place]
-    control: list[str]
+    control: dict[str, list[str]]  # by region, where its control instances are
     siblings: dict[str, int]
     zones: list[str]
     seed: int
--- a/millgw/scale/settings.py
+++ b/millgw/scale/settings.py
@@ -56,8 +56,8 @@
 
 
 def _operator(spec: SidecarSpec, setup: Setup) -> str:
-    join = ", ".join(f'"{address}"' for address in spec.join)
-    instances = ", ".join(f'"{address}"' for address in setup.control)
+    every = [address for addresses in setup.control.values() for address in addresses]
+    near = setup.control.get(spec.region, [])
     key = Path(spec.folder).parent / KEY_FILE
     # A pool by the service's name: peers tell each other of endpoints by it, and keep what is of their own.
     lines = (
@@ -66,10 +66,14 @@
         f'to = "{spec.calls}"',
         "[peers]",
         f'listen = "{spec.peers}"',
-        f"join = [{join}]",
+        f"join = {json.dumps(spec.join)}",
         f'keys = ["{key}"]',
         f"within_ms = {WITHIN_MS}",
         "[configuration]",
-        f"instances = [{instances}]",
+        f"instances = {json.dumps(every)}",
+        # Those of the own region first: a watch on another one falls silent when regions part.
+        f'zone = "{spec.region}"',
+        "[configuration.relays]",
+        f"{spec.region} = {json.dumps(near)}",
     )
     return "\n".join(lines) + "\n"
