Scale run: a restart's times count from behind the end of what was known

They counted from before it, so that what the ended process knew was taken for known again at once: 0 s for lists and configuration after all restart.

tests/test_scale.py -k restart: 2 passed.

--- a/millgw/scale/run.py
+++ b/millgw/scale/run.py
@@ -304,8 +304,8 @@
 
     def _all_restart(self) -> None:
         hollow = [name for name in self.fleet.running() if not self.fleet.members[name].sidecar.real]
-        since = time.monotonic()
         self.fleet.stop(hollow, leaving=False)
+        since = time.monotonic()  # behind the end of all that they knew
         self.fleet.start(hollow, RESTART_WITHIN)
         again = tuple(hollow)
         self.expected += [
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -174,6 +174,13 @@
     assert made.report["reversals"] == []
 
 
+def test_what_was_known_before_a_restart_does_not_count_after_it(played: dict[str, Future[Played]]) -> None:
+    spreads = told(played, "all-restart").report["spreads"]
+    after = [spread for spread in spreads if "after all restart" in spread["what"]]
+    assert len(after) == 3
+    assert all(spread["last"] > 0 for spread in after)
+
+
 def test_a_slow_tier_is_told_with_its_attempts(played: dict[str, Future[Played]]) -> None:
     chain = told(played, "slow-tier").report["chain"]
     assert chain["served_ill"] < chain["served_well"]
