Rehearsal: control instances end with the rig also on Ctrl-C and SIGTERM, as tests show

The test knew only a rig that is killed outright. It takes SIGINT and SIGTERM as well now: no process and no file is left after any of the three.

--- a/tests/test_rehearsal_configuration.py
+++ b/tests/test_rehearsal_configuration.py
@@ -13,6 +13,7 @@
 import pytest
 import uvloop
 
+from millgw.cli.exits import INTERRUPTED
 from millgw.rehearsal.audit.auditor import audit
 from millgw.rehearsal.audit.configuration_versions import (
     IN_FORCE_WITHIN,
@@ -312,7 +313,8 @@
     assert {evidence.sidecar for evidence in finding.evidence} <= {"n0-1"}
 
 
-def test_no_control_instance_is_left_when_the_rig_is_killed(tmp_path: Path) -> None:
+@pytest.mark.parametrize("end", [signal.SIGINT, signal.SIGTERM, signal.SIGKILL])
+def test_no_control_instance_is_left_however_the_rig_ends(end: signal.Signals, tmp_path: Path) -> None:
     path = tmp_path / "day.toml"
     path.write_text(TINY)
     scratch = tmp_path / "scratch"
@@ -323,7 +325,7 @@
         stderr=subprocess.DEVNULL, start_new_session=True,
     )  # fmt: skip
     wait_until(lambda: len(processes(scratch)) >= 6, "the control instances never came up")
-    rig.send_signal(signal.SIGKILL)
-    assert rig.wait(LIMIT) == -signal.SIGKILL
+    rig.send_signal(end)
+    assert rig.wait(LIMIT) == (-end if end is signal.SIGKILL else INTERRUPTED)
     wait_until(lambda: not processes(scratch), "processes are left")
     wait_until(lambda: not list(scratch.iterdir()), "files are left")
