--- a/tests/test_intents.py
+++ b/tests/test_intents.py
@@ -368,7 +368,7 @@
 from millgw.sidecar.parts import several
 
 async def look():
-    parts = several(read_config(os.environ), os.environ, Lifecycle())
+    parts = await several(read_config(os.environ), os.environ, Lifecycle())
     print(parts.intents is not None and all(pool.intents is parts.intents for pool in parts.pools()))
 
 asyncio.run(look())
