--- a/tests/test_rehearsal_configuration.py
+++ b/tests/test_rehearsal_configuration.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Iterator
 from dataclasses import replace
 from pathlib import Path
 
@@ -33,6 +34,7 @@
 from millgw.rehearsal.testbed import Testbed
 from millgw.standins.configuration_ledger import ControlLife, ProposedVersion, VersionLook, VersionReport
 from millgw.standins.ledger import Ledger, Sample, SidecarLife
+from tests.alone import alone
 from tests.kinds import aside
 from tests.rig import LIMIT
 from tests.test_rehearsal_command import ROOT, processes, wait_until
@@ -63,6 +65,13 @@
 )
 
 
+@pytest.fixture(autouse=True)
+def no_other_days() -> Iterator[None]:
+    """No days of other test runs meanwhile: what is late for want of a core tells nothing."""
+    with alone():
+        yield
+
+
 def books() -> Ledger:
     """Two sidecars, three instances and a version each 5 s: `a` applies all, `b` refuses the second."""
     ledger = Ledger()
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -25,6 +25,7 @@
 from millgw.scale.metering import METER, Destination, Meter, MeteredLoop
 from millgw.scale.schedule import Fault
 from millgw.standins.address import free_address
+from tests.alone import alone
 from tests.kinds import aside
 from tests.rig import LIMIT
 
@@ -37,6 +38,13 @@
 SMALL = ("--sidecars", "16", "--services", "4", "--control", "3", "--seconds", "3")
 
 
+@pytest.fixture(autouse=True)
+def no_other_days() -> Iterator[None]:
+    """No days of other test runs meanwhile: what is late for want of a core tells nothing."""
+    with alone():
+        yield
+
+
 @dataclass(frozen=True)
 class Played:
     """What a command came to."""
