Scale comparison's test: zero is right where a short window has no comparison of lists

Sidecars compare their lists of peers every 20 s, and the comparison's window is 2 s, so its bytes may be zero; real daemons that are ready one after the other know each other at the first look, so that time may be zero too.

Change: nine figures must be above zero on both sides and the set of figures is exact, where four names were asked for before; the two that chance decides must be there and not be negative. That peers' connections are counted is asked of the run with 60 sidecars instead, where some compare lists in any three seconds.

--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -35,6 +35,20 @@
 RUN_TIME = 3 * LIMIT
 ABOUT_THE_MACHINE = ("added to a call", "processor time", "bytes for control")
 FLEET = ("--sidecars", "62", "--real", "2", "--seconds", "3")
+SPENT_ALWAYS = {
+    "list, median",
+    "peers, median",
+    "configuration, median",
+    "all control, median",
+    "all control, worst",
+    "processor time, median",
+    "memory, median",
+    "configuration, to the last",
+    "list, to the last",
+}
+# Zero is right for these in a window of 2 s: peers compare lists every 20 s, and real sidecars, which are
+# ready one after the other, may all know each other at the first look.
+SPENT_BY_CHANCE = {"peer connections, median", "peers, after the start, to the last"}
 SMALL = ("--sidecars", "16", "--services", "4", "--control", "3", "--seconds", "3")
 
 
@@ -134,6 +148,8 @@
     for kind in ("hollow", "real_figures"):
         for part in ("list", "peers", "configuration"):
             assert calm.report[kind]["bytes_by_part"][part]["median"] > 0, f"{kind}: {part}"
+    # Of 60 sidecars some compare lists of peers in any three seconds.
+    assert calm.report["hollow"]["bytes_by_part"]["peer connections"]["worst"] > 0
 
 
 def test_the_exit_code_is_that_of_the_rows(played: dict[str, Future[Played]]) -> None:
@@ -197,8 +213,10 @@
 def test_hollow_sidecars_are_put_beside_real_ones(played: dict[str, Future[Played]]) -> None:
     made = told(played, "compared")
     figures = {figure["what"]: figure for figure in made.report["figures"]}
-    assert {"list, median", "peers, median", "configuration, median", "memory, median"} <= set(figures)
-    assert all(figure["hollow"] > 0 and figure["real"] > 0 for figure in figures.values())
+    assert set(figures) == SPENT_ALWAYS | SPENT_BY_CHANCE
+    for what in SPENT_ALWAYS:
+        assert figures[what]["hollow"] > 0 and figures[what]["real"] > 0, what
+    assert all(figures[what]["hollow"] >= 0 and figures[what]["real"] >= 0 for what in SPENT_BY_CHANCE)
     assert figures["list, median"]["alike"]
 
 
