What a balancer hands to the next process is worded beside the handover, out of the policy

Measured: 38 tests of handover and of settings in service pass on the sources; lint and types are clean.

--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -100,17 +100,6 @@
 PAIR_PART = 0.5  # of tokens and cold endpoints' allowances for each of two processes of one sidecar
 
 
-CARRIED = (
-    "failing", "slow", "judged_at", "ejected_until", "served", "served_at", "allowance", "allowed_at", "back",
-    "sure_at", "missed",
-)  # fmt: skip
-"""What is known of an endpoint that goes over to another process, the count last."""
-
-CARRIED_LIMIT = (
-    "each", "normal", "late", "steady", "noise", "undisturbed", "settled", "at", "answers",
-)  # fmt: skip
-
-
 def scatter(id: int, group: int) -> int:
     """Order ids as if by chance, each group in its own way, the same in every process."""
     mixed = id * (2 * group + 1) * ORDER_STEP % 2**32
@@ -627,16 +616,6 @@
         return now > server.sure_at + self.later
 
 
-def _numbers(row: object, count: int) -> list[float]:
-    """So many finite numbers, or a ValueError or TypeError."""
-    if not isinstance(row, list) or len(row) != count:
-        raise ValueError("not so many numbers")
-    numbers = [float(value) for value in row]
-    if not all(math.isfinite(number) for number in numbers):
-        raise ValueError("not finite")
-    return numbers
-
-
 class Balancer:
     """One sidecar's decisions: `handle` takes an event and returns the actions, in order."""
 
@@ -741,56 +720,6 @@
         """Whether cold endpoints' allowances are shared with another process of this sidecar."""
         self.cold.part = PAIR_PART if both else 1.0
 
-    def export(self) -> dict[str, object]:
-        """What it has learned, as numbers; tokens and allowances are shared out, and half of them kept."""
-        self.budget.tokens *= PAIR_PART
-        for server in self.ring:
-            server.allowance *= PAIR_PART
-        limit = self.admission
-        return {
-            "servers": {
-                str(s.info.id): [max(-1.0, float(getattr(s, name))) for name in CARRIED] for s in self.ring
-            },
-            "limit": [] if limit is None else [float(getattr(limit, name)) for name in CARRIED_LIMIT],
-            "times": [[*row] for row in zip(self.quick, self.spent, self.answered, strict=True)],
-            "tokens": self.budget.tokens,
-            "cold_rate": self.cold.rate,
-            "shed": self.shedding.level,
-        }
-
-    def adopt(self, learned: dict[str, object]) -> None:
-        """Take over what another process exported, for endpoints that are listed here.
-
-        A ValueError tells that it can't be read; nothing is taken then.
-        """
-        try:
-            rows, limit, times = learned["servers"], learned["limit"], learned["times"]
-            if not (isinstance(rows, dict) and isinstance(limit, list) and isinstance(times, list)):
-                raise TypeError("not tables")
-            known = {int(id): _numbers(row, len(CARRIED)) for id, row in rows.items()}
-            limits = _numbers(limit, len(CARRIED_LIMIT)) if limit else []
-            quick = [_numbers(row, 3) for row in times]
-            tokens, rate, shed = _numbers([learned[k] for k in ("tokens", "cold_rate", "shed")], 3)
-            if len(quick) != len(self.quick):
-                raise ValueError("other classes")
-        except (LookupError, TypeError, ValueError) as error:
-            raise ValueError(f"what was learned can't be read: {error}") from None
-        for id, row in known.items():
-            server = self.servers.get(id)
-            if server is not None:
-                for name, value in zip(CARRIED[:-1], row, strict=False):
-                    setattr(server, name, value)
-                server.missed = int(row[-1])
-        if self.admission is not None and limits:
-            for name, value in zip(CARRIED_LIMIT[:-1], limits, strict=False):
-                setattr(self.admission, name, value)
-            self.admission.answers = int(limits[-1])
-        for cls, (least, mean, answered) in enumerate(quick):
-            self.quick[cls], self.spent[cls], self.answered[cls] = least, mean, int(answered)
-        self.budget.tokens = min(BUDGET_CAPACITY, max(0.0, tokens))
-        self.cold.rate = rate
-        self.shedding.level = min(SHED_MOST, max(0.0, shed))
-
     # Requests
 
     def _arrived(self, now: float, event: RequestArrived) -> None:
--- /dev/null
+++ b/millgw/handover/learned.py
@@ -0,0 +1,87 @@
+"""What a balancer has learned, as numbers that go over to the process that takes over from it."""
+
+from __future__ import annotations
+
+import math
+
+from millgw.decide import BUDGET_CAPACITY, PAIR_PART, SHED_MOST, Balancer
+
+SERVER_FIELDS = (
+    "failing", "slow", "judged_at", "ejected_until", "served", "served_at", "allowance", "allowed_at", "back",
+    "sure_at", "missed",
+)  # fmt: skip
+"""What is known of an endpoint, a count last."""
+
+LIMIT_FIELDS = (
+    "each", "normal", "late", "steady", "noise", "undisturbed", "settled", "at", "answers",
+)  # fmt: skip
+"""What is known of the limit on calls in flight, a count last."""
+
+Learned = dict[str, object]
+
+
+def export_learned(balancer: Balancer) -> Learned:
+    """What it has learned; tokens and allowances are shared out, and half of them kept."""
+    balancer.budget.tokens *= PAIR_PART
+    for server in balancer.ring:
+        server.allowance *= PAIR_PART
+    limit = balancer.admission
+    return {
+        "servers": {
+            str(s.info.id): [max(-1.0, float(getattr(s, name))) for name in SERVER_FIELDS]
+            for s in balancer.ring
+        },
+        "limit": [] if limit is None else [float(getattr(limit, name)) for name in LIMIT_FIELDS],
+        "times": [[*row] for row in zip(balancer.quick, balancer.spent, balancer.answered, strict=True)],
+        "tokens": balancer.budget.tokens,
+        "cold_rate": balancer.cold.rate,
+        "shed": balancer.shedding.level,
+    }
+
+
+def adopt_learned(balancer: Balancer, learned: Learned) -> None:
+    """Take over what another process exported, for endpoints that are listed here.
+
+    A ValueError tells that it can't be read; nothing is taken then.
+    """
+    try:
+        rows, limit, times = learned["servers"], learned["limit"], learned["times"]
+        if not (isinstance(rows, dict) and isinstance(limit, list) and isinstance(times, list)):
+            raise TypeError("not tables")
+        known = {int(id): _numbers(row, len(SERVER_FIELDS)) for id, row in rows.items()}
+        limits = _numbers(limit, len(LIMIT_FIELDS)) if limit else []
+        quick = [_numbers(row, 3) for row in times]
+        tokens, rate, shed = _numbers([learned[k] for k in ("tokens", "cold_rate", "shed")], 3)
+        if len(quick) != len(balancer.quick):
+            raise ValueError("other classes")
+    except (LookupError, TypeError, ValueError) as error:
+        raise ValueError(f"what was learned can't be read: {error}") from None
+    _adopt_servers(balancer, known)
+    if balancer.admission is not None and limits:
+        for name, value in zip(LIMIT_FIELDS[:-1], limits, strict=False):
+            setattr(balancer.admission, name, value)
+        balancer.admission.answers = int(limits[-1])
+    for cls, (least, mean, answered) in enumerate(quick):
+        balancer.quick[cls], balancer.spent[cls], balancer.answered[cls] = least, mean, int(answered)
+    balancer.budget.tokens = min(BUDGET_CAPACITY, max(0.0, tokens))
+    balancer.cold.rate = rate
+    balancer.shedding.level = min(SHED_MOST, max(0.0, shed))
+
+
+def _adopt_servers(balancer: Balancer, known: dict[int, list[float]]) -> None:
+    for id, row in known.items():
+        server = balancer.servers.get(id)
+        if server is not None:
+            for name, value in zip(SERVER_FIELDS[:-1], row, strict=False):
+                setattr(server, name, value)
+            server.missed = int(row[-1])
+
+
+def _numbers(row: object, count: int) -> list[float]:
+    """So many finite numbers, or a ValueError or TypeError."""
+    if not isinstance(row, list) or len(row) != count:
+        raise ValueError("not so many numbers")
+    numbers = [float(value) for value in row]
+    if not all(math.isfinite(number) for number in numbers):
+        raise ValueError("not finite")
+    return numbers
--- a/millgw/sidecar/operators.py
+++ b/millgw/sidecar/operators.py
@@ -11,6 +11,7 @@
 from millgw.control.door import Door
 from millgw.handover import predecessor, terms
 from millgw.handover.heir import Heir
+from millgw.handover.learned import export_learned
 from millgw.handover.state import State, encode
 from millgw.http.message import Answer, Content
 from millgw.log.events import log_event
@@ -151,7 +152,7 @@
         source, driver = pools[0].source, pools[0].driver
         if len(pools) == 1 and isinstance(source, Discovery):
             index, endpoints = source.index, driver.entries()
-            learned = driver.balancer.export() | {"classes": class_names(pools[0].settings)}
+            learned = export_learned(driver.balancer) | {"classes": class_names(pools[0].settings)}
         life, held = self.parts.life, self.parts.descriptors.held()
         return encode(
             State(time.time() * 1000, self.config.name, index, endpoints, life.drained, held, learned)
--- a/millgw/sidecar/parts.py
+++ b/millgw/sidecar/parts.py
@@ -88,12 +88,15 @@
     if state is None:
         pool.start(config.known)
         return
+    # Only here: a process that takes over from none needs nothing of it.
+    from millgw.handover.learned import adopt_learned
+
     balancer = pool.driver.balancer
     balancer.follow()
     assert isinstance(pool.source, Discovery)
     pool.source.adopt(state.index, state.endpoints)
     try:
-        balancer.adopt(state.learned)
+        adopt_learned(balancer, state.learned)
     except ValueError as error:
         log_event("handover-unusable", cause=error)
 
--- a/tests/test_configuration_apply.py
+++ b/tests/test_configuration_apply.py
@@ -21,6 +21,7 @@
 from millgw.configuration.last_good import LastGood
 from millgw.connections.tended import Tended
 from millgw.decide import Balancer
+from millgw.handover.learned import export_learned
 from millgw.interface import (
     EndpointList,
     Event,
@@ -291,9 +292,9 @@
         asked = made.arrive()
         made.advance(made.now + 30)
         made.outcome(asked, 0, Outcome.OK)
-    before, servers = made.balancer.export(), dict(made.balancer.servers)
+    before, servers = export_learned(made.balancer), dict(made.balancer.servers)
     made.balancer.reconfigure(made.now, replace(SETTINGS, max_attempts=2, fall_multiple=2.0))
-    after = made.balancer.export()
+    after = export_learned(made.balancer)
     assert before["limit"] == after["limit"] and before["times"] == after["times"]
     assert made.balancer.servers == servers
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -24,6 +24,7 @@
 from millgw.callers.server import share_address
 from millgw.callers.steering import steer
 from millgw.handover import terms
+from millgw.handover.learned import adopt_learned, export_learned
 from millgw.handover.predecessor import FILE, find, leave_word
 from millgw.handover.state import FRESH, BadState, State, decode, encode
 from millgw.interface import Endpoint, Outcome
@@ -90,9 +91,9 @@
         old.outcome(number, 0, Outcome.ERROR if ill and n < 40 else Outcome.OK)
         old.advance(old.now + 500)
     before = old.balancer.budget.tokens
-    learned = old.balancer.export()
+    learned = export_learned(old.balancer)
     new.now = old.now
-    new.balancer.adopt(json.loads(json.dumps(learned)))
+    adopt_learned(new.balancer, json.loads(json.dumps(learned)))
     assert old.balancer.budget.tokens + new.balancer.budget.tokens == pytest.approx(before)
     for id, server in old.balancer.servers.items():
         other = new.balancer.servers[id]
@@ -114,7 +115,7 @@
     async def test() -> None:
         parts = one(config([], Address("127.0.0.1", 9)), {}, Lifecycle())
         (pool,) = parts.pools()
-        learned = drive(1).balancer.export() | {"classes": classes, "tokens": 77.0}
+        learned = export_learned(drive(1).balancer) | {"classes": classes, "tokens": 77.0}
         parts.begin(replace(STATE, learned=json.loads(json.dumps(learned))))
         assert isinstance(pool.source, Discovery)
         assert pool.source.index == (41 if taken else 1), "the configuration's own list is of version 1"
@@ -128,12 +129,12 @@
 @pytest.mark.parametrize("field", ["servers", "limit", "times", "tokens"])
 def test_learned_words_that_cannot_be_read_change_nothing(field: str) -> None:
     old, new = drive(3), drive(3)
-    learned = old.balancer.export()
+    learned = export_learned(old.balancer)
     tokens, times = new.balancer.budget.tokens, list(new.balancer.quick)
     servers = {id: server.failing for id, server in new.balancer.servers.items()}
     for bad in (None, [["x"]], {"1": [1]}, float("nan")):
         with pytest.raises(ValueError, match="learned"):
-            new.balancer.adopt(learned | {field: bad})
+            adopt_learned(new.balancer, learned | {field: bad})
     assert new.balancer.budget.tokens == tokens and new.balancer.quick == times
     assert {id: server.failing for id, server in new.balancer.servers.items()} == servers
 
