Places in the operator's file: the daemon chooses zones, its door and top tell how

Change: the table [places] (zone, regions, fill, callers, keep_in_region), checked, with zones by the settings' localities; off without it, and nothing of it is loaded. /-/metrics has an object locality by service, top shows how zones are held and how far attempts went, check says what the table means.

--- a/millgw/configuration/single.py
+++ b/millgw/configuration/single.py
@@ -56,7 +56,7 @@
         except (ConfigError, OperatorError, RefusedVersionError) as error:
             log_event("reload-refused", cause=str(error))
             return
-        for field in ("peers", "store", "configuration", "services"):
+        for field in ("peers", "store", "configuration", "places", "services"):
             if getattr(filed.operator, field) != getattr(self.filed.operator, field):
                 log_event("reload-takes-restart", field=field)
         change.carry_out()
--- a/millgw/operator/command.py
+++ b/millgw/operator/command.py
@@ -36,6 +36,7 @@
         "services": services,
         "peers": None if operator.peers is None else operator.peers.listen,
         "store": None if operator.store is None else list(operator.store.directories),
+        "zone": None if operator.places is None else operator.places.zone,
     }
     return out.end(HELD, told, _lines(operator, services))
 
@@ -44,7 +45,7 @@
     lines = []
     if not services:
         tended = operator.tends() is not None
-        plain = operator.peers is None and operator.store is None
+        plain = operator.peers is None and operator.store is None and operator.places is None
         lines.append(
             "no services: " + (TENDED if tended else WITHOUT if plain else "one pool for all requests")
         )
@@ -52,6 +53,9 @@
         lines.append(f"marks unsafe calls in {', '.join(operator.store.directories)} before they are sent")
     if operator.peers is not None:
         lines.append(f"learns from peers, who find it at {operator.peers.listen}")
+    if operator.places is not None:
+        regions = ", ".join(f"{name}: {' '.join(z)}" for name, z in operator.places.regions.items())
+        lines.append(f"chooses endpoints near zone {operator.places.zone} ({regions or 'one region'})")
     for name, told in services.items():
         lines.append(f"{name}: {told['source']}; classes {', '.join(told['classes']) or 'all'}")
         for kind, share in told["guaranteed"].items():
--- a/millgw/operator/file.py
+++ b/millgw/operator/file.py
@@ -173,6 +173,21 @@
     name: Annotated[str, Meta(max_length=128)] = ""
 
 
+class Places(Table, frozen=True, kw_only=True):
+    """Where this sidecar and its endpoints are (docs/locality.md); the table switches choosing by zone on.
+
+    `zone` is the sidecar's own, `regions` names the zones of each region; without it all are one region.
+    `fill` is the share of all endpoints' capacity that callers ask for together, `callers` each zone's part
+    of them in any unit, by default as its endpoints. Calls of the classes in `keep_in_region` never leave it.
+    """
+
+    zone: Annotated[str, Meta(min_length=1, max_length=128)]
+    regions: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    fill: Annotated[float, Meta(gt=0, le=1)] = 0.8
+    callers: dict[str, Annotated[float, Meta(ge=0, le=1e9)]] = field(default_factory=dict)
+    keep_in_region: tuple[str, ...] = ()
+
+
 class RouteEntry(Table, frozen=True, kw_only=True, rename={"cls": "class"}):
     """One route; what it leaves out may be anything."""
 
@@ -193,6 +208,7 @@
     peers: Peers | None = None
     store: Store | None = None
     configuration: Configuration | None = None
+    places: Places | None = None
 
     def tends(self, name: str = "") -> Terms | None:
         """How a service's connections are tended, or those of the one pool; None for the plain way."""
@@ -211,6 +227,8 @@
         _check_peers(operator.peers)
     if operator.configuration is not None:
         _check_configuration(operator.configuration)
+    if operator.places is not None:
+        _check_places(operator.places)
     for name, service in operator.services.items():
         path = f"services.{name}"
         _check_connections(f"{path}.connections", service.connections)
@@ -281,6 +299,19 @@
                 raise ValueError(f"configuration.{key}[{i}]: is no address to connect to")
 
 
+def _check_places(told: Places) -> None:
+    seen: dict[str, str] = {}
+    for region, zones in told.regions.items():
+        for i, zone in enumerate(zones):
+            if zone in seen:
+                raise ValueError(f"places.regions.{region}[{i}]: {zone!r} is in region {seen[zone]!r} too")
+            seen[zone] = region
+    if seen and told.zone not in seen:
+        raise ValueError(f"places.zone: {told.zone!r} is in none of the regions")
+    if told.callers and not sum(told.callers.values()):
+        raise ValueError("places.callers: there are none")
+
+
 def _check_directory(path: str, told: Directory) -> None:
     for key, reads, value in (("connect", read_connect, told.connect), ("path", check_path, told.path)):
         try:
--- a/millgw/pool/pool.py
+++ b/millgw/pool/pool.py
@@ -13,7 +13,7 @@
 from millgw.endpoints.upstream import Room, Upstream
 from millgw.http.message import REFUSED, Answer
 from millgw.http.request import BadRequest, Head
-from millgw.interface import ListKind, Repeat
+from millgw.interface import ListKind, Locality, Repeat
 from millgw.log.events import log_event
 from millgw.platform.config import Config
 from millgw.platform.discovery import Heard, Listed
@@ -61,7 +61,8 @@
 class Pool:
     """`retired` once no route leads to it: it ends when its last call has.
 
-    `source` makes the pool's endpoint source, given where its lists go and what the pool has seen itself.
+    `source` makes the pool's endpoint source, given where its lists go and what the pool has seen itself;
+    `locality` chooses zones, where places are set.
     """
 
     def __init__(
@@ -73,6 +74,7 @@
         share: Share,
         source: Callable[[Heard, Witness], Source],
         lanes: Lanes | None = None,
+        locality: Locality | None = None,
     ) -> None:
         self.name = name
         self.config = config
@@ -84,7 +86,7 @@
             room, config.connect_timeout, config.idle, config.memory, lambda: self.most(ANSWERS), lanes, name
         )
         self.source = source(self._heard, self)
-        self.driver = Driver(Balancer(self.settings, seed), self.upstream, self.source.subscribe)
+        self.driver = Driver(Balancer(self.settings, seed, locality), self.upstream, self.source.subscribe)
         self.terms = Terms(self.settings, self.driver)
         self.intents: Intents | None = None  # where what may not be sent again is marked
         self.answer_counts = AnswerCounts([c.name for c in self.settings.classes])
@@ -240,6 +242,11 @@
         tending = self.upstream.tending
         return {} if tending is None else tending.figures()
 
+    def locality(self) -> dict[str, object] | None:
+        """How zones are chosen, where they are (see `millgw.locality.router`)."""
+        locality = self.driver.balancer.locality
+        return None if locality is None else locality.figures()
+
     def status(self) -> str:
         """The same as one line for people and scripts."""
         figures = self.figures()
--- a/millgw/services/node.py
+++ b/millgw/services/node.py
@@ -23,7 +23,7 @@
 from millgw.pool.share import ANSWERS, BODIES, BODIES_PART, CALLS, CONNECTIONS
 from millgw.services.front import RoutedFront, Services, Spells
 from millgw.services.limits import Allotment
-from millgw.services.parts import attach, intents, pool_config, pool_seed, source
+from millgw.services.parts import attach, intents, locality, pool_config, pool_seed, source
 from millgw.services.shares import Bounds, LentShare, PoolRoom
 
 if TYPE_CHECKING:
@@ -132,7 +132,8 @@
         share = LentShare(name, self.bounds)
         room = PoolRoom(name, self.shared, self.bounds, share)
         seed = pool_seed(config.seed, name)
-        made = Pool(name, own, seed, room, share, source(name, service, config), self.turns)
+        zones = locality(operator, own, seed)
+        made = Pool(name, own, seed, room, share, source(name, service, config), self.turns, zones)
         made.intents = self.intents
         tended = attach(made, operator.tends(name), own, seed)
         return Served(made, filed.operator.services[name], filed.settings, tended)
@@ -247,7 +248,7 @@
             for listener in opened.values():
                 listener.server.stop()
             return
-        for field in ("peers", "store", "configuration"):
+        for field in ("peers", "store", "configuration", "places"):
             if getattr(operator, field) != getattr(self.operator, field):
                 log_event("reload-takes-restart", field=field)
         old = [served.pool for name, served in self.served.items() if made.get(name) is not served]
--- a/millgw/services/parts.py
+++ b/millgw/services/parts.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-from millgw.interface import ListKind
+from millgw.interface import ListKind, Locality
 from millgw.membership.servers import read_connect
 from millgw.operator.file import Coordinator, Directory, Operator, Service
 from millgw.platform.config import Config, ConfigError, read_address, with_settings
@@ -161,6 +161,23 @@
     return Intents(Terms(told.directories, Sync(told.sync), keep, told.key.lower().encode(), most))
 
 
+def locality(operator: Operator, config: Config, seed: int) -> Locality | None:
+    """What chooses zones for a pool, where the operator's file says where things are.
+
+    A ConfigError names a zone or class that the configuration does not have.
+    """
+    told = operator.places
+    if told is None:
+        return None
+    # Only here: without places nothing of it is loaded.
+    from millgw.locality.names import PlaceError, make_router
+
+    try:
+        return make_router(told, config.zones, [c.name for c in config.settings.classes], seed)
+    except PlaceError as error:
+        raise ConfigError(f"places.{error}") from None
+
+
 def configuration(operator: Operator, config: Config, target: Target) -> Client | None:
     """What follows the fleet's distributed configuration, where the operator's file names who tells it."""
     told = operator.configuration
--- a/millgw/sidecar/operators.py
+++ b/millgw/sidecar/operators.py
@@ -54,7 +54,11 @@
     def _metrics(self) -> bytes:
         following = self.parts.configuration
         more: dict[str, object] = {} if following is None else {"configuration": following.figures()}
-        return metrics_json(self.parts.pools(), more)
+        pools = self.parts.pools()
+        zones = {pool.name: figures for pool in pools if (figures := pool.locality()) is not None}
+        if zones:
+            more["locality"] = zones
+        return metrics_json(pools, more)
 
     @property
     def steered(self) -> bool:
--- a/millgw/sidecar/parts.py
+++ b/millgw/sidecar/parts.py
@@ -11,7 +11,7 @@
 from millgw.callers.plain import PlainFront
 from millgw.callers.server import Server
 from millgw.endpoints.upstream import ANSWERS_PART
-from millgw.interface import Settings
+from millgw.interface import Locality, Settings
 from millgw.log.events import log_event
 from millgw.platform.config import Config, ConfigError, read_config
 from millgw.platform.descriptors import Descriptors
@@ -48,7 +48,11 @@
 
 
 def one(
-    config: Config, environ: Mapping[str, str], life: Lifecycle, tend: Callable[[Pool], object] | None = None
+    config: Config,
+    environ: Mapping[str, str],
+    life: Lifecycle,
+    tend: Callable[[Pool], object] | None = None,
+    locality: Locality | None = None,
 ) -> Parts:
     descriptors = Descriptors(config.sockets)
     whole = Whole(
@@ -61,7 +65,7 @@
     )
     pool = Pool(
         "", config, config.seed, descriptors, whole,
-        lambda heard, _: of_platform(config, heard),
+        lambda heard, _: of_platform(config, heard), locality=locality,
     )  # fmt: skip
     if tend is not None:
         tend(pool)
@@ -112,7 +116,7 @@
     if node.operator.configuration is not None:
         return await _following(node, config, environ, life)
     if not node.operator.services:
-        return _beside(node, config, one(config, environ, life, partial(_equip, node, config)))
+        return _beside(node, config, _one(node, config, environ, life))
     return _beside(node, config, _opened(node, life))
 
 
@@ -135,7 +139,7 @@
         if single is None:
             parts = _opened(node, life)
         else:
-            parts = one(node.config, environ, life, partial(_equip, node, node.config))
+            parts = _one(node, node.config, environ, life)
             assert isinstance(parts.reload, Reload)
             single.serve(entries, parts.pools()[0], node.tended, parts.reload.move)
             parts = replace(parts, reload=single.reload)
@@ -158,6 +162,14 @@
     return parts
 
 
+def _one(node: Node, config: Config, environ: Mapping[str, str], life: Lifecycle) -> Parts:
+    """One pool for all requests, with what the operator's file has for it."""
+    from millgw.services.parts import locality
+
+    chosen = locality(node.operator, config, config.seed)
+    return one(config, environ, life, partial(_equip, node, config), chosen)
+
+
 def _equip(node: Node, config: Config, pool: Pool) -> None:
     """Give the one pool what the operator's file has for it."""
     from millgw.services.parts import attach
--- a/millgw/top/figures.py
+++ b/millgw/top/figures.py
@@ -7,6 +7,23 @@
 Counts = dict[str, int]
 
 
+class ZoneFigures(msgspec.Struct):
+    """One zone as a sidecar sees it; `share` and `room` are parts of 1."""
+
+    distance: str
+    standing: str
+    share: float
+    room: float
+
+
+class LocalityFigures(msgspec.Struct):
+    """How one service's zones are chosen: attempts by distance, and why some went away from the near zone."""
+
+    attempts: Counts
+    away: Counts
+    zones: dict[str, ZoneFigures]
+
+
 class Figures(msgspec.Struct):
     """`GET /-/metrics`."""
 
@@ -17,6 +34,7 @@
     open_requests: int
     registry_entries: int
     out_of_rotation: int
+    locality: dict[str, LocalityFigures] = {}  # by service, where zones are chosen
 
     def answered(self) -> int:
         """Final answers of all kinds and classes."""
--- a/millgw/top/show.py
+++ b/millgw/top/show.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 import msgspec
@@ -10,12 +10,14 @@
 from rich.table import Table
 from rich.text import Text
 
-from millgw.top.standing import KINDS, Standing, by_class, by_endpoint
+from millgw.top.figures import Counts
+from millgw.top.standing import KINDS, Standing, by_class, by_distance, by_endpoint, by_zone
 
 MOST_ENDPOINTS = 12  # rows of a screen
 WIDE = 90  # characters from which a sidecar is one row: in less, its state would be cut away
 COUNTS = ("open", "listed", "out")
 RATES = ("served/s", "refused/s", "failed/s")
+SERVING = "serving"  # what a zone is held to be where all is well
 NAMES = (*COUNTS, *RATES, "attempts")
 
 
@@ -23,6 +25,9 @@
     """Sidecars, classes, and endpoints out of rotation, for a screen of so many characters."""
     sidecars = _sidecars(standings) if width >= WIDE else _narrow(standings)
     parts: list[Table | Text] = [sidecars, Text(), _classes(standings)]
+    zones = by_zone(standings)
+    if zones:
+        parts += [Text(), _zones(zones), Text(_distances(standings))]
     rows = by_endpoint(standings)
     unnamed = sum(s.look.rotation.unnamed for s in standings if s.look is not None and not s.trouble)
     if rows or unnamed:
@@ -78,6 +83,27 @@
     return table
 
 
+def _zones(zones: Mapping[str, Counts]) -> Table:
+    table = Table(box=None, pad_edge=False)
+    table.add_column("zone")
+    table.add_column("held to be, by so many")
+    for name, counts in zones.items():
+        held = ", ".join(f"{standing} {count}" for standing, count in sorted(counts.items()))
+        table.add_row(
+            Text(_plain(name)), Text(_plain(held), style="" if counts.keys() == {SERVING} else "red")
+        )
+    return table
+
+
+def _distances(standings: Sequence[Standing]) -> str:
+    """One line on how far attempts went, and why."""
+    attempts, away = by_distance(standings)
+    whole = max(1, sum(attempts.values()))
+    far = ", ".join(f"{name} {count / whole:.1%}" for name, count in attempts.items())
+    why = ", ".join(f"{name} {count}" for name, count in away.items() if count)
+    return _plain(f"attempts: {far}" + (f"; away for {why}" if why else ""))
+
+
 def _endpoints(rows: Sequence[tuple[Any, int]]) -> Table:
     table = Table(box=None, pad_edge=False)
     for name in ("out of rotation", "why", "service"):
@@ -109,4 +135,5 @@
         for s in standings
     }
     endpoints = [msgspec.to_builtins(aside) | {"sidecars": count} for aside, count in by_endpoint(standings)]
-    return {"sidecars": sidecars, "classes": by_class(standings), "out_of_rotation": endpoints}
+    told = {"sidecars": sidecars, "classes": by_class(standings), "out_of_rotation": endpoints}
+    return told | {"zones": by_zone(standings)}
--- a/millgw/top/standing.py
+++ b/millgw/top/standing.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from millgw.top.figures import Aside, Figures, Look
+from millgw.top.figures import Aside, Counts, Figures, LocalityFigures, Look
 
 KINDS = ("fulfilled", "throttled", "faulted")
 Cells = dict[str, dict[str, int]]
@@ -100,6 +100,33 @@
     return out
 
 
+def by_distance(standings: Iterable[Standing]) -> tuple[Counts, Counts]:
+    """Attempts by how far they went and by why they went away from the near zone, of all sidecars."""
+    attempts: Counts = {}
+    away: Counts = {}
+    for locality in _localities(standings):
+        for whole, counts in ((attempts, locality.attempts), (away, locality.away)):
+            for name, count in counts.items():
+                whole[name] = whole.get(name, 0) + count
+    return attempts, away
+
+
+def by_zone(standings: Iterable[Standing]) -> dict[str, Counts]:
+    """How many sidecars' services hold each zone to be what."""
+    out: dict[str, Counts] = {}
+    for locality in _localities(standings):
+        for name, zone in locality.zones.items():
+            row = out.setdefault(name, {})
+            row[zone.standing] = row.get(zone.standing, 0) + 1
+    return dict(sorted(out.items()))
+
+
+def _localities(standings: Iterable[Standing]) -> Iterable[LocalityFigures]:
+    for standing in standings:
+        if standing.look is not None and not standing.trouble:
+            yield from standing.look.figures.locality.values()
+
+
 def by_endpoint(standings: Iterable[Standing]) -> list[tuple[Aside, int]]:
     """Endpoints out of rotation, with how many sidecars have them so, the most first."""
     seen: dict[tuple[str, str, str], int] = {}
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -151,8 +151,9 @@
 class Services(Reachable):
     """A sidecar in service with an operator's file."""
 
-    def __init__(self, folder: Path, text: str, discovery: str) -> None:
+    def __init__(self, folder: Path, text: str, discovery: str, control: Address | None = None) -> None:
         self.folder = folder
+        self.control = control
         self.file = folder / "operator.toml"
         self.file.write_text(text)
         self.config = folder / "config.json"
@@ -165,6 +166,7 @@
             json.dumps(
                 {
                     "name": "n1", "listen": str(self.listen), "discovery": discovery, "seed": "1",
+                    "control": None if self.control is None else str(self.control),
                     "limits": {"sockets": 256, "memory_mb": 32} | limits, "settings": SETTINGS,
                 }
             )
@@ -177,8 +179,10 @@
 
 
 @asynccontextmanager
-async def services(folder: Path, text: str, discovery: str = "127.0.0.1:9") -> AsyncIterator[Services]:
-    made = Services(folder, text, discovery)
+async def services(
+    folder: Path, text: str, discovery: str = "127.0.0.1:9", control: Address | None = None
+) -> AsyncIterator[Services]:
+    made = Services(folder, text, discovery, control)
     task = asyncio.create_task(serve(read_config(made.environ), made.environ))
     await asyncio.sleep(0.02)
     if task.done():
