--- a/benchmarks/deep_calls.py
+++ b/benchmarks/deep_calls.py
@@ -10,7 +10,6 @@
 
 from __future__ import annotations
 
-import statistics
 import sys
 from dataclasses import astuple, dataclass
 from types import SimpleNamespace
@@ -19,6 +18,7 @@
 import click
 
 from benchmarks.flags import words
+from benchmarks.tables import row, spans
 from millgw.cli.tree import run as carry_out
 from millgw.scale import chain
 
@@ -53,11 +53,7 @@
     for tiers in map(int, args.tiers.split(",")):
         for deadline in map(float, args.deadline.split(",")):
             runs = [astuple(play(tiers, deadline, seed)) for seed in range(1, args.seeds + 1)]
-            cells = [
-                f"{statistics.median(figures):.3g} ({min(figures):.3g} to {max(figures):.3g})"
-                for figures in zip(*runs, strict=True)
-            ]
-            print(f"| {tiers} | {deadline:g} | {' | '.join(cells)} |", flush=True)
+            print(row(tiers, f"{deadline:g}", *spans(runs, 3)), flush=True)
     return 0
 
 
--- a/benchmarks/discovery_recovery.py
+++ b/benchmarks/discovery_recovery.py
@@ -14,7 +14,6 @@
 
 import heapq
 import math
-import statistics
 import sys
 from collections import deque
 from dataclasses import astuple, dataclass
@@ -24,6 +23,7 @@
 import click
 
 from benchmarks.flags import words
+from benchmarks.tables import row, spans
 from millgw.cli.tree import run as carry_out
 from millgw.decide import Balancer
 from millgw.interface import (
@@ -164,11 +164,7 @@
                 astuple(recovery(sidecars, a_second, args.overbooked, seed))
                 for seed in range(1, args.seeds + 1)
             ]
-            cells = [
-                f"{statistics.median(figures):.4g} ({min(figures):.4g} to {max(figures):.4g})"
-                for figures in zip(*runs, strict=True)
-            ]
-            print(f"| {sidecars} | {a_second:g} | {' | '.join(cells)} |", flush=True)
+            print(row(sidecars, f"{a_second:g}", *spans(runs)), flush=True)
     return 0
 
 
--- a/benchmarks/peers_parted.py
+++ b/benchmarks/peers_parted.py
@@ -11,7 +11,6 @@
 
 from __future__ import annotations
 
-import statistics
 import sys
 import time
 from dataclasses import astuple, dataclass
@@ -22,10 +21,12 @@
 
 from benchmarks.flags import words
 from benchmarks.peers import Fleet
+from benchmarks.tables import head, row, spans
 from millgw.cli.tree import run as carry_out
 from millgw.peers.swim import Status, Swim, Terms
 
 REST = 30.0  # s in which the bytes at rest are counted
+COLUMNS = ("held dead", "own dead", "joined s", "played s")
 AFTER = 60.0  # s after the cut in which bytes are counted
 
 
@@ -85,18 +86,10 @@
 @click.option("--seeds", type=int, default=3, show_default=True)
 def main(**given: Any) -> int:
     args = SimpleNamespace(**given)
-    columns = (
-        "nodes | rest bytes/s | parted bytes/s | after bytes/s | held dead | own dead | joined s | played s"
-    )
-    print(f"| {columns} |")
-    print("| --- " * 8 + "|")
+    print(head("nodes", "rest bytes/s", "parted bytes/s", "after bytes/s", *COLUMNS))
     for count in map(int, args.nodes.split(",")):
         runs = [astuple(run(count, args.seconds, args.loss, seed)) for seed in range(args.seeds)]
-        cells = [
-            f"{statistics.median(figures):.4g} ({min(figures):.4g} to {max(figures):.4g})"
-            for figures in zip(*runs, strict=True)
-        ]
-        print(f"| {count} | {' | '.join(cells)} |", flush=True)
+        print(row(count, *spans(runs)), flush=True)
     return 0
 
 
--- a/millgw/rehearsal/fault_injection.py
+++ b/millgw/rehearsal/fault_injection.py
@@ -115,6 +115,7 @@
             "zk-freeze": self._freeze,
             "zk-restart-empty": self._restart_empty,
             "middlebox": self._middlebox,
+            "parted": self._parted,
             "control-instance-lost": self._control_instance_lost,
             "control-all-lost": self._control_all_lost,
         }
@@ -221,6 +222,17 @@
             self.targets.discovery_server.list(entry)
             await asyncio.sleep(FLAP)
 
+    async def _parted(self, fault: PlannedFault) -> None:
+        """The network to an endpoint is cut for a while; nobody is told, and it goes on living."""
+        endpoint = self.targets.endpoints[fault.target]
+        if not endpoint.up:
+            return
+        life = endpoint.lives
+        endpoint.part()
+        await self._rest(fault)
+        if endpoint.lives == life:
+            endpoint.rejoin()
+
     async def _middlebox(self, fault: PlannedFault) -> None:
         """A box on the way forgets connections idle for `size` s: what is written to them vanishes."""
         endpoint = self.targets.endpoints[fault.target]
--- a/millgw/rehearsal/fault_plan.py
+++ b/millgw/rehearsal/fault_plan.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 from millgw.load.arrivals import Crowd
@@ -26,11 +26,20 @@
     return fault.size if fault.size is not None else SIZES.get(fault.kind, (0.0, 0.0))[0]
 
 
+NO_ZONES: Mapping[str, str] = {}
+
+
 def plan(
-    scenario: Scenario, endpoints: Sequence[tuple[str, int]], front: Sequence[str], seed: int
+    scenario: Scenario,
+    endpoints: Sequence[tuple[str, int]],
+    front: Sequence[str],
+    seed: int,
+    zones: Mapping[str, str] = NO_ZONES,
 ) -> tuple[PlannedFault, ...]:
     """All faults of a day, in time. `endpoints` are names with their tiers (1, 2, ...), `front` sidecars.
 
+    `zones` are those of the endpoints, on a day that has some.
+
     A fault hits at least one target and spares at least one, unless its share is 1.
     """
     planned: list[PlannedFault] = []
@@ -39,8 +48,9 @@
         if fault.kind in ON_ENDPOINTS:
             targets = []
             tiers = sorted({tier for _, tier in endpoints if fault.tier in (0, tier)})
+            hit = [(name, t) for name, t in endpoints if fault.zone in (None, zones.get(name))]
             for tier in tiers:
-                targets += _some(rng, [name for name, t in endpoints if t == tier], fault.share)
+                targets += _some(rng, [name for name, t in hit if t == tier], fault.share)
         elif fault.kind in ON_SIDECARS:
             targets = _some(rng, list(front), fault.share)
         else:
--- a/millgw/rehearsal/fleet.py
+++ b/millgw/rehearsal/fleet.py
@@ -6,7 +6,7 @@
 
 from millgw.rehearsal.scenario import Class, Scenario
 from millgw.standins.address import free_address
-from millgw.standins.endpoint_options import Build, Task
+from millgw.standins.endpoint_options import ONE_ZONE, Build, Task
 
 
 def tier_sizes(scenario: Scenario) -> tuple[int, ...]:
@@ -54,6 +54,7 @@
         name=f"s-{rng.getrandbits(32):08x}",
         tier=tier,
         cell=index // fleet.group,
+        zone=scenario.zones.of_endpoint(index) if scenario.zones is not None else ONE_ZONE,
         address=free_address(),
         speed=rng.choices([kind.speed for kind in fleet.kinds], weights)[0] * rng.uniform(0.9, 1.1),
         cores=fleet.cores,
--- a/millgw/rehearsal/operator_files.py
+++ b/millgw/rehearsal/operator_files.py
@@ -55,6 +55,7 @@
             self._peers_toml(sidecar),
             self._store_toml(sidecar),
             self._configuration_toml(sidecar),
+            self._places_toml(sidecar),
         ]
         for tier, service in enumerate(self.scenario.services, 1):
             if service.name != without:
@@ -88,6 +89,15 @@
         directories = [str(sidecar.folder / f"store-{number}") for number in range(store.mirrors)]
         return f'[store]\ndirectories = {json.dumps(directories)}\nsync = "{store.sync}"'
 
+    def _places_toml(self, sidecar: Sidecar) -> str:
+        """Where a sidecar is: in the zone of its endpoint, or in one of the front's."""
+        zones = self.scenario.zones
+        if zones is None or not zones.places:
+            return ""
+        zone = zones.of_endpoint(sidecar.index) if sidecar.stage else zones.of_front(sidecar.index)
+        regions = [f"{name} = {json.dumps(list(members))}" for name, members in zones.regions.items()]
+        return "\n".join(["[places]", f'zone = "{zone}"', "[places.regions]", *regions])
+
     def _configuration_toml(self, sidecar: Sidecar) -> str:
         """Whose versions a sidecar follows, and where it keeps the last good one."""
         if not self.control:
--- a/millgw/rehearsal/scenario.py
+++ b/millgw/rehearsal/scenario.py
@@ -8,7 +8,7 @@
 
 from typing import Annotated, Literal
 
-from msgspec import Meta
+from msgspec import Meta, field
 
 from millgw.operator.file import Connections
 from millgw.operator.toml_schema import FileError, Table
@@ -47,13 +47,14 @@
     "zk-freeze",
     "zk-restart-empty",
     "middlebox",
+    "parted",
     "control-instance-lost",
     "control-all-lost",
 ]
 ON_ENDPOINTS: frozenset[str] = frozenset(
     {
         "silence", "restart", "fast-failure", "slowdown", "resets", "spoilt", "drain", "replaced", "flapping",
-        "zk-expire", "middlebox",
+        "zk-expire", "middlebox", "parted",
     }
 )  # fmt: skip
 AT_THE_DOOR: frozenset[str] = frozenset({"sidecar-upgrade", "sidecar-drain"})
@@ -211,6 +212,30 @@
     refusing: Annotated[int, Meta(ge=0, le=100)] = 0
 
 
+ZoneName = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9_-]*$", max_length=64)]
+
+
+class Zones(Table, frozen=True, kw_only=True):
+    """Where endpoints stand, zone by zone in turn, each with its sidecar; the front's in `front`, or alike.
+
+    Sidecars are told so by `[places]` (docs/locality.md), or with `places = false` are not.
+    """
+
+    names: Annotated[tuple[ZoneName, ...], Meta(min_length=1, max_length=64)] = ("a",)
+    regions: dict[ZoneName, tuple[ZoneName, ...]] = field(default_factory=dict)
+    front: tuple[ZoneName, ...] = ()
+    places: bool = True
+
+    def of_endpoint(self, index: int) -> str:
+        """The zone of an endpoint of a tier, and of its sidecar."""
+        return self.names[index % len(self.names)]
+
+    def of_front(self, index: int) -> str:
+        """The zone of a sidecar at the front."""
+        zones = self.front or self.names
+        return zones[index % len(zones)]
+
+
 class Limits(Table, frozen=True, kw_only=True):
     """What each sidecar is given."""
 
@@ -232,7 +257,7 @@
 
 
 class Fault(Table, frozen=True, kw_only=True, rename={"cls": "class"}):
-    """One fault. `share` is of the endpoints of `tier` (0: all), or of the front's sidecars.
+    """One fault. `share` is of the endpoints of `tier` (0: all) in `zone`, or of the front's sidecars.
 
     `size` is the share of requests hit (fast-failure, resets, spoilt), times as slow (slowdown), times the
     rate (crowd, of one class where `class` names it), connections to each sidecar (connections) or seconds
@@ -247,6 +272,7 @@
     size: Positive | None = None
     tier: Annotated[int, Meta(ge=0, le=4)] = 0
     spacing_s: NotNegative = 0.0
+    zone: str | None = None
     cls: str | None = None
     service: str | None = None
 
@@ -312,6 +338,7 @@
     peers: Peers | None = None
     store: Store | None = None
     configuration: Configuration | None = None
+    zones: Zones | None = None
     faults: tuple[Fault, ...] = ()
 
     def work_shares(self) -> tuple[float, ...]:
--- a/millgw/rehearsal/scenario_checks.py
+++ b/millgw/rehearsal/scenario_checks.py
@@ -33,6 +33,7 @@
             )
     _check_services(scenario)
     _check_configuration(scenario)
+    _check_zones(scenario)
     for path, (low, high) in (
         ("traffic.try_share", scenario.traffic.try_share),
         ("traffic.wait_ms", scenario.traffic.wait_ms),
@@ -77,6 +78,18 @@
         raise ValueError(f"configuration.refusing: {told.refusing} leave none of the front's {front}")
 
 
+def _check_zones(scenario: Scenario) -> None:
+    zones = scenario.zones
+    if zones is None:
+        return
+    for path, names in (
+        {f"regions.{r}": z for r, z in zones.regions.items()} | {"front": zones.front}
+    ).items():
+        for name in names:
+            if name not in zones.names:
+                raise ValueError(f"zones.{path}: {name!r} is none of the names")
+
+
 def _check_fault(path: str, fault: Fault, scenario: Scenario) -> None:
     if fault.start_s >= scenario.seconds:
         raise ValueError(f"{path}.start_s: {fault.start_s:g} is past the day's {scenario.seconds:g} seconds")
@@ -104,5 +117,10 @@
         raise ValueError(f"{path}.kind: {fault.kind} hits a coordinator, and the day has none")
     if fault.kind in ON_CONTROL and scenario.configuration is None:
         raise ValueError(f"{path}.kind: {fault.kind} hits control instances, and the day has none")
+    if fault.zone is not None:
+        if fault.kind not in ON_ENDPOINTS:
+            raise ValueError(f"{path}.zone: {fault.kind} does not hit endpoints")
+        if scenario.zones is None or fault.zone not in scenario.zones.names:
+            raise ValueError(f"{path}.zone: the day has no zone {fault.zone!r}")
     if fault.tier and fault.kind not in ON_ENDPOINTS:
         raise ValueError(f"{path}.tier: {fault.kind} does not hit endpoints")
--- a/millgw/rehearsal/scenario_files.py
+++ b/millgw/rehearsal/scenario_files.py
@@ -89,6 +89,8 @@
         return msgspec.json.encode(value).decode()
     if isinstance(value, tuple):
         return "[" + ", ".join(map(_toml, value)) + "]"
+    if isinstance(value, dict):
+        return "{ " + ", ".join(f"{_toml(k)} = {_toml(v)}" for k, v in value.items()) + " }"
     if isinstance(value, Table):
         return "{ " + ", ".join(f"{k} = {_toml(getattr(value, k))}" for k in value.__struct_fields__) + " }"
     return repr(value)
--- a/millgw/rehearsal/scenario_overrides.py
+++ b/millgw/rehearsal/scenario_overrides.py
@@ -9,8 +9,10 @@
 from millgw.rehearsal.scenario import Fault, Scenario, ScenarioError
 from millgw.rehearsal.scenario_checks import check
 
-OPTIONAL = ("connections", "peers", "store")
-"""Tables without which a day can be played too, to compare."""
+OPTIONAL = ("connections", "peers", "places", "store")
+"""What sidecars are told without which a day can be played too, to compare."""
+
+PLACES = "places"  # the zones of the day stay where they are, and sidecars are not told
 
 SCALES: dict[str, tuple[int, int, float]] = {"today": (17, 67, 170.0), "to-come": (60, 365, 620.0)}
 """Endpoints of the first tier, sidecars, first tries a second."""
@@ -29,7 +31,7 @@
 ) -> Scenario:
     """The scenario with what the command line says; faults keep their places in a day of another length.
 
-    `without` names tables of what sidecars are told beyond the platform, which are left out.
+    `without` names what sidecars are told beyond the platform and is left out: tables, or that of places.
     """
     fleet, traffic = scenario.fleet, scenario.traffic
     if scale is not None:
@@ -55,6 +57,9 @@
             )
             for f in faults
         ]
+    left_out: dict[str, object] = dict.fromkeys(name for name in without if name != PLACES)
+    if PLACES in without and scenario.zones is not None:
+        left_out["zones"] = msgspec.structs.replace(scenario.zones, places=False)
     try:
         return check(
             msgspec.structs.replace(
@@ -64,7 +69,7 @@
                 faults=tuple(faults),
                 seed=scenario.seed if seed is None else seed,
                 seconds=scenario.seconds if seconds is None else seconds,
-                **dict.fromkeys(without),
+                **left_out,
             )
         )
     except ValueError as error:
--- a/millgw/rehearsal/sidecars.py
+++ b/millgw/rehearsal/sidecars.py
@@ -20,6 +20,7 @@
 from millgw.rehearsal.scenario import Scenario
 from millgw.standins.address import free_address
 from millgw.standins.caller import DOOR_READY, Desk, ready
+from millgw.standins.endpoint_options import ONE_ZONE
 from millgw.standins.endpoint_registry import Entry
 from millgw.standins.http import Clock
 from millgw.standins.ledger import Ledger, SidecarLife, Upgrade
@@ -59,7 +60,7 @@
         "projects": [
             {"name": t.name, "quotaRps": 1.5 * t.share * scenario.traffic.rate} for t in scenario.tenants
         ],
-        "localities": ["sala-caxias"],
+        "localities": [ONE_ZONE] if scenario.zones is None else list(scenario.zones.names),
         "overShareWorth": 0.05,
         "registryMode": "on_request",
         "limits": {
@@ -109,6 +110,7 @@
         clock: Clock,
     ) -> None:
         self.name = name
+        self.index = int(name.rpartition("-")[2])  # among those of its stage
         self.stage = stage
         self.discovery = discovery
         self.settings = settings
--- a/millgw/rehearsal/testbed.py
+++ b/millgw/rehearsal/testbed.py
@@ -232,8 +232,9 @@
     def entry(self, endpoint: Endpoint, status: str) -> Entry:
         build, since = endpoint.build, endpoint.since_unix_ms()
         return Entry(
-            build.name, build.tier, endpoint.lives, str(build.address), build.cell, status, since_ms=since
-        )
+            build.name, build.tier, endpoint.lives, str(build.address), build.cell, status, since_ms=since,
+            zone=build.zone,
+        )  # fmt: skip
 
     def notice(self, endpoint: Endpoint, status: str, late: tuple[float, float]) -> None:
         """Let discovery know after a while, and the coordinator what an endpoint itself would tell it."""
@@ -346,7 +347,8 @@
         gc.collect()
         gc.disable()
         self.zero = self.clock()
-        injector.schedule(plan(scenario, endpoints, front, scenario.seed))
+        zones = {e.build.name: e.build.zone for tier in self.tiers for e in tier}
+        injector.schedule(plan(scenario, endpoints, front, scenario.seed, zones))
         sampler = asyncio.create_task(Sampler(self.ledger, self.clock, list(self.sidecars.values())).run())
         playing = asyncio.create_task(self.clients.play(planned, self.zero))
         stopped = asyncio.create_task(self.over.wait())
--- a/millgw/standins/endpoint.py
+++ b/millgw/standins/endpoint.py
@@ -126,6 +126,25 @@
             self.listener.silence()
             self.life.until = self.clock()
 
+    def part(self) -> None:
+        """The network to it is cut: as if the machine had vanished, but the process lives on."""
+        if self.life is not None:
+            self.quiet = True
+            self._lose_work()
+            self.listener.silence()
+
+    def rejoin(self) -> None:
+        """The network is whole again: old connections are reset, and it is as warm as it was."""
+        if self.life is None or not self.quiet:
+            return
+        self.listener.close()
+        for connection in list(self.connections):
+            connection.reset()
+        self.cpu = Cpu(self.life, self.build.cores, self.ills.slowness, self.clock)
+        self.room = Room(self.build.slots, self.build.waiting)
+        self.quiet = False
+        self.listener.open()
+
     def drain(self) -> None:
         self.draining = True
 
--- a/millgw/standins/endpoint_options.py
+++ b/millgw/standins/endpoint_options.py
@@ -23,6 +23,9 @@
     share: float = 1.0  # of the requests, against the other classes'
 
 
+ONE_ZONE = "sala-caxias"  # of all endpoints on a day without zones
+
+
 @dataclass(slots=True, frozen=True)
 class Build:
     """What an endpoint is made of; the same for each of its lives."""
@@ -44,6 +47,7 @@
     cold_share: float = 0.2
     cold_ms: float = 14_000.0
     drops_waiting: bool = True  # waiting work whose connection has ended is dropped
+    zone: str = ONE_ZONE
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/test_rehearsal_pure.py
+++ b/tests/test_rehearsal_pure.py
@@ -78,7 +78,7 @@
         "cold-handshake-storm", "silent-middlebox", "upgrade", "drain-and-resume", "long-bodies",
         "join-during-cold-start", "peer-lies", "peer-vanishes", "all-restart",
         "login-codes-survive", "callers-leave", "watches-silent", "configuration-changes",
-        "configuration-control-lost",
+        "configuration-control-lost", "zone-lost", "regions-parted", "zone-slow",
     }  # fmt: skip
     for name in shipped():
         scenario = load(name)[1]
@@ -88,6 +88,7 @@
         assert parse(to_toml(scenario), name) == scenario
         plain = changed(scenario, without=OPTIONAL)
         assert plain.peers is None and plain.connections is None and plain.faults == scenario.faults
+        assert plain.zones is None or not plain.zones.places
 
 
 SERVICES = "[fleet]\ntiers=[1.0]\nwork=[1.0]\n[[services]]\nclasses = ['codigo-acesso']\nname = 'a'\n"
@@ -134,6 +135,8 @@
             6,
             "classes[0].aim_ms",
         ),
+        (FAULTS + "zone = 'b'\n", 4, "faults[0].zone: the day has no zone 'b'"),
+        ("[zones]\nnames = ['a']\nfront = ['b']\n", 3, "zones.front: 'b' is none of the names"),
         ("[[tenants]]\nname='a'\nshare=1\n[[tenants]]\nname='a'\nshare=1\n", 5, "given twice"),
     ],
 )
