Rehearsal: faults stand in a package, by what they hit

Need: fault_injection.py had grown to 437 lines with five subjects.

Change: millgw.rehearsal.faults has the injector and a module each for endpoints, membership, control instances and sidecars; behaviour as before.

--- /dev/null
+++ b/millgw/rehearsal/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Faults of a day, injected into its stand-ins and sidecars."""
--- /dev/null
+++ b/millgw/rehearsal/faults/targets.py
@@ -0,0 +1,60 @@
+"""What faults are injected into, and what each kind of them comes to."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
+
+from millgw.rehearsal.control_instances import ControlInstances
+from millgw.rehearsal.coordination import Coordination
+from millgw.rehearsal.fault_plan import PlannedFault
+from millgw.rehearsal.front import Front
+from millgw.rehearsal.scenario import Scenario
+from millgw.rehearsal.sidecars import Sidecar
+from millgw.standins.discovery_server import Delays, DiscoveryServer
+from millgw.standins.endpoint import Endpoint
+from millgw.standins.endpoint_options import Build
+from millgw.standins.endpoint_registry import Entry
+from millgw.standins.http import Clock
+from millgw.standins.ledger import Ledger
+
+Injection = Callable[[PlannedFault], Coroutine[Any, Any, None]]
+"""Injects one planned fault, and ends it when its time is over."""
+
+
+class FaultTargets(Protocol):
+    """What faults are injected into: the parts of a day, and what can be done to them."""
+
+    scenario: Scenario
+    clock: Clock
+    ledger: Ledger
+    discovery_server: DiscoveryServer
+    delays: Delays
+    front: Front
+    endpoints: dict[str, Endpoint]
+    sidecars: dict[str, Sidecar]
+    coordination: Coordination | None
+    control: ControlInstances | None
+    say: Callable[[str], None]
+
+    def failed(self, error: BaseException) -> None: ...
+
+    def operator(self, sidecar: str, without: str = "") -> str: ...
+
+    def entry(self, endpoint: Endpoint, status: str) -> Entry: ...
+
+    def notice(self, endpoint: Endpoint, status: str, late: tuple[float, float]) -> None: ...
+
+    def vanish(self, endpoint: Endpoint) -> None: ...
+
+    def end(self, endpoint: Endpoint) -> None: ...
+
+    async def revive(self, endpoint: Endpoint) -> None: ...
+
+    def replace(self, old: Endpoint, build: Build) -> Endpoint: ...
+
+
+async def rest(fault: PlannedFault) -> None:
+    """Wait for as long as a fault lasts."""
+    await asyncio.sleep((fault.until - fault.at) / 1000)
--- a/millgw/rehearsal/testbed.py
+++ b/millgw/rehearsal/testbed.py
@@ -18,8 +18,8 @@
 from millgw.rehearsal.configuration_looks import ConfigurationLooks
 from millgw.rehearsal.control_instances import ControlInstances
 from millgw.rehearsal.coordination import Coordination
-from millgw.rehearsal.fault_injection import FaultInjector
 from millgw.rehearsal.fault_plan import plan
+from millgw.rehearsal.faults.injector import FaultInjector
 from millgw.rehearsal.fleet import builds_of_tier, is_last_tier, tasks_of_tier, tier_sizes
 from millgw.rehearsal.front import Clients, Front, ask
 from millgw.rehearsal.keeper import Keeper
