Zones: a near endpoint far more loaded than one of the region's is passed over

Change: where the near endpoint drawn has several calls in flight or is slow, one of the next zone is drawn as well, and taken where the near one has three times its load (eight times, for another region). What the near zone can't take goes to the region's zones by chance and capacity, no longer to one of them.

--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -83,6 +83,7 @@
 EJECT_JITTER = 0.5  # of its time, at the least: instances that eject together return at different times
 EJECT_SHARE = 1 / 3  # of the endpoints at most: when more look ill, the trouble is not theirs
 LOST_AFTER = 2  # connections in a row that did not come up, from which a machine is held to be gone
+BUSY = 3.0  # calls in flight times slowness, over which the next zone is looked at as well
 HOME_LEAST = 3  # endpoints an instance always draws from: two to compare and one to go elsewhere
 SHED_RATE = 1.0  # of all work, by which shedding rises in an aim's time when half the answers are late
 SHED_MOST = 0.95  # of the work shed at the most: some answers must come, or nothing is learned
@@ -950,9 +951,19 @@
         if now >= self.looked + LOOK_AROUND:
             self._look_around(now)
         tried = {a.server.info.id for a in request.attempts}
-        ready = self._candidates(now, request, tried)
+        ring = self.ring
+        if self.locality is not None:
+            server = self._pick_by_zone(now, request, tried, self.locality)
+            if server is not None:
+                return server
+            ring = [s for s in ring if self.locality.allows(request.index, s.info.zone)]
+        ready = self._ready(now, request, ring, tried)
         if not ready and tried:
-            ready = self._candidates(now, request, set())
+            ready = self._ready(now, request, ring, set())
+        return self._less_loaded(now, ready)
+
+    def _less_loaded(self, now: float, ready: list[Server]) -> Server | None:
+        """The less loaded of two random ones."""
         if len(ready) < 2:
             return ready[0] if ready else None
         a, b = self.rng.sample(ready, 2)
@@ -966,6 +977,29 @@
             return b if a.slowness(now) > TIE_SLOWER * b.slowness(now) else a
         return a if load_a < load_b else b
 
+    def _pick_by_zone(
+        self, now: float, request: Request, tried: set[int], locality: Locality
+    ) -> Server | None:
+        """One of the first zone that has some ready, or of the next if that one is far more loaded."""
+        zones = [a.zone for a in request.attempts]
+        repeatable = request.cls.repeat is Repeat.SAFE
+        order = locality.order(now, request.index, zones, request.end - now, repeatable)
+        for lost in locality.newly_lost():
+            self.actions.append(Distrust(tuple(s.info.id for s in self.zones.get(lost, ()))))
+        first: Server | None = None
+        for zone in order:
+            well = zone != locality.probed()
+            server = self._less_loaded(now, self._ready(now, request, self.zones.get(zone, []), tried, well))
+            if server is None:
+                continue
+            if first is not None:
+                handicap = locality.handicap(first.info.zone, zone)
+                return server if self._load(first, now) > handicap * self._load(server, now) else first
+            first = server
+            if not well or (len(server.out) + 1) * server.slowness(now) <= BUSY:
+                return server
+        return first
+
     def _home(self) -> int:
         """How many endpoints to draw from: with few calls of its own, an instance keeps to its part of them.
 
@@ -976,23 +1010,6 @@
         part = -(-len(self.ring) // self.settings.siblings)
         return max(HOME_LEAST, part, len(self.flights) + 1)
 
-    def _candidates(self, now: float, request: Request, without: set[int]) -> list[Server]:
-        """Endpoints to draw from: of the first zone that has some ready, or of all."""
-        ring, locality = self.ring, self.locality
-        if locality is not None:
-            cls, repeatable = request.index, request.cls.repeat is Repeat.SAFE
-            tried = [a.zone for a in request.attempts]
-            order = locality.order(now, cls, tried, request.end - now, repeatable)
-            for lost in locality.newly_lost():
-                self.actions.append(Distrust(tuple(s.info.id for s in self.zones.get(lost, ()))))
-            for zone in order:
-                well = zone != locality.probed()
-                ready = self._ready(now, request, self.zones.get(zone, []), without, well)
-                if ready:
-                    return ready
-            ring = [s for s in ring if locality.allows(cls, s.info.zone)]
-        return self._ready(now, request, ring, without)
-
     def _ready(
         self, now: float, request: Request, ring: list[Server], without: set[int], well: bool = False
     ) -> list[Server]:
--- a/millgw/interface.py
+++ b/millgw/interface.py
@@ -376,6 +376,9 @@
     def probed(self) -> int | None:
         """The zone that the last order tries again, where also an ejected endpoint will do."""
 
+    def handicap(self, zone: int, other: int) -> float:
+        """How many times as loaded an endpoint of a zone must be for one of another to be sent to instead."""
+
     def allows(self, cls: int, zone: int) -> bool:
         """Whether calls of a class may go to a zone at all."""
 
--- a/millgw/locality/router.py
+++ b/millgw/locality/router.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
@@ -22,6 +23,7 @@
     0.02  # of the calls that go to the other zones of the region at least: else nothing is known of them
 )
 POOL_LEAST = 6  # endpoints, under which a pool is not divided
+HANDICAPS = {Distance.NEAR: 1.0, Distance.REGION: 3.0, Distance.REMOTE: 8.0}  # times as loaded
 CHECK_EVERY = 50.0  # ms between two looks whether a zone is lost
 # Added to both sides of a ratio of times: a delayed send of some ms is no slower zone.
 ALIKE = 10.0  # ms
@@ -38,7 +40,7 @@
     CAPACITY = "capacity"  # by the zones' shares
     EXPLORING = "exploring"  # to know how others do
     PROBE = "probe"  # whether a lost zone is back
-    NOT_READY = "not ready"  # nothing was ready in the zone that was drawn
+    LOADED = "loaded"  # nothing was ready in the zone that was drawn, or it was far more loaded
 
 
 @dataclass(slots=True, frozen=True)
@@ -71,6 +73,7 @@
         self.sizes: dict[int, float] = {}
         self.ready: dict[int, float] = {}
         self.small = True
+        self.supply: dict[int, float] = {}  # by zone, of those that serve, as far as it is counted on
         self.shares: dict[int, float] = {}
         self.exploring: dict[int, float] = {}
         self.ranked: list[int] = []
@@ -105,7 +108,7 @@
         self.by_distance[distance] += 1
         if distance is not Distance.NEAR:
             drawn, self.drawn = self.drawn, None
-            why = drawn[1] if drawn is not None and drawn[0] == zone else Why.NOT_READY
+            why = drawn[1] if drawn is not None and drawn[0] == zone else Why.LOADED
             self.by_reason[why] += 1
 
     def ended(
@@ -159,6 +162,14 @@
         """The zone that the last order of zones is to try again, if any."""
         return self.drawn[0] if self.drawn is not None and self.drawn[1] is Why.PROBE else None
 
+    def handicap(self, zone: int, other: int) -> float:
+        """How many times as loaded an endpoint of a zone must be for one of another to be sent to instead.
+
+        What was drawn elsewhere stays there: it is known already that the near zone has no room for it.
+        """
+        near = self.places.distance(zone) is Distance.NEAR
+        return HANDICAPS[self.places.distance(other)] if near else math.inf
+
     def allows(self, cls: int, zone: int) -> bool:
         """Whether a call of a class may go to a zone at all."""
         return cls not in self.options.kept or self.places.distance(zone) is not Distance.REMOTE
@@ -172,15 +183,21 @@
             return [probe, *(z for z in allowed if z != probe)]
         if not allowed:
             return []
-        first = self._draw(allowed)
-        exploring = self.exploring.get(first, 0.0) >= self.shares[first]
+        first = self._draw(allowed, self.shares)
+        exploring = self.exploring.get(first, 0.0) >= self.shares.get(first, 0.0)
         self.drawn = (first, Why.EXPLORING if exploring else Why.CAPACITY)
-        return [first, *(z for z in allowed if z != first)]
-
-    def _draw(self, zones: list[int]) -> int:
-        at = self.rng.random() * sum(self.shares[z] for z in zones)
+        others = [z for z in allowed if z != first]
+        region = [z for z in others if self.places.distance(z) is Distance.REGION]
+        if region:
+            # Otherwise all that the first can't take would go to the same one of the others.
+            second = self._draw(region, self.supply)
+            others.sort(key=lambda z: (self.places.distance(z), z != second))
+        return [first, *others]
+
+    def _draw(self, zones: list[int], weights: Mapping[int, float]) -> int:
+        at = self.rng.random() * sum(weights.get(z, 0.0) for z in zones)
         for zone in zones:
-            at -= self.shares[zone]
+            at -= weights.get(zone, 0.0)
             if at < 0.0:
                 return zone
         return zones[0]
@@ -193,8 +210,10 @@
         if sum(supply.values()) <= 0.0:
             supply = self.ready  # nowhere is better than anywhere else
         shares = zone_shares(self.places.zone, self._demand(serving), supply, self.places.region)
+        self.supply = supply
         self.shares, self.exploring = self._with_exploring(shares, supply)
-        self.ranked = sorted(self.shares, key=lambda z: (self.places.distance(z), -self.shares[z], z))
+        there = [z for z, amount in supply.items() if amount > 0.0]
+        self.ranked = sorted(there, key=lambda z: (self.places.distance(z), -self.shares.get(z, 0.0), z))
 
     def _demand(self, serving: Mapping[int, bool]) -> dict[int, float]:
         """What each zone's callers ask for: those of a lost zone are gone, and others ask in their place."""
