--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -276,10 +276,9 @@
 class Outliers:
     """Ejects endpoints that are far worse than their peers, for a while, and never many of them.
 
-    Guards against an endpoint that errors at once, whose empty in-flight count would win draws and whose
-    failures would spend the tokens of all, and against one that is slow, or was crowded until it became
-    slow and needs rest to recover. After its time it is drawn again like any other, its record halfway
-    back, so that a few more bad outcomes send it away again.
+    One that errors at once would win draws by its empty in-flight count, and its failures spend the tokens
+    of all; one that was crowded until it became slow needs rest. After its time it is drawn again like any
+    other, its record halfway back, so that a few more bad outcomes send it away again.
     """
 
     def __init__(self, rng: random.Random, cold: ColdStart) -> None:
@@ -349,8 +348,7 @@
         self.settings = settings
         self.rng = rng
         self.siblings = settings.siblings
-        self.rate = 0.0
-        self.rates: dict[int, float] = {}  # the same by zone, where zones are told apart
+        self.rates: dict[int | None, float] = {None: 0.0}  # by zone as well, where zones are told apart
         self.part = 1.0  # of this sidecar's allowances that are this process's
 
     def share(self, server: Server, now: float) -> float:
@@ -365,23 +363,19 @@
         warm = [s for s in servers if now >= s.ejected_until and self.share(s, now) >= 1.0]
         size = sum(s.info.size for s in warm)
         if size > 0:
-            rate = sum(s.served_rate(now) for s in warm) / size
-            if zone is None:
-                self.rate = rate
-            else:
-                self.rates[zone] = rate
+            self.rates[zone] = sum(s.served_rate(now) for s in warm) / size
 
     def admits(self, server: Server, now: float) -> bool:
         s, share = self.settings, self.share(server, now)
         if share >= 1.0 or s.fall_window <= 0:
-            # Guards against what was sent while it was warm, which would count against it once it is cold.
+            # Otherwise what was sent while it was warm would count against it once it is cold.
             server.allowance, server.allowed_at, server.ramped = 1.0, now, False
             return True
         if not server.ramped and server.missed < LOST_AFTER and self.siblings > LEAST_SENT:
             server.ramped = True
             server.allowance = min(server.allowance, self.rng.random())
         least = LEAST_SENT / (self.siblings * s.fall_window)
-        rate = self.rates.get(server.info.zone, self.rate) * server.info.size
+        rate = self.rates.get(server.info.zone, self.rates[None]) * server.info.size
         rate = rate * share * s.fall_multiple * COLD_HEADROOM
         rate = max(least, rate) * self.part
         most = max(1.0, rate * s.fall_window * COLD_HEADROOM)
@@ -393,8 +387,8 @@
 class Admission:
     """Learned limit on calls in flight for each endpoint this instance may count on, at the first tier only.
 
-    Guards against crowding: beyond some number in flight servers only answer later, then too late, then
-    slow down for long. The limit grows while answers come well within their aim and is cut when they don't.
+    Beyond some number in flight servers only answer later, then too late, then slow down for long. The limit
+    grows while answers come well within their aim and is cut when they don't.
     """
 
     def __init__(self) -> None:
@@ -461,8 +455,8 @@
 class Shedding:
     """Refuses a learned part of the work on arrival, the least worthy for its work first; first tier only.
 
-    Guards against overload at full size: with a call or two for each instance there is no queue from which
-    the worthier could go first, and what is admitted must still be answered in time.
+    Under overload at full size, with a call or two for each instance, there is no queue from which the
+    worthier could go first, and what is admitted must still be answered in time.
     """
 
     def __init__(self, rng: random.Random) -> None:
@@ -498,8 +492,8 @@
 class TenantShares:
     """Tells which requests are within their tenant's share: a token bucket for each tenant.
 
-    Guards against a tenant that floods: what it sends beyond its share is worth little and yields first.
-    A request that ends unserved gives its token back, so that clients' retries don't use up the share.
+    What a tenant that floods sends beyond its share is worth little and yields first. A request that ends
+    unserved gives its token back, so that clients' retries don't use up the share.
     """
 
     def __init__(self, settings: Settings) -> None:
@@ -571,10 +565,10 @@
         return self.due
 
     def failed(self, now: float, silent: bool = False) -> float:
-        # Guards against a crowd that keeps discovery full: it works for calls that wait too long and fail,
-        # and answers none for as long as they come back at the rate at which it could answer them. A call
-        # that is silent may be on a dead connection, and what it misses counts as told `TOLD_WITHIN` after
-        # that, of which half has passed: it is made again in the rest of it, but spread over that.
+        # A crowd can keep discovery full: it works for calls that wait too long and fail, and answers none
+        # for as long as they come back at the rate at which it could answer them. A silent call may be on a
+        # dead connection, and what it misses counts as told `TOLD_WITHIN` after that, of which half has
+        # passed: it is made again in the rest of it, but spread over that.
         spoken, self.spoken = self.spoken, False
         if spoken or (silent and self.settings.ask_discovery):
             self._fell_silent(now, spoken)
@@ -879,8 +873,8 @@
         return server is not None
 
     def _hold(self, now: float, request: Request) -> None:
-        # Guards against the late refusal: the client tries again, is served too late, and takes the place of
-        # one that could have been served in time.
+        # After a late refusal the client tries again, is served too late, and takes the place of one that
+        # could have been served in time.
         spare = HOLD_PART * request.cls.aim if self.admission is not None else math.inf
         request.give_up = min(request.arrived + spare, request.end)
         self.held[request.id] = request
@@ -894,7 +888,7 @@
         attempt = Attempt(server, request.index, now)
         key = (request.id, len(request.attempts))
         if request.partial:
-            # Guards against a body that takes a minute, and would fill the limit on calls in flight.
+            # Otherwise bodies that take a minute would fill the limit on calls in flight.
             self.coming[key] = attempt
         else:
             self.flights[key] = attempt
@@ -918,7 +912,7 @@
             if not self.rules.may_try(request, now):
                 self._end(request)
             elif self._admits() and (request.attempts or not stuck) and not self._try_send(now, request):
-                # Guards against a pass over all endpoints for each one held: where one that may go anywhere
+                # Otherwise each one held would cost a pass over all endpoints: where one that may go anywhere
                 # found none ready, the others find none either.
                 stuck = stuck or not request.attempts
 
@@ -932,7 +926,7 @@
     def _advice(self, cls: RequestClass) -> float:
         """When a refused client may come back: jittered as our own waits, and longer the more is shed.
 
-        Guards against the wave that comes back at once. An answer is never held back for it.
+        Otherwise all that are refused would come back at once. An answer is never held back for it.
         """
         cap = BACKOFF_CAP * cls.aim
         wait = self.advice.next(self.shedding.level * cap, BACKOFF_BASE * cls.aim, cap)
@@ -968,12 +962,12 @@
             return ready[0] if ready else None
         a, b = self.rng.sample(ready, 2)
         if a.missed >= LOST_AFTER or b.missed >= LOST_AFTER:
-            # Guards against an endpoint that is back and is never seen to be: where few calls are in flight,
-            # it would lose every draw as a cold one. Its time away and cold allowance bound such tries.
+            # Otherwise an endpoint that is back might never be seen to be: where few calls are in flight, it
+            # would lose every draw as a cold one. Its time away and cold allowance bound such tries.
             return a if a.missed >= LOST_AFTER else b
         load_a, load_b = self._load(a, now), self._load(b, now)
         if load_a == load_b:
-            # Guards against counts that tell nothing: an instance with few calls sees mostly zeros.
+            # An instance with few calls sees mostly zeros, which tell nothing.
             return b if a.slowness(now) > TIE_SLOWER * b.slowness(now) else a
         return a if load_a < load_b else b
 
@@ -981,9 +975,8 @@
         self, now: float, request: Request, tried: set[int], locality: Locality
     ) -> Server | None:
         """One of the first zone that has some ready, or of the next if that one is far more loaded."""
-        zones = [a.zone for a in request.attempts]
-        repeatable = request.cls.repeat is Repeat.SAFE
-        order = locality.order(now, request.index, zones, request.end - now, repeatable)
+        zones, safe = [a.zone for a in request.attempts], request.cls.repeat is Repeat.SAFE
+        order = locality.order(now, request.index, zones, request.end - now, safe)
         for lost in locality.newly_lost():
             self.actions.append(Distrust(tuple(s.info.id for s in self.zones.get(lost, ()))))
         first: Server | None = None
@@ -1003,8 +996,8 @@
     def _home(self) -> int:
         """How many endpoints to draw from: with few calls of its own, an instance keeps to its part of them.
 
-        Guards against counts that tell nothing: many instances with a call or two each would all see zeros
-        and meet on the same endpoint. On its own part an instance's counts are nearly the whole truth, and
+        Otherwise many instances with a call or two each would all see zeros, which tell nothing, and meet on
+        the same endpoint. On its own part an instance's counts are nearly the whole truth, and
         it soon notices one that stalls. With a call in flight for each endpoint, it draws from all.
         """
         part = -(-len(self.ring) // self.settings.siblings)
@@ -1062,7 +1055,7 @@
         return out
 
     def _full(self, server: Server, now: float) -> bool:
-        """Guards against the whole limit meeting on the few endpoints that are ready."""
+        """Whether it has its part of the limit: else all of that would meet on the few that are ready."""
         if self.admission is None:
             return False
         return len(server.out) >= self.admission.cap(self.cold.share(server, now))
@@ -1099,22 +1092,19 @@
         self._serve_held(now)
 
     def _arrange(self) -> None:
-        # Guards against a crowd that walks along the list: in one order for all, those that share an endpoint
-        # would all turn to its neighbours. Each group of instances covers the list once, in its own order.
+        # In one order for all, instances that share an endpoint would turn to its neighbours together, on and
+        # on along the list. Each group of instances covers the list once, in its own order.
         me, siblings = self.settings.index, self.settings.siblings
         groups = 1 << max(0, siblings * HOME_LEAST // max(1, len(self.servers))).bit_length() >> 1
         ids = sorted(self.servers, key=lambda id: (scatter(id, me % max(1, groups)), id))
         at = me * len(ids) // siblings
         self.ring = [self.servers[id] for id in ids[at:] + ids[:at]]
         if self.locality is not None:
-            self._arrange_zones(self.locality)
-
-    def _arrange_zones(self, locality: Locality) -> None:
-        self.zones = {}
-        for server in self.ring:
-            self.zones.setdefault(server.info.zone, []).append(server)
-        sizes = {zone: sum(s.info.size for s in ring) for zone, ring in self.zones.items()}
-        locality.listed(sizes, {zone: len(ring) for zone, ring in self.zones.items()})
+            self.zones = {}
+            for server in self.ring:
+                self.zones.setdefault(server.info.zone, []).append(server)
+            sizes = {zone: sum(s.info.size for s in ring) for zone, ring in self.zones.items()}
+            self.locality.listed(sizes, {zone: len(ring) for zone, ring in self.zones.items()})
 
     def _entry(self, now: float, info: Endpoint) -> None:
         """Rule 3: an endpoint that drains or is gone is forgotten at once, its grace unused."""
--- a/millgw/handover/learned.py
+++ b/millgw/handover/learned.py
@@ -34,7 +34,7 @@
         "limit": [] if limit is None else [float(getattr(limit, name)) for name in LIMIT_FIELDS],
         "times": [[*row] for row in zip(balancer.quick, balancer.spent, balancer.answered, strict=True)],
         "tokens": balancer.budget.tokens,
-        "cold_rate": balancer.cold.rate,
+        "cold_rate": balancer.cold.rates[None],
         "shed": balancer.shedding.level,
     }
 
@@ -64,7 +64,7 @@
     for cls, (least, mean, answered) in enumerate(quick):
         balancer.quick[cls], balancer.spent[cls], balancer.answered[cls] = least, mean, int(answered)
     balancer.budget.tokens = min(BUDGET_CAPACITY, max(0.0, tokens))
-    balancer.cold.rate = rate
+    balancer.cold.rates[None] = rate
     balancer.shedding.level = min(SHED_MOST, max(0.0, shed))
 
 
--- a/tests/test_configuration_apply.py
+++ b/tests/test_configuration_apply.py
@@ -224,7 +224,7 @@
     made.discovery.backoff = held.discovery.backoff
     for name in ("wait", "due", "soonest", "alive", "spoken", "silent"):
         setattr(made.discovery, name, getattr(held.discovery, name))
-    made.cold.rate, made.cold.part, made.cold.rng = held.cold.rate, held.cold.part, held.doubts
+    made.cold.rates, made.cold.part, made.cold.rng = dict(held.cold.rates), held.cold.part, held.doubts
     made.cold.siblings = max(settings.siblings, held.heard_siblings)
     assert made.shares is not None and held.shares is not None
     made.shares.tokens[: len(held.shares.tokens)] = held.shares.tokens
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -69,11 +69,11 @@
         for id in (0, 1):
             balancer.servers[id].count_served(float(at))
     balancer.cold.learn(balancer.ring, 8000.0)
-    mean = balancer.cold.rate
+    mean = balancer.cold.rates[None]
     for id in (2, 3):
         balancer.servers[id].ejected_until = 9000.0
     balancer.cold.learn(balancer.ring, 8000.0)
-    assert balancer.cold.rate == pytest.approx(2 * mean)
+    assert balancer.cold.rates[None] == pytest.approx(2 * mean)
 
 
 def test_the_rate_of_an_endpoint_follows_soon_when_others_have_gone() -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -159,7 +159,7 @@
     for each in (one, other):
         each.balancer.pair(True)
     for each in (alone, one, other):
-        each.balancer.cold.rate = 0.05
+        each.balancer.cold.rates[None] = 0.05
         each.show(*[replace(e.info, since=each.now - 1) for e in each.balancer.servers.values()])
         for server in each.balancer.servers.values():
             server.allowance, server.allowed_at = 0.0, each.now
--- a/tests/test_rehearsal_wrong.py
+++ b/tests/test_rehearsal_wrong.py
@@ -69,7 +69,9 @@
 TENDED = ("stale-pools", "cold-handshake-storm", "silent-middlebox")
 PEERED = ("join-during-cold-start", "peer-lies", "peer-vanishes", "all-restart")
 DAILY = ("upgrade", "drain-and-resume", "long-bodies")
+ZONED = ("zone-lost", "regions-parted", "zone-slow")
 SHIPPED_SECONDS = 9.0
+ZONED_SECONDS = 16.0  # of days whose sidecars first learn to stay near
 
 
 def short(name: str) -> Scenario:
@@ -141,6 +143,13 @@
     return asyncio_days(days)
 
 
+@cache
+def zoned_days() -> dict[str, Day]:
+    return asyncio_days(
+        {name: (changed(load(name)[1], seconds=ZONED_SECONDS), DEFAULT_RUN) for name in ZONED}
+    )
+
+
 @cache
 def daily_days() -> dict[str, Day]:
     days = {name: (short(name), DEFAULT_RUN) for name in DAILY[:2]}
@@ -250,6 +259,18 @@
     assert day.summary.asked > 100 and day.summary.served > 0.5 * day.summary.asked
 
 
+@aside
+@pytest.mark.parametrize("name", ZONED)
+def test_sidecars_that_choose_by_zone_break_no_rule_whatever_happens_to_zones(name: str) -> None:
+    day = zoned_days()[name]
+    assert not broken(day), broken(day)
+    assert day.scenario.zones is not None and day.scenario.zones.places
+    assert day.summary.asked > 100 and day.summary.served > 0.85 * day.summary.asked
+    if name == "zone-lost":
+        cold = {f.rule: f for f in day.audit.findings}[4]
+        assert cold.checked and cold.nearest <= 1.0
+
+
 @aside
 def test_no_login_code_is_sent_again_across_restarts_where_it_is_marked_and_is_where_it_is_not() -> None:
     marked, plain = marked_days()["marked"], marked_days()["plain"]
--- a/tests/test_top.py
+++ b/tests/test_top.py
@@ -19,9 +19,9 @@
 from millgw.top import door
 from millgw.top.command import verdict
 from millgw.top.door import Trouble
-from millgw.top.figures import Aside, Figures, Look, Rotation
+from millgw.top.figures import Aside, Figures, LocalityFigures, Look, Rotation, ZoneFigures
 from millgw.top.show import MOST_ENDPOINTS, as_json, tables
-from millgw.top.standing import KINDS, Standing, by_class, by_endpoint
+from millgw.top.standing import KINDS, Standing, by_class, by_distance, by_endpoint, by_zone
 from tests.kinds import aside
 from tests.rig import request, run, sidecar
 
@@ -41,6 +41,17 @@
     return file.getvalue()
 
 
+def zoned(standing: str, near: int) -> Look:
+    look = seen(1)
+    zones = {
+        "a": ZoneFigures("near", standing, 0.98, 1.0),
+        "b": ZoneFigures("region", "serving", 0.02, 1.0),
+    }
+    away = {"capacity": 1, "exploring": 0}
+    look.figures.locality = {"": LocalityFigures({"near": near, "region": 1, "remote": 0}, away, zones)}
+    return look
+
+
 # Standing
 
 
@@ -102,6 +113,19 @@
     assert verdict(many[:4]) == 1
 
 
+def test_zones_of_all_sidecars_are_put_together() -> None:
+    standings = [Standing("d1"), Standing("d2"), Standing("d3")]
+    for standing, what in zip(standings, ("lost", "serving", "lost"), strict=True):
+        standing.take(0.0, zoned(what, 32))
+    standings[2].miss("refused")
+    assert by_zone(standings) == {"a": {"lost": 1, "serving": 1}, "b": {"serving": 2}}
+    assert by_distance(standings) == ({"near": 64, "region": 2, "remote": 0}, {"capacity": 2, "exploring": 0})
+    screen = shown(*standings)
+    assert "lost 1, serving 1" in screen and "near 97.0%" in screen and "away for capacity 2" in screen
+    assert as_json(standings)["zones"]["a"] == {"lost": 1, "serving": 1}
+    assert "zone" not in shown(Standing("d")), "nothing of it where no places are set"
+
+
 def test_a_screen_names_so_many_endpoints_and_counts_the_rest_and_obeys_nothing() -> None:
     standing = Standing("127.0.0.1:1")
     standing.take(0.0, seen(1, out=tuple(Aside(f"10.0.0.{i}:1", "ejected") for i in range(20))))
