--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -47,7 +47,7 @@
     "list, to the last",
 }
 # Zero is right for these in a window of 2 s: peers that start together compare lists in step, more and more
-# rarely, up to every 20 s; real sidecars, ready one after the other, may all know each other at the first look.
+# rarely, up to every 20 s; real sidecars, ready one after the other, may know each other at the first look.
 # That their connections are counted is tested below, to the byte.
 SPENT_BY_CHANCE = {"peer connections, median", "peers, after the start, to the last"}
 SMALL = ("--sidecars", "16", "--services", "4", "--control", "3", "--seconds", "3")
