Peers: peer discovery, state transfer, transport and replay windows are called that

Need: the names of the former house style (finding, Dialog, links, seen).

Change: modules peer_discovery, state_transfer, peer_transport, endpoint_evidence; classes CoordinatorDiscovery, StateTransfer, PeerTransport, PeerConnection; what is remembered against replays are replay windows. Behaviour as before; nothing that operators type or scrape had these names.

--- a/benchmarks/joining.py
+++ b/benchmarks/joining.py
@@ -47,7 +47,7 @@
     Settings,
     TimerFired,
 )
-from millgw.peers import seen
+from millgw.peers import endpoint_evidence
 from millgw.peers.gossip import Gossip, Mark, mark
 
 START = 1_000_000.0  # ms; a clock that is far from 0, as Unix time is
@@ -110,8 +110,8 @@
         made.handle(now, EndpointList(ListKind.FULL, listed))
         if self.peers and who in self.joins:
             known = self._snapshot(now, who)
-            priors = known.priors(now, "", seen.listed(listed), COLD_MS)
-            made.handle(now, seen.hearsay(now, priors, COLD_MS, self.sidecars))
+            priors = known.priors(now, "", endpoint_evidence.listed(listed), COLD_MS)
+            made.handle(now, endpoint_evidence.hearsay(now, priors, COLD_MS, self.sidecars))
 
     def _snapshot(self, now: float, who: int) -> Gossip:
         """What a new sidecar knows of a running one's snapshot, which has heard of what the others saw."""
@@ -120,8 +120,8 @@
         teller.serve("")
         for other in running:
             balancer = self.modules[other]
-            since = seen.listed(s.info for s in balancer.ring)
-            told = seen.observations(now, balancer.evidence(now), since, ())
+            since = endpoint_evidence.listed(s.info for s in balancer.ring)
+            told = endpoint_evidence.observations(now, balancer.evidence(now), since, ())
             notable = [o for o in told if mark(o, COLD_MS) is not Mark.WELL]
             teller.hear(now, [("", replace(o, origin=f"n{other}")) for o in notable])
         fresh.serve("")
--- a/millgw/peers/node.py
+++ b/millgw/peers/node.py
@@ -10,19 +10,19 @@
 from typing import TYPE_CHECKING, Any, cast
 
 from millgw.log.events import log_event
-from millgw.peers import gossip, seen, wire
-from millgw.peers.dialog import Dialog
+from millgw.peers import endpoint_evidence, gossip, wire
 from millgw.peers.gossip import Digest, Gossip
 from millgw.peers.keys import Keys
-from millgw.peers.links import MOST_TAKEN, Links
+from millgw.peers.peer_transport import MOST_TAKEN, PeerTransport
 from millgw.peers.sealed import Opener, Refused, Seal
+from millgw.peers.state_transfer import StateTransfer
 from millgw.peers.swim import Kind, Message, Swim
 from millgw.platform.config import Address, read_address
 from millgw.pool.pool import Pool
 
 if TYPE_CHECKING:
     from millgw.membership.source import Where
-    from millgw.peers.finding import ByCoordinator
+    from millgw.peers.peer_discovery import CoordinatorDiscovery
 
 MOST_ASKED = 3  # peers that a new sidecar asks for what they know
 LOOK = 500.0  # ms between two looks at the modules, both ways
@@ -65,7 +65,7 @@
         self.seal, self.opener = Seal(self.name, start, held), Opener(held, wire.MOST_FRAME)
         self.swim = Swim(self.name, start, seed)
         self.gossip = Gossip(self.name, start, seed + 1)
-        self.links = Links(lambda: Dialog(self.seal, self.opener), self._asked)
+        self.peer_transport = PeerTransport(lambda: StateTransfer(self.seal, self.opener), self._asked)
         self.since: dict[str, tuple[object, dict[str, float]]] = {}  # by pool: of which list, what
         self.limits: dict[str, list[float]] = {}  # learned from peers, until the modules have been told
         self.transport: asyncio.DatagramTransport | None = None
@@ -76,12 +76,12 @@
         self.refused = 0
         self.snapshots = 0
         self.found(str(address) for address in terms.join)
-        self.finding: ByCoordinator | None = None
+        self.peer_discovery: CoordinatorDiscovery | None = None
         if terms.coordinator is not None:
             # Only here: a coordinator that is not told must cost nothing.
-            from millgw.peers.finding import ByCoordinator
+            from millgw.peers.peer_discovery import CoordinatorDiscovery
 
-            self.finding = ByCoordinator(terms.coordinator, self.name, seed, self.found)
+            self.peer_discovery = CoordinatorDiscovery(terms.coordinator, self.name, seed, self.found)
 
     def found(self, names: Iterable[str]) -> None:
         """There may be peers of these names."""
@@ -94,10 +94,10 @@
         for pool in self.pools():
             self.gossip.serve(pool.name)
         until = _clock() + self.terms.within
-        if self.finding is not None:
-            self.finding.start()
+        if self.peer_discovery is not None:
+            self.peer_discovery.start()
             with suppress(TimeoutError):
-                await asyncio.wait_for(self.finding.known.wait(), self.terms.within / 1000)
+                await asyncio.wait_for(self.peer_discovery.known.wait(), self.terms.within / 1000)
         names = self.swim.alive()
         some = self.swim.rng.sample(names, min(MOST_ASKED, len(names)))
         asking = [self._task(self._ask(name, wire.Ask())) for name in some]
@@ -110,22 +110,22 @@
     async def _ask(self, name: str, body: wire.Body) -> None:
         address = self._address(name)
         if address is not None:
-            await self.links.ask(address, body)
+            await self.peer_transport.ask(address, body)
 
     async def _listen(self) -> None:
         """Listen; where a process before this one still has the address, as soon as it has gone."""
         loop, listen = asyncio.get_running_loop(), self.terms.listen
         while not self.stopped:
             try:
-                if self.links.server is None:
-                    await self.links.listen(listen)
+                if self.peer_transport.server is None:
+                    await self.peer_transport.listen(listen)
                 await loop.create_datagram_endpoint(lambda: self, local_addr=(listen.host, listen.port))
             except OSError as error:
                 log_event("peers-not-listening", listen=listen, cause=error)
                 await asyncio.sleep(LISTEN_AGAIN)
             else:
-                if self.finding is not None:
-                    self.finding.register()
+                if self.peer_discovery is not None:
+                    self.peer_discovery.register()
                 self._wake()
                 return
 
@@ -142,9 +142,9 @@
             self.timer.cancel()
         for task in self.tasks:
             task.cancel()
-        self.links.close()
-        if self.finding is not None:
-            self._task(self.finding.leave())
+        self.peer_transport.close()
+        if self.peer_discovery is not None:
+            self._task(self.peer_discovery.leave())
 
     def _task(self, work: Coroutine[Any, Any, object]) -> asyncio.Task[object]:
         task = asyncio.get_running_loop().create_task(work)
@@ -201,7 +201,7 @@
             balancer, at = driver.balancer, driver.clock()
             named = None if whole else {int(name, 16) for name in self.gossip.known(pool.name)}
             evidence = balancer.evidence(at, named)
-            told = seen.observations(at, evidence, self._starts(pool), driver.draining)
+            told = endpoint_evidence.observations(at, evidence, self._starts(pool), driver.draining)
             self.gossip.see(now, pool.name, balancer.settings.cold_time, told)
 
     def _starts(self, pool: Pool) -> dict[str, float]:
@@ -210,9 +210,9 @@
         of, before = self.since.get(pool.name, (None, {}))
         if of is ring:
             return before
-        since = seen.listed(s.info for s in ring)
+        since = endpoint_evidence.listed(s.info for s in ring)
         # The module has forgotten those that drain; their starts tell them from what follows them.
-        since |= {key: before[key] for key in map(seen.key, draining) if key in before}
+        since |= {key: before[key] for key in map(endpoint_evidence.key, draining) if key in before}
         self.since[pool.name] = ring, since
         return since
 
@@ -223,10 +223,10 @@
             settings = driver.balancer.settings
             servers = driver.balancer.servers
             told_of = (servers.get(int(name, 16)) for name in self.gossip.known(pool.name))
-            known = seen.listed(server.info for server in told_of if server is not None)
+            known = endpoint_evidence.listed(server.info for server in told_of if server is not None)
             priors = self.gossip.priors(_clock(), pool.name, known, settings.cold_time, len(servers))
             limits = self.limits.pop(pool.name, [])
-            event = seen.hearsay(driver.clock(), priors, settings.cold_time, siblings, limits)
+            event = endpoint_evidence.hearsay(driver.clock(), priors, settings.cold_time, siblings, limits)
             if event.endpoints or limits or siblings > settings.siblings:
                 driver.hear(event)
 
--- a/millgw/peers/finding.py
+++ b/millgw/peers/peer_discovery.py
@@ -27,7 +27,7 @@
         return 0
 
 
-class ByCoordinator:
+class CoordinatorDiscovery:
     """Registers this sidecar by its name below the path of `where`, and tells of the others there."""
 
     def __init__(self, where: Where, name: str, seed: int, found: Found) -> None:
--- a/millgw/peers/links.py
+++ b/millgw/peers/peer_transport.py
@@ -7,8 +7,8 @@
 from typing import cast
 
 from millgw.log.events import log_event
-from millgw.peers.dialog import Dialog
 from millgw.peers.sealed import Refused
+from millgw.peers.state_transfer import StateTransfer
 from millgw.peers.wire import Body, encode
 from millgw.platform.config import Address
 
@@ -18,7 +18,7 @@
 Handle = Callable[[str, Body], list[Body]]
 
 
-class Link(asyncio.Protocol):
+class PeerConnection(asyncio.Protocol):
     """One connection. `handle` takes what the other side says and gives what to answer.
 
     `first` is what this side asks, if it is the one that does; `answered` is set when it was answered, or the
@@ -26,9 +26,13 @@
     """
 
     def __init__(
-        self, dialog: Dialog, handle: Handle, first: Body | None, ended: Callable[[Link], None]
+        self,
+        state_transfer: StateTransfer,
+        handle: Handle,
+        first: Body | None,
+        ended: Callable[[PeerConnection], None],
     ) -> None:
-        self.dialog = dialog
+        self.state_transfer = state_transfer
         self.handle = handle
         self.first = first
         self.ended = ended
@@ -39,18 +43,18 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.limit = asyncio.get_running_loop().call_later(LIVES, self.transport.abort)
-        self.transport.write(self.dialog.hello())
+        self.transport.write(self.state_transfer.hello())
 
     def data_received(self, data: bytes) -> None:
         assert self.transport is not None
-        fresh = not self.dialog.ready
+        fresh = not self.state_transfer.ready
         try:
-            said = self.dialog.receive(data)
-            if fresh and self.dialog.ready and self.first is not None:
-                self.transport.write(self.dialog.say(self.first))
+            said = self.state_transfer.receive(data)
+            if fresh and self.state_transfer.ready and self.first is not None:
+                self.transport.write(self.state_transfer.say(self.first))
             for sender, body in said:
                 for answer in self.handle(sender, body):
-                    self.transport.write(self.dialog.word(encode(answer)))
+                    self.transport.write(self.state_transfer.word(encode(answer)))
         except Refused as error:
             log_event("peer-refused", peer=self.transport.get_extra_info("peername"), cause=error)
             self.transport.abort()
@@ -70,14 +74,14 @@
             self.transport.abort()
 
 
-class Links:
+class PeerTransport:
     """All of them, of one process."""
 
-    def __init__(self, dialog: Callable[[], Dialog], handle: Handle) -> None:
-        self.dialog = dialog
+    def __init__(self, state_transfer: Callable[[], StateTransfer], handle: Handle) -> None:
+        self.state_transfer = state_transfer
         self.handle = handle
-        self.taken: dict[Link, None] = {}
-        self.made: dict[Link, None] = {}
+        self.taken: dict[PeerConnection, None] = {}
+        self.made: dict[PeerConnection, None] = {}
         self.server: asyncio.Server | None = None
 
     async def listen(self, address: Address) -> None:
@@ -85,28 +89,34 @@
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(self._take, address.host, address.port)
 
-    def _take(self) -> Link:
+    def _take(self) -> PeerConnection:
         if len(self.taken) >= MOST_TAKEN:
             next(iter(self.taken)).abort()
-        link = Link(self.dialog(), self.handle, None, lambda gone: self.taken.pop(gone, None))
-        self.taken[link] = None
-        return link
+        connection = PeerConnection(
+            self.state_transfer(), self.handle, None, lambda gone: self.taken.pop(gone, None)
+        )
+        self.taken[connection] = None
+        return connection
 
     async def ask(self, address: Address, first: Body) -> bool:
         """Ask a peer, whose answers go to `handle`; whether it was reached."""
-        link = Link(self.dialog(), self.handle, first, lambda gone: self.made.pop(gone, None))
-        self.made[link] = None
+        connection = PeerConnection(
+            self.state_transfer(), self.handle, first, lambda gone: self.made.pop(gone, None)
+        )
+        self.made[connection] = None
         try:
             async with asyncio.timeout(LIVES):
-                await asyncio.get_running_loop().create_connection(lambda: link, address.host, address.port)
+                await asyncio.get_running_loop().create_connection(
+                    lambda: connection, address.host, address.port
+                )
         except (OSError, TimeoutError):
-            self.made.pop(link, None)
+            self.made.pop(connection, None)
             return False
-        await link.answered.wait()
+        await connection.answered.wait()
         return True
 
     def close(self) -> None:
         if self.server is not None:
             self.server.close()
-        for link in [*self.taken, *self.made]:
-            link.abort()
+        for connection in [*self.taken, *self.made]:
+            connection.abort()
--- a/millgw/peers/sealed.py
+++ b/millgw/peers/sealed.py
@@ -54,7 +54,7 @@
 
 
 @dataclass(slots=True)
-class _Seen:
+class _ReplayWindow:
     start: int
     highest: int
     bits: int  # of the numbers from `highest` down
@@ -66,7 +66,7 @@
     def __init__(self, keys: Sequence[bytes], most: int) -> None:
         self.keys = _checked(keys)
         self.most = most
-        self.seen: dict[str, _Seen] = {}
+        self.replay_windows: dict[str, _ReplayWindow] = {}
 
     def change(self, keys: Sequence[bytes]) -> None:
         """Use other keys from now on; a ValueError leaves those there were."""
@@ -101,20 +101,20 @@
             raise Refused(f"can't be read: {error}") from None
 
     def _once(self, told: _Inner) -> None:
-        seen = self.seen.get(told.sender)
-        if seen is None or told.start > seen.start:
-            if seen is None and len(self.seen) >= MOST_SENDERS:
+        window = self.replay_windows.get(told.sender)
+        if window is None or told.start > window.start:
+            if window is None and len(self.replay_windows) >= MOST_SENDERS:
                 raise Refused("too many senders")
-            self.seen[told.sender] = _Seen(told.start, told.number, 1)
+            self.replay_windows[told.sender] = _ReplayWindow(told.start, told.number, 1)
             return
-        behind = seen.highest - told.number
-        if told.start < seen.start or behind >= WINDOW or (behind >= 0 and seen.bits >> behind & 1):
+        behind = window.highest - told.number
+        if told.start < window.start or behind >= WINDOW or (behind >= 0 and window.bits >> behind & 1):
             raise Refused("said before")
         if behind < 0:
-            seen.bits = (seen.bits << min(-behind, WINDOW) | 1) & ((1 << WINDOW) - 1)
-            seen.highest = told.number
+            window.bits = (window.bits << min(-behind, WINDOW) | 1) & ((1 << WINDOW) - 1)
+            window.highest = told.number
         else:
-            seen.bits |= 1 << behind
+            window.bits |= 1 << behind
 
 
 Key = tuple[int, bytes]
--- a/millgw/peers/dialog.py
+++ b/millgw/peers/state_transfer.py
@@ -17,7 +17,7 @@
 NUMBER = 4  # bytes
 
 
-class Dialog:
+class StateTransfer:
     """One side of one connection."""
 
     def __init__(self, seal: Seal, opener: Opener, nonce: bytes | None = None) -> None:
--- a/millgw/peers/wire.py
+++ b/millgw/peers/wire.py
@@ -1,8 +1,9 @@
 """What peers say to each other, as bytes: version 1, checked by `msgspec`, bounded. Pure.
 
 A body is a msgpack map whose `t` tells what it is; a key that is not known is skipped, a `t` that is not is
-refused. Datagrams carry `probe`, `rumours` and `sum`; connections `ask`, `snapshot` and `probe`, each frame a
-length of four bytes and a sealed message (see `millgw.peers.links`). Nothing of callers or keys is told.
+refused. Datagrams carry `probe`, `rumours` and `sum`; connections `ask`, `snapshot` and `probe`, each frame
+a length of four bytes and a sealed message (see `millgw.peers.peer_transport`). Nothing of callers or keys is
+told.
 """
 
 from __future__ import annotations
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -14,10 +14,10 @@
 
 from millgw.peers import wire
 from millgw.peers.beliefs import GONE, Observation
-from millgw.peers.dialog import Dialog
+from millgw.peers.endpoint_evidence import hearsay, limit, observations
 from millgw.peers.gossip import Digest, Gossip, Said, Terms
 from millgw.peers.sealed import Opener, Refused, Seal
-from millgw.peers.seen import hearsay, limit, observations
+from millgw.peers.state_transfer import StateTransfer
 from millgw.standins.network import Network
 from tests.kinds import once
 
@@ -266,11 +266,11 @@
 KEY = b"k" * 16
 
 
-def begun(name: str) -> Dialog:
-    return Dialog(Seal(name, 1, [KEY]), Opener([KEY], wire.MOST_FRAME))
+def begun(name: str) -> StateTransfer:
+    return StateTransfer(Seal(name, 1, [KEY]), Opener([KEY], wire.MOST_FRAME))
 
 
-def pair() -> tuple[Dialog, Dialog]:
+def pair() -> tuple[StateTransfer, StateTransfer]:
     one, other = begun("a"), begun("b")
     one.receive(other.hello())
     other.receive(one.hello())
@@ -299,7 +299,7 @@
     _, later = pair()
     with pytest.raises(Refused, match="another connection"):
         later.receive(frame)
-    stranger = Dialog(Seal("a", 1, [b"x" * 16]), Opener([b"x" * 16], 9999))
+    stranger = StateTransfer(Seal("a", 1, [b"x" * 16]), Opener([b"x" * 16], 9999))
     _, other = pair()
     stranger.receive(other.hello())
     with pytest.raises(Refused, match="key"):
--- a/tests/test_peer_node.py
+++ b/tests/test_peer_node.py
@@ -26,12 +26,12 @@
 from millgw.membership import judge
 from millgw.membership.servers import read_connect
 from millgw.membership.source import Where
-from millgw.peers import links, node, wire
+from millgw.peers import node, peer_transport, wire
 from millgw.peers.beliefs import Observation
-from millgw.peers.dialog import NONCE, Dialog
-from millgw.peers.links import MOST_TAKEN
 from millgw.peers.node import Peers, Terms
+from millgw.peers.peer_transport import MOST_TAKEN
 from millgw.peers.sealed import Opener, Seal
+from millgw.peers.state_transfer import NONCE, StateTransfer
 from millgw.peers.swim import Status
 from millgw.platform.config import Address
 from millgw.pool.pool import Pool
@@ -118,7 +118,7 @@
     """Look at key files at every look, end connections sooner."""
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(node, "KEYS_EVERY", 0.0)
-        patch.setattr(links, "LIVES", 0.3)
+        patch.setattr(peer_transport, "LIVES", 0.3)
         yield
 
 
@@ -176,7 +176,7 @@
         async with fleet(tmp_path) as some:
             peers, _ = await some.start()
             at = peers.terms.listen
-            stranger = Dialog(Seal("x", 1, [OTHER]), Opener([OTHER], 9999))
+            stranger = StateTransfer(Seal("x", 1, [OTHER]), Opener([OTHER], 9999))
             reader, writer = await asyncio.open_connection(at.host, at.port)
             hello = await reader.readexactly(NONCE)
             stranger.receive(hello)
@@ -211,10 +211,10 @@
         if how == "silent":
             await reader.read()
             return
-        dialog = Dialog(Seal("127.0.0.1:1", 1, [KEY]), Opener([KEY], wire.MOST_FRAME))
-        writer.write(dialog.hello())
-        dialog.receive(await reader.read(NONCE))
-        frame = dialog.say(wire.snapshot({"": [Observation(f"{1:016x}", "a", 0.0, 1, up=1.0)]}, {}))
+        state_transfer = StateTransfer(Seal("127.0.0.1:1", 1, [KEY]), Opener([KEY], wire.MOST_FRAME))
+        writer.write(state_transfer.hello())
+        state_transfer.receive(await reader.read(NONCE))
+        frame = state_transfer.say(wire.snapshot({"": [Observation(f"{1:016x}", "a", 0.0, 1, up=1.0)]}, {}))
         if how == "vanishes":
             writer.write(frame[: len(frame) // 2])
             writer.close()
@@ -233,9 +233,9 @@
             peers, served = some.make(Address(host, port), within=50.0)
             await peers.begin()
             if how != "vanishes":
-                assert peers.links.made, "it goes on, and the start does not wait"
+                assert peers.peer_transport.made, "it goes on, and the start does not wait"
             assert not served.cold(1)
-            await until(lambda: not peers.links.made)  # bounded as well
+            await until(lambda: not peers.peer_transport.made)  # bounded as well
             assert not peers.snapshots
         server.close()
 
@@ -309,7 +309,7 @@
             first, _ = await some.start()
             at = first.terms.listen
             held = [await asyncio.open_connection(at.host, at.port) for _ in range(3 * MOST_TAKEN)]
-            await until(lambda: len(first.links.taken) == MOST_TAKEN)
+            await until(lambda: len(first.peer_transport.taken) == MOST_TAKEN)
             fresh, _ = await some.start(at)
             assert fresh.snapshots == 1
             for _, writer in held:
@@ -331,15 +331,15 @@
             servers, _ = read_connect(zk.connect_string)
             told = Where(servers, "/sidecars", 4000.0, judge.Terms())
             first, _ = await some.start(coordinator=told)
-            assert first.finding is not None
-            await first.finding.registrar.registered.wait()
+            assert first.peer_discovery is not None
+            await first.peer_discovery.registrar.registered.wait()
             second, _ = await some.start(coordinator=told)
             assert second.snapshots == 1
             await until(lambda: first.swim.alive() == [second.name])
-            assert second.finding is not None
-            await second.finding.registrar.registered.wait()
+            assert second.peer_discovery is not None
+            await second.peer_discovery.registrar.registered.wait()
             second.stop()
-            await second.finding.registrar.left.wait()
+            await second.peer_discovery.registrar.left.wait()
 
     run(test)
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -322,7 +322,7 @@
     for refused in (bad, Seal("a", 1, [OTHER]).seal(b"body"), data.draw(st.binary(max_size=200)), whole * 20):
         with pytest.raises(Refused):
             opener.open(refused)
-    assert not opener.seen
+    assert not opener.replay_windows
 
 
 @given(st.lists(st.integers(0, 400), min_size=1, max_size=60))
