--- a/millgw/locality/router.py
+++ b/millgw/locality/router.py
@@ -19,9 +19,9 @@
 from millgw.locality.shares import zone_shares
 
 FILL = 0.8  # of all endpoints' capacity, that callers are taken to ask for together
-EXPLORE = (
-    0.02  # of the calls that go to the other zones of the region at least: else nothing is known of them
-)
+# Calls queue up in a zone that is full while others have room.
+HEADROOM = 0.9  # of a zone's capacity that is filled before others are
+EXPLORE = 0.02  # of the calls that go to the region's other zones at least: else nothing is known of them
 POOL_LEAST = 6  # endpoints, under which a pool is not divided
 HANDICAPS = {Distance.NEAR: 1.0, Distance.REGION: 3.0, Distance.REMOTE: 8.0}  # times as loaded
 CHECK_EVERY = 50.0  # ms between two looks whether a zone is lost
@@ -206,7 +206,9 @@
 
     def _share_out(self) -> None:
         serving = {z: self.domains.standing(z) is Standing.SERVING for z in self.sizes}
-        supply = {z: r * self.leaning.room(z) for z, r in self.ready.items() if serving.get(z, True)}
+        supply = {
+            z: HEADROOM * r * self.leaning.room(z) for z, r in self.ready.items() if serving.get(z, True)
+        }
         if sum(supply.values()) <= 0.0:
             supply = self.ready  # nowhere is better than anywhere else
         shares = zone_shares(self.places.zone, self._demand(serving), supply, self.places.region)
