Fleets in virtual time: a call holds its deadline, a fault says whether it hits a whole zone

Deadlines stood in a table beside the calls they are of; a whole zone was told from a rack by a place just under 1; a record's text spoke of a field that it has not.

Change: OpenCall.deadline, ZoneFault.whole, the text. Behaviour as before.

--- a/millgw/simulation/virtual.py
+++ b/millgw/simulation/virtual.py
@@ -69,8 +69,9 @@
 
 @dataclass(slots=True)
 class OpenCall:
-    """One call that is owed its answer."""
+    """One call that is owed its answer by its deadline."""
 
+    deadline: float
     answered: Answered
     out: dict[int, tuple[int, float]] = field(default_factory=dict)  # by attempt: endpoint, when sent
     sends: int = 0
@@ -87,7 +88,6 @@
         self.serve = serve
         self.distrust = distrust
         self.calls: dict[int, OpenCall] = {}
-        self.deadlines: dict[int, float] = {}
         self.last = 0
         self.events: deque[Event] = deque()
         self.feeding = False
@@ -96,8 +96,7 @@
         """Make a call that must be answered by then."""
         self.last += 1
         id = self.last
-        self.calls[id] = OpenCall(answered)
-        self.deadlines[id] = deadline
+        self.calls[id] = OpenCall(deadline, answered)
         self.clock.at(deadline, lambda: self._expire(id))
         self.feed(RequestArrived(id, cls, deadline, 0))
 
@@ -129,7 +128,7 @@
         number = call.sends
         call.sends += 1
         call.out[number] = (action.endpoint, self.clock.now)
-        self.serve(action.endpoint, self.deadlines[id], lambda outcome: self._ended(id, number, outcome))
+        self.serve(action.endpoint, call.deadline, lambda outcome: self._ended(id, number, outcome))
 
     def _ended(self, id: int, number: int, outcome: Outcome) -> None:
         call = self.calls.get(id)
@@ -143,7 +142,6 @@
 
     def _answer(self, id: int, served: bool) -> None:
         call = self.calls.pop(id, None)
-        self.deadlines.pop(id, None)
         if call is not None:
             call.answered(served)
 
--- a/millgw/simulation/zone_fleet.py
+++ b/millgw/simulation/zone_fleet.py
@@ -71,6 +71,11 @@
     size: float = 0.0
     part: float = 1.0
 
+    @property
+    def whole(self) -> bool:
+        """Whether it hits all of the zone."""
+        return self.part >= 1.0
+
 
 @dataclass(slots=True, frozen=True)
 class FleetShape:
@@ -110,7 +115,7 @@
 
 @dataclass(slots=True, frozen=True)
 class SendRecord:
-    """One attempt: when, from which zone to which, and whether it is the first of its call."""
+    """One attempt: when, and from which zone to which."""
 
     at: float
     source: int
@@ -228,8 +233,8 @@
             self.clock.at(at, partial(self._call, number))
 
     def _call(self, number: int) -> None:
-        whole = self._fault(ZoneFaultKind.LOST, self.zone_of[number], 1.0 - 1e-9)
-        if whole is not None:
+        lost = self._fault(ZoneFaultKind.LOST, self.zone_of[number])
+        if lost is not None and lost.whole:
             self._next_call(number)  # it is lost with its zone
             return
         now, cls = self.clock.now, self.rng.choices((SAFE, KEYED, UNSAFE), self.shape.mix)[0]
@@ -278,7 +283,7 @@
         for model in self.endpoints.values():
             if model.info.zone == fault.zone and model.place < fault.part:
                 model.restart(self.clock.now)
-        if fault.part == 1.0:
+        if fault.whole:
             for number, zone in enumerate(self.zone_of):
                 if zone == fault.zone:
                     self.sidecars[number] = self._sidecar(number, self.seed + int(fault.end))
