--- /dev/null
+++ b/tests/test_incident_unheard_drain.py
@@ -0,0 +1,165 @@
+"""An endpoint drained while discovery could not tell, and the sidecar went on sending to it.
+
+What was seen: a request reached an endpoint after the grace of its drain. The order of events: a watch named
+the endpoint as in service; 40 ms later it began to drain; the watch ended 2 s after that and told nothing;
+the next call to discovery was answered only 3.4 s after the end. All that time the endpoint served calls.
+
+The cause: the decision module took each served call as proof that its endpoint did not drain, and trusted it
+for 6 s more. Endpoints that drain may go on serving, so the trust had no end but discovery's word.
+
+What proved it: the endpoint's answers, all 200 for calls that were sent seconds after its drain, beside the
+module's own record, by which it could still be trusted. `GET /health` was answered 503 since its drain.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from millgw.platform.config import Address
+from millgw.standins.address import free_address
+from millgw.standins.http import Message, ok, status
+from millgw.standins.scripted import (
+    STREAM,
+    ScriptedDiscoveryServer,
+    ScriptedEndpoint,
+    chunk,
+    line,
+    read_message,
+)
+from tests.rig import SETTINGS, request, run
+
+HEARTBEAT = 0.5  # s
+WATCHED = 1.0  # s for which the watch says nothing but heartbeats before it ends
+TOLD_AFTER_END = 2.0  # s after a watch ended at which what it did not tell counts as told
+GRACE = 0.5  # s
+ANSWER_AFTER = 2.8  # s that discovery takes for the call that follows: less than it is waited for
+BETWEEN_CALLS = 0.02  # s
+
+
+@dataclass
+class DrainingEndpoint:
+    """An endpoint that serves on while it drains, as is allowed, and says so only where it is asked."""
+
+    scripted: ScriptedEndpoint
+    draining: bool = False
+    calls: list[float] = field(default_factory=list)  # when each came, monotonic
+
+    async def answer(self, message: Message, _: ScriptedEndpoint) -> bytes:
+        if message.first.startswith("GET /health"):
+            return status(503) if self.draining else ok()
+        self.calls.append(time.monotonic())
+        return ok()
+
+
+def draining_endpoint(name: str) -> DrainingEndpoint:
+    made = DrainingEndpoint(ScriptedEndpoint(name))
+    made.scripted.script = made.answer
+    return made
+
+
+@dataclass
+class Process:
+    """A sidecar in a process of its own."""
+
+    listen: Address
+    discovery: ScriptedDiscoveryServer
+
+    async def call(self) -> int:
+        """One call; the status of its answer."""
+        reader, writer = await asyncio.open_connection(self.listen.host, self.listen.port)
+        try:
+            writer.write(request("read", patience=3000))
+            return (await read_message(reader)).status
+        finally:
+            writer.close()
+
+
+@asynccontextmanager
+async def sidecar_process(
+    folder: Path, endpoints: list[ScriptedEndpoint], **limits: Any
+) -> AsyncIterator[Process]:
+    discovery = ScriptedDiscoveryServer()
+    await discovery.start()
+    for endpoint in endpoints:
+        await endpoint.start()
+    listen, file = free_address(), folder / "config.json"
+    known = {"index": 1, "snapshot": True, "endpoints": [e.entry() for e in endpoints]}
+    settings = SETTINGS | {"limits": SETTINGS["limits"] | limits}
+    settings |= {"rules": SETTINGS["rules"] | {"askWithin": 10_000.0}}
+    file.write_text(
+        json.dumps(
+            {
+                "name": "n1", "listen": str(listen), "discovery": str(discovery.address), "seed": "1",
+                "known": known, "settings": settings,
+            }
+        )
+    )  # fmt: skip
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-B", "-m", "millgw", "serve", env=os.environ | {"BALANCER_CONFIG": str(file)}
+    )
+    try:
+        yield Process(listen, discovery)
+    finally:
+        process.terminate()
+        await process.wait()
+
+
+async def heartbeats(writer: asyncio.StreamWriter, seconds: float) -> None:
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        writer.write(chunk(b"\n"))
+        await asyncio.sleep(HEARTBEAT)
+
+
+@pytest.mark.parametrize("probing", [True, False], ids=["probes allowed", "no probes"])
+def test_an_endpoint_that_serves_while_it_drains_is_left_before_its_drain_counts_as_told(
+    tmp_path: Path, probing: bool
+) -> None:
+    async def test() -> None:
+        leaving, staying = draining_endpoint("e1"), draining_endpoint("e2")
+        scripted = [leaving.scripted, staying.scripted]
+        async with sidecar_process(tmp_path, scripted, probing=probing) as sidecar:
+            _, watch = await sidecar.discovery.calls.get()
+            watch.write(STREAM + chunk(line(1, [e.entry() for e in scripted], snapshot=True)))
+            await heartbeats(watch, WATCHED)
+            leaving.draining = True
+            watch.transport.abort()
+            ended = time.monotonic()
+
+            answers: list[tuple[float, int]] = []
+
+            async def load() -> None:
+                while time.monotonic() < ended + TOLD_AFTER_END + 2 * GRACE:
+                    answers.append((time.monotonic(), await sidecar.call()))
+                    await asyncio.sleep(BETWEEN_CALLS)
+
+            loading = asyncio.create_task(load())
+            _, watch = await sidecar.discovery.calls.get()
+            await asyncio.sleep(ANSWER_AFTER)
+            await loading
+            late = [at - ended for at in leaving.calls if at > ended + TOLD_AFTER_END + GRACE]
+            assert not late, (
+                f"{len(late)} calls after its drain counted as told, the first after {late[0]:.2f} s"
+            )
+            assert leaving.calls and staying.calls, "both were in use before"
+            if probing:
+                assert {code for _, code in answers} == {200}, (
+                    "it is known of the other that it does not drain"
+                )
+
+            watch.write(STREAM + chunk(line(2, [staying.scripted.entry()], snapshot=True)))
+            while await sidecar.call() != 200:
+                await asyncio.sleep(BETWEEN_CALLS)
+
+    run(test)
