What a served call was taken to prove is asked of endpoints: freshness, probes, heartbeats

Cause: while no watch was on, each served call counted as proof that its endpoint did not drain and renewed the trust in it for 6 s. Endpoints that drain go on serving (seen: 200 for calls sent 3.4 s after the drain, three sidecars), so the trust had no end but discovery's word. Heartbeats were not told to the module, nor moves of discovery; an answer under way when discovery moved was cut off.

Change: millgw.policy.freshness says how long the last proof of an endpoint's state holds: 2 s after a watch ended or discovery moved, 6 s after the last word of one that fell silent, 2 s after a health probe that was answered well. Nothing is sent to an endpoint that is not fresh; calls wait for a proof, or are refused. Probes (limits.probing) go to the endpoints to draw from, while calls come. Without probes two unanswered calls in a row, or 30 s without a word, are an outage. Watches that are moved from are read on, and what a whole list leaves out is heeded. Logged: when discovery is asked, what it told, what a time without a watch cost, where a call waited when its time ended.

The module's parts are held to its purity.

--- a/millgw/compiled.py
+++ b/millgw/compiled.py
@@ -28,6 +28,8 @@
 
 MODULES = (
     "interface",
+    "policy.backoff",
+    "policy.freshness",
     "decide",
     "log.events",
     "streams.room",
@@ -45,6 +47,7 @@
     "endpoints.upstream",
     "pool.call",
     "pool.deadlines",
+    "pool.health_probe",
     "pool.driver",
     "pool.terms",
     "pool.share",
--- a/millgw/connections/introduction.py
+++ b/millgw/connections/introduction.py
@@ -30,7 +30,7 @@
         self, now: float, kind: ListKind, entries: Sequence[Endpoint], connected: Callable[[int], bool]
     ) -> list[Endpoint]:
         """What to tell the module of a list. `connected` tells whether a connection to one is there."""
-        if kind in (ListKind.FAILED, ListKind.SILENT):
+        if kind.lost:
             return list(entries)
         before = dict(self.shown)
         if kind.whole:
--- a/millgw/connections/standing.py
+++ b/millgw/connections/standing.py
@@ -14,7 +14,7 @@
 
 import random
 
-from millgw.decide import Backoff
+from millgw.policy.backoff import Backoff
 
 UP, UNPROVEN, DOWN = "up", "unproven", "down"
 
--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -5,7 +5,8 @@
 
 Reading order: the constants; `Rules`, which alone says what may be sent or refused; `RetryBudget` and
 `Backoff`, the source design; `Server`, `Outliers` and `ColdStart`, what is known of endpoints; `Admission`,
-`Shedding` and `TenantShares`, who waits or is refused; `Discovery`; `Balancer`, from `handle` down.
+`Shedding` and `TenantShares`, who waits or is refused; `Freshness` (`millgw.policy`), for how long what is
+known holds; `Balancer`, from `handle` down.
 """
 
 from __future__ import annotations
@@ -28,6 +29,8 @@
     ListKind,
     Locality,
     Outcome,
+    Probe,
+    ProbeEnded,
     Refuse,
     Repeat,
     RequestAborted,
@@ -43,6 +46,8 @@
     TimerFired,
     Told,
 )
+from millgw.policy.backoff import Backoff
+from millgw.policy.freshness import Freshness
 
 BUDGET_CAPACITY = 100.0  # tokens; the source's figure
 RETRY_COST = 10.0  # tokens for a retry: one for every ten served calls at most; the source's figure
@@ -90,16 +95,9 @@
 ORDER_STEP = 0x9E3779B1  # odd, so that a product scatters ids and no two meet
 SHARE_BURST = 1000.0  # ms of a tenant's rate that may come at once and still be within its share
 HOLD_PART = 0.1  # of the aim that a request waits for room: a refused client needs the rest for another try
-# How soon discovery is asked again stands in ms, as the time after which all counts as told does: parts of
-# `ask_within` alone would leave a silent watch too long where that is long, and storm where it is short.
-ASK_SPREAD, ASK_SPREAD_PART = 1000.0, 0.1  # instances that start together ask at different times
-ASK_RETRY, ASK_RETRY_PART = 300.0, 0.25  # least wait after a watch that was on has ended
-ASK_SILENT = 3.0  # times that, the wait before which the first wait after a silent call is drawn from
-ASK_CROWDED, ASK_CROWDED_PART = 2500.0, 1.0  # least wait after a call that was turned away
-ASK_MOST, ASK_MOST_PART = 10_000.0, 3.0  # longest wait; a failed call keeps the list for four `ask_within`
-AGENT_RETRY, AGENT_MOST = 20.0, 250.0  # where lists are pushed: the own machine's agent answers at no cost
-ASK_AGAIN = 5000.0  # longest silence after a call: over the longest that discovery works before it answers
-TOLD_WITHIN = 6000.0  # ms after which what a silent watch or call misses counts as told, all at once
+PROBE_AHEAD = 500.0  # ms before the last proof of an endpoint's state ends, from which it is probed
+ASK_AHEAD = 3000.0  # the same for discovery, where probes are not allowed: as long as a call may hang
+PROBE_EVERY = 500.0  # ms between two probes of one endpoint, at the least
 PAIR_PART = 0.5  # of tokens and cold endpoints' allowances for each of two processes of one sidecar
 
 
@@ -204,17 +202,6 @@
         return True
 
 
-class Backoff:
-    """Decorrelated jitter: each wait is drawn from the wait before it."""
-
-    def __init__(self, rng: random.Random) -> None:
-        self.rng = rng
-
-    def next(self, previous: float, base: float, cap: float) -> float:
-        previous = max(previous, base)
-        return min(cap, base + self.rng.random() * (previous * 3 - base))
-
-
 class Server:
     """One endpoint as this instance knows it."""
 
@@ -233,7 +220,8 @@
         self.missed = 0
         self.back = 0.0
         self.rejoined = 0.0  # when its zone, which was lost, came back
-        self.sure_at = now  # when it was last known not to drain; see `Discovery.unsure`
+        self.known_at = now  # when it was last proven not to drain; see `Freshness.fresh_until`
+        self.probed_at = -math.inf  # when it was last asked for its health
         # What siblings tell stands apart from its own record: else it would be told on as seen.
         self.drains_until = -math.inf
         self.heard_slow = 1.0
@@ -523,103 +511,6 @@
         return within
 
 
-class Discovery:
-    """Follows the list: subscribes at start, and asks again after a failure or a silence.
-
-    What a watch or call misses that falls silent counts as told `TOLD_WITHIN` after that, all at once,
-    however late it was made. What changes while none is on counts as told `later` after it was made.
-    """
-
-    def __init__(self, settings: Settings, rng: random.Random) -> None:
-        self.backoff = Backoff(rng)
-        self.rng = rng
-        self.reconfigure(settings)
-        self.wait = 0.0
-        self.due = math.inf
-        self.soonest = math.inf  # from when on a request for which no endpoint is sure may have it asked
-        self.alive = -math.inf  # when the last call was made, or last said something
-        self.spoken = False  # whether it has said anything
-        self.silent: list[tuple[float, float, bool]] = []  # what fell silent: from, until, whether a watch
-
-    def reconfigure(self, settings: Settings) -> None:
-        """Take the waits from the settings; what was heard, and the wait that is on, stay."""
-        self.settings = settings
-        within = settings.ask_within
-        self.crowd = min(ASK_SPREAD, ASK_SPREAD_PART * within)
-        self.retry = min(ASK_RETRY, ASK_RETRY_PART * within)
-        self.crowded = min(ASK_CROWDED, ASK_CROWDED_PART * within)
-        self.most = min(ASK_MOST, ASK_MOST_PART * within)
-        self.later = min(TOLD_WITHIN, within) if settings.ask_discovery else TOLD_WITHIN
-
-    def start(self, now: float) -> float:
-        self.due = now + self.rng.random() * self.crowd
-        return self.due
-
-    def asked(self, now: float) -> float:
-        """When to ask again if nothing at all is heard."""
-        if self.spoken:
-            self._fell_silent(now, True)
-        self.alive, self.spoken = now, False
-        self.soonest = math.inf
-        self.due = now + ASK_AGAIN
-        return self.due
-
-    def failed(self, now: float, silent: bool = False) -> float:
-        # A crowd can keep discovery full: it works for calls that wait too long and fail, and answers none
-        # for as long as they come back at the rate at which it could answer them. A silent call may be on a
-        # dead connection, and what it misses counts as told `TOLD_WITHIN` after that, of which half has
-        # passed: it is made again in the rest of it, but spread over that.
-        spoken, self.spoken = self.spoken, False
-        if spoken or (silent and self.settings.ask_discovery):
-            self._fell_silent(now, spoken)
-        crowded = self.deaf() and not silent
-        if not self.settings.ask_discovery:
-            # What the agent has counts as told while no watch is on, and what it gets when discovery is back.
-            self.wait = 0.0 if spoken else self.backoff.next(self.wait, AGENT_RETRY, AGENT_MOST)
-        else:
-            if self.deaf() and silent:
-                self.wait = max(self.wait, ASK_SILENT * self.retry)
-            self.wait = self.backoff.next(self.wait, self.crowded if crowded else self.retry, self.most)
-        self.due = now + self.wait
-        self.soonest = now + self.retry if silent else math.inf
-        return self.due
-
-    def _fell_silent(self, now: float, spoken: bool) -> None:
-        self.silent.append((self.alive, now, spoken))
-        while len(self.silent) > 1 and now > self.silent[1][0] + TOLD_WITHIN:
-            del self.silent[0]  # the next one says the same of all that this one speaks of
-
-    def heard(self, now: float) -> None:
-        self.alive, self.spoken = now, True
-        self.silent.clear()
-        self.wait = 0.0
-        self.due = math.inf
-        self.soonest = math.inf
-
-    def wanted(self, now: float) -> bool:
-        """Whether to ask before it is due, as no endpoint is sure: after a silence, where no crowd is met."""
-        return self.soonest <= now < self.due
-
-    def deaf(self) -> bool:
-        """Whether no watch is known to be on: what the list says may be over."""
-        return self.due < math.inf
-
-    def unsure(self, now: float, server: Server) -> bool:
-        """Rule 3: whether a drain that discovery could not tell may count as told by now.
-
-        An endpoint that took a call, and served it, did not drain then: it is safe until a later drain would
-        count as told. One that turned a call away is not, as draining endpoints do so.
-        """
-        if not self.deaf():
-            return False
-        for alive, until, spoken in self.silent:
-            if alive <= server.sure_at < until:
-                # What changes between it and the next counts by `later`; so may what does under a mere call.
-                unwatched = until if spoken else server.sure_at
-                return now > min(alive + TOLD_WITHIN, unwatched + self.later)
-        return now > server.sure_at + self.later
-
-
 class Balancer:
     """One sidecar's decisions: `handle` takes an event and returns the actions, in order."""
 
@@ -636,7 +527,7 @@
         self.doubts = random.Random(seed + 2)
         self.cold = ColdStart(settings, self.doubts)
         self.outliers = Outliers(self.rng, self.cold)
-        self.discovery = Discovery(settings, self.rng)
+        self.discovery = Freshness(settings, self.rng)
         self.servers: dict[int, Server] = {}
         self.ring: list[Server] = []
         self.requests: dict[int, Request] = {}
@@ -653,6 +544,8 @@
         self.timers: dict[int, int | None] = {}
         self.next_timer = 0
         self.started = False
+        self.probes = self.probes_ill = 0  # health probes, and those that an endpoint answered as not well
+        self.found_none_fresh = 0  # looks for an endpoint that found some, but none that is proven fresh
         self.actions: list[Action] = []
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -676,6 +569,8 @@
             self._list(now, event)
         elif isinstance(event, Hearsay):
             self._hear(now, event)
+        elif isinstance(event, ProbeEnded):
+            self._probe_ended(now, event)
         elif isinstance(event, RequestAborted | ResponseStarted):
             self._drop(event.request)
         return self.actions
@@ -789,14 +684,13 @@
         if event.outcome is Outcome.OK:
             self._budget(attempt).earn()
             attempt.server.count_served(now)
-            attempt.server.sure_at = max(attempt.server.sure_at, attempt.sent)
             self._learn_times(attempt.cls, elapsed)
         else:
             elapsed = max(elapsed, aim)
         if event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
             attempt.server.note(now, event.outcome)
             if event.outcome is Outcome.REJECTED and self.discovery.deaf():
-                attempt.server.sure_at = -math.inf
+                attempt.server.known_at = -math.inf
             if attempt.server.missed >= LOST_AFTER:
                 # Tried once after each such time, and not at every chance: each try costs a call its wait.
                 attempt.server.ejected_until = now + EJECT_TIME * (EJECT_JITTER + self.rng.random())
@@ -1008,13 +902,13 @@
     ) -> list[Server]:
         """The first healthy endpoints of a ring, as many as to draw from; else ill ones, if those will do.
 
-        Where none of either can be vouched for, it is the one that could be last. All may have been told to
-        drain by then; but a discovery that says nothing for an hour must not end the service for as long.
+        Never one that may count as drained by now, also where all others are full, tried or cold: the request
+        waits until a probe or discovery proves one fresh, or is given up.
         """
         healthy: list[Server] = []
         ill: list[Server] = []
-        doubtful: list[Server] = []
-        seen, most = 0, self._home()
+        seen, most, stale, deaf = 0, self._home(), 0, self.discovery.deaf()
+        candidates = 0  # endpoints that are fresh, or may soon be proven so: as many as to draw from
         for server in ring:
             if server.info.id in without or not self.rules.may_go_to(request, server.info):
                 continue
@@ -1022,9 +916,12 @@
                 continue
             if not self.cold.admits(server, now):
                 continue
-            if self.discovery.unsure(now, server):
-                doubtful.append(server)
-                continue
+            if deaf:
+                fresh = self._is_fresh(now, server, probe=candidates < most)
+                candidates += fresh or (now < server.probed_at + PROBE_EVERY and server.known_at > -math.inf)
+                if not fresh:
+                    stale += 1
+                    continue
             if now < server.ejected_until:
                 ill.append(server)
                 continue
@@ -1035,12 +932,34 @@
                 break
         if healthy or well:
             return healthy
-        if ill or not doubtful:
-            return ill
-        if self.discovery.wanted(now):
-            self._ask(now)
-        last = max(server.sure_at for server in doubtful)
-        return [server for server in doubtful if server.sure_at >= last]
+        if not ill and stale:
+            self.found_none_fresh += 1
+            if self.discovery.wanted(now):
+                self._ask(now)
+        return ill
+
+    def _is_fresh(self, now: float, server: Server, probe: bool) -> bool:
+        """Whether it can't count as drained by now, as far as is proven; may ask for a new proof in time."""
+        until = self.discovery.fresh_until(server.known_at)
+        if not self.settings.probing:
+            if now + ASK_AHEAD >= until and self.discovery.wanted(now):
+                self._ask(now)
+        elif probe and now + PROBE_AHEAD >= until and now >= server.probed_at + PROBE_EVERY:
+            server.probed_at = now
+            self.probes += 1
+            self.actions.append(Probe(server.info.id))
+        return now <= until
+
+    def _probe_ended(self, now: float, event: ProbeEnded) -> None:
+        server = self.servers.get(event.endpoint)
+        if server is None or not self.discovery.deaf():
+            return
+        if event.outcome is Outcome.OK:
+            server.known_at = max(server.known_at, now - event.elapsed)
+            self._serve_held(now)
+        elif event.outcome is Outcome.ERROR:
+            self.probes_ill += 1
+            server.known_at = -math.inf
 
     def aside(self, now: float) -> dict[int, str]:
         """The endpoints that it sends nothing while it has others, and why; changes nothing."""
@@ -1050,8 +969,8 @@
                 out[server.info.id] = "drains"
             elif now < server.ejected_until:
                 out[server.info.id] = "out of reach" if server.missed >= LOST_AFTER else "ejected"
-            elif self.discovery.unsure(now, server):
-                out[server.info.id] = "unsure"
+            elif now > self.discovery.fresh_until(server.known_at):
+                out[server.info.id] = "stale"
         return out
 
     def _full(self, server: Server, now: float) -> bool:
@@ -1072,13 +991,16 @@
     # The list
 
     def _list(self, now: float, event: EndpointList) -> None:
-        if event.kind is ListKind.FAILED or event.kind is ListKind.SILENT:
+        if event.kind is ListKind.MOVED:
+            self._set_timer(self.discovery.asked(now), None)
+            return
+        if event.kind.lost:
             self._set_timer(self.discovery.failed(now, event.kind is ListKind.SILENT), None)
             return
         if event.kind not in (ListKind.CACHED, ListKind.PART):
             self.discovery.heard(now)
             for server in self.servers.values():
-                server.sure_at = now
+                server.known_at = now
         if event.kind is ListKind.DELTA and not event.endpoints:
             return
         if event.kind.whole:
--- a/millgw/handover/learned.py
+++ b/millgw/handover/learned.py
@@ -8,7 +8,7 @@
 
 SERVER_FIELDS = (
     "failing", "slow", "judged_at", "ejected_until", "served", "served_at", "allowance", "allowed_at", "back",
-    "sure_at", "missed",
+    "known_at", "missed",
 )  # fmt: skip
 """What is known of an endpoint, a count last."""
 
--- a/millgw/interface.py
+++ b/millgw/interface.py
@@ -45,8 +45,9 @@
 class ListKind(Enum):
     """What an endpoint list holds: changes only, all, a cached copy of all, or nothing.
 
-    A call to discovery has failed, or it is silent: neither answered nor turned away, nor ended. A part is
-    drains and ends that were read out of something that was not whole: no sign that a watch is on.
+    A call to discovery has failed, or it is silent: neither answered nor turned away, nor ended; or discovery
+    has moved, and another one was asked already. A part is drains and ends that were read out of something
+    that was not whole: no sign that a watch is on. Changes without any endpoint are a heartbeat.
     """
 
     DELTA = 0
@@ -55,12 +56,18 @@
     FAILED = 3
     SILENT = 4
     PART = 5
+    MOVED = 6
 
     @property
     def whole(self) -> bool:
         """Whether what it does not name is not there."""
         return self is ListKind.FULL or self is ListKind.CACHED
 
+    @property
+    def lost(self) -> bool:
+        """Whether it holds no list: it tells that no watch is on any more."""
+        return self is ListKind.FAILED or self is ListKind.SILENT or self is ListKind.MOVED
+
 
 class Outcome(Enum):
     """How an attempt ended."""
@@ -129,7 +136,8 @@
     Clients that are told when to come back heed up to `retry_after_most`; 0 is for clients that are not told.
     `index` is this instance's number among its `siblings`, `stage` the tier it sends to (0: clients' first).
     Where `ask_discovery` is set, the list comes only after a `Subscribe`; an instance that has not asked for
-    `ask_within` is taken to know the list. Impossible values raise a ValueError that names the field.
+    `ask_within` is taken to know the list. `probing` allows health probes. Impossible values raise a
+    ValueError that names the field.
     """
 
     classes: tuple[RequestClass, ...]
@@ -148,6 +156,7 @@
     retry_after_most: float = 0.0
     ask_discovery: bool = True
     ask_within: float = 10000.0
+    probing: bool = False
 
     def __post_init__(self) -> None:
         if not self.classes:
@@ -258,6 +267,18 @@
     concluded: bool
 
 
+@dataclass(slots=True)
+class ProbeEnded:
+    """The end of a health probe, `elapsed` after its `Probe`: OK from an endpoint that is well.
+
+    ERROR is the endpoint's own word that it is not, as one that drains says; all else tells nothing.
+    """
+
+    endpoint: int
+    outcome: Outcome
+    elapsed: float
+
+
 @dataclass(slots=True)
 class ResponseStarted:
     """A streamed answer has begun; the request belongs to that attempt now."""
@@ -281,7 +302,7 @@
 
 Event = (
     EndpointList | Hearsay | RequestArrived | RequestWhole | BodyGone | AttemptEnded | ResponseStarted
-    | RequestAborted | TimerFired
+    | RequestAborted | TimerFired | ProbeEnded
 )  # fmt: skip
 
 
@@ -330,6 +351,13 @@
     """Ask discovery for the list and its changes from now on."""
 
 
+@dataclass(slots=True)
+class Probe:
+    """Ask an endpoint for its health; a `ProbeEnded` follows."""
+
+    endpoint: int
+
+
 @dataclass(slots=True, frozen=True)
 class Distrust:
     """Close the connections that are kept to these endpoints: the machines behind them may be gone."""
@@ -337,7 +365,7 @@
     endpoints: tuple[int, ...]
 
 
-Action = Send | Refuse | Fail | SetTimer | Subscribe | Distrust
+Action = Send | Refuse | Fail | SetTimer | Subscribe | Distrust | Probe
 
 
 class Locality(Protocol):
--- a/millgw/log/table.py
+++ b/millgw/log/table.py
@@ -26,6 +26,18 @@
         "callers are accepted; `modules` as `python -m millgw version` tells",
     ),
     "request-turned-away": Kind(INFO, ("status", "cause"), "a request that can't be read or taken"),
+    "no-time-left": Kind(
+        INFO,
+        ("told_ms", "waited_ms"),
+        "a call came with no time left (`told_ms` 0), or had waited for longer to be read or to be its "
+        "connection's next: it is refused at once",
+    ),
+    "deadline-passed": Kind(
+        INFO,
+        ("where", "attempts"),
+        "a call's time was over: `where` it waited then (for an endpoint, between attempts, or its attempt: "
+        "connecting, held, writing, answer)",
+    ),
     "answer-spoilt": Kind(
         WARNING,
         ("endpoint", "cause"),
@@ -79,6 +91,23 @@
         "a line that broke off or can't be read held drains that could be: they are heeded, and all "
         "of it is asked for again",
     ),
+    "discovery-asked": Kind(INFO, ("discovery", "index"), "a watch is asked for, from the version known"),
+    "list-heard": Kind(
+        INFO,
+        ("discovery", "index", "whole", "entries"),
+        "discovery told a list or changes; a whole list leaves out what drains",
+    ),
+    "list-fresh-again": Kind(
+        INFO,
+        ("unheard_ms", "probes", "not_well", "found_none"),
+        "discovery is heard after a time without a watch, in which so many health probes were sent, so many "
+        "of them answered as not well, and so many looks found no endpoint that was proven not to drain",
+    ),
+    "endpoint-not-well": Kind(
+        INFO,
+        ("endpoint",),
+        "while discovery is not heard, an endpoint answered a health probe as not well: it is left alone",
+    ),
     "watch-ended": Kind(INFO, ("discovery", "cause"), "discovery is asked again when the module wants to"),
     "discovery-moves": Kind(INFO, ("before", "to"), "a reload named another discovery"),
     "coordinator-up": Kind(INFO, ("server", "fresh"), "the sidecar has a session at a coordinator"),
--- a/millgw/membership/source.py
+++ b/millgw/membership/source.py
@@ -316,7 +316,9 @@
         self._tell()
 
     def _discovery(self, kind: ListKind, entries: tuple[Listed, ...]) -> None:
-        if kind in (ListKind.FAILED, ListKind.SILENT):
+        if kind is ListKind.MOVED or (kind is ListKind.DELTA and not entries):
+            return  # another watch is asked for already, or a heartbeat: nothing that the merger weighs
+        if kind.lost:
             self.merger.ails(DISCOVERY)
             self._tell()
             # Not left to the module, which hears of changes all the same: it would take them for word of a
--- a/millgw/pool/driver.py
+++ b/millgw/pool/driver.py
@@ -33,6 +33,8 @@
     Hearsay,
     ListKind,
     Outcome,
+    Probe,
+    ProbeEnded,
     Refuse,
     RequestAborted,
     RequestArrived,
@@ -45,9 +47,11 @@
 from millgw.platform.discovery import Listed
 from millgw.pool.call import Call, Flight
 from millgw.pool.deadlines import Deadlines
+from millgw.pool.health_probe import PROBE_TIMEOUT, HealthProbe
 from millgw.streams.flow import Flow
 
 UPLOAD_MOST = 3_600_000.0  # ms that a body may take to come in: far over what 64 kB/s need
+ATTEMPT_STATES = ("connecting", "held", "writing", "answer", "ended")  # by `Attempt.state`, for the log
 ANSWER_MARGIN = 30.0  # ms before the client's deadline at which an attempt times out: room for a busy loop
 
 
@@ -95,6 +99,11 @@
         self.wakes_at = math.inf
         self.ended = False
         self.curtain: Curtain | None = None
+        self.unheard_before = (
+            0,
+            0,
+            0,
+        )  # probes, those not well, looks that found none fresh, at the last word
 
     # What happens
 
@@ -138,6 +147,11 @@
 
     def listed(self, kind: ListKind, entries: tuple[Listed, ...]) -> None:
         """Take discovery's word: addresses before the balancer can send there, closing after it knows."""
+        if not kind.lost:
+            self._log_unheard()
+        if not entries and not kind.whole:
+            self._feed(EndpointList(kind))  # a heartbeat, or no word any more
+            return
         old: list[Host | None] = []
         named = set()
         gone = self._superseded(entries)
@@ -163,6 +177,19 @@
             if host is not None:
                 self.upstream.close(host)
 
+    def _log_unheard(self) -> None:
+        """Tell what became of calls while no watch was on, now that discovery is heard again."""
+        balancer, lost_at = self.balancer, self.balancer.discovery.lost_at
+        if not balancer.discovery.deaf() or lost_at == -math.inf:
+            return
+        now = (balancer.probes, balancer.probes_ill, balancer.found_none_fresh)
+        probes, ill, none = (count - before for count, before in zip(now, self.unheard_before, strict=True))
+        self.unheard_before = now
+        unheard = round(self.clock() - lost_at, 1)
+        self.upstream.log.log_event(
+            "list-fresh-again", unheard_ms=unheard, probes=probes, not_well=ill, found_none=none
+        )
+
     def reconfigure(self, settings: Settings) -> None:
         """Have the module go by other settings, between events; a ValueError names what can't change."""
         if not self.ended:
@@ -268,6 +295,8 @@
 
     def _expire(self, call: Call) -> None:
         """The deadline: what is still out has timed out, and the balancer words the answer."""
+        shown = call.trace.decode("ascii", "backslashreplace")
+        self.upstream.log.log_event("deadline-passed", call=shown, where=_where(call), attempts=call.sends)
         self._give_up(call, concluded=False)
         if call.id in self.calls:
             # Guards the rule itself: the balancer answers by then, and if it does not, the sidecar does.
@@ -357,12 +386,24 @@
             self._answer(action.request, Answer(FAILED))
         elif isinstance(action, SetTimer):
             self._set_timer(action)
+        elif isinstance(action, Probe):
+            self._probe(action.endpoint)
         elif isinstance(action, Distrust):
             for endpoint in action.endpoints:
                 self.upstream.doubt(endpoint)
         else:
             self.subscribe()
 
+    def _probe(self, endpoint: int) -> None:
+        probe = HealthProbe(endpoint, self.clock(), self._probed)
+        self.loop.call_later(PROBE_TIMEOUT / 1000, probe.expire)
+        self.upstream.send(endpoint, probe.attempt)
+
+    def _probed(self, endpoint: int, outcome: Outcome, sent: float) -> None:
+        if outcome is Outcome.ERROR:
+            self.upstream.log.log_event("endpoint-not-well", endpoint=self.address(endpoint))
+        self._feed(ProbeEnded(endpoint, outcome, self.clock() - sent))
+
     def end(self) -> None:
         """Take no more events: its pool has ended."""
         self.ended = True
@@ -410,3 +451,10 @@
             call.intent.end()
         self.open.discard(call.trace)
         return self.calls.pop(call.id, None) is not None
+
+
+def _where(call: Call) -> str:
+    """Where a call waits, for the log."""
+    for flight in call.out.values():
+        return ATTEMPT_STATES[flight.attempt.state]
+    return "between attempts" if call.sends else "for an endpoint"
--- /dev/null
+++ b/millgw/pool/health_probe.py
@@ -0,0 +1,36 @@
+"""One health probe of an endpoint, on a connection of the pool's own: `GET /health`, answered 200 or 503."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from millgw.endpoints.attempt import Attempt
+from millgw.http.message import Content
+from millgw.interface import Outcome, Repeat
+
+PROBE_TIMEOUT: Final = 1000.0  # ms: an endpoint that takes longer is no proof of what it is now
+
+Ended = Callable[[int, Outcome, float], None]
+
+
+class HealthProbe:
+    """Asks once. `ended` is called once, with the endpoint, the outcome and when (ms) the probe was sent."""
+
+    def __init__(self, endpoint: int, sent: float, ended: Ended) -> None:
+        self.endpoint = endpoint
+        self.sent = sent
+        self.ended = ended
+        self.attempt = Attempt(self._payload, self._answered, Repeat.SAFE)
+
+    def _payload(self) -> bytes:
+        return b"GET /health HTTP/1.1\r\nHost: health\r\n\r\n"
+
+    def _answered(self, outcome: Outcome, _: Content) -> None:
+        self.ended(self.endpoint, outcome, self.sent)
+
+    def expire(self) -> None:
+        """Its time is over; nothing, if it was answered before."""
+        if not self.attempt.given_up:
+            self.attempt.give_up()
+            self.ended(self.endpoint, Outcome.TIMEOUT, self.sent)
--- a/millgw/settings.py
+++ b/millgw/settings.py
@@ -95,4 +95,5 @@
         retry_after_most=number(limits, "maxRetryAfter", "limits.", 0.0),
         ask_discovery=data.get("registryMode", "on_request") != "pushed",
         ask_within=number(rules, "askWithin", "rules.", 10000.0),
+        probing=bool(limits.get("probing", False)),
     )
--- a/millgw/simulator/adapter.py
+++ b/millgw/simulator/adapter.py
@@ -56,6 +56,8 @@
         return api.RequestAborted(record.request)
     if isinstance(record, wire.Flowing):
         return api.ResponseStarted(record.request)
+    if isinstance(record, wire.Echo):
+        return api.ProbeEnded(record.endpoint, OUTCOMES.get(record.code, api.Outcome.ERROR), record.elapsed)
     return None
 
 
@@ -69,6 +71,8 @@
         return wire.say_no(action.request, action.after)
     if isinstance(action, api.Fail):
         return wire.respond_error(action.request)
+    if isinstance(action, api.Probe):
+        return wire.health_check(action.endpoint)
     return wire.stream_changes(True)
 
 
--- a/millgw/simulator/wire.py
+++ b/millgw/simulator/wire.py
@@ -30,6 +30,7 @@
 _SAY_NO = struct.Struct(">BQd")
 _ERROR = struct.Struct(">BQ")
 _AFTER = struct.Struct(">BdQ")
+_PROBE = struct.Struct(">BI")
 _WATCH = struct.Struct(">BB")
 _TEXT = struct.Struct(">BH")
 
@@ -223,6 +224,10 @@
     return _AFTER.pack(5, at, name)
 
 
+def health_check(endpoint: int) -> bytes:
+    return _PROBE.pack(6, endpoint)
+
+
 def stream_changes(want: bool) -> bytes:
     return _WATCH.pack(11, int(want))
 
