A call with no time left is refused at once, and a good request never waits for a bad one's rest

Change: 0 is a call like any other, which the module refuses at once; while a connection rests after a bad request only another bad one waits.

--- a/millgw/callers/connection.py
+++ b/millgw/callers/connection.py
@@ -55,6 +55,7 @@
         self.streamed: StreamedAnswer | None = None  # the answer that is being passed on
         self.left_to_read = 0  # bytes of answers that were not taken when last looked
         self.bad = 0
+        self.held: BadRequest | None = None  # its answer waits for the rest after the bad request before it
         self.discarded = 0
         self.most_discarded = MAX_DISCARD
         self.upload: Upload | None = None  # the body that is being passed on, until it is whole
@@ -70,8 +71,8 @@
 
     @property
     def busy(self) -> bool:
-        open = self.current is not None or self.streamed is not None
-        return open or self.resting is not None or bool(self.core.queue)
+        open = self.current is not None or self.streamed is not None or self.held is not None
+        return open or (self.ended and self.resting is not None) or bool(self.core.queue)
 
     @property
     def half(self) -> bool:
@@ -92,6 +93,7 @@
     def close(self) -> None:
         self.ended = True
         self.rest = b""
+        self.held = None
         self._release()
         if self.resting is not None:
             self.resting.cancel()
@@ -394,7 +396,7 @@
         self.serving = True
         queue = self.core.queue
         while queue and not self.unread_answers:
-            if self.current is not None or self.streamed is not None or self.resting is not None:
+            if self.current is not None or self.streamed is not None or self.held is not None:
                 break
             if self.paused and self.gone():
                 self._leave()  # nobody waits for what is behind a request that was answered to nobody
@@ -475,6 +477,9 @@
 
     def _rested(self) -> None:
         self.resting = None
+        held, self.held = self.held, None
+        if held is not None:
+            self._turn_away(held)
         self._go_on()
 
     def _go_on(self) -> None:
@@ -490,8 +495,13 @@
     def _turn_away(self, bad: BadRequest) -> None:
         """Answer a request that is read but can't be taken.
 
-        Its client is made to rest: otherwise it could ask the same again as soon as it is answered.
+        Its client is made to rest: otherwise it could ask the same again as soon as it is answered. Only
+        another bad request waits for that. One that can be taken is served at once: its time runs, and its
+        connection may be that of many clients behind an earlier tier.
         """
+        if self.resting is not None:
+            self.held = bad
+            return
         self.bad += 1
         if self.bad >= MAX_BAD:
             self._release()
--- a/millgw/pool/terms.py
+++ b/millgw/pool/terms.py
@@ -9,11 +9,23 @@
 from millgw.http.message import Answer
 from millgw.http.request import BadRequest, Head, word
 from millgw.interface import Repeat, Settings
+from millgw.log.events import log_event
 from millgw.pool.call import Call, Owner
 
 MAX_PATIENCE_DIGITS = 9  # of X-Expires-In-Ms: enough for any wait, and a number that is cheap to read
 
 
+def read_patience(given: bytes) -> float:
+    """The ms of X-Expires-In-Ms; a BadRequest where it is missing or not whole milliseconds.
+
+    None left is no fault of the request: an earlier tier has used its time up. It is a call like any other,
+    and the module gives it up at once. Bounded by the caller, as timers live that long.
+    """
+    if not given.isdigit() or len(given) > MAX_PATIENCE_DIGITS:
+        raise BadRequest(400, "X-Expires-In-Ms is missing or not whole milliseconds")
+    return float(given)
+
+
 class Terms:
     """Makes calls of requests; all are `owner`'s."""
 
@@ -42,12 +54,12 @@
         if cls.repeat is Repeat.KEYED and not values.get(b"idempotency-key"):
             # Guards against a repeat that no endpoint could recognise.
             raise BadRequest(400, "Idempotency-Key is missing")
-        given = values.get(b"x-expires-in-ms", b"")
-        if not given.isdigit() or len(given) > MAX_PATIENCE_DIGITS or int(given) == 0:
-            raise BadRequest(400, "X-Expires-In-Ms is missing or not whole milliseconds")
-        # Guards against a wait far over the class's deadline: timers and books would live that long.
-        patience = min(float(given), cls.deadline)
+        patience = min(read_patience(values.get(b"x-expires-in-ms", b"")), cls.deadline)
         if not head.long:  # else its time counts from its last byte, which is yet to come
-            patience -= (time.monotonic() - head.ended) * 1000
+            waited = (time.monotonic() - head.ended) * 1000
+            if patience <= waited:
+                shown = trace.decode("ascii", "backslashreplace")
+                log_event("no-time-left", call=shown, told_ms=patience, waited_ms=round(waited, 1))
+            patience -= waited
         tenant = self.tenants.get(values.get(b"x-customer", b""), len(self.tenants))
         return Call(index, tenant, patience, partial(word, head), answer, trace, cls.repeat, self.owner)
