The test of a new process that dies asks on each connection at once

Cause of its one failure on a busy machine, traced: no connection was lost with the process that died. The test opened 220 connections before it asked on the first, and one that asks nothing is closed after 2.2 s (SILENT_TIME): with 2.5 s put in between, the same IncompleteReadError with 0 bytes read comes each time.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -389,8 +389,14 @@
             log = tmp_path / "log"
             await until(lambda: "successor-gone" in log.read_text())
             await until(lambda: json.loads((tmp_path / FILE).read_text())["pid"] == json.loads(word)["pid"])
-            # Half of the descriptors, as while two ran, would have it close 40 of these that ask nothing.
-            held = [await asyncio.open_connection(fleet.listen.host, fleet.listen.port) for _ in range(220)]
+            # Half of the descriptors, as while two ran, would have it close 40 of these. Each asks at once:
+            # one that asks nothing is closed after 2.2 s, which a busy machine may need to open them all.
+            held = []
+            for _ in range(220):
+                reader, writer = await asyncio.open_connection(fleet.listen.host, fleet.listen.port)
+                held.append((reader, writer))
+                writer.write(request("pay"))
+                assert (await read_message(reader)).status == 200
             for reader, writer in held[:1] + held[-1:]:
                 writer.write(request("pay"))
                 assert (await read_message(reader)).status == 200
