A send leaves while its endpoint is proven, and an older list brings no drained endpoint back

While discovery is not heard a send carries until when its endpoint's last proof holds, so a late handshake ends it as not sent.

--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -789,7 +789,8 @@
             server.out[attempt] = None
             if self.locality is not None:
                 self.locality.sent(now, key, attempt.zone, server.info.id, self.spent[request.index])
-        until = self.rules.until(request)
+        # Its handshake may be late: by then nothing may prove any more that the endpoint does not drain.
+        until = min(self.rules.until(request), self.discovery.fresh_until(server.known_at))
         request.attempts.append(attempt)
         server.allowance -= 1
         self.actions.append(Send(request.id, server.info.id, until))
--- a/millgw/platform/discovery.py
+++ b/millgw/platform/discovery.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import json
+import re
+import time
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, replace
@@ -16,6 +18,7 @@
 from millgw.interface import Condition, Endpoint, ListKind
 from millgw.log.events import log_event
 from millgw.platform.config import Address, Config, read_address
+from millgw.platform.drain_memory import DrainMemory
 from millgw.settings import number
 
 SILENCE = 2.6  # s without a line after which a watch has failed: heartbeats come every 2 s
@@ -24,6 +27,7 @@
 LEAVING = 6.0  # s that a watch is still read after a move: what it tells by then counts as told
 MOST_LEFT = 4  # watches that are still read after moves, the latest ones
 MAX_LINE = 8 * 1024 * 1024  # bytes of one line, far above the list of any fleet
+VERSION = re.compile(rb'"index"\s*:\s*(\d{1,18})\s*[,}]')
 CONDITIONS = {
     "in_service": Condition.READY,
     "terminating": Condition.DRAINING,
@@ -109,6 +113,12 @@
     return tuple(found)
 
 
+def version_in(part: bytes) -> int:
+    """The version that a line tells which may not be whole; 0 where it does not come that far."""
+    found = VERSION.search(part)
+    return 0 if found is None else int(found[1])
+
+
 def listed_as(listed: Listed, condition: Condition) -> Listed:
     """An entry that says of its endpoint that it drains or is gone."""
     return Listed(replace(listed.endpoint, condition=condition), None)
@@ -128,6 +138,7 @@
         self.watch: Watch | None = None
         self.left: list[Watch] = []  # those before moves, of which drains are still taken, the oldest first
         self.names: set[int] = set()  # the endpoints that the list holds as ready
+        self.drains = DrainMemory()
         self.asking: asyncio.Task[None] | None = None
 
     def start(self, known: Any) -> None:
@@ -209,6 +220,8 @@
         would be missed: they count as told, however the line ends.
         """
         drains = self._left_out(part) or drains_in(part)
+        for drain in drains:
+            self.drains.note(drain.endpoint.id, version_in(part) or (self.index or 0) + 1, time.monotonic())
         if drains:
             log_event("drains-in-part", discovery=self.address, drains=len(drains))
             self._notify(ListKind.PART, drains)
@@ -236,7 +249,13 @@
             whole=str(listing.whole).lower(),
             entries=len(listing.entries),
         )
-        self._notify(ListKind.FULL if listing.whole else ListKind.DELTA, listing.entries)
+        now, index = time.monotonic(), listing.index
+        entries = tuple(
+            e
+            for e in listing.entries
+            if e.address is None or not self.drains.contradicts(e.endpoint.id, index, now)
+        )
+        self._notify(ListKind.FULL if listing.whole else ListKind.DELTA, entries)
 
     def heartbeat(self) -> None:
         """The watch is on, and nothing has changed."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -260,6 +260,35 @@
     run(test)
 
 
+@pytest.mark.parametrize("torn", [False, True])
+def test_an_older_list_does_not_bring_back_an_endpoint_whose_drain_was_read_ahead_of_it(torn: bool) -> None:
+    """Discovery moved to one that is behind; the drain was read on the watch before, whole or torn."""
+
+    async def test() -> None:
+        discovery_server, other = ScriptedDiscoveryServer(), ScriptedDiscoveryServer()
+        await discovery_server.start()
+        await other.start()
+        with watched(discovery_server) as made:
+            _, writer = await discovery_server.calls.get()
+            writer.write(STREAM + chunk(line(2, [E1.entry(), E2.entry()])))
+            await until(lambda: bool(made.heard))
+            made.discovery.move(other.address)
+            _, later = await other.calls.get()
+            drain = line(3, [E1.entry("terminating")])
+            writer.write(chunk(drain[:-3] if torn else drain))
+            if torn:
+                writer.transport.close()
+            await until(lambda: made.drained() == {endpoint_id("e1")})
+            later.write(STREAM + chunk(line(2, [E1.entry(), E2.entry()], snapshot=True)))
+            await until(lambda: made.heard[-1][0] is ListKind.FULL)
+            assert [e.endpoint.id for e in made.heard[-1][1]] == [endpoint_id("e2")]
+            later.write(chunk(line(4, [E1.entry()])))
+            await until(lambda: made.heard[-1][0] is ListKind.DELTA and bool(made.heard[-1][1]))
+            assert [e.endpoint.id for e in made.heard[-1][1]] == [endpoint_id("e1")], "it serves again"
+
+    run(test)
+
+
 def test_many_moves_in_a_row_leave_few_watches_open() -> None:
     async def test() -> None:
         servers = [ScriptedDiscoveryServer() for _ in range(8)]
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -314,6 +314,19 @@
     assert balancer.discovery.fresh_until(balancer.servers[probed[2]].known_at) == drive.now - 2.0 + 2000.0
 
 
+def test_what_is_sent_while_discovery_is_not_heard_leaves_while_its_endpoint_is_proven_or_not_at_all() -> (
+    None
+):
+    drive = Drive(settings(stage=1), 1)
+    drive.show(*map(Endpoint, IDS))
+    drive.feed(EndpointList(ListKind.FAILED))
+    lost = drive.now
+    drive.advance(lost + 500.0)
+    drive.arrive(SAFE)
+    sends = [a.until for _, a in drive.log if isinstance(a, Send)]
+    assert sends == [lost + TOLD_AFTER_END]
+
+
 def test_a_full_or_tried_endpoint_is_no_reason_to_send_to_one_that_is_not_fresh() -> None:
     """The fallback once looked at what was usable now, not at what was known."""
     drive = Drive(settings(probing=True, stage=0), 1)
