--- a/tests/test_configuration_apply.py
+++ b/tests/test_configuration_apply.py
@@ -222,8 +222,8 @@
         setattr(made, name, getattr(held, name))
     made.outliers.rng = made.discovery.rng = held.rng
     made.discovery.backoff = held.discovery.backoff
-    known = ("called", "first_called", "heard_at", "lost_at", "unanswered", "down_at")
-    for name in ("wait", "due", "soonest", "spoken", *known):
+    fields = ("called", "first_called", "heard_at", "lost_at", "unanswered", "down_at")
+    for name in ("wait", "due", "soonest", "spoken", *fields):
         setattr(made.discovery, name, getattr(held.discovery, name))
     made.cold.rates, made.cold.part, made.cold.rng = dict(held.cold.rates), held.cold.part, held.doubts
     made.cold.siblings = max(settings.siblings, held.heard_siblings)
