--- a/millgw/rehearsal/scenario.py
+++ b/millgw/rehearsal/scenario.py
@@ -106,6 +106,7 @@
     cold_share: Part = 0.2
     cold_s: NotNegative = 14.0
     drops_waiting: bool = True
+    drains_serving: bool = False
 
     def tier_sizes(self) -> tuple[int, ...]:
         return tuple(max(1, round(self.endpoints * size)) for size in self.tiers)
@@ -245,6 +246,7 @@
     parallel: bool = True
     retry_after_ms: NotNegative = 0.0
     connect_ms: Positive = 250.0
+    probing: bool = False
 
 
 class Rules(Table, frozen=True, kw_only=True):
--- a/millgw/rehearsal/sidecars.py
+++ b/millgw/rehearsal/sidecars.py
@@ -66,7 +66,7 @@
         "limits": {
             "tryLimit": limits.attempts, "parallelTries": limits.parallel,
             "maxRetryAfter": limits.retry_after_ms, "connectTimeout": limits.connect_ms,
-            "connIdle": fleet.idle_s * 1000,
+            "connIdle": fleet.idle_s * 1000, "probing": limits.probing,
         },
         "rules": {
             "cold": fleet.cold_s * 1000, "coldShare": fleet.cold_share, "fallMultiple": rules.fall_multiple,
--- a/millgw/standins/endpoint.py
+++ b/millgw/standins/endpoint.py
@@ -29,6 +29,8 @@
 LATER = 0.005  # s until the next piece where the reader is slower than that
 
 
+HEALTH = "/health"  # where a probe asks, and is answered 503 by one that drains
+
 NextTier = Callable[[Message, Attempt, Task, float], Awaitable[bool]]
 """Makes one call to the next tier for an attempt, with the ms left; tells whether it was served."""
 
@@ -224,6 +226,11 @@
 
     def asked(self, connection: ServerConnection, message: Message) -> None:
         path, trace = message.first.split()[1], message.headers.get("x-trace-id", "")
+        if path == HEALTH:
+            if self.up:
+                connection.write(status(503) if self.draining else ok())
+                connection.answered()
+            return
         if not trace or not path.startswith("/api"):
             connection.write(status(404))
             connection.answered()
@@ -244,11 +251,14 @@
         if task is None or attempt.why:
             attempt.why = attempt.why or f"{attempt.cls!r} is no class of this tier"
             self._tell(connection, attempt, Told.UNUSABLE, status(400))
-        elif self.draining or len(self.connections) > self.build.connections:
+        elif self._turns_away() or len(self.connections) > self.build.connections:
             self._tell(connection, attempt, Told.NEVER_RAN, status(503, NEVER_RAN))
         else:
             self._take(connection, message, attempt, task)
 
+    def _turns_away(self) -> bool:
+        return self.draining and not self.build.drains_serving
+
     def _take(self, connection: ServerConnection, message: Message, attempt: Attempt, task: Task) -> None:
         rng = random.Random(f"{self.seed} {attempt.trace} {self.build.name}")
         if self._left(message, attempt, task) <= 0:
--- a/tests/test_rehearsal_pure.py
+++ b/tests/test_rehearsal_pure.py
@@ -78,7 +78,7 @@
         "cold-handshake-storm", "silent-middlebox", "upgrade", "drain-and-resume", "long-bodies",
         "join-during-cold-start", "peer-lies", "peer-vanishes", "all-restart",
         "login-codes-survive", "callers-leave", "watches-silent", "configuration-changes",
-        "configuration-control-lost", "zone-lost", "regions-parted", "zone-slow",
+        "configuration-control-lost", "zone-lost", "regions-parted", "zone-slow", "drains-that-serve",
     }  # fmt: skip
     for name in shipped():
         scenario = load(name)[1]
