--- a/millgw/rehearsal/fleet.py
+++ b/millgw/rehearsal/fleet.py
@@ -69,5 +69,6 @@
         cold_share=fleet.cold_share,
         cold_ms=fleet.cold_s * 1000,
         drops_waiting=fleet.drops_waiting,
+        probing=scenario.limits.probing,
         drains_serving=fleet.drains_serving,
     )
--- a/millgw/standins/endpoint.py
+++ b/millgw/standins/endpoint.py
@@ -226,7 +226,7 @@
 
     def asked(self, connection: ServerConnection, message: Message) -> None:
         path, trace = message.first.split()[1], message.headers.get("x-trace-id", "")
-        if path == HEALTH:
+        if path == HEALTH and self.build.probing:
             if self.up:
                 connection.write(status(503) if self.draining else ok())
                 connection.answered()
--- a/millgw/standins/endpoint_options.py
+++ b/millgw/standins/endpoint_options.py
@@ -46,6 +46,7 @@
     uses: int = 0  # answers on a connection, after which it is closed without a word; 0 for no bound
     cold_share: float = 0.2
     cold_ms: float = 14_000.0
+    probing: bool = False  # it answers health probes; else it knows nothing of them
     drains_serving: bool = False  # it serves on while it drains; else it turns calls away then
     drops_waiting: bool = True  # waiting work whose connection has ended is dropped
     zone: str = ONE_ZONE
