--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,7 @@
 """Tests that are known to fail for a fault which is not mended yet: `KNOWN-RED.txt` lists them.
 
 One line each: the test's id, what causes the failure, and the issue, parted by ` | `. They run all the same,
-are printed with their cause, and do not fail the run. A line that names no test fails it.
+are printed with their cause, and do not fail the run.
 """
 
 from __future__ import annotations
