Log: times in text, each call to discovery, and why a call, an attempt or a connection ended

Change: text lines end in their UTC time. watch-ended tells how long ago the call was made, whether its connection came up and when anything last came. request-turned-away names client, call, how far the request had come, its age and its client's silence. New: attempt-failed (endpoint, outcome, time) and call-given-up (status, cause). The module says why it gives a request up (interface.GivenUp). Events that tell calls, connections and calls to discovery apart have up to 20 lines a second, all others one, as before.

--- a/millgw/callers/connection.py
+++ b/millgw/callers/connection.py
@@ -11,12 +11,17 @@
 import time
 
 from millgw.callers.core import RequestCore, word_answer
-from millgw.callers.endings import CLIENT_LEFT, client_address, log_closed, log_unanswered
+from millgw.callers.endings import (
+    CLIENT_LEFT,
+    client_address,
+    log_closed,
+    log_turned_away,
+    log_unanswered,
+)
 from millgw.callers.interface import Listening
 from millgw.callers.streamed_answer import StreamedAnswer
 from millgw.http.message import Answer, gone, since_received, stop_sending, unread, watcher
 from millgw.http.request import BadRequest, Head
-from millgw.log.events import log_event
 from millgw.pool.call import Call
 from millgw.streams.flow import Flow
 from millgw.streams.upload import Upload
@@ -410,6 +415,7 @@
         if self.upload is not None:
             self._drop_call()
         if self.core.head is not None:
+            bad.came, bad.trace = self.core.came(), self.core.head.trace
             self.core.head.release()
             self.core.head = None
         self.core.queue.append(bad)
@@ -435,6 +441,7 @@
             try:
                 made = self.server.front.read(item, self._answer)
             except BadRequest as bad:
+                bad.trace = item.trace
                 self._count(item, bad.status)
                 item.release()
                 self._turn_away(bad)
@@ -552,7 +559,9 @@
             self.resting = self.server.loop.call_later(LINGER, self.close)
 
     def _say(self, bad: BadRequest) -> None:
-        log_event("request-turned-away", status=bad.status, cause=bad)
+        now = time.monotonic()
+        client, begun = client_address(self.transport), self.core.begun
+        log_turned_away(client, bad, begun, now - self.since, now - self.arrived)
         self._write(bad.answer())
 
     def _write(self, answer: Answer) -> None:
--- a/millgw/callers/core.py
+++ b/millgw/callers/core.py
@@ -12,7 +12,7 @@
 import httptools
 
 from millgw.http.message import FRAMING_PART, MAX_HEAD, Answer
-from millgw.http.request import BadRequest, Head
+from millgw.http.request import BadRequest, Came, Head
 
 REASONS: Final = {
     200: b"OK",
@@ -85,6 +85,14 @@
         """Break the cycle with the parser, which would keep both until the collector comes."""
         self.parser = None
 
+    def came(self) -> Came:
+        """How far the request that is coming in has come."""
+        if self.head is None:
+            return Came.WHOLE
+        if self.in_body:
+            return Came.BODY
+        return Came.HEAD if self.head.values else Came.LINE
+
     def feed(self, data: bytes, now: float) -> BadRequest | None:
         """Read on; what is wrong, if anything: then nothing more may be fed. `now` (s) is when it came."""
         if self.parser is None:
--- a/millgw/callers/endings.py
+++ b/millgw/callers/endings.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import Final
 
+from millgw.http.request import BadRequest
 from millgw.log.events import log_event
 
 GIVES_WAY: Final = "gives way"
@@ -39,6 +40,16 @@
     )  # fmt: skip
 
 
+def log_turned_away(client: str, bad: BadRequest, requests: int, age: float, quiet: float) -> None:
+    """A request that can't be read or taken is answered; `age` and `quiet` are s since it began to come in
+    and since its client last sent anything."""
+    log_event(
+        "request-turned-away",
+        status=bad.status, cause=bad, client=client, call=bad.trace, came=bad.came.value,
+        requests=requests, age_ms=milliseconds(age), quiet_ms=milliseconds(quiet),
+    )  # fmt: skip
+
+
 def milliseconds(seconds: float) -> float:
     """Seconds as the log tells them."""
     return round(seconds * 1000, 1)
--- a/millgw/cli/log.py
+++ b/millgw/cli/log.py
@@ -15,11 +15,11 @@
 
 
 def start(
-    kind: str, fd: int = STDERR, clock: Clock = time.monotonic
+    kind: str, fd: int = STDERR, clock: Clock = time.monotonic, wall: Clock = time.time
 ) -> structlog.typing.FilteringBoundLogger:
     """Have events go to a descriptor; the logger to bind fields to. A ValueError for an unknown kind."""
     writer = Writer(fd, Backlog(), lambda lines: log.word("lines-lost", lines=lines))
-    log = Log(kind, writer, clock)
+    log = Log(kind, writer, clock, wall)
 
     def sparing(_: Any, __: str, told: Told) -> Told:
         kept = log.sparing(told)
--- a/millgw/decide.py
+++ b/millgw/decide.py
@@ -25,6 +25,7 @@
     EndpointList,
     Event,
     Fail,
+    GivenUp,
     Hearsay,
     ListKind,
     Locality,
@@ -138,6 +139,7 @@
         self.within_share = True
         self.partial = event.partial
         self.body_gone = False
+        self.lacks = GivenUp.NO_ROOM  # what it waits for while it is held
         self.value = cls.worth  # for each ms of its class's quick answers
 
 
@@ -546,6 +548,7 @@
         self.started = False
         self.probes = self.probes_ill = 0  # health probes, and those that an endpoint answered as not well
         self.found_none_fresh = 0  # looks for an endpoint that found some, but none that is proven fresh
+        self.found_stale = False  # whether the last look was such a one
         self.actions: list[Action] = []
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -636,7 +639,7 @@
             worth = cls.worth * (1.0 if request.within_share else self.settings.over_share_worth)
             request.value = worth / work
             if self.shedding.refuses(now, request, work):
-                self._end(request)
+                self._end(request, GivenUp.SHED)
                 return
         self._start(now, request)
 
@@ -746,24 +749,37 @@
         wait = self.backoff.next(request.wait, BACKOFF_BASE * aim, BACKOFF_CAP * aim)
         wait = min(wait, request.end - now)
         budget = self._budget(request.attempts[-1])
-        if wait <= 0 or not self.rules.may_try(request, now + wait) or not budget.spend():
-            self._end(request)
-            return
+        if wait <= 0:
+            self._end(request, GivenUp.NO_TIME)
+        elif not self.rules.may_try(request, now + wait):
+            self._end(request, GivenUp.NO_REPEAT)
+        elif not budget.spend():
+            self._end(request, GivenUp.NO_TOKENS)
+        else:
+            self._wait(now, request, wait)
+
+    def _wait(self, now: float, request: Request, wait: float) -> None:
         request.wait = wait
         self._set_timer(now + wait, request.id)
 
     def _start(self, now: float, request: Request) -> None:
         """Send the request, a new one or one whose wait is over; hold it if it can't go now."""
         if not self.rules.may_try(request, now):
-            self._end(request)
+            self._end(request, self._barred(request, now))
         elif not self._try_send(now, request):
             self._hold(now, request)
 
+    @staticmethod
+    def _barred(request: Request, now: float) -> GivenUp:
+        return GivenUp.NO_TIME if now >= request.end else GivenUp.NO_REPEAT
+
     def _try_send(self, now: float, request: Request) -> bool:
         # What is partial is no work yet: whether there is room for it shows when it is whole.
+        self.found_stale = False
         server = self._pick(now, request) if request.partial or self._admits() else None
         if server is not None:
             self._send(now, request, server)
+        request.lacks = GivenUp.STALE if self.found_stale else GivenUp.NO_ROOM
         return server is not None
 
     def _hold(self, now: float, request: Request) -> None:
@@ -805,17 +821,19 @@
         stuck = False
         for request in sorted(reversed(self.held.values()), key=lambda r: r.value, reverse=True):
             if not self.rules.may_try(request, now):
-                self._end(request)
+                self._end(request, self._barred(request, now))
             elif self._admits() and (request.attempts or not stuck) and not self._try_send(now, request):
                 # Otherwise each one held would cost a pass over all endpoints: where one that may go anywhere
                 # found none ready, the others find none either.
                 stuck = stuck or not request.attempts
 
-    def _end(self, request: Request) -> None:
+    def _end(self, request: Request, why: GivenUp) -> None:
         if self.shares is not None and request.within_share:
             self.shares.give_back(request.tenant)
-        refuse = self.rules.may_refuse(request)
-        self.actions.append(Refuse(request.id, self._advice(request.cls)) if refuse else Fail(request.id))
+        if self.rules.may_refuse(request):
+            self.actions.append(Refuse(request.id, why, self._advice(request.cls)))
+        else:
+            self.actions.append(Fail(request.id, why))
         self._drop(request.id)
 
     def _advice(self, cls: RequestClass) -> float:
@@ -934,6 +952,7 @@
         if healthy or well:
             return healthy
         if not ill and stale:
+            self.found_stale = True
             self.found_none_fresh += 1
             if self.discovery.wanted(now):
                 self._ask(now)
@@ -1117,4 +1136,4 @@
         if id not in self.held:
             self._start(now, request)
         elif now + self.settings.tick >= request.give_up:
-            self._end(request)
+            self._end(request, request.lacks)
--- a/millgw/http/request.py
+++ b/millgw/http/request.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import Final, Protocol
 
 from millgw.http.message import MAX_BODY, MAX_HEAD, OWN_HEADERS, Answer, plain
@@ -27,12 +28,26 @@
 """Headers that are judged. Given twice, one would be judged and both passed on."""
 
 
+class Came(Enum):
+    """How far a request had come in when it was turned away."""
+
+    LINE = "line"
+    HEAD = "head"
+    BODY = "body"
+    WHOLE = "whole"
+
+
 class BadRequest(Exception):
-    """A request that is answered at once, and never attempted."""
+    """A request that is answered at once, and never attempted.
+
+    `came` and `trace` tell the log how far it had come in, and its X-Trace-Id where that was read.
+    """
 
     def __init__(self, status: int, why: str) -> None:
         super().__init__(why)
         self.status = status
+        self.came = Came.WHOLE
+        self.trace = ""
 
     def answer(self) -> Answer:
         """How it is told, in plain text."""
@@ -111,6 +126,11 @@
             self.told = int(length)
             self.long = self.told > LONG
 
+    @property
+    def trace(self) -> str:
+        """Its X-Trace-Id, empty where none was read; for the log."""
+        return self.values.get(b"x-trace-id", b"").decode("ascii", "backslashreplace")
+
     def extend(self, body: bytes) -> None:
         self.length += len(body)
         if self.length > MAX_BODY:
--- a/millgw/interface.py
+++ b/millgw/interface.py
@@ -322,11 +322,23 @@
     until: float = math.inf
 
 
+class GivenUp(Enum):
+    """Why a request is given up, for the log."""
+
+    SHED = "shed on arrival"
+    NO_ROOM = "no endpoint has room"
+    STALE = "no endpoint is known not to drain"
+    NO_TIME = "no time left"
+    NO_REPEAT = "it may not be sent again"
+    NO_TOKENS = "no retry tokens"
+
+
 @dataclass(slots=True)
 class Refuse:
     """Final answer: not served, and safe to retry, best not before `after` ms (0: no advice)."""
 
     request: int
+    why: GivenUp
     after: float = 0.0
 
 
@@ -335,6 +347,7 @@
     """Final answer: not served, with no promise about effects."""
 
     request: int
+    why: GivenUp
 
 
 @dataclass(slots=True)
--- a/millgw/log/start.py
+++ b/millgw/log/start.py
@@ -12,6 +12,7 @@
 from millgw.log import events
 from millgw.log.backlog import Backlog
 from millgw.log.repeats import Repeats
+from millgw.log.table import EVENTS
 from millgw.log.wording import Processor, Renderer, Told, known, plain, renderer
 from millgw.log.writer import Writer
 
@@ -45,7 +46,8 @@
 
     def sparing(self, told: Told) -> Told | None:
         """What is told of a repeating event, or None where this one goes untold."""
-        more = self.repeats.take(self.clock(), f"{told['event']} {told.get('service', '')}")
+        lines = EVENTS[told["event"]].lines
+        more = self.repeats.take(self.clock(), f"{told['event']} {told.get('service', '')}", lines)
         if more is None:
             return None
         return {**told, "more": more} if more else told
--- a/millgw/log/table.py
+++ b/millgw/log/table.py
@@ -11,12 +11,19 @@
 
 
 class Kind(NamedTuple):
-    """One event. `level` is the standard library's; an `open` event has figures beside its fields."""
+    """One event. `level` is the standard library's; an `open` event has figures beside its fields.
+
+    `lines` is how often it is logged within a second: more of it is counted in `more` only.
+    """
 
     level: int
     fields: tuple[str, ...]
     means: str
     open: bool = False
+    lines: int = 1
+
+
+SEVERAL = 20  # lines a second of an event that tells connections or requests apart
 
 
 EVENTS = {
@@ -25,7 +32,13 @@
         ("name", "listen", "modules"),
         "callers are accepted; `modules` as `python -m millgw version` tells",
     ),
-    "request-turned-away": Kind(INFO, ("status", "cause"), "a request that can't be read or taken"),
+    "request-turned-away": Kind(
+        INFO,
+        ("status", "cause", "client", "call", "came", "requests", "age_ms", "quiet_ms"),
+        "a request that can't be read or taken: how far it had `came` in (line, head, body, whole), how many "
+        "had begun on its connection, how long ago it began and its client last sent anything",
+        lines=SEVERAL,
+    ),
     "no-time-left": Kind(
         INFO,
         ("told_ms", "waited_ms"),
@@ -37,6 +50,19 @@
         ("where", "attempts"),
         "a call's time was over: `where` it waited then (for an endpoint, between attempts, or its attempt: "
         "connecting, held, writing, answer)",
+        lines=SEVERAL,
+    ),
+    "attempt-failed": Kind(
+        INFO,
+        ("endpoint", "cause", "took_ms"),
+        "an attempt left its call unanswered: it is tried again, or given up",
+        lines=SEVERAL,
+    ),
+    "call-given-up": Kind(
+        INFO,
+        ("status", "cause", "attempts"),
+        "a call is answered without being served (503: it may be tried again; 502: it may have run), and why",
+        lines=SEVERAL,
     ),
     "answer-spoilt": Kind(
         WARNING,
@@ -67,12 +93,14 @@
         ("client", "cause", "requests", "age_ms", "quiet_ms"),
         "this side closed a caller's connection, on which so many requests had begun: why, how long after it "
         "was accepted and last used",
+        lines=SEVERAL,
     ),
     "requests-unanswered": Kind(
         INFO,
         ("client", "cause", "requests", "age_ms", "quiet_ms"),
         "a caller's connection ended with so many requests on it that have no answer: why, how long after it "
         "was accepted and last read from",
+        lines=SEVERAL,
     ),
     "door-call-failed": Kind(
         ERROR,
@@ -109,11 +137,14 @@
         "a line that broke off or can't be read held drains that could be: they are heeded, and all "
         "of it is asked for again",
     ),
-    "discovery-asked": Kind(INFO, ("discovery", "index"), "a watch is asked for, from the version known"),
+    "discovery-asked": Kind(
+        INFO, ("discovery", "index"), "a watch is asked for, from the version known", lines=SEVERAL
+    ),
     "list-heard": Kind(
         INFO,
         ("discovery", "index", "whole", "entries"),
         "discovery told a list or changes; a whole list leaves out what drains",
+        lines=SEVERAL,
     ),
     "list-fresh-again": Kind(
         INFO,
@@ -126,7 +157,13 @@
         ("endpoint",),
         "while discovery is not heard, an endpoint answered a health probe as not well: it is left alone",
     ),
-    "watch-ended": Kind(INFO, ("discovery", "cause"), "discovery is asked again when the module wants to"),
+    "watch-ended": Kind(
+        INFO,
+        ("discovery", "cause", "asked_ms", "connected", "quiet_ms"),
+        "a call to discovery or its watch is over: how long ago it was made, whether its connection came up, "
+        "and how long ago anything last came; discovery is asked again when the module wants to",
+        lines=SEVERAL,
+    ),
     "discovery-moves": Kind(INFO, ("before", "to"), "a reload named another discovery"),
     "coordinator-up": Kind(INFO, ("server", "fresh"), "the sidecar has a session at a coordinator"),
     "coordinator-lost": Kind(INFO, ("server", "cause"), "the connection to a coordinator is gone"),
--- a/millgw/log/wording.py
+++ b/millgw/log/wording.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Callable, MutableMapping
+from datetime import UTC, datetime
 from logging import getLevelName
 from typing import Any
 
@@ -46,6 +47,8 @@
     """A line for people; an exception's trace follows on lines of its own."""
     words = [getLevelName(told["level"]), told["event"]]
     words += [f"{k}={_word(v)}" for k, v in told.items() if k not in ("event", "level", "at", "traceback")]
+    if "at" in told:
+        words.append(f"at={_moment(told['at'])}")
     line = " ".join(words)
     return f"{line}\n{told['traceback']}" if "traceback" in told else line
 
@@ -63,6 +66,11 @@
     return as_json if kind == "json" else text
 
 
+def _moment(unix: float) -> str:
+    """A Unix time (s) as RFC 3339 words it, in UTC to the millisecond."""
+    return datetime.fromtimestamp(unix, UTC).isoformat(timespec="milliseconds").replace("+00:00", "Z")
+
+
 def _word(value: object) -> str:
     word = f"{value:g}" if isinstance(value, float) else str(value)
     # JSON's quoting leaves no byte that a terminal obeys, and no second line.
--- a/millgw/platform/discovery.py
+++ b/millgw/platform/discovery.py
@@ -281,7 +281,7 @@
             return
         self.watch = None
         watch.leave()
-        log_event("watch-ended", discovery=self.address, cause=why)
+        watch.log_end(why)
         self._notify(kind, ())
 
 
@@ -298,6 +298,8 @@
         self.discovery = discovery
         self.parser = httptools.HttpResponseParser(self)
         self.transport: asyncio.Transport | None = None
+        self.asked_at = self.came_at = time.monotonic()  # s, when it was asked for and last brought anything
+        self.connected = False
         self.stopped = False
         self.ended = ""
         self.listed = False  # whether a list or changes have come: heartbeats before those tell nothing
@@ -325,6 +327,18 @@
         self.rest.clear()
         self.stop()
 
+    def log_end(self, cause: str) -> None:
+        """Log why it has ended, and how it had gone until then."""
+        now = time.monotonic()
+        log_event(
+            "watch-ended",
+            discovery=self.discovery.address,
+            cause=cause,
+            asked_ms=round((now - self.asked_at) * 1000, 1),
+            connected=str(self.connected).lower(),
+            quiet_ms=round((now - self.came_at) * 1000, 1),
+        )
+
     def expect(self, within: float) -> None:
         """Guards against a discovery that is cut off: its connection stays open and says nothing."""
         if self.silence is not None:
@@ -335,6 +349,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.connected = True
         if self.stopped:
             self.transport.abort()
             return
@@ -344,6 +359,7 @@
         self.transport.write(f"GET /v1/endpoints?watch=1{since} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
 
     def data_received(self, data: bytes) -> None:
+        self.came_at = time.monotonic()
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
--- a/millgw/pool/driver.py
+++ b/millgw/pool/driver.py
@@ -31,6 +31,7 @@
     EndpointList,
     Event,
     Fail,
+    GivenUp,
     Hearsay,
     ListKind,
     Outcome,
@@ -283,10 +284,22 @@
             # again elsewhere and count against the health of every endpoint they come to.
             call.answer(Answer(UNUSABLE, content))
         owed = call.id in self.calls
+        if owed:
+            self._log_attempt(call, flight, outcome, elapsed)
         self._feed(AttemptEnded(call.id, flight.endpoint, number, outcome, elapsed, not owed))
         if not owed:
             self._give_up(call, concluded=True)
 
+    def _log_attempt(self, call: Call, flight: Flight, outcome: Outcome, elapsed: float) -> None:
+        """Log an attempt that leaves its call unanswered: it is tried again, or given up."""
+        self.upstream.log.log_event(
+            "attempt-failed",
+            call=_shown(call),
+            endpoint=self.address(flight.endpoint),
+            cause=outcome.value,
+            took_ms=round(elapsed, 1),
+        )
+
     def _began(self, call: Call, number: int, flow: Flow) -> bool:
         """A long answer begins to be passed on; tells whether it is owed. The module hears that it ended.
 
@@ -311,8 +324,9 @@
 
     def _expire(self, call: Call) -> None:
         """The deadline: what is still out has timed out, and the balancer words the answer."""
-        shown = call.trace.decode("ascii", "backslashreplace")
-        self.upstream.log.log_event("deadline-passed", call=shown, where=_where(call), attempts=call.sends)
+        self.upstream.log.log_event(
+            "deadline-passed", call=_shown(call), where=_where(call), attempts=call.sends
+        )
         self._give_up(call, concluded=False)
         if call.id in self.calls:
             # Guards the rule itself: the balancer answers by then, and if it does not, the sidecar does.
@@ -397,8 +411,10 @@
         if isinstance(action, Send):
             self._send(self.calls[action.request], action.endpoint, action.until)
         elif isinstance(action, Refuse):
+            self._log_given_up(action.request, REFUSED, action.why)
             self._answer(action.request, Answer(REFUSED, retry_after=action.after))
         elif isinstance(action, Fail):
+            self._log_given_up(action.request, FAILED, action.why)
             self._answer(action.request, Answer(FAILED))
         elif isinstance(action, SetTimer):
             self._set_timer(action)
@@ -427,6 +443,12 @@
             self.waking.cancel()
             self.waking = None
 
+    def _log_given_up(self, request: int, status: int, why: GivenUp) -> None:
+        call = self.calls[request]
+        self.upstream.log.log_event(
+            "call-given-up", call=_shown(call), status=status, cause=why.value, attempts=call.sends
+        )
+
     def _answer(self, request: int, answer: Answer) -> None:
         call = self.calls[request]
         if answer.status == REFUSED and call.intent is not None and call.intent.doubtful:
@@ -469,6 +491,11 @@
         return self.calls.pop(call.id, None) is not None
 
 
+def _shown(call: Call) -> str:
+    """A call's X-Trace-Id, for the log."""
+    return call.trace.decode("ascii", "backslashreplace")
+
+
 def _where(call: Call) -> str:
     """Where a call waits, for the log."""
     for flight in call.out.values():
