A client that stops in the middle of a request is answered 2.5 s after its last byte

What callers saw: who stopped before or in a body got its error 4.8 s after its last byte (6.4 s in a body of 100 kB, none within 9 s in one of 4 MB), 3.6 s with a SIGTERM; 3 s are owed. A client that was slow and went on was answered 408 after 4.8 s.

Cause: CallerConnection.lags allowed twice 2.4 s and the announced length at 32 kB/s, from the request's begin: a mean rate, which never asks how long ago the last byte came; while an endpoint took nothing of the body the client's time stood still.

Evidence: tests/test_stopped_clients.py on, sources: all six failed (4.8, 3.6, 6.4 s behind a call of 4 s, nothing in 9 s while the endpoint takes nothing, 408 three times for slow ones).

Change: millgw/callers/progress.py, pure: nothing for 2.5 s ends a request, in its body a minute beside its length at 32 kB/s. Bytes that wait in the socket count as sent, so a process that was held up ends nobody for it. Who is slower than 32 kB/s gives way where descriptors run out. docs/design/stopped-clients.md has the table of the places to stop in.

Two tests that shortened READ_TIME shorten QUIET_TIME now, as strict: that constant is gone.

--- a/millgw/callers/connection.py
+++ b/millgw/callers/connection.py
@@ -19,6 +19,7 @@
     log_unanswered,
 )
 from millgw.callers.interface import Listening
+from millgw.callers.progress import Progress
 from millgw.callers.streamed_answer import StreamedAnswer
 from millgw.http.message import Answer, gone, since_received, stop_sending, unread, watcher
 from millgw.http.request import BadRequest, Head
@@ -32,8 +33,6 @@
 MAX_DISCARD = 256 * 1024  # bytes read and thrown away in that time
 MAX_REST = 64 * 1024 * 1024  # bytes of a body's rest read and thrown away, for as long as it comes
 REST_TIME = 2.0  # s in which more of that must come
-READ_TIME = 2.4  # s for a request's head, and as much again for pauses in its body
-LEAST_RATE = 32 * 1024  # bytes a second of its body, half of what a slow client sends
 BAD_PAUSE = 0.1  # s that a connection rests after a bad request, twice as long after each further one
 MAX_BAD = 4  # bad requests in a row, after which it ends
 NEW = ""  # the lane of connections that no request has come on yet
@@ -53,7 +52,7 @@
         self.poll: select.poll | None = None
         self.since = time.monotonic()
         self.opened = self.since
-        self.arrived = self.since
+        self.progress = Progress(self.since)
         self.rest = b""
         self.lane = NEW
         self.waits = False
@@ -66,8 +65,6 @@
         self.discarded = 0
         self.most_discarded = MAX_DISCARD
         self.upload: Upload | None = None  # the body that is being passed on, until it is whole
-        self.paused_at = 0.0  # s
-        self.stopped = 0.0  # s for which this side did not read the request that is coming in
         self.resting: asyncio.TimerHandle | None = None
         self.lingering: asyncio.TimerHandle | None = None
         self.serving = False
@@ -172,9 +169,10 @@
             if self.discarded > self.most_discarded and self.transport is not None:
                 self.transport.pause_reading()  # nobody needs what still comes
             return
-        self.arrived = time.monotonic()
-        if self.unread_since < self.arrived:
-            self.arrived -= self._waited()
+        arrived = time.monotonic()
+        if self.unread_since < arrived:
+            arrived -= self._waited(arrived)
+        self.progress.came = arrived
         self.rest += self.server.buffer[:nbytes]
         if self.server.lanes is None:
             self._read()
@@ -185,13 +183,13 @@
             self.waits = True
             self.server.lanes.wait(self.lane, self)
 
-    def _waited(self) -> float:
+    def _waited(self, now: float) -> float:
         """For how long (s) the bytes that were just read had waited in the socket.
 
         The client's time counts from when it sent, also while its connection was not accepted, or not read as
         an answer before was due.
         """
-        longest, self.unread_since = self.arrived - self.unread_since, math.inf
+        longest, self.unread_since = now - self.unread_since, math.inf
         return 0.0 if self.transport is None else min(longest, since_received(self.transport))
 
     def turn(self) -> None:
@@ -213,7 +211,7 @@
             size = SLICE if upload is None else len(self.rest)
             part, self.rest = self.rest[:size], self.rest[size:]
             begun = core.begun
-            wrong = core.feed(part, self.arrived)
+            wrong = core.feed(part, self.progress.came)
             if core.begun != begun:
                 self._begun()
             if wrong is not None:
@@ -224,6 +222,7 @@
             if core.expects and not self.busy and self.transport is not None:
                 core.expects = False
                 self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                self.progress.came = time.monotonic()  # from now on it is its client's turn
             if self.upload is not None:
                 self._goes_on(self.upload)
             elif core.head is not None and core.head.long and not self.busy:
@@ -236,23 +235,27 @@
             self._pause()
         else:
             if self.paused:
-                self.paused = False
-                self.stopped += time.monotonic() - self.paused_at
-                self.unread_since = self.paused_at
-                transport.resume_reading()
+                self._resume(transport)
             if core.begun and core.head is None and not self.busy:
                 self.server.kept[self] = None
 
     def _pause(self) -> None:
         if not self.paused and self.transport is not None:
             self.paused = True
-            self.paused_at = time.monotonic()
+            self.progress.pause(time.monotonic())
             self.transport.pause_reading()
 
+    def _resume(self, transport: asyncio.Transport) -> None:
+        self.paused = False
+        if self.progress.paused is not None:
+            self.unread_since = self.progress.paused
+        self.progress.resume(time.monotonic())
+        transport.resume_reading()
+
     def _begun(self) -> None:
         self.server.busy(self)
         self.since = time.monotonic()
-        self.stopped = 0.0
+        self.progress.begin(self.since)
 
     # A body that is passed on as it comes
 
@@ -299,16 +302,31 @@
         if call is not None:
             call.owner.left(call)
 
-    def lags(self, now: float) -> bool:
-        """Whether a request that has begun comes in too slowly: its head, or its body's mean rate."""
-        if self.ended or (self.upload is None and (self.busy or self.core.head is None)):
+    def _coming_in(self) -> Head | None:
+        """The request of which more has to come before anything can be done for its client."""
+        if self.ended or self.waits or (self.upload is None and self.busy):
+            return None
+        return self.core.head
+
+    def end_overdue(self, now: float) -> None:
+        """Answer a request that has not come to its end in time (see `millgw.callers.progress`).
+
+        Bytes that wait in the socket were sent in time, though this side has not read them.
+        """
+        head, transport = self._coming_in(), self.transport
+        if head is None or transport is None or unread(transport, self.poll):
+            return
+        why = self.progress.overdue(now, self.core.in_body, head.length)
+        if why is not None:
+            self.refuse(BadRequest(408, why.value))
+
+    def end_slow(self, now: float) -> bool:
+        """Answer a request that comes in slowly, as others need its connection; tells whether it did."""
+        head = self._coming_in()
+        if head is None or not self.progress.slow(now, head.length):
             return False
-        stopped = self.stopped + (now - self.paused_at if self.paused else 0.0)
-        allowed = READ_TIME
-        head = self.core.head
-        if head is not None and self.core.in_body:
-            allowed += READ_TIME + head.length / LEAST_RATE
-        return now > self.since + stopped + allowed
+        self.refuse(BadRequest(408, "it comes in slowly, and others need its connection"))
+        return True
 
     def _end_early(self, answer: Answer) -> None:
         """Answer a request whose body still comes. Its rest is read and dropped, for as long as it comes.
@@ -327,8 +345,7 @@
             self.server.busy(self)
             self.most_discarded = MAX_REST
             if self.paused:
-                self.paused = False
-                self.transport.resume_reading()
+                self._resume(self.transport)
             self.left_to_read = -1
             self._drop_more()
 
@@ -382,7 +399,7 @@
         open_now = self.current is not None or self.streamed is not None
         if waiting or open_now:
             now = time.monotonic()
-            age, quiet = now - self.opened, now - self.arrived
+            age, quiet = now - self.opened, now - self.progress.came
             log_unanswered(client_address(self.transport), CLIENT_LEFT, waiting + open_now, age, quiet)
 
     def _leave(self) -> None:
@@ -561,7 +578,7 @@
     def _say(self, bad: BadRequest) -> None:
         now = time.monotonic()
         client, begun = client_address(self.transport), self.core.begun
-        log_turned_away(client, bad, begun, now - self.since, now - self.arrived)
+        log_turned_away(client, bad, begun, now - self.since, now - self.progress.came)
         self._write(bad.answer())
 
     def _write(self, answer: Answer) -> None:
--- a/millgw/callers/server.py
+++ b/millgw/callers/server.py
@@ -109,7 +109,8 @@
         """
         for _ in range(most):
             if not last and self.descriptors.full_of_callers() and not self.give_way():
-                # Guards against running out of descriptors: what can't be held waits in the backlog.
+                # What can't be held waits in the backlog: the process would run out of descriptors.
+                self._end_slow()
                 self._pause()
                 return False
             try:
@@ -165,6 +166,14 @@
                     return True
         return False
 
+    def _end_slow(self) -> None:
+        """Make room soon: end some of those whose requests come in slowly."""
+        now, ended = time.monotonic(), 0
+        for connection in list(self.connections):
+            ended += connection.end_slow(now)
+            if ended == ACCEPTS:
+                return
+
     def _close_of_large_lane(self) -> bool:
         counts: dict[str, int] = {}
         for connection in self.connections:
@@ -188,10 +197,10 @@
     def _sweep(self) -> None:
         """Guards against clients that hold a descriptor and ask nothing, or never end what they ask."""
         now = time.monotonic()
-        for connection in [c for c in self.connections if c.lags(now)]:
-            connection.refuse(BadRequest(408, "the request did not come to its end"))
+        for connection in list(self.connections):
+            connection.end_overdue(now)
         for connection in [c for c in self.connections if c.stuck(now)]:
-            age, quiet = now - connection.opened, now - connection.arrived
+            age, quiet = now - connection.opened, now - connection.progress.came
             log_closed(client_address(connection.transport), STUCK, connection.core.begun, age, quiet)
             connection.abort()
         for connection in [c for c in self.connections if c.paused]:
--- a/millgw/compiled.py
+++ b/millgw/compiled.py
@@ -56,6 +56,7 @@
     "callers.core",
     "callers.endings",
     "callers.interface",
+    "callers.progress",
     "callers.streamed_answer",
     "callers.connection",
     "callers.plain",
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -21,11 +21,12 @@
 from millgw.sidecar.__main__ import serve
 from millgw.standins.address import free_address
 from millgw.standins.http import Message
-from millgw.standins.scripted import ScriptedDiscoveryServer, ScriptedEndpoint, read_message
+from millgw.standins.scripted import ScriptedDiscoveryServer, ScriptedEndpoint, chunk, read_message
 
 LIMIT = 30.0  # s that a test may wait for anything: far over what it takes on a busy machine
 STUCK = 3 * LIMIT  # s after which a test that never lets the loop turn ends the whole run, with its traceback
 PATIENCE = 20_000  # ms of a request that is not about time
+HEARTBEAT = 0.5  # s between two empty lines of a watch
 numbers = itertools.count(1)
 
 SETTINGS: dict[str, Any] = {
@@ -62,6 +63,14 @@
         await asyncio.sleep(0.005)
 
 
+async def heartbeats(watch: asyncio.StreamWriter, seconds: float) -> None:
+    """Have a watch say for so long that nothing changes."""
+    end = asyncio.get_running_loop().time() + seconds
+    while asyncio.get_running_loop().time() < end:
+        watch.write(chunk(b"\n"))
+        await asyncio.sleep(HEARTBEAT)
+
+
 def request(
     cls: str = "read",
     body: bytes = b"",
--- a/tests/test_incident_unheard_drain.py
+++ b/tests/test_incident_unheard_drain.py
@@ -38,9 +38,8 @@
     read_message,
 )
 from tests.probe_proofs import ProbeRecord, TimedAnswer
-from tests.rig import SETTINGS, request, run
+from tests.rig import SETTINGS, heartbeats, request, run
 
-HEARTBEAT = 0.5  # s
 WATCHED = 1.0  # s for which the watch says nothing but heartbeats before it ends
 TOLD_AFTER_END = 2.0  # s after a watch ended at which what it did not tell counts as told
 GRACE = 0.5  # s
@@ -116,13 +115,6 @@
         await process.wait()
 
 
-async def heartbeats(writer: asyncio.StreamWriter, seconds: float) -> None:
-    end = time.monotonic() + seconds
-    while time.monotonic() < end:
-        writer.write(chunk(b"\n"))
-        await asyncio.sleep(HEARTBEAT)
-
-
 @pytest.mark.parametrize("probing", [True, False], ids=["probes allowed", "no probes"])
 def test_an_endpoint_that_serves_while_it_drains_is_left_before_its_drain_counts_as_told(
     tmp_path: Path, probing: bool
--- a/tests/test_sidecar_calls.py
+++ b/tests/test_sidecar_calls.py
@@ -15,6 +15,7 @@
 import pytest
 
 from millgw.callers import connection as caller_module
+from millgw.callers import progress as progress_module
 from millgw.callers import server as server_module
 from millgw.endpoints import connection as connection_module
 from millgw.endpoints import proof as proof_module
@@ -578,7 +579,7 @@
 
 
 def test_a_request_that_never_comes_to_its_end_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(caller_module, "READ_TIME", 0.01)
+    monkeypatch.setattr(progress_module, "QUIET_TIME", 0.01)
     monkeypatch.setattr(server_module, "SWEEP", 0.05)
 
     async def test() -> None:
--- /dev/null
+++ b/tests/test_stopped_clients.py
@@ -0,0 +1,218 @@
+"""Clients that stop in the middle of a request and stay: each gets its error or a close in time.
+
+`docs/design/stopped-clients.md` has the table of which these are the rows.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import re
+import signal
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass
+
+import pytest
+
+from millgw.standins.address import free_address
+from millgw.standins.http import Message, ok
+from millgw.standins.scripted import STREAM, ScriptedEndpoint, chunk, line
+from tests.rig import Client, Rig, heartbeats, request, run, sidecar
+from tests.test_control import call, figures
+
+OWED = 3.0  # s from its last byte in which a client that stopped gets its error or a close
+LISTENED = 9.0  # s for which a test waits for either
+SLOW_BYTE = 0.5  # s between two bytes of a client that is slow and goes on
+GAP = 2.0  # s between two pieces of one that writes in pieces
+SLOW_ANSWER = 4.0  # s that an endpoint takes for a call that others stop behind
+DELAYED = "/api?k=delayed"
+MEGABYTE = 1_000_000
+
+
+async def delayed(message: Message, _: ScriptedEndpoint) -> bytes:
+    if DELAYED in message.first:
+        await asyncio.sleep(SLOW_ANSWER)
+    return ok()
+
+
+@dataclass
+class Outcome:
+    """What a client saw: statuses in order, and how long (s) after its last byte the last or the end came."""
+
+    statuses: list[int]
+    after: float
+
+
+ANSWER = re.compile(rb"HTTP/1\.1 (\d+)")
+GO_ON = 100
+
+
+async def listen(client: Client, stopped: float, answers: int) -> Outcome:
+    """Read up to the error or the end that is owed, `answers` good ones before it."""
+    data, statuses = b"", list[int]()
+    with suppress(TimeoutError, ConnectionError):
+        async with asyncio.timeout(LISTENED):
+            while len(statuses) <= answers and (part := await client.reader.read(4096)):
+                data += part
+                statuses = [code for code in map(int, ANSWER.findall(data)) if code != GO_ON]
+    return Outcome(statuses, time.monotonic() - stopped)
+
+
+def body_part(length: int, part: int, expect: str = "") -> bytes:
+    """A request that announces a length, with the first bytes of its body."""
+    return request("pay", Content_Length=str(length), Expect=expect) + b"b" * part
+
+
+def chunked(rest: bytes) -> bytes:
+    return request("pay", Content_Length="", Transfer_Encoding="chunked") + rest
+
+
+HALF_HEAD = request("pay")[:-20]
+ROWS: dict[str, tuple[int, bytes]] = {
+    "in the line": (0, b"POST /api?k="),
+    "in the head": (0, HALF_HEAD),
+    "before the head's last line end": (0, request("pay")[:-2]),
+    "behind whole requests": (2, request("read") + request("read") + HALF_HEAD),
+    "before a body of 10 bytes": (0, body_part(10, 0)),
+    "in a body of 10 bytes": (0, body_part(10, 5)),
+    "in the second request's body": (1, request("read") + body_part(10, 5)),
+    "before the first chunk": (0, chunked(b"")),
+    "in a chunk": (0, chunked(b"a\r\n12345")),
+    "before the last chunk": (0, chunked(b"5\r\n12345\r\n")),
+    "in the trailer": (0, chunked(b"5\r\n12345\r\n0\r\nA: b\r\n")),
+    "after it asked whether to go on": (0, body_part(10, 0, "100-continue")),
+    "in a body that is held whole": (0, body_part(60_000, 50_000)),
+    "in a body of 100,000 bytes": (0, body_part(100_000, 50_000)),
+    "in a body of 4,000,000 bytes": (0, body_part(4 * MEGABYTE, MEGABYTE)),
+}
+
+
+async def stop_in(rig: Rig, data: bytes, answers: int) -> Outcome:
+    client = await rig.connect()
+    client.writer.write(data)
+    await client.writer.drain()
+    try:
+        return await listen(client, time.monotonic(), answers)
+    finally:
+        client.writer.close()
+
+
+@asynccontextmanager
+async def in_service(*endpoints: ScriptedEndpoint) -> AsyncIterator[Rig]:
+    async with sidecar(*endpoints, control=free_address()) as rig:
+        yield rig
+
+
+async def nothing_is_left(rig: Rig) -> None:
+    assert rig.config.control is not None
+    while (await figures(rig.config.control))["open_requests"]:
+        await asyncio.sleep(0.02)
+
+
+def judge(outcomes: dict[str, Outcome], answers: dict[str, int]) -> None:
+    for row, outcome in outcomes.items():
+        assert outcome.after <= OWED, f"{row}: {outcome.after:.1f} s"
+        assert outcome.statuses[: answers[row]] == [200] * answers[row], f"{row}: {outcome.statuses}"
+        assert all(400 <= code < 600 for code in outcome.statuses[answers[row] :]), (
+            f"{row}: {outcome.statuses}"
+        )
+
+
+def test_a_client_that_stops_anywhere_in_a_request_gets_its_error_or_a_close_in_time() -> None:
+    """Lengths that were announced, and the parts of a request that had come, bought it more time."""
+
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e1", delayed)
+        async with in_service(endpoint) as rig:
+            outcomes = await asyncio.gather(*(stop_in(rig, data, n) for n, data in ROWS.values()))
+            judge(dict(zip(ROWS, outcomes, strict=True)), {row: n for row, (n, _) in ROWS.items()})
+            await nothing_is_left(rig)
+            assert not [message for message in endpoint.got if message.first.startswith("POST")]
+
+    run(test, waits=LISTENED)
+
+
+@pytest.mark.parametrize("how", ["drained", "told to end"])
+def test_a_client_that_stopped_is_ended_in_time_also_where_its_sidecar_leaves(how: str) -> None:
+    """Those that stopped before the end of the process were answered with it only."""
+
+    async def test() -> None:
+        async with in_service(ScriptedEndpoint("e1", delayed)) as rig:
+            assert rig.config.control is not None
+            stopping = [asyncio.create_task(stop_in(rig, data, n)) for n, data in ROWS.values()]
+            await asyncio.sleep(0.3)
+            if how == "drained":
+                await call(rig.config.control, "PUT", "/-/drain")
+            else:
+                os.kill(os.getpid(), signal.SIGTERM)
+            outcomes = await asyncio.gather(*stopping)
+            for row, outcome in zip(ROWS, outcomes, strict=True):
+                assert outcome.after <= OWED, f"{row}: {outcome.after:.1f} s"
+            if how == "told to end":
+                await rig.task
+
+    run(test, waits=LISTENED)
+
+
+def test_a_client_that_stopped_behind_a_call_in_flight_gets_that_answer_and_then_its_error() -> None:
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e1", delayed)
+        async with in_service(endpoint) as rig:
+            for rest in (HALF_HEAD, body_part(10, 5)):
+                outcome = await stop_in(rig, request("read", target=DELAYED) + rest, 1)
+                assert outcome.statuses == [200, 408], outcome
+                assert outcome.after <= SLOW_ANSWER + 0.5, "as soon as the answer before it is out"
+
+    run(test, waits=3 * LISTENED)
+
+
+async def takes_nothing(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(LISTENED)
+    writer.close()
+
+
+def test_a_client_that_stopped_while_its_endpoint_takes_nothing_of_the_body_is_ended_in_time() -> None:
+    """The sidecar does not read on then, which held the client's time up."""
+
+    async def test() -> None:
+        spot = ScriptedEndpoint("e1")
+        server = await asyncio.start_server(takes_nothing, spot.address.host, spot.address.port, limit=1024)
+        known = {"index": 1, "snapshot": True, "endpoints": [spot.entry()]}
+        async with sidecar(known=known, control=free_address()) as rig:
+            outcome = await stop_in(rig, body_part(40 * MEGABYTE, 150_000), 0)
+            assert outcome.after <= OWED and outcome.statuses in ([], [408])
+        server.close()
+
+    run(test, waits=LISTENED)
+
+
+def test_a_slow_client_that_goes_on_is_served() -> None:
+    """Its mean rate was held against it: one byte each half second was answered 408 after 4.8 s."""
+
+    async def one_by_one(rig: Rig, head: bytes, pieces: list[bytes], pause: float) -> int:
+        client = await rig.connect()
+        client.writer.write(head)
+        for piece in pieces:
+            await asyncio.sleep(pause)
+            client.writer.write(piece)
+        outcome = await listen(client, time.monotonic(), 0)
+        client.writer.close()
+        return outcome.statuses[0]
+
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e1")
+        async with in_service(endpoint) as rig:
+            _, watch = await rig.discovery.calls.get()
+            watch.write(STREAM + chunk(line(1, [endpoint.entry()])))
+            beating = asyncio.create_task(heartbeats(watch, 2 * LISTENED))
+            slow = [
+                one_by_one(rig, body_part(12, 0), [b"b"] * 12, SLOW_BYTE),
+                one_by_one(rig, chunked(b""), [b"1\r\nb\r\n"] * 3 + [b"0\r\n\r\n"], GAP),
+                one_by_one(rig, body_part(100_000, 50_000), [b"b" * 10_000] * 5, GAP),
+            ]
+            assert await asyncio.gather(*slow) == [200, 200, 200]
+            beating.cancel()
+
+    run(test, waits=2 * LISTENED)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -11,7 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from millgw.callers import connection as callers_connection
+from millgw.callers import progress
 from millgw.endpoints import request_body, streamed_answer
 from millgw.endpoints.core import MORE, WHOLE, AnswerCore
 from millgw.http.message import Content
@@ -613,7 +613,7 @@
 
 
 def test_a_body_that_stops_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(callers_connection, "READ_TIME", 0.2)
+    monkeypatch.setattr(progress, "QUIET_TIME", 0.2)
 
     async def test() -> None:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
