A client that reads none of its answers and stays is ended after 15 s

What was seen: a client that asks many times, reads nothing and stays holds its connection for ever; an answer that is passed on as it comes was ended after 15 s, one that is written whole never, and while it waits the connection is neither idle nor able to give way.

Change: one Stall (millgw/callers/stall.py) for both: 15 s without the client's taking more.

--- a/millgw/callers/connection.py
+++ b/millgw/callers/connection.py
@@ -20,6 +20,7 @@
 )
 from millgw.callers.interface import Listening
 from millgw.callers.progress import Progress
+from millgw.callers.stall import Stall
 from millgw.callers.streamed_answer import StreamedAnswer
 from millgw.http.message import Answer, gone, since_received, stop_sending, unread, watcher
 from millgw.http.request import BadRequest, Head
@@ -68,7 +69,7 @@
         self.resting: asyncio.TimerHandle | None = None
         self.lingering: asyncio.TimerHandle | None = None
         self.serving = False
-        self.unread_answers = False
+        self.unread_answers: Stall | None = None  # while its client takes no more of what was answered
         self.paused = False
         self.keep = True
         self.ended = False
@@ -231,7 +232,7 @@
         transport = self.transport
         if transport is None or self.ended or transport.is_closing():
             return
-        if self.rest or core.queue or self.unread_answers:
+        if self.rest or core.queue or self.unread_answers is not None:
             self._pause()
         else:
             if self.paused:
@@ -359,13 +360,13 @@
 
     def pause_writing(self) -> None:
         """Read no further: otherwise a client that never reads its answers could ask without end."""
-        self.unread_answers = True
+        self.unread_answers = Stall(time.monotonic())
         if self.streamed is not None:
             self.streamed.hold()
         self._read()
 
     def resume_writing(self) -> None:
-        self.unread_answers = False
+        self.unread_answers = None
         if self.streamed is not None:
             self.streamed.go_on()
         self._go_on()
@@ -444,7 +445,7 @@
             return
         self.serving = True
         queue = self.core.queue
-        while queue and not self.unread_answers:
+        while queue and self.unread_answers is None:
             if self.current is not None or self.streamed is not None or self.held is not None:
                 break
             if self.paused and self.gone():
@@ -522,8 +523,15 @@
             self._go_on()
 
     def stuck(self, now: float) -> bool:
-        """Whether its client takes nothing of an answer that is passed on, for too long."""
-        return self.streamed is not None and self.streamed.stuck(now)
+        """Whether its client takes nothing of its answers for too long."""
+        if self.streamed is not None:
+            return self.streamed.stuck(now)
+        stall, transport = self.unread_answers, self.transport
+        return (
+            stall is not None
+            and transport is not None
+            and stall.stuck(now, transport.get_write_buffer_size())
+        )
 
     def _rested(self) -> None:
         self.resting = None
--- a/millgw/callers/streamed_answer.py
+++ b/millgw/callers/streamed_answer.py
@@ -7,27 +7,25 @@
 from typing import TYPE_CHECKING
 
 from millgw.callers.core import word_begin
+from millgw.callers.stall import Stall
 from millgw.http.message import FAILED, SERVED, Answer
 from millgw.streams.flow import Flow
 
 if TYPE_CHECKING:
     from millgw.callers.connection import CallerConnection
 
-ANSWER_STALL = 15.0  # s in which a client must read more of an answer that is passed on to it
-
 
 class StreamedAnswer:
     """The caller's side of a flow. `until_close` tells that its end is that of the connection."""
 
-    __slots__ = ("chunked", "connection", "flow", "left_to_read", "moved", "until_close")
+    __slots__ = ("chunked", "connection", "flow", "stall", "until_close")
 
     def __init__(self, connection: CallerConnection, flow: Flow, version: str) -> None:
         self.connection = connection
         self.flow: Flow | None = flow  # until it is over: each would keep the other until the collector comes
         self.chunked = flow.length is None and version == "1.1"
         self.until_close = flow.length is None and not self.chunked
-        self.left_to_read = 0  # bytes that were not taken when last looked
-        self.moved = time.monotonic()  # s, when the client last took some
+        self.stall = Stall(time.monotonic())
 
     def begin(self, transport: asyncio.Transport, answer: Answer, close: bool) -> None:
         """Write the head; `close` tells that it is the last answer on the connection."""
@@ -56,12 +54,7 @@
     def stuck(self, now: float) -> bool:
         """Whether its client takes nothing of it for too long."""
         transport = self.connection.transport
-        if transport is None:
-            return False
-        left = transport.get_write_buffer_size()
-        if left != self.left_to_read or not left:
-            self.left_to_read, self.moved = left, now
-        return now > self.moved + ANSWER_STALL
+        return transport is not None and self.stall.stuck(now, transport.get_write_buffer_size())
 
     # The flow's sink
 
--- a/millgw/compiled.py
+++ b/millgw/compiled.py
@@ -57,6 +57,7 @@
     "callers.endings",
     "callers.interface",
     "callers.progress",
+    "callers.stall",
     "callers.streamed_answer",
     "callers.connection",
     "callers.plain",
--- a/tests/test_stopped_clients.py
+++ b/tests/test_stopped_clients.py
@@ -8,7 +8,9 @@
 import asyncio
 import os
 import re
+import select
 import signal
+import socket
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
@@ -16,6 +18,7 @@
 
 import pytest
 
+from millgw.callers import stall
 from millgw.standins.address import free_address
 from millgw.standins.http import Message, ok
 from millgw.standins.scripted import STREAM, ScriptedEndpoint, chunk, line
@@ -216,3 +219,27 @@
             beating.cancel()
 
     run(test, waits=2 * LISTENED)
+
+
+def test_a_client_that_reads_none_of_its_answers_and_stays_is_ended(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Whole answers that waited to be read held their connection for ever."""
+    monkeypatch.setattr(stall, "ANSWER_STALL", 0.5)
+
+    async def test() -> None:
+        async def large(_: Message, __: ScriptedEndpoint) -> bytes:
+            return ok(bytes(60_000))
+
+        async with in_service(ScriptedEndpoint("e1", large)) as rig:
+            client = socket.socket()
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.connect((rig.listen.host, rig.listen.port))
+            client.setblocking(False)
+            client.sendall(request("read") * 400 + HALF_HEAD)
+            poll = select.poll()
+            poll.register(client, 0)
+            while not poll.poll(0):  # a reset
+                await asyncio.sleep(0.05)
+            client.close()
+            await nothing_is_left(rig)
+
+    run(test)
