Calls that offer an HTTP upgrade run with their body

Calls pipelined before it lost their connection, Expect: 100-continue was not answered, and a body that came in another read than its head was parsed as the next request.

Cause: httptools ends a request with Upgrade at its head, reports the message complete and raises HttpParserUpgrade; RequestCore.on_message_complete had queued the request by then. Seen with a program that logs the library's callbacks: head, message complete, exception with the head's offset, then the body's bytes as a new message.

The change: RequestParser holds the report of the end back where a head offers an upgrade, and goes on with a new parser that is told the request's method, version and framing only, so the library's own rules read the body and what follows it. What follows CONNECT is discarded. RequestCore no longer closes the connection.

--- a/millgw/callers/core.py
+++ b/millgw/callers/core.py
@@ -13,6 +13,7 @@
 
 from millgw.http.message import MAX_FRAMING_RATIO, MAX_HEAD, Answer
 from millgw.http.request import BadRequest, Head, ReceiveStage
+from millgw.http.request_parser import RequestParser
 
 REASONS: Final = {
     200: b"OK",
@@ -74,7 +75,7 @@
 
     def __init__(self, assign_pool: Callable[[Head], None]) -> None:
         self.assign_pool = assign_pool
-        self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self.parser: RequestParser | None = RequestParser(self)
         self.queue: deque[Head | BadRequest] = deque()
         self.head: Head | None = None
         self.in_body = False
@@ -86,7 +87,9 @@
 
     def close(self) -> None:
         """Break the reference cycle with the parser, which would last until a garbage collection."""
-        self.parser = None
+        if self.parser is not None:
+            self.parser.close()
+            self.parser = None
 
     def receive_stage(self) -> ReceiveStage:
         """How much of the current request has been received."""
@@ -103,12 +106,7 @@
         self.arrived = now
         before = self.body_bytes
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # An offered protocol upgrade is ignored; the parser reads nothing after such a request.
-            for item in self.queue:
-                if isinstance(item, Head):
-                    item.keep_alive = False
+            self.parser.feed(data)
         except httptools.HttpParserError as error:
             cause = error.__context__ if isinstance(error, httptools.HttpParserCallbackError) else None
             return cause if isinstance(cause, BadRequest) else BadRequest(400, "malformed HTTP")
@@ -122,7 +120,7 @@
                 return BadRequest(400, "the body's framing is too large")
         return None
 
-    # httptools
+    # Callbacks of `parser`
 
     def on_message_begin(self) -> None:
         self.head = Head()
@@ -153,6 +151,10 @@
                 raise BadRequest(head.refusal.status, "there is no room now")
             self.expects_continue = True
 
+    def framing_header(self) -> bytes:
+        assert self.head is not None
+        return self.head.framing_header()
+
     def on_body(self, body: bytes) -> None:
         assert self.head is not None
         self.body_bytes += len(body)
--- a/millgw/compiled.py
+++ b/millgw/compiled.py
@@ -37,6 +37,7 @@
     "streams.upload",
     "http.message",
     "http.request",
+    "http.request_parser",
     "endpoints.attempt",
     "endpoints.hold_policy",
     "endpoints.core",
--- a/millgw/http/request.py
+++ b/millgw/http/request.py
@@ -139,6 +139,12 @@
             self.declared_length = int(length)
             self.streams_body = self.declared_length > STREAM_THRESHOLD
 
+    def framing_header(self) -> bytes:
+        """The header line that delimits the body, without its end; known once the headers are complete."""
+        if self.declared_length < 0:
+            return b"Transfer-Encoding: chunked"
+        return b"Content-Length: %d" % self.declared_length
+
     @property
     def trace_id(self) -> str:
         """The X-Trace-Id for the log; empty if none was read."""
@@ -165,17 +171,12 @@
 
 def encode_request_head(head: Head, time_left: int) -> bytes:
     """The head of a request whose body is streamed, with its Content-Length or chunked."""
-    framing = (
-        b"Content-Length: %d" % head.declared_length
-        if head.declared_length >= 0
-        else b"Transfer-Encoding: chunked"
-    )
     return b"%b %b HTTP/1.1\r\n%bX-Expires-In-Ms: %d\r\n%b\r\n\r\n" % (
         head.method,
         head.target,
         head.forwarded_headers,
         time_left,
-        framing,
+        head.framing_header(),
     )
 
 
--- a/tests/test_sidecar_calls.py
+++ b/tests/test_sidecar_calls.py
@@ -567,12 +567,19 @@
 
 
 def test_an_offer_of_another_protocol_is_passed_over() -> None:
+    """Its connection goes on: a second answer to the offer would be taken for the next call's."""
+
     async def test() -> None:
-        endpoint = ScriptedEndpoint("e1")
+        async def echo(message: Message, _: ScriptedEndpoint) -> bytes:
+            return ok(message.body)
+
+        endpoint = ScriptedEndpoint("e1", echo)
         async with sidecar(endpoint) as rig:
             client = await rig.connect()
-            reply = await client.ask(request("pay", Connection="Upgrade", Upgrade="h2c"))
-            assert reply.status == 200 and len(endpoint.requests) == 1
+            reply = await client.ask(request("pay", b"first", Connection="Upgrade", Upgrade="h2c"))
+            assert (reply.status, reply.body) == (200, b"first") and len(endpoint.requests) == 1
+            last = await client.ask(request("pay", b"last", Connection="close"))
+            assert (last.status, last.body) == (200, b"last") and len(endpoint.requests) == 2
             assert await client.reader.read() == b"", "answered twice"
 
     run(test)
