An admin call keeps its own method when another request follows it

What callers saw: `GET /-/drain` with `PUT /-/drain` pipelined behind it, in one read, began a drain.

Cause: ControlRequestParser.feed took the method from the parser after the whole read had been parsed, so that of the last request; target and headers were those of the first.

The change: the method is kept at the first request's head, as the target is.

Measured: test_a_request_keeps_its_method_whatever_follows_it failed before ('PUT' for 'GET') and passes.

--- a/millgw/control/parser.py
+++ b/millgw/control/parser.py
@@ -25,6 +25,7 @@
 
     def __init__(self) -> None:
         self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self.method = ""
         self.target = b""
         self.headers: dict[str, str] = {}
         self.received = 0
@@ -43,9 +44,9 @@
                 self.parser = None
                 return BadRequest(400, "malformed HTTP")
         if self.complete:
-            method, self.parser = self.parser.get_method().decode("latin-1"), None
+            self.parser = None
             path = self.target.partition(b"?")[0].decode("latin-1")
-            return ControlRequest(method, path, self.headers)
+            return ControlRequest(self.method, path, self.headers)
         if self.received > MAX_REQUEST_SIZE:
             self.parser = None
             return BadRequest(431, "the call is too large")
@@ -61,5 +62,9 @@
         if not self.complete:
             self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
+    def on_headers_complete(self) -> None:
+        if not self.complete and self.parser is not None:
+            self.method = self.parser.get_method().decode("latin-1")
+
     def on_message_complete(self) -> None:
         self.complete = True
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -139,6 +139,13 @@
     assert (got.method, got.path, got.headers["host"]) == ("PUT", "/-/drain", "a")
 
 
+def test_a_request_keeps_its_method_whatever_follows_it() -> None:
+    """The method of a request pipelined behind it was taken for its own: a GET began a drain."""
+    data = b"GET /-/drain HTTP/1.1\r\nHost: a\r\n\r\n"
+    found = ControlRequestParser().feed(data + b"PUT /-/drain HTTP/1.1\r\nHost: a\r\n\r\n")
+    assert isinstance(found, ControlRequest) and found.method == "GET"
+
+
 @pytest.mark.parametrize(
     ("data", "code"),
     [(b"hello\r\n\r\n", 400), (b"GET / HTTP/1.1\r\nA B: x\r\n\r\n", 400), (b"GET /" + b"x" * 9000, 431)],
