Admin server, control instances and stand-ins read a request that offers an upgrade whole

What callers saw: an admin call with a body and an offer was answered before its body had come; a control instance answered 400 and dropped requests pipelined before the one with the offer, so that the 400 stood for the first of them; a stand-in ended the connection with an exception that nothing caught.

Cause: the same as for callers' calls: each of these three handed httptools' HttpParserUpgrade, which comes at the end of the head, in a way of its own (ignored, an error, not at all).

The change: all three use RequestParser, so that there is one way. Control instances keep no reference cycle with it once a connection is lost.

--- a/millgw/configuration/request_reader.py
+++ b/millgw/configuration/request_reader.py
@@ -8,9 +8,12 @@
 
 import httptools
 
+from millgw.http.request_parser import RequestParser
+
 MAX_HEAD = 8 * 1024  # bytes; request line and headers
 HEADER_OVERHEAD = 4  # bytes of a header line besides name and value: ": " and CRLF
 MAX_PIPELINED = 16  # requests in one read of a connection
+FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 
 class BadRequestError(Exception):
@@ -37,7 +40,7 @@
 
     def __init__(self, max_body: Callable[[str], int]) -> None:
         self._max_body = max_body
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser = RequestParser(self)
         self._complete: list[Request] = []
         self._error: BadRequestError | None = None
         self._begin()
@@ -47,13 +50,15 @@
         """Whether no request is partially read."""
         return not self._received
 
+    def close(self) -> None:
+        """Break the reference cycle with the parser, which would last until a garbage collection."""
+        self._parser.close()
+
     def feed(self, data: bytes) -> list[Request]:
         """The requests completed by these bytes; after a BadRequestError nothing more may be read."""
         self._received += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            raise BadRequestError(400, "no other protocol is spoken here") from None
+            self._parser.feed(data)
         except httptools.HttpParserError:
             raise self._error or BadRequestError(400, "not HTTP/1.1") from None
         if not self._head_done and self._received > MAX_HEAD:
@@ -67,6 +72,7 @@
         self._received = 0  # bytes since the last whole request
         self._head_size = 0
         self._head_done = False
+        self._framing = b""
         self._target = b""
         self._body = bytearray()
         self._limit = 0
@@ -81,7 +87,10 @@
         self._error = BadRequestError(status, text)
         raise self._error
 
-    # httptools
+    # Callbacks of `_parser`
+
+    def on_message_begin(self) -> None:
+        """Nothing to prepare: the end of the request before it did."""
 
     def on_url(self, url: bytes) -> None:
         self._target += url
@@ -89,7 +98,10 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._count_head(len(name) + len(value) + HEADER_OVERHEAD)
-        if name.lower() == b"content-length" and value.strip().isdigit() and len(value) < 20:
+        lower = name.lower()
+        if lower in FRAMING_HEADERS and not self._head_done:
+            self._framing = lower + b": " + value
+        if lower == b"content-length" and value.strip().isdigit() and len(value) < 20:
             path = self._target.partition(b"?")[0].decode("latin-1")
             if int(value) > self._max_body(path):
                 self._refuse(413, "the body is too long")
@@ -98,6 +110,9 @@
         self._head_done = True
         self._limit = self._max_body(self._target.partition(b"?")[0].decode("latin-1"))
 
+    def framing_header(self) -> bytes:
+        return self._framing
+
     def on_body(self, body: bytes) -> None:
         if len(self._body) + len(body) > self._limit:
             self._refuse(413, "the body is too long")
--- a/millgw/configuration/server.py
+++ b/millgw/configuration/server.py
@@ -189,6 +189,7 @@
         self.transport = None
         self.current = None
         self.pipelined.clear()
+        self.reader.close()
         self.server.connections.pop(self, None)
         stream, self.stream = self.stream, None
         if stream is not None:
--- a/millgw/standins/http.py
+++ b/millgw/standins/http.py
@@ -16,6 +16,7 @@
 
 import httptools
 
+from millgw.http.request_parser import RequestParser, framing_header_of
 from millgw.platform.config import Address
 from millgw.standins.kernel import receive_age
 
@@ -112,7 +113,7 @@
     def __init__(self, site: Site) -> None:
         self.site = site
         self.transport: asyncio.Transport | None = None
-        self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self.parser: RequestParser | None = RequestParser(self)
         self.message: Message | None = None
         self.waiting: deque[Message] = deque()
         self.busy = False
@@ -135,16 +136,18 @@
         age = receive_age(self.transport)
         self.received_at = self.site.clock() - age
         try:
-            self.parser.feed_data(data)
+            self.parser.feed(data)
         except httptools.HttpParserError:
             self.reset()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closed = True
-        self.parser = None  # breaks a reference cycle, which would keep both alive until a garbage collection
+        if self.parser is not None:
+            self.parser.close()
+            self.parser = None
         self.site.lost(self)
 
-    # Callbacks of httptools
+    # Callbacks of `parser`
 
     def on_message_begin(self) -> None:
         self.message = Message("", first_byte=self.received_at, reused=self.requests > 0)
@@ -157,6 +160,13 @@
         assert self.message is not None
         self.message.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
+    def on_headers_complete(self) -> None:
+        """Nothing to check: a stand-in takes any head."""
+
+    def framing_header(self) -> bytes:
+        assert self.message is not None
+        return framing_header_of(self.message.headers)
+
     def on_body(self, body: bytes) -> None:
         assert self.message is not None
         self.message.body += body
--- a/tests/test_upgrade_offers.py
+++ b/tests/test_upgrade_offers.py
@@ -13,9 +13,12 @@
 from millgw.callers import progress as progress_module
 from millgw.callers import server as server_module
 from millgw.callers.core import RequestCore
+from millgw.configuration.request_reader import BadRequestError, Request, RequestReader
+from millgw.control.parser import ControlRequest, ControlRequestParser
 from millgw.http.request import Head
-from millgw.standins.http import Message, ok
-from millgw.standins.scripted import ScriptedEndpoint
+from millgw.standins.address import free_address
+from millgw.standins.http import Clock, Message, ServerConnection, listener, ok
+from millgw.standins.scripted import ScriptedEndpoint, read_message
 from millgw.streams.limiter import STREAM_THRESHOLD
 from tests.rig import request, run, sidecar
 from tests.test_cores import Bodies
@@ -233,3 +236,86 @@
             assert len(endpoint.requests) == 1
 
     run(test)
+
+
+# The admin server
+
+
+def offer_lines(offered: bool) -> bytes:
+    return b"Connection: Upgrade, HTTP2-Settings\r\n" + OFFER if offered else b""
+
+
+@pytest.mark.parametrize("offered", [True, False])
+def test_an_admin_call_is_complete_with_its_body_whether_or_not_it_makes_an_offer(offered: bool) -> None:
+    """One with an offer was answered before its body had come, which a close would then have reset."""
+    head = b"PUT /-/drain HTTP/1.1\r\nHost: a\r\n" + offer_lines(offered)
+    for data in (
+        head + b"Content-Length: %d\r\n\r\n" % len(HIDDEN_REQUEST) + HIDDEN_REQUEST,
+        head + b"Transfer-Encoding: chunked\r\n\r\n" + chunked(HIDDEN_REQUEST, 9),
+    ):
+        for cut in range(1, len(data)):
+            parser = ControlRequestParser()
+            assert parser.feed(data[:cut]) is None, cut
+            found = parser.feed(data[cut:])
+            assert isinstance(found, ControlRequest) and (found.method, found.path) == ("PUT", "/-/drain")
+
+
+# Control instances
+
+
+def parse_as_instance(pieces: list[bytes]) -> list[Request]:
+    reader = RequestReader(lambda path: 1000)
+    return [one for piece in pieces for one in reader.feed(piece)]
+
+
+@given(requests_with_and_without_offers, cut_places, cut_places)
+@example([SentRequest(False), SentRequest(True, HIDDEN_REQUEST)], [], [])
+@settings(max_examples=150, deadline=None)
+def test_a_control_instance_reads_requests_with_an_offer_as_those_without_it(
+    requests: list[SentRequest], cuts: list[int], other_cuts: list[int]
+) -> None:
+    """It refused them with 400, and dropped those that were pipelined before them."""
+    found: list[object] = []
+    for offers, places in ((True, cuts), (False, other_cuts)):
+        try:
+            found.append(parse_as_instance(split(encode_all(requests, offers), places)))
+        except BadRequestError as error:
+            found.append(error.status)
+    assert found[0] == found[1]
+
+
+# Stand-ins
+
+
+def test_a_stand_in_reads_a_request_with_an_offer_and_its_body() -> None:
+    """Its connection ended with an exception."""
+
+    class EchoSite:
+        clock = Clock()
+
+        def opened(self, connection: ServerConnection) -> None: ...
+
+        def asked(self, connection: ServerConnection, message: Message) -> None:
+            connection.write(ok(message.body))
+            connection.request_done()
+
+        def lost(self, connection: ServerConnection) -> None: ...
+
+        def bytes_came(self, connection: ServerConnection) -> bool:
+            return True
+
+    async def test() -> None:
+        listening = listener(free_address(), EchoSite())
+        listening.open()
+        reader, writer = await asyncio.open_connection(listening.address.host, listening.address.port)
+        sent = [SentRequest(True, b"one"), SentRequest(True, HIDDEN_REQUEST, 9), SentRequest(False, b"two")]
+        data = encode_all(sent, True)
+        for at in range(0, len(data), 100):
+            writer.write(data[at : at + 100])
+            await asyncio.sleep(0.001)
+        for one in sent:
+            assert (await read_message(reader)).body == one.body
+        writer.close()
+        listening.close()
+
+    run(test)
