An answer 101 is an unreadable answer to each client, not an exception

What callers saw: `top` and the commands that ask a running process ended with a traceback where a server answered 101; watches of discovery and of the configuration, and reports, ended by an exception in the loop, with no cause in the log.

Cause: httptools raises HttpParserUpgrade for 101, which is no HttpParserError. Watch.data_received and salvage_and_stop of platform/discovery, Watch and ReportRequest of configuration/client and _answer of top/door caught the second alone.

The change: they catch both. None of these clients offers an upgrade, so 101 is no answer to them.

Measured: four test cases with 101 failed before (three by an error in the loop's handler, `top` by the exception itself) and pass now; the tests of the first two also assert that nothing is raised into the loop in any of their other cases.

--- a/millgw/configuration/client.py
+++ b/millgw/configuration/client.py
@@ -319,7 +319,7 @@
             return
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.end_cause = self.end_cause or f"malformed answer: {error}"
         *lines, self.partial_line = self.partial_line.split(b"\n")
         if lines:
@@ -377,7 +377,7 @@
         self.received += len(data)
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._finish(False)
         if self.received > MAX_RESPONSE_BYTES:
             self._finish(False)
--- a/millgw/platform/discovery.py
+++ b/millgw/platform/discovery.py
@@ -331,7 +331,7 @@
         All of that was written to this sidecar, so it counts as told.
         """
         if self.transport is not None:
-            with suppress(httptools.HttpParserError):
+            with suppress(httptools.HttpParserError, httptools.HttpParserUpgrade):
                 self.parser.feed_data(read_undelivered(self.transport, MAX_LINE_SIZE))
         for line in bytes(self.buffer).split(b"\n"):
             self.discovery.take_fragment(line)
@@ -373,7 +373,7 @@
         self.last_read_at = time.monotonic()
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.end_cause = self.end_cause or f"malformed HTTP response: {error}"
         *lines, self.buffer = self.buffer.split(b"\n")
         for line in lines:
--- a/millgw/top/door.py
+++ b/millgw/top/door.py
@@ -86,7 +86,7 @@
             raise Trouble("its answer is too long" if data else "its answer broke off")
         try:
             reading.parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             raise Trouble("it does not speak HTTP") from None
     return reading.parser.get_status_code(), reading.body
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -88,6 +88,13 @@
         looking.cancel()
 
 
+def collect_loop_errors() -> list[str]:
+    """The errors that callbacks raise into the running loop from now on, which it would only log."""
+    errors: list[str] = []
+    asyncio.get_running_loop().set_exception_handler(lambda _, context: errors.append(f"{context}"))
+    return errors
+
+
 async def heartbeats(watch: asyncio.StreamWriter, seconds: float) -> None:
     """Send heartbeats on a watch for that many seconds."""
     end = asyncio.get_running_loop().time() + seconds
@@ -96,6 +103,10 @@
         await asyncio.sleep(HEARTBEAT_INTERVAL)
 
 
+# To a request without an offer this is no answer (RFC 9110 section 7.8).
+SWITCHING_PROTOCOLS = b"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n\x00"
+
+
 def request(
     request_class: str = "read",
     body: bytes = b"",
--- a/tests/test_configuration_client.py
+++ b/tests/test_configuration_client.py
@@ -21,7 +21,7 @@
 from millgw.standins.http import status
 from millgw.standins.scripted import CHUNKED_HEAD, encode_chunk
 from tests.control_instance import NO_CONTENT_RESPONSE, ControlInstance, snapshot_line
-from tests.rig import run, wait_until
+from tests.rig import SWITCHING_PROTOCOLS, collect_loop_errors, run, wait_until
 
 
 class RecordingTarget:
@@ -218,6 +218,7 @@
         END,
         CHUNKED_HEAD + encode_chunk(b"{broken\n"),
         b"220 mail\r\n",
+        SWITCHING_PROTOCOLS,
         None,  # a reset
         b"",  # it never answers
         CHUNKED_HEAD + encode_chunk(b"\n"),  # then silence
@@ -232,6 +233,7 @@
     monkeypatch.setattr(client_module, "START_TIMEOUT_S", 0.05)
 
     async def test() -> None:
+        errors = collect_loop_errors()
         bad, good = ControlInstance(manual=True), ControlInstance(document=VERSIONS[3].copy())
         await bad.start()
         await good.start()
@@ -246,6 +248,7 @@
         await wait_until(lambda: target.ticks == [3])
         assert len(bad.watch_targets) == 1 and client.follower.instance == str(good.address)
         client.stop()
+        assert not errors
 
     run(test)
 
@@ -271,10 +274,12 @@
     run(test)
 
 
-def test_a_report_that_is_not_accepted_is_sent_again() -> None:
+@pytest.mark.parametrize("refusal", [status(503), SWITCHING_PROTOCOLS])
+def test_a_report_that_is_not_accepted_is_sent_again(refusal: bytes) -> None:
     async def test() -> None:
+        errors = collect_loop_errors()
         control = ControlInstance(document=VERSIONS[2].copy())
-        control.report_answer = status(503)
+        control.report_answer = refusal
         await control.start()
         client, _ = make_client(control)
         await client.start()
@@ -285,6 +290,7 @@
         await wait_until(lambda: client.traffic.reports == 1)
         assert client.traffic.reports_failed == 1
         client.stop()
+        assert not errors
 
     run(test)
 
--- a/tests/test_sidecar_process.py
+++ b/tests/test_sidecar_process.py
@@ -31,7 +31,16 @@
     never_answer,
     read_message,
 )
-from tests.rig import SETTINGS, RunningSidecar, request, run, sidecar, wait_until
+from tests.rig import (
+    SETTINGS,
+    SWITCHING_PROTOCOLS,
+    RunningSidecar,
+    collect_loop_errors,
+    request,
+    run,
+    sidecar,
+    wait_until,
+)
 
 READY = b"GET /ready HTTP/1.1\r\nHost: n1\r\n\r\n"
 
@@ -69,6 +78,7 @@
         CHUNKED_HEAD + encode_chunk(b"\n") + b"0\r\n\r\n",
         CHUNKED_HEAD + encode_chunk(b"not JSON\n"),
         b"220 mail\r\n",
+        SWITCHING_PROTOCOLS,
         None,  # a reset
         CHUNKED_HEAD + encode_chunk(b"\n"),  # then silence
     ],
@@ -79,6 +89,7 @@
     monkeypatch.setattr(discovery_module, "SILENCE_TIMEOUT", 0.05)
 
     async def test() -> None:
+        errors = collect_loop_errors()
         endpoint, other = ScriptedEndpoint("e1"), ScriptedEndpoint("e2")
         await other.start()
         async with sidecar(endpoint) as rig:
@@ -98,6 +109,7 @@
             for _ in range(5):
                 assert (await rig.ask(request())).status == 200
             assert len(endpoint.requests) == before, "a call to an endpoint that the complete list omits"
+        assert not errors
 
     run(test)
 
--- a/tests/test_top.py
+++ b/tests/test_top.py
@@ -23,7 +23,7 @@
 from millgw.top.show import MOST_ENDPOINTS, as_json, tables
 from millgw.top.standing import KINDS, Standing, by_class, by_distance, by_endpoint, by_zone
 from tests.kinds import pure_run_only
-from tests.rig import request, run, sidecar
+from tests.rig import SWITCHING_PROTOCOLS, request, run, sidecar
 
 pytestmark = pure_run_only
 
@@ -182,6 +182,7 @@
     [
         (saying(b"\x00\x01\x02 noise\r\n\r\n"), "does not speak HTTP"),
         (saying(b"SSH-2.0-x\r\n"), "does not speak HTTP"),
+        (saying(SWITCHING_PROTOCOLS), "does not speak HTTP"),
         (saying(b""), "broke off"),
         (saying(answer(b"{}")[:-1]), "broke off"),
         (saying(answer(b"[]")), "can't be read"),
