Headers that a Connection header names are not forwarded, in either direction

What endpoints saw: HTTP2-Settings of a call that offered an upgrade, without the offer it belongs to; callers saw what an endpoint had named as of its own connection.

Cause: Head.add and AnswerCore.on_header left out a fixed list of hop-by-hop headers and never read the value of Connection (RFC 9110 section 7.6.1 has an intermediary remove each header that it names).

The change: the values of all Connection headers are kept, and at the end of the head without_connection_options takes the headers they name out of what is forwarded. Headers that the sidecar reads itself stay, as the protocol has them go on unchanged and no sender may name them. A head without Connection costs nothing more.

--- a/millgw/endpoints/core.py
+++ b/millgw/endpoints/core.py
@@ -15,7 +15,13 @@
 
 import httptools
 
-from millgw.http.message import HOP_BY_HOP_HEADERS, MAX_FRAMING_RATIO, MAX_HEAD, Content
+from millgw.http.message import (
+    HOP_BY_HOP_HEADERS,
+    MAX_FRAMING_RATIO,
+    MAX_HEAD,
+    Content,
+    without_connection_options,
+)
 from millgw.interface import Outcome
 from millgw.streams.limiter import STREAM_THRESHOLD
 
@@ -34,8 +40,8 @@
     """Parses the answers of one connection, one after another; call `begin` before each."""
 
     __slots__ = (
-        "body", "body_bytes", "complete", "delimited", "ends_with_connection", "error", "framing_bytes",
-        "headers", "in_head", "in_message", "length", "max_body", "never_ran", "parser", "reusable", "sink",
+        "body", "body_bytes", "complete", "connection_options", "delimited", "ends_with_connection", "error",
+        "framing_bytes", "headers", "in_head", "in_message", "length", "max_body", "never_ran", "parser", "reusable", "sink",
         "status",
     )  # fmt: skip
 
@@ -58,6 +64,7 @@
 
     def _begin_message(self) -> None:
         self.headers = b""
+        self.connection_options = b""  # the values of all its Connection headers
         self.status = 0
         self.length = -1  # bytes of its body as stated by its head; -1 if unknown
         self.delimited = False  # whether its end is marked by a length or by chunks
@@ -159,11 +166,15 @@
             self.delimited = True
         elif lower not in HOP_BY_HOP_HEADERS:
             self.headers += b"%b: %b\r\n" % (name, value)
+        elif lower == b"connection":
+            self.connection_options += b"," + value
 
     def on_headers_complete(self) -> None:
         assert self.parser is not None
         if self.complete:
             return
+        if self.connection_options:
+            self.headers = without_connection_options(self.headers, self.connection_options)
         self.status = self.parser.get_status_code()
         self.in_head = self.status < 200  # 1xx answers count as part of the head that follows
         if self.length > (MAX_ANSWER_LENGTH if self.status == 200 else self.max_body):
--- a/millgw/http/message.py
+++ b/millgw/http/message.py
@@ -41,6 +41,25 @@
 """Headers that concern one connection only, or the sidecar itself; they are not forwarded."""
 
 
+CLOSE_OPTION: Final = b"close"  # a connection option that names no header
+
+
+def without_connection_options(
+    header_lines: bytes, options: bytes, end_to_end: frozenset[bytes] = frozenset()
+) -> bytes:
+    """Remove the headers that a `Connection` header names, which are not forwarded (RFC 9110 section 7.6.1).
+
+    `options` is the value of that header. Headers in `end_to_end` (lower case) stay: they are for all
+    recipients, so that no option may name them.
+    """
+    named = {option.strip().lower() for option in options.split(b",")}
+    named -= HOP_BY_HOP_HEADERS | end_to_end | {CLOSE_OPTION, b""}
+    if not named:
+        return header_lines
+    lines = header_lines.split(b"\r\n")
+    return b"\r\n".join(line for line in lines if line.partition(b":")[0].lower() not in named)
+
+
 @dataclass(frozen=True)
 class Content:
     """Forwarded headers and body of an endpoint's answer."""
--- a/millgw/http/request.py
+++ b/millgw/http/request.py
@@ -9,7 +9,14 @@
 from enum import Enum
 from typing import Final, Protocol
 
-from millgw.http.message import HOP_BY_HOP_HEADERS, MAX_BODY, MAX_HEAD, Answer, text_answer
+from millgw.http.message import (
+    HOP_BY_HOP_HEADERS,
+    MAX_BODY,
+    MAX_HEAD,
+    Answer,
+    text_answer,
+    without_connection_options,
+)
 from millgw.streams.limiter import STREAM_THRESHOLD
 from millgw.streams.upload import Upload
 
@@ -81,6 +88,7 @@
         "bad_request",
         "body",
         "body_received",
+        "connection_options",
         "declared_length",
         "forwarded_headers",
         "headers",
@@ -100,6 +108,7 @@
         self.target = b""
         self.headers: dict[bytes, bytes] = {}
         self.forwarded_headers = b""
+        self.connection_options = b""  # the values of all its Connection headers
         self.body = b""
         self.body_received = 0  # bytes of the body so far
         self.declared_length = -1  # Content-Length, 0 where there is none; -1 if chunked
@@ -120,12 +129,18 @@
         self.headers[lower] = value
         if lower not in HOP_BY_HOP_HEADERS:
             self.forwarded_headers += b"%b: %b\r\n" % (name, value)
+        elif lower == b"connection":
+            self.connection_options += b"," + value
 
     def complete(self, method: bytes, version: str, keep: bool) -> None:
         """Check length and framing once the headers are complete; BadRequest if they are unacceptable."""
         self.method, self.version, self.keep_alive = method, version, keep
         if len(self.target) + len(self.forwarded_headers) > MAX_HEAD:
             raise BadRequest(431, "the headers are too large")
+        if self.connection_options:
+            self.forwarded_headers = without_connection_options(
+                self.forwarded_headers, self.connection_options, SINGLE_HEADERS
+            )
         coding, length = self.headers.get(b"transfer-encoding"), self.headers.get(b"content-length", b"0")
         if coding is not None and (
             coding.lower() != b"chunked" or b"content-length" in self.headers or version != "1.1"
--- a/tests/test_cores.py
+++ b/tests/test_cores.py
@@ -189,6 +189,40 @@
     )
 
 
+CONNECTION_OPTIONS = [  # the Connection headers, and what is forwarded of the headers A, B and X-Own
+    ([], "A B X-Own"),
+    ([b"close"], "A B X-Own"),
+    ([b"a"], "B X-Own"),
+    ([b"Keep-Alive, X-OWN ,\ta"], "B"),
+    ([b"upgrade", b"b"], "A X-Own"),
+    ([b"x-own", b"b,a"], ""),
+]
+
+
+@pytest.mark.parametrize(("options", "forwarded"), CONNECTION_OPTIONS)
+@pytest.mark.parametrize("first", [True, False])
+def test_headers_that_a_connection_header_names_are_not_forwarded(
+    options: list[bytes], forwarded: str, first: bool
+) -> None:
+    """They were, so that `HTTP2-Settings` reached endpoints without the offer that it belongs to."""
+    named = b"".join(b"Connection: %b\r\n" % value for value in options)
+    others = b"A: 1\r\nB: 2\r\nX-Own: 3\r\n"
+    headers = named + others if first else others + named
+    ((_, _, _, sent, _, _),) = parse_requests(b"GET /api HTTP/1.1\r\n" + headers + b"\r\n")
+    answer = AnswerCore(100)
+    answer.feed(b"HTTP/1.1 200 OK\r\n" + headers + b"Content-Length: 0\r\n\r\n")
+    for lines in (sent, answer.content().headers):
+        assert isinstance(lines, bytes)
+        assert [line.partition(b":")[0].decode() for line in lines.splitlines()] == forwarded.split()
+
+
+def test_a_connection_header_takes_nothing_away_that_is_for_the_endpoint() -> None:
+    own = b"Host: a\r\nX-Trace-Id: t\r\nIdempotency-Key: k\r\n"
+    options = b"Connection: host, X-Trace-Id, idempotency-key, x-qos\r\n"
+    ((_, _, values, sent, _, _),) = parse_requests(b"GET /api HTTP/1.1\r\n" + options + own + b"\r\n")
+    assert sent == own and isinstance(values, dict) and values[b"x-trace-id"] == b"t"
+
+
 # Answers
 
 
--- a/tests/test_upgrade_offers.py
+++ b/tests/test_upgrade_offers.py
@@ -97,7 +97,9 @@
         while core.queue:
             item = core.queue.popleft()
             assert isinstance(item, Head)
-            found.append((item.method, item.target, item.version, item.body, item.keep_alive))
+            found.append(
+                (item.method, item.target, item.version, item.body, item.keep_alive, item.forwarded_headers)
+            )
         if refusal is not None:
             found.append((refusal.status,))
             break
@@ -139,7 +141,7 @@
 def test_nothing_behind_a_connect_request_is_parsed() -> None:
     head = b"CONNECT other:80 HTTP/1.1\r\nHost: other\r\nContent-Length: 2\r\n\r\n"
     for pieces in ([head + b"hi" + HIDDEN_REQUEST], [head, b"hi", HIDDEN_REQUEST]):
-        ((method, _, _, body, keep_alive),) = parse_as_caller(pieces)
+        ((method, _, _, body, keep_alive, _),) = parse_as_caller(pieces)
         assert (method, body, keep_alive) == (b"CONNECT", b"", False)
 
 
@@ -172,6 +174,7 @@
                 reply = await client.ask(offering(cls, body))
                 assert (reply.status, reply.body) == (200, body)
                 assert reply.headers.get("connection") != "close"
+                assert not {"upgrade", "http2-settings", "connection"} & set(endpoint.requests[-1].headers)
             assert len(endpoint.requests) == 3
             assert (await client.ask(request("pay", b"plain"))).body == b"plain"
 
