--- a/millgw/endpoints/core.py
+++ b/millgw/endpoints/core.py
@@ -41,8 +41,8 @@
 
     __slots__ = (
         "body", "body_bytes", "complete", "connection_options", "delimited", "ends_with_connection", "error",
-        "framing_bytes", "headers", "in_head", "in_message", "length", "max_body", "never_ran", "parser", "reusable", "sink",
-        "status",
+        "framing_bytes", "headers", "in_head", "in_message", "length", "max_body", "never_ran", "parser",
+        "reusable", "sink", "status",
     )  # fmt: skip
 
     def __init__(self, max_body: int) -> None:
