Membership: a group that only one source tells is kept, and none is made up

Cause: read_entry and _serverset filled a group that was not told with 0, and Merger._choose takes the coordinator's entry whole; so all servers were of group 0. `register` wrote group 0 where it was given none, and dropped the group with Curator's layout.

The change: ListedEndpoint keeps which of group, weight and zone its source tells; the merged entry takes from the other source what the chosen one does not tell; an endpoint of whose group nobody tells is a group of its own. `register` writes a group only if given one, and ends with code 2 where the layout has no field for it.

Open: classes known by a whole zone still take endpoints whose zone nobody tells for one zone.

--- a/millgw/membership/command.py
+++ b/millgw/membership/command.py
@@ -23,7 +23,7 @@
 from millgw.membership.follower import DRAINING, DirectoryFollower
 from millgw.membership.nodes import read_node
 from millgw.membership.protocol import Reply, Request, WatchEvent
-from millgw.membership.registrar import LAYOUTS, Entry, Registrar
+from millgw.membership.registrar import LAYOUTS, LAYOUTS_WITHOUT_GROUP, Entry, Registrar
 from millgw.membership.servers import check_path, read_connect
 from millgw.platform.config import Address
 
@@ -65,7 +65,11 @@
 @click.option(
     "--layout", type=click.Choice(LAYOUTS), default="entry", help="Format of the node's data (entry)."
 )
-@click.option("--group", type=click.IntRange(0), default=0)
+@click.option(
+    "--group",
+    type=click.IntRange(0),
+    help="Of servers that know each other's keyed calls; without it these are repeated at no other server.",
+)
 @click.option("--weight", type=Number(), default=1.0)
 @click.option("--zone", default="")
 @click.option(
@@ -99,6 +103,8 @@
         check_path(f"{full_path}/{args.name}")
     except ValueError as error:
         raise BadInput(f"--name: {error}") from None
+    if args.group is not None and args.layout in LAYOUTS_WITHOUT_GROUP:
+        raise BadInput(f"--group: the layout {args.layout} has no field for it")
     start_log(log)
     return asyncio.run(_run_registered(args, servers, full_path, args.address))
 
--- a/millgw/membership/merge.py
+++ b/millgw/membership/merge.py
@@ -7,7 +7,8 @@
 In every mode a drain that either source reports applies at once. So does a removal: an endpoint that one
 source listed before and lists no longer is out, until that source lists it again or the other reports a later
 start. A source has no say on endpoints it never listed. Each endpoint appears once: entries with the same
-name or the same address are one endpoint, under the coordinator's name.
+name or the same address are one endpoint, under the coordinator's name. What the chosen one of the two does
+not tell, such as the group, is taken from the other.
 """
 
 from __future__ import annotations
@@ -18,7 +19,7 @@
 
 from millgw.interface import Condition
 from millgw.platform.config import Address
-from millgw.platform.discovery import ListedEndpoint, with_condition
+from millgw.platform.discovery import ALL_TOLD, ListedEndpoint, ToldFields, with_condition
 
 
 class Mode(Enum):
@@ -85,6 +86,7 @@
             entry = self._choose(mine, other)
             if entry is None or _is_removed(id, mine, other, ended):
                 continue
+            entry = _completed(entry, other if entry is mine else mine)
             since = max(e.endpoint.started_at for e in (mine, other) if e is not None)
             chosen[id] = replace(entry, endpoint=replace(entry.endpoint, id=id, started_at=since))
         last: dict[Address | None, int] = {}
@@ -113,6 +115,22 @@
         return other if second.healthy or not first.healthy else mine
 
 
+def _completed(entry: ListedEndpoint, other: ListedEndpoint | None) -> ListedEndpoint:
+    """The entry with the fields that only the other source's entry tells."""
+    if other is None or entry.told == ALL_TOLD:
+        return entry
+    own, theirs = entry.told, other.told
+    known, added = entry.endpoint, other.endpoint
+    endpoint = replace(
+        known,
+        size=added.size if theirs.size and not own.size else known.size,
+        cell=added.cell if theirs.cell and not own.cell else known.cell,
+        zone=added.zone if theirs.zone and not own.zone else known.zone,
+    )
+    told = ToldFields(own.size or theirs.size, own.cell or theirs.cell, own.zone or theirs.zone)
+    return replace(entry, endpoint=endpoint, told=told)
+
+
 def _ids_by_shared_address(first: SourceList, second: SourceList) -> dict[int, int]:
     """Maps the second source's ids to the first's where both list the same address under different names."""
     by_address: dict[Address, int] = {}
--- a/millgw/membership/nodes.py
+++ b/millgw/membership/nodes.py
@@ -5,7 +5,8 @@
     serverset   Finagle's: {"serviceEndpoint": {"host", "port"}, "additionalEndpoints", "status", "shard"}
     curator     Curator's service discovery: {"id", "address", "port", "registrationTimeUTC", "enabled", ...}
 
-The layout is recognised by its fields. Hosts must be IP addresses: no names are resolved.
+A serverset's `shard` is the group; Curator's layout has none. The layout is recognised by its fields. Hosts
+must be IP addresses: no names are resolved.
 """
 
 from __future__ import annotations
@@ -82,11 +83,11 @@
     if status not in SERVERSET_STATUS:
         raise ValueError(f"unknown serverset status {status!r}")
     address = _address(endpoint["host"], endpoint["port"])
+    entry: dict[str, Any] = {"name": address, "address": address, "status": SERVERSET_STATUS[status]}
     shard = raw.get("shard")
-    return {
-        "name": address, "address": address, "status": SERVERSET_STATUS[status],
-        "group": shard if isinstance(shard, int) and shard >= 0 else 0,
-    }  # fmt: skip
+    if isinstance(shard, int) and not isinstance(shard, bool) and shard >= 0:
+        entry["group"] = shard
+    return entry
 
 
 def _curator(raw: Mapping[str, Any]) -> dict[str, Any]:
--- a/millgw/membership/registrar.py
+++ b/millgw/membership/registrar.py
@@ -30,15 +30,19 @@
 
 Layout = Literal["entry", "serverset", "curator"]
 LAYOUTS: tuple[Layout, ...] = ("entry", "serverset", "curator")
+LAYOUTS_WITHOUT_GROUP: frozenset[Layout] = frozenset({"curator"})
 
 
 @dataclass(slots=True, frozen=True)
 class Entry:
-    """The server's entry; `started_at_ms`: Unix time, `instance`: a token that identifies its process."""
+    """The server's entry; `started_at_ms`: Unix time, `instance`: a token that identifies its process.
+
+    Without a `group` the node tells none, and calls that only their group knows are repeated nowhere else.
+    """
 
     name: str
     address: str
-    group: int = 0
+    group: int | None = None
     weight: float = 1.0
     zone: str = ""
     layout: Layout = "entry"
@@ -52,8 +56,10 @@
         if self.layout == "serverset":
             fields = {
                 "serviceEndpoint": {"host": at.host, "port": at.port}, "additionalEndpoints": {},
-                "status": "ALIVE" if serves else "STOPPING", "shard": self.group,
+                "status": "ALIVE" if serves else "STOPPING",
             }  # fmt: skip
+            if self.group is not None:
+                fields["shard"] = self.group
         elif self.layout == "curator":
             fields = {
                 "name": self.name, "id": self.name, "address": at.host, "port": at.port, "sslPort": None,
@@ -63,9 +69,11 @@
         else:
             fields = {
                 "name": self.name, "address": self.address,
-                "status": "in_service" if serves else "terminating", "group": self.group,
+                "status": "in_service" if serves else "terminating",
                 "weight": self.weight, "zone": self.zone, "since_ms": self.started_at_ms,
             }  # fmt: skip
+            if self.group is not None:
+                fields["group"] = self.group
         return json.dumps(fields | {"instance": self.instance}).encode()
 
     def is_own(self, data: bytes) -> bool:
--- a/millgw/platform/discovery.py
+++ b/millgw/platform/discovery.py
@@ -35,12 +35,25 @@
 }
 
 
+@dataclass(slots=True, frozen=True)
+class ToldFields:
+    """Which of an endpoint's fields its source tells; the others have stand-in values."""
+
+    size: bool = True
+    cell: bool = True
+    zone: bool = True
+
+
+ALL_TOLD = ToldFields()
+
+
 @dataclass(slots=True, frozen=True)
 class ListedEndpoint:
     """A list entry: the endpoint for the balancer, and its address; None if it drains or is gone."""
 
     endpoint: Endpoint
     address: Address | None
+    told: ToldFields = ALL_TOLD
 
 
 @dataclass(slots=True, frozen=True)
@@ -60,6 +73,11 @@
     return int.from_bytes(blake2b(name.encode(), digest_size=8).digest(), "big")
 
 
+def unknown_cell(id: int) -> int:
+    """The cell of an endpoint whose group is not told: one of its own, so that no other knows its calls."""
+    return -1 - id
+
+
 def read_update(data: Any, zones: tuple[str, ...]) -> EndpointUpdate:
     """Parse a list from its JSON value; unreadable entries are skipped and logged."""
     if not isinstance(data, dict) or not isinstance(data.get("endpoints"), list):
@@ -81,16 +99,17 @@
     if condition is not Condition.READY:
         # The other fields are not read: an invalid one must not hide a drain, which does not need it.
         return ListedEndpoint(Endpoint(endpoint_id(name), condition), None)
-    zone = raw.get("zone")
+    id, zone = endpoint_id(name), raw.get("zone")
+    told = ToldFields(size="weight" in raw, cell="group" in raw, zone=bool(zone))
     endpoint = Endpoint(
-        id=endpoint_id(name),
+        id=id,
         condition=condition,
         size=read_number(raw, "weight", f"{name}: ", 1.0),
-        cell=int(read_number(raw, "group", f"{name}: ", 0.0)),
+        cell=int(read_number(raw, "group", f"{name}: ", 0.0)) if told.cell else unknown_cell(id),
         zone=zones.index(zone) if zone in zones else len(zones),
         started_at=read_number(raw, "since_ms", f"{name}: ", 0.0),
     )
-    return ListedEndpoint(endpoint, read_address(raw.get("address")))
+    return ListedEndpoint(endpoint, read_address(raw.get("address")), told)
 
 
 def salvage_drains(fragment: bytes) -> tuple[ListedEndpoint, ...]:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -500,6 +500,7 @@
         ({"--session-s": "0"}, "--session-s"),
         ({"--weight": "0"}, "--weight"),
         ({"--drain-s": "-1"}, "--drain-s"),
+        ({"--layout": "curator", "--group": "2"}, "--group: the layout curator has no field for it"),
     ],
 )
 def test_invalid_options_are_reported_in_one_line(
--- a/tests/test_membership_pure.py
+++ b/tests/test_membership_pure.py
@@ -45,7 +45,14 @@
 from millgw.membership.registration import NodeState as Node
 from millgw.membership.servers import RECONNECT_SPREAD, REFUSED_ROUNDS, ServerSelector, read_connect
 from millgw.platform.config import Address
-from millgw.platform.discovery import ListedEndpoint, endpoint_id, with_condition
+from millgw.platform.discovery import (
+    ALL_TOLD,
+    ListedEndpoint,
+    ToldFields,
+    endpoint_id,
+    unknown_cell,
+    with_condition,
+)
 from millgw.standins.coordinator.tree import ChangeEvent, OperationError, Tree
 from tests.kinds import skip_if_pure
 
@@ -253,6 +260,27 @@
         assert drained is not None and not drained.ready and made.is_own(made.encode(DesiredState.DRAIN))
 
 
+def test_what_a_node_does_not_tell_is_known_as_not_told() -> None:
+    """A node without a group counted as of group 0, as did every other."""
+
+    def read(raw: bytes) -> ListedEndpoint:
+        node = read_node(raw, ("z",))
+        assert node is not None
+        return node.listed
+
+    nodes = [read(json.dumps(CURATOR | {"id": name}).encode()) for name in "ab"]
+    assert all(node.told == ToldFields(size=False, cell=False, zone=False) for node in nodes)
+    assert nodes[0].endpoint.cell != nodes[1].endpoint.cell
+    assert read(json.dumps(SERVERSET).encode()).told == ToldFields(size=False, zone=False)
+    del (unsharded := dict(SERVERSET))["shard"]
+    assert not read(json.dumps(unsharded).encode()).told.cell
+    assert read(json.dumps(ENTRY | {"zone": "z"}).encode()).told == ALL_TOLD
+    for layout in ("entry", "serverset"):
+        for group in (None, 0, 7):
+            made = read(Entry("a", "10.0.0.1:80", group, layout=layout).encode(DesiredState.SERVE))
+            assert made.told.cell == (group is not None) and (group is None or made.endpoint.cell == group)
+
+
 @pytest.mark.parametrize(
     "data",
     [
@@ -848,6 +876,41 @@
     assert merged_names(merger) == {"m0", "x1"}
 
 
+def listed_with(name: str, told: ToldFields) -> dict[int, ListedEndpoint]:
+    """One source's list of one endpoint, and which of its cell 4, zone 2 and size 3.0 it tells."""
+    id = endpoint_id(name)
+    endpoint = Endpoint(
+        id,
+        size=3.0 if told.size else 1.0,
+        cell=4 if told.cell else unknown_cell(id),
+        zone=2 if told.zone else 9,
+    )
+    return {id: ListedEndpoint(endpoint, Address("10.0.0.1", 1 + int(name[1:])), told)}
+
+
+@pytest.mark.parametrize("mode", list(Mode))
+@pytest.mark.parametrize("name", ["m0", "x0"])  # the coordinator's, and another one at the same address
+@pytest.mark.parametrize("silent", [COORDINATOR, DISCOVERY])
+def test_what_one_source_does_not_tell_is_taken_from_the_other(mode: Mode, name: str, silent: int) -> None:
+    """The group that discovery told was lost where the coordinator listed the endpoint without one."""
+    merger = Merger(mode)
+    nothing = ToldFields(size=False, cell=False, zone=False)
+    names = {COORDINATOR: "m0", DISCOVERY: name}
+    for side in (COORDINATOR, DISCOVERY):
+        merger.update(side, listed_with(names[side], nothing if side == silent else ALL_TOLD), {})
+    (entry,) = merger.result().values()
+    assert (entry.endpoint.cell, entry.endpoint.zone, entry.endpoint.size) == (4, 2, 3.0)
+    assert entry.told == ALL_TOLD
+
+
+def test_what_neither_source_tells_is_one_group_for_each_endpoint() -> None:
+    merger, untold = Merger(Mode.UNION), ToldFields(cell=False)
+    for side in (COORDINATOR, DISCOVERY):
+        merger.update(side, listed_with("m0", untold) | listed_with("m1", untold), {})
+    cells = {entry.endpoint.cell for entry in merger.result().values()}
+    assert len(cells) == 2
+
+
 NAME_SETS = st.sets(st.sampled_from([f"m{i}" for i in range(5)] + [f"x{i}" for i in range(5)]))
 
 
