A test of a failing disk proposes until the leader has been asked to write

Cause, reproduced: it proposed once; where the process had been held up for longer than the lease (0.4 s) between the election and the proposal, the leader refused that with 503 "no quorum", which is right, and wrote nothing, so its disk never failed. With stalls of 0.45, 0.55 and 0.7 s put there the test did not end (3 of 9 stalls tried from 0.42 to 1.1 s).

The test was wrong in taking one proposal for a write. It now proposes until the instance has failed, and asserts the same cause and the same version at the others.

--- a/tests/test_configuration_instance.py
+++ b/tests/test_configuration_instance.py
@@ -381,6 +381,8 @@
 
 
 def test_an_instance_whose_disk_fails_stops_and_the_others_continue() -> None:
+    """A leader that was held up past its lease refuses a proposal and writes nothing: it is asked again."""
+
     async def test() -> None:
         async with Cluster(3) as cluster:
             leader = await cluster.wait_leader()
@@ -388,9 +390,10 @@
             state = cluster.states[name]
             assert isinstance(state, MemoryState)
             state.error = OSError("no space left on device")
-            with suppress(Exception):
-                await propose(address_of(leader), "a", {"n": 1})
-            assert str(await leader.failed) == "no space left on device"
+            while not leader.failed.done():
+                with suppress(Exception):
+                    await propose(address_of(leader), "a", {"n": 1})
+            assert str(leader.failed.result()) == "no space left on device"
             rest = [other for other in cluster.voters if other != name]
             assert await propose_until_committed(cluster, "a", {"n": 2}, rest) == 1
 
