--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,9 +1,8 @@
-"""SIGHUP moves discovery, in a sidecar with services, after endpoints have drained."""
+"""A sidecar is killed and starts again while discovery is down; lists are pushed to an agent beside it."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
 import sys
 from collections import Counter
 from pathlib import Path
@@ -13,17 +12,34 @@
 from rig_2 import TROUBLE, Client, CouldNotRun, Discovery, Endpoint, Record, Sidecar, play, settings
 
 GRACE = 0.5 + 0.05  # s, `drainGrace` of the settings and the slack on sockets
+STARTS = 1.0  # s that the first moment of the new process may be later than its start here
+DOWN = 8.0  # s for which discovery is down, and its agent silent
 CLIENTS = 4
 
 
+class Agent(Discovery):
+    """The agent on the machine: answers at once what it has, and is silent while discovery is down."""
+
+    silent = False
+
+    async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.silent:
+            self.record.note("agent-silent")
+            while self.silent:
+                await asyncio.sleep(0.05)
+            writer.close()
+            return
+        await super()._connection(reader, writer)
+
+
 async def case(record: Record) -> tuple[bool, str]:
-    endpoints = [Endpoint(record, f"s{i}") for i in range(4)]
+    endpoints = [Endpoint(record, f"s{i}") for i in range(5)]
     for endpoint in endpoints:
         await endpoint.start()
-    first = Discovery(record, "first", [e.entry for e in endpoints])
-    await first.start()
-    sidecar = Sidecar(record, first.address, first.whole(), settings=settings(siblings=8))
-    sidecar.operator = '[services.login]\n[[routes]]\nto = "login"\n'
+    agent = Agent(record, "agent", [e.entry for e in endpoints])
+    await agent.start()
+    known = agent.whole()
+    sidecar = Sidecar(record, agent.address, known, settings=settings(registryMode="pushed"))
     statuses: Counter[int] = Counter()
     ending = False
 
@@ -32,35 +48,34 @@
         while not ending:
             _, status, _ = await caller.call("codigo-acesso")
             statuses[status] += 1
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(0.02 if status else 0.2)
         caller.close()
 
     try:
         await sidecar.start()
         clients = [asyncio.create_task(client(i)) for i in range(CLIENTS)]
         await asyncio.sleep(3.0)
-        if not first.watches:
+        if not agent.watches:
             raise CouldNotRun("the sidecar has no watch")
-        told = {name: first.change(name, status="terminating") for name in ("s0", "s1")}
-        await asyncio.sleep(4.0)
-        # A second discovery of the same fleet: it knows the drains too.
-        second = Discovery(record, "second", list(first.entries.values()), index=first.index)
-        second.changed = dict(first.changed)
-        await second.start()
-        if TROUBLE:
-            sidecar.config["discovery"] = second.address
-            sidecar.write_config()
-            sidecar.signal(signal.SIGHUP)
-        await asyncio.sleep(8.0)
+        sidecar.kill()
+        await asyncio.sleep(0.5)
+        agent.change("s0", status="terminating")  # while the sidecar is away: its list is that of before
+        await asyncio.sleep(0.5)
+        agent.silent = TROUBLE
+        began = record.note("starts-again")
+        await sidecar.start()
+        await asyncio.sleep(DOWN)
+        agent.silent = False
+        await asyncio.sleep(2.0)
         ending = True
         await asyncio.gather(*clients)
     finally:
         sidecar.stop()
-    if statuses[200] < 200 or (TROUBLE and not second.calls):
-        raise CouldNotRun(f"answers {dict(statuses)}, calls at the second discovery: {second.calls}")
-    late = [at for e in endpoints for at, _ in e.got if at > told.get(e.name, 1e9) + GRACE]
-    span = f", the last {max(late) - told['s0']:.2f} s after the drain was told" if late else ""
-    return not late, f"answers {dict(statuses)}; {len(late)} sent to endpoints that drained{span}"
+    if statuses[200] < 200:
+        raise CouldNotRun(f"answers {dict(statuses)}")
+    late = [at for at, _ in endpoints[0].got if at > began + STARTS + GRACE]
+    last = f", the last {max(late) - began:.2f} s after the start" if late else ""
+    return not late, f"answers {dict(statuses)}; {len(late)} sent to the endpoint that drains{last}"
 
 
 play(Path(__file__).resolve().parent, case)
--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -124,10 +124,11 @@
 class Request:
     """A request as an endpoint read it."""
 
-    def __init__(self, line: str, headers: dict[str, str], body: bytes) -> None:
+    def __init__(self, line: str, headers: dict[str, str], body: bytes, reader: asyncio.StreamReader) -> None:
         self.method, self.target, _ = line.split(" ", 2)
         self.headers = headers
         self.body = body
+        self.reader = reader  # of its connection
 
     @property
     def trace(self) -> str:
@@ -140,7 +141,8 @@
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         line, *fields = head[:-4].split("\r\n")
         headers = {n.strip().lower(): v.strip() for n, _, v in (f.partition(":") for f in fields)}
-        return Request(line, headers, await reader.readexactly(int(headers.get("content-length", "0"))))
+        body = await reader.readexactly(int(headers.get("content-length", "0")))
+        return Request(line, headers, body, reader)
     except (asyncio.IncompleteReadError, ConnectionError):
         return None
 
@@ -169,6 +171,7 @@
             "name": name, "address": f"127.0.0.1:{self.port}", "zone": "sala-caxias", "type": "entrada-media",
             "group": 1, "status": "in_service", "weight": 1.0, "since_ms": 0,
         } | entry  # fmt: skip
+        self.open: set[asyncio.StreamWriter] = set()  # its connections
         self.got: list[tuple[float, str]] = []  # when the last byte of each request had come, and its id
 
     @property
@@ -178,10 +181,18 @@
     async def start(self) -> None:
         self.server = await asyncio.start_server(self._connection, sock=self.socket)
 
+    def die(self) -> None:
+        """End as a process does: its connections are reset, and new ones refused."""
+        self.record.note("endpoint-dies", name=self.name)
+        self.server.close()
+        for writer in list(self.open):
+            reset(writer)
+
     def body(self, request: Request) -> bytes:
         return f"{self.name} made this for {request.trace}".encode()
 
     async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.open.add(writer)
         with suppress(ConnectionError):
             while (request := await read_request(reader)) is not None:
                 if request.target.startswith("/health"):
@@ -194,6 +205,7 @@
                     continue
                 writer.write(answer(200, self.body(request)))
                 await writer.drain()
+        self.open.discard(writer)
         writer.close()
 
 
